Start the tree: build, format, lint, base types, typed messages

Cause: the repository was empty. Ruled out: one CMake target for all; a library per concern keeps headers light and gives one test program each. Before: nothing. Conclusion: the frame in which the parts can be written side by side.

--- /dev/null
+++ b/scripts/build.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Builds everything into build/ (or the folder named by BUILD_DIR).
+set -euo pipefail
+top=$(cd "$(dirname "$0")/.." && pwd)
+build=${BUILD_DIR:-$top/build}
+cmake -S "$top" -B "$build" -G Ninja "$@" >/dev/null
+cmake --build "$build"
--- /dev/null
+++ b/src/base/ErrorCode.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <string_view>
+
+namespace Auburnpost {
+
+/// What went wrong, in the terms of docs/CALLERS.md. Each has one fixed text form.
+enum class ErrorCode {
+    BadRequest,
+    BadJson,
+    HeaderTooLarge,
+    BodyTooLarge,
+    Unauthorised,
+    Forbidden,
+    UnknownOrganisation,
+    UnknownDatabase,
+    UnknownTransaction,
+    BadSession,
+    KeyReused,
+    ReadOnly,
+    SqlFailed,
+    Conflict,
+    Overloaded,
+    OrganisationLimit,
+    RetryBudgetSpent,
+    DeadlineExceeded,
+    NoPrimary,
+    NotPrimary,
+    NoFreshTarget,
+    NoHome,
+    NoConfiguration,
+    ConnectionRefused,
+    ConnectionLost,
+    TooManyConnections,
+    PeerUnreachable,
+    PlatformUnavailable,
+    PlatformRefused,
+    TransactionLost,
+    TransactionLimit,
+    Leaving,
+    BadSettings,
+    BadDocument,
+    BadMessage,
+    Internal,
+};
+
+/// @return the text form, in lower case with underscores, such as "no_primary".
+std::string_view toString(ErrorCode);
+
+} // namespace Auburnpost
--- /dev/null
+++ b/src/base/LogEvent.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <string_view>
+
+namespace Auburnpost {
+
+/// The events that a host logs. A number is never given to another event; docs/EVENTS.md is the catalogue.
+enum class LogEvent : int {
+    Started = 100,
+    Stopping = 101,
+    Stopped = 102,
+    StateDumped = 103,
+    StopForced = 104,
+    SettingsRefused = 110,
+    ListenFailed = 111,
+
+    ConfigurationApplied = 200,
+    ConfigurationRefused = 201,
+    PlatformLost = 210,
+    PlatformBack = 211,
+
+    HostJoined = 300,
+    HostSuspected = 301,
+    HostDead = 302,
+    HostLeaving = 303,
+
+    PrimarySuspected = 400,
+    TakeoverStarted = 401,
+    TakeoverGivenUp = 402,
+    PrimaryPromoted = 403,
+    PrimaryLearned = 404,
+    SwitchStarted = 405,
+    SwitchDone = 406,
+    TargetFollows = 407,
+
+    TargetConnectFailed = 500,
+    TargetConnectionLost = 501,
+    TargetLeaving = 502,
+
+    RequestRefused = 600,
+    OutcomeUnknown = 601,
+    OutcomeResolved = 602,
+
+    PeerMessageRefused = 700,
+    PeerSendFailed = 701,
+};
+
+/// @return the fixed text of the event.
+std::string_view describe(LogEvent);
+
+} // namespace Auburnpost
--- /dev/null
+++ b/tests/support/CatchMain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
