--- /dev/null
+++ b/src/route/SessionCodec.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "base/Expected.h"
+#include "base/Ids.h"
+
+#include <string>
+#include <string_view>
+
+namespace Auburnpost::Route {
+
+class SessionToken;
+class Signer;
+struct TransactionHandle;
+
+/// @return the token as a caller carries it; it is of use to this organisation only.
+std::string writeSession(const Signer&, const OrganisationName&, const SessionToken&);
+/// @return the token, or ErrorCode::BadSession for text that no host has given to this organisation.
+Expected<SessionToken> readSession(const Signer&, const OrganisationName&, std::string_view text);
+
+/// @return the handle as a caller carries it.
+std::string writeHandle(const Signer&, const OrganisationName&, const TransactionHandle&);
+/// @return the handle, or ErrorCode::UnknownTransaction for text that no host has given to this organisation.
+Expected<TransactionHandle> readHandle(const Signer&, const OrganisationName&, std::string_view text);
+
+} // namespace Auburnpost::Route
