--- /dev/null
+++ b/tests/route/StatementGuardTests.cpp
@@ -0,0 +1,27 @@
+#include "route/StatementGuard.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Auburnpost;
+using Auburnpost::Route::checkStatement;
+
+TEST_CASE("Ordinary statements pass the guard", "[route][guard]")
+{
+    for (const auto* sql : { "SELECT 1", "  insert into t values ($1)", "-- note\nUPDATE t SET a = 'commit'",
+             "/* a /* b */ c */ DELETE FROM t", "WITH x AS (SELECT 1) SELECT * FROM x" }) {
+        INFO(sql);
+        CHECK(checkStatement(sql));
+    }
+}
+
+TEST_CASE("Statements that end a transaction or touch reserved names are refused", "[route][guard]")
+{
+    for (const auto* sql : { "", "  ;", "COMMIT", "/* x */ rollback", "-- x\nBegin", ";end", "SET search_path TO x",
+             "DISCARD ALL", "DELETE FROM auburnpost_outcomes", "SELECT * FROM GROUP_FENCE(9, 'x')", "/* open comment",
+             "savepoint a" }) {
+        INFO(sql);
+        const auto result = checkStatement(sql);
+        REQUIRE_FALSE(result);
+        CHECK(result.error().code == ErrorCode::BadRequest);
+    }
+}
