--- /dev/null
+++ b/src/config/KeyDigest.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Auburnpost::Config {
+
+/// SHA-256 of a caller's key.
+class KeyDigest {
+public:
+    static constexpr std::size_t size = 32;
+
+    /// @return the digest of @p key.
+    static KeyDigest of(std::string_view key);
+    /// @return the digest written as 64 hexadecimal digits, or nothing for text of another form.
+    static std::optional<KeyDigest> parse(std::string_view hexadecimal);
+
+    /// Compares in a time that does not depend on the contents.
+    [[nodiscard]] bool matches(const KeyDigest&) const;
+    /// @return 64 hexadecimal digits in lower case.
+    [[nodiscard]] std::string toString() const;
+
+private:
+    std::array<std::uint8_t, size> m_bytes {};
+};
+
+} // namespace Auburnpost::Config
