Interpret state charts from files, embedded in the program

Cause: the states of takeover, shutdown and transaction are to be read in files that the code interprets. Ruled out: reading the files at run time (one binary, hosts without disks); a generator in the build (generated code is committed, a test holds it against the files).

--- /dev/null
+++ b/src/chart/ChartReader.cpp
@@ -0,0 +1,180 @@
+#include "chart/ChartReader.h"
+
+namespace Auburnpost::Chart {
+
+namespace {
+
+    constexpr std::size_t deepestLevel = 1;
+
+    bool isKnownChild(std::string_view name)
+    {
+        return name == "state" || name == "transition" || name == "onentry" || name == "onexit";
+    }
+
+} // namespace
+
+ChartReader::ChartReader(std::string_view chartName)
+    : m_chartName(chartName)
+{
+}
+
+Expected<std::vector<State>> ChartReader::read(std::string_view text)
+{
+    pugi::xml_document document;
+    const auto parsed = document.load_buffer(text.data(), text.size());
+    if (!parsed)
+        return tl::unexpected(
+            problem(std::string(parsed.description()) + " at offset " + std::to_string(parsed.offset)));
+    const auto root = document.child("scxml");
+    if (!root)
+        return tl::unexpected(problem("the root element is not 'scxml'"));
+    if (auto found = readStates(root, 0, 0))
+        return tl::unexpected(*found);
+    if (m_states.empty())
+        return tl::unexpected(problem("the chart has no state"));
+    if (auto found = readBehaviour(root))
+        return tl::unexpected(*found);
+    if (auto found = checkReachable())
+        return tl::unexpected(*found);
+    return std::move(m_states);
+}
+
+ChartReader::Check ChartReader::readStates(const pugi::xml_node& parent, std::size_t depth, std::size_t parentIndex)
+{
+    for (const auto& node : parent.children()) {
+        if (node.type() != pugi::node_element)
+            continue;
+        if (!isKnownChild(node.name()))
+            return problem(std::string("unknown element '") + node.name() + "'");
+        if (std::string_view(node.name()) != "state")
+            continue;
+        if (auto found = readState(node, depth, parentIndex))
+            return found;
+    }
+    return std::nullopt;
+}
+
+ChartReader::Check ChartReader::readState(const pugi::xml_node& node, std::size_t depth, std::size_t parentIndex)
+{
+    const std::string name = node.attribute("id").value();
+    if (name.empty())
+        return problem("a state has no id");
+    if (depth > deepestLevel)
+        return problem("state '" + name + "' is nested too deeply");
+    const auto index = m_states.size();
+    if (!m_indexes.emplace(name, index).second)
+        return problem("state '" + name + "' is there twice");
+    State state;
+    state.name = name;
+    state.parent = depth == 0 ? index : parentIndex;
+    state.initial = index;
+    m_states.push_back(std::move(state));
+    m_nodes.push_back(node);
+    return readStates(node, depth + 1, index);
+}
+
+ChartReader::Check ChartReader::resolveInitial(
+    const pugi::xml_node& node, std::size_t& initial, const std::string& owner)
+{
+    const std::string name = node.attribute("initial").value();
+    const auto first = node.child("state").attribute("id").value();
+    const auto found = m_indexes.find(name.empty() ? first : name);
+    if (found == m_indexes.end())
+        return problem("unknown state '" + name + "' as initial of '" + owner + "'");
+    initial = found->second;
+    return std::nullopt;
+}
+
+ChartReader::Check ChartReader::readBehaviour(const pugi::xml_node& root)
+{
+    for (std::size_t index = 0; index < m_states.size(); ++index) {
+        auto& state = m_states[index];
+        const auto& node = m_nodes[index];
+        if (node.child("state")) {
+            if (auto found = resolveInitial(node, state.initial, state.name))
+                return found;
+            if (m_states[state.initial].parent != index)
+                return problem("initial of '" + state.name + "' is not one of its children");
+        }
+        if (auto found = readActions(node.child("onentry"), state.onEntry))
+            return found;
+        if (auto found = readActions(node.child("onexit"), state.onExit))
+            return found;
+        if (auto found = readTransitions(node, state, index))
+            return found;
+    }
+    if (auto found = resolveInitial(root, m_initial, m_chartName))
+        return found;
+    m_initial = m_states[m_initial].initial;
+    return std::nullopt;
+}
+
+ChartReader::Check ChartReader::readTransitions(const pugi::xml_node& node, State& state, std::size_t index)
+{
+    for (const auto& child : node.children("transition")) {
+        Transition transition;
+        transition.event = child.attribute("event").value();
+        transition.guard = child.attribute("cond").value();
+        transition.target = index;
+        if (transition.event.empty())
+            return problem("a transition of '" + state.name + "' has no event");
+        const std::string target = child.attribute("target").value();
+        if (!target.empty()) {
+            const auto found = m_indexes.find(target);
+            if (found == m_indexes.end())
+                return problem("unknown state '" + target + "' as target in '" + state.name + "'");
+            transition.target = found->second;
+            transition.leaves = true;
+        }
+        if (auto found = readActions(child, transition.actions))
+            return found;
+        state.transitions.push_back(std::move(transition));
+    }
+    return std::nullopt;
+}
+
+ChartReader::Check ChartReader::readActions(const pugi::xml_node& node, std::vector<std::string>& actions) const
+{
+    for (const auto& child : node.children()) {
+        if (child.type() != pugi::node_element)
+            continue;
+        const std::string name = child.attribute("name").value();
+        if (std::string_view(child.name()) != "action" || name.empty())
+            return problem(std::string("'") + child.name() + "' is not an action with a name");
+        actions.push_back(name);
+    }
+    return std::nullopt;
+}
+
+ChartReader::Check ChartReader::checkReachable() const
+{
+    std::vector<bool> reached(m_states.size(), false);
+    std::vector<std::size_t> open { m_initial };
+    const auto reach = [&](std::size_t index) {
+        if (reached[index])
+            return;
+        reached[index] = true;
+        open.push_back(index);
+    };
+    reached[m_initial] = true;
+    while (!open.empty()) {
+        const auto& state = m_states[open.back()];
+        open.pop_back();
+        reach(state.parent);
+        reach(state.initial);
+        for (const auto& transition : state.transitions)
+            reach(transition.target);
+    }
+    for (std::size_t index = 0; index < m_states.size(); ++index) {
+        if (!reached[index])
+            return problem("state '" + m_states[index].name + "' can't be reached");
+    }
+    return std::nullopt;
+}
+
+Error ChartReader::problem(const std::string& message) const
+{
+    return { ErrorCode::Internal, "read chart", m_chartName, message };
+}
+
+} // namespace Auburnpost::Chart
--- /dev/null
+++ b/src/chart/EmbeddedCharts.cpp
@@ -0,0 +1,110 @@
+#include "chart/EmbeddedCharts.h"
+
+// clang-format off
+namespace Auburnpost::Chart {
+
+const std::vector<EmbeddedChart>& embeddedCharts()
+{
+    static const std::vector<EmbeddedChart> charts {
+        { "shutdown", R"scxml(<scxml xmlns="http://www.w3.org/2005/07/scxml" version="1.0" initial="Serving">
+  <state id="Serving">
+    <transition event="signal" target="AnnouncingLeave"/>
+  </state>
+  <state id="Stopping" initial="AnnouncingLeave">
+    <onentry><action name="refuseReadiness"/></onentry>
+    <transition event="signal" target="Stopped"><action name="reportCut"/></transition>
+    <transition event="deadline" target="Stopped"><action name="reportCut"/></transition>
+    <state id="AnnouncingLeave">
+      <onentry><action name="announceLeave"/></onentry>
+      <transition event="announced" target="Draining"/>
+    </state>
+    <state id="Draining">
+      <onentry><action name="stopAccepting"/></onentry>
+      <transition event="progress" cond="nothingInFlight" target="Stopped"/>
+    </state>
+  </state>
+  <state id="Stopped">
+    <onentry><action name="stop"/></onentry>
+  </state>
+</scxml>
+)scxml" },
+        { "takeover", R"scxml(<scxml xmlns="http://www.w3.org/2005/07/scxml" version="1.0" initial="Idle">
+  <state id="Idle">
+    <transition event="startSwitch" target="Draining"/>
+    <transition event="startAttempt" target="Fencing"/>
+  </state>
+  <state id="Switching" initial="Draining">
+    <onentry><action name="drainWrites"/></onentry>
+    <transition event="primaryFailed" target="Idle"><action name="resumeWrites"/></transition>
+    <transition event="termChanged" target="Idle"><action name="resumeWrites"/></transition>
+    <state id="Draining">
+      <transition event="progress" cond="writesDrained" target="CatchingUp"/>
+      <transition event="progress" cond="drainLimitPassed" target="CatchingUp"/>
+    </state>
+    <state id="CatchingUp">
+      <onentry><action name="markPrimaryEnd"/></onentry>
+      <transition event="progress" cond="chosenCaughtUp" target="Fencing"/>
+      <transition event="progress" cond="catchUpLimitPassed" target="Idle">
+        <action name="giveUp"/>
+        <action name="resumeWrites"/>
+      </transition>
+    </state>
+  </state>
+  <state id="Attempt" initial="Fencing">
+    <transition event="superseded" target="Idle"><action name="giveUp"/></transition>
+    <transition event="progress" cond="stepLimitPassed" target="Idle"><action name="giveUp"/></transition>
+    <onexit><action name="resumeWrites"/></onexit>
+    <state id="Fencing">
+      <onentry><action name="fenceMembers"/></onentry>
+      <transition event="progress" cond="majorityFenced" target="Promoting"/>
+      <transition event="progress" cond="retryDue"><action name="fenceAgain"/></transition>
+    </state>
+    <state id="Promoting">
+      <onentry><action name="promoteBest"/></onentry>
+      <transition event="promoted" target="Idle"><action name="announcePrimary"/></transition>
+      <transition event="progress" cond="retryDue"><action name="promoteAgain"/></transition>
+    </state>
+  </state>
+</scxml>
+)scxml" },
+        { "transaction", R"scxml(<scxml xmlns="http://www.w3.org/2005/07/scxml" version="1.0" initial="Open">
+  <state id="Open">
+    <transition event="statement"><action name="runStatement"/></transition>
+    <transition event="commit" target="Committing"/>
+    <transition event="rollback" target="Closed"><action name="rollBack"/></transition>
+    <transition event="idle" target="Closed"><action name="rollBack"/></transition>
+    <transition event="connectionLost" target="Closed"><action name="answerNotRun"/></transition>
+  </state>
+  <state id="Committing">
+    <onentry><action name="sendCommit"/></onentry>
+    <transition event="committed" target="Closed"><action name="answerDone"/></transition>
+    <transition event="refused" target="Closed"><action name="answerNotRun"/></transition>
+    <transition event="connectionLost" target="Resolving"/>
+    <transition event="notDurable" target="Resolving"/>
+  </state>
+  <state id="Resolving">
+    <onentry><action name="lookUpOutcome"/></onentry>
+    <transition event="found" target="Closed"><action name="answerDone"/></transition>
+    <transition event="absent" target="Closed"><action name="answerNotRun"/></transition>
+    <transition event="lookupFailed"><action name="lookUpOutcome"/></transition>
+    <transition event="deadline" target="Closed"><action name="answerUnknown"/></transition>
+  </state>
+  <state id="Closed">
+    <onentry><action name="releaseConnection"/></onentry>
+  </state>
+</scxml>
+)scxml" },
+    };
+    return charts;
+}
+
+std::string_view embeddedChart(std::string_view name)
+{
+    for (const auto& chart : embeddedCharts()) {
+        if (chart.name == name)
+            return chart.text;
+    }
+    return {};
+}
+
+} // namespace Auburnpost::Chart
