--- /dev/null
+++ b/src/limit/Backoff.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "base/Random.h"
+#include "base/Time.h"
+
+#include <cstdint>
+
+namespace Auburnpost::Limit {
+
+using namespace std::chrono_literals;
+
+struct BackoffSettings {
+    Duration base { 50ms };
+    Duration maximum { 5s };
+};
+
+/// Exponential back-off with full jitter.
+class Backoff {
+public:
+    explicit Backoff(BackoffSettings settings = {})
+        : m_settings(settings)
+    {
+    }
+
+    /// Counts one failure. @return how long to wait after it.
+    Duration fail(RandomEngine&);
+    /// The next failure is the first again.
+    void succeed() { m_failures = 0; }
+    [[nodiscard]] std::uint32_t failures() const { return m_failures; }
+
+    /// @param failures how many there were in a row, at least 1.
+    /// @return the longest wait after them.
+    [[nodiscard]] static Duration ceiling(const BackoffSettings&, std::uint32_t failures);
+
+private:
+    BackoffSettings m_settings;
+    std::uint32_t m_failures { 0 };
+};
+
+} // namespace Auburnpost::Limit
