Add gossip membership with its codec and tests on a simulated network

Cause: hosts must know within seconds who is live, leaving or dead without a coordination service. Change: probes with one repeat and indirect probes, suspicion that the accused refutes by a higher incarnation, news on the back of each datagram, a digest exchange in 64 buckets, pause compensation, and deaths reported by others softened to a suspicion. Ruled out: passing on what a newcomer learns by an exchange (it would repeat the whole table), and taking over reported deaths at once (halves that join again would kill each other's hosts in every view).

--- a/src/member/GossipDatagram.h
+++ b/src/member/GossipDatagram.h
@@ -54,12 +54,11 @@
     /// @return false when the record doesn't fit any more.
     bool add(const HostRecord&);
     /// @return the bytes of the datagram.
-    [[nodiscard]] std::string finish() const;
+    [[nodiscard]] const std::string& bytes() const { return m_bytes; }
     [[nodiscard]] std::size_t records() const { return m_records; }
 
 private:
-    std::string m_head;
-    std::string m_body;
+    std::string m_bytes;
     std::size_t m_limit;
     std::size_t m_records { 0 };
 };
--- a/src/member/HostRecord.h
+++ b/src/member/HostRecord.h
@@ -18,6 +18,8 @@
     SocketAddress peers;
     /// At start: the wall clock in microseconds, so that a restarted host is newer than its former self.
     Incarnation incarnation;
+    /// The incarnation with which the process started; it tells a restart from a refutation. Set by Membership.
+    Incarnation started;
 
     bool operator==(const HostDescription&) const = default;
 };
--- a/src/member/HostTable.cpp
+++ b/src/member/HostTable.cpp
@@ -29,7 +29,7 @@
 {
     const auto [position, isNew] = m_entries.try_emplace(record.host.name, Entry { record, now });
     if (isNew) {
-        m_live += record.isLive() ? 1 : 0;
+        noteLiveness(record);
         return { std::nullopt, true };
     }
     auto& known = position->second;
@@ -46,13 +46,23 @@
     AUBURNPOST_INVARIANT(known.record.host.incarnation >= before.host.incarnation, "an incarnation went backwards");
     if (before.isLive() && !known.record.isLive())
         known.deadSince = now;
-    m_live += known.record.isLive() ? 1 : 0;
-    m_live -= before.isLive() ? 1 : 0;
+    if (before.isLive() != known.record.isLive())
+        noteLiveness(known.record);
     const bool news = known.record.host.incarnation != before.host.incarnation || known.record.health != before.health
         || known.record.leaving != before.leaving;
     return { before, news };
 }
 
+void HostTable::noteLiveness(const HostRecord& record)
+{
+    const auto place = std::lower_bound(m_live.begin(), m_live.end(), record.host.name);
+    const bool isListed = place != m_live.end() && *place == record.host.name;
+    if (record.isLive() && !isListed)
+        m_live.insert(place, record.host.name);
+    else if (!record.isLive() && isListed)
+        m_live.erase(place);
+}
+
 void HostTable::forgetDead(Instant now, Duration retention)
 {
     std::erase_if(m_entries, [&](const auto& item) {
--- a/src/member/HostTable.h
+++ b/src/member/HostTable.h
@@ -38,7 +38,8 @@
 
     [[nodiscard]] const HostRecord* find(const HostName&) const;
     [[nodiscard]] const std::map<HostName, Entry>& entries() const { return m_entries; }
-    [[nodiscard]] std::size_t liveCount() const { return m_live; }
+    /// @return the live hosts in order of name.
+    [[nodiscard]] const std::vector<HostName>& liveNames() const { return m_live; }
     /// @return whether an exchange tells others of this entry: dead hosts only in the first half of their
     /// retention, so that two hosts can't remind each other for ever.
     [[nodiscard]] static bool isShared(const Entry&, Instant now, Duration retention);
@@ -50,8 +51,10 @@
         const TableDigest& other, Instant now, Duration retention) const;
 
 private:
+    void noteLiveness(const HostRecord&);
+
     std::map<HostName, Entry> m_entries;
-    std::size_t m_live { 0 };
+    std::vector<HostName> m_live;
 };
 
 } // namespace Auburnpost::Member
--- a/src/member/Membership.h
+++ b/src/member/Membership.h
@@ -10,7 +10,6 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,6 +17,8 @@
 namespace Auburnpost::Member {
 
 struct GossipDatagram;
+class GossipWriter;
+enum class GossipKind : std::uint8_t;
 
 /// A host as the platform's lagging list names it: a contact address and no more.
 struct ListedHost {
@@ -75,25 +76,43 @@
     [[nodiscard]] std::string dump() const;
 
 private:
+    /// How a record reached this host; decides whether it is passed on.
+    enum class Source : std::uint8_t {
+        News,
+        Exchange,
+    };
+
+    void start(Instant now, RandomEngine&);
     void compensatePause(Instant now);
     void expireSuspicions(Instant now, MembershipActions&);
     void probe(Instant now, RandomEngine&, MembershipActions&);
+    void ping(const HostName&, MembershipActions&);
+    void askOthersToPing(const HostName&, RandomEngine&, MembershipActions&);
+    void suspect(Instant now, const HostName&, MembershipActions&);
     void gossip(Instant now, RandomEngine&, MembershipActions&);
     void sync(Instant now, RandomEngine&, MembershipActions&);
     void reconnect(Instant now, RandomEngine&, MembershipActions&);
-    void start(Instant now, RandomEngine&);
 
-    void merge(Instant now, const HostRecord&, MembershipActions&);
+    void merge(Instant now, const HostRecord&, Source, MembershipActions&);
+    /// A death that others report starts a suspicion here first, or halves that join again would take each other's
+    /// old verdicts for true before the accused can refute them.
+    [[nodiscard]] HostRecord softened(HostRecord, Source) const;
     void mergeSelf(const HostRecord&);
-    void noteConfigVersion(const HostRecord&, MembershipActions&);
+    void trackSuspicion(Instant now, const HostRecord* before, const HostRecord& after);
+    void noteConfigVersion(ConfigVersion, const HostName& holder, MembershipActions&);
     void react(Instant now, const SocketAddress& from, const GossipDatagram&, MembershipActions&);
-    void answerDigest(const SocketAddress& from, const GossipDatagram&, MembershipActions&);
-    void relayAck(const GossipDatagram&, MembershipActions&);
-
-    void send(const SocketAddress& to, const HostName& toName, GossipDatagram, MembershipActions&);
-    void sendRecords(const SocketAddress& to, const std::vector<HostRecord>&, GossipDatagram, MembershipActions&);
+    void answerAck(const GossipDatagram&, MembershipActions&);
+    void answerPingRequest(Instant now, const SocketAddress& from, const GossipDatagram&, MembershipActions&);
+    void answerDigest(Instant now, const SocketAddress& from, const GossipDatagram&, MembershipActions&);
+
+    [[nodiscard]] GossipDatagram datagramOf(GossipKind) const;
+    void send(const SocketAddress& to, const HostName& toName, const GossipDatagram& head, MembershipActions&);
+    void sendDigest(Instant now, const SocketAddress& to, const HostName& toName, MembershipActions&);
+    void addNews(GossipWriter&, const HostName& recipient);
+    void emit(const SocketAddress& to, const GossipWriter&, MembershipActions&);
+    [[nodiscard]] std::vector<HostRecord> randomLive(std::size_t count, const HostName& except, RandomEngine&) const;
     [[nodiscard]] std::size_t newsRepeats() const;
-    [[nodiscard]] std::vector<SocketAddress> unreachedContacts() const;
+    [[nodiscard]] std::vector<SocketAddress> unreachedAddresses() const;
 
     MembershipSettings m_settings;
     HostRecord m_self;
@@ -101,8 +120,11 @@
     NewsQueue m_news;
     Prober m_prober;
     std::map<HostName, Instant> m_suspicionEnds;
-    std::set<SocketAddress> m_contacts;
+    /// Addresses of the platform's list.
+    std::vector<SocketAddress> m_listed;
     ConfigVersion m_highestVersion;
+    HostName m_highestVersionHost;
+    /// Rounds of news still owed to the highest version.
     std::size_t m_versionRounds { 0 };
     std::optional<Instant> m_lastCall;
     bool m_started { false };
--- a/src/member/MembershipAction.h
+++ b/src/member/MembershipAction.h
@@ -22,7 +22,7 @@
     Cleared,
     Leaving,
     Dead,
-    /// A live host was replaced by a newer incarnation: what the older one held is gone when its start differs.
+    /// A live host was started again: what its former process held is gone.
     Renewed,
 };
 
--- /dev/null
+++ b/tests/member/MembershipTests.cpp
@@ -0,0 +1,195 @@
+#include "member/GossipNetwork.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace Auburnpost;
+using namespace Auburnpost::Member;
+using namespace Auburnpost::MemberTest;
+
+namespace {
+
+constexpr std::size_t siteHosts = 18;
+
+/// @return a site whose hosts all know each other.
+GossipNetwork settledSite(std::size_t hosts, std::uint64_t seed, NetworkFaults faults = {})
+{
+    GossipNetwork site(hosts, seed, {}, faults);
+    REQUIRE(site.runUntil([&] { return site.agrees(); }, 30s) < 30s);
+    site.clearChanges();
+    return site;
+}
+
+} // namespace
+
+TEST_CASE("Hosts that start together find each other through the seeds", "[member][join]")
+{
+    for (const std::size_t hosts : { 2U, 5U, 18U }) {
+        GossipNetwork site(hosts, hosts);
+        CHECK(site.runUntil([&] { return site.agrees(); }, 20s) < 20s);
+        CHECK(site.count(HostChange::Dead) == 0);
+    }
+}
+
+TEST_CASE("A killed host is known as dead everywhere within 3 s typically", "[member][death]")
+{
+    std::vector<Duration> times;
+    for (std::uint64_t seed = 1; seed <= 15; ++seed) {
+        auto site = settledSite(siteHosts, seed);
+        site.kill(7);
+        times.push_back(site.runUntil([&] { return site.viewersOfLive(7) == 0; }, 20s));
+        CHECK(site.count(HostChange::Dead) == siteHosts - 1);
+    }
+    std::sort(times.begin(), times.end());
+    CHECK(times[times.size() / 2] <= 3s);
+    CHECK(times.back() <= 6s);
+}
+
+TEST_CASE("A leaving host is known as leaving by most hosts within 1 s", "[member][leave]")
+{
+    auto site = settledSite(siteHosts, 3);
+    site.member(4).leave(site.now());
+    site.run(1s);
+    CHECK(site.count(HostChange::Leaving) >= siteHosts - 2);
+    site.run(5s);
+    CHECK(site.count(HostChange::Leaving) == siteHosts - 1);
+    CHECK(site.count(HostChange::Dead) == 0);
+}
+
+TEST_CASE("A third of the hosts killed at once is told apart from the rest", "[member][death]")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        auto site = settledSite(siteHosts, seed);
+        for (std::size_t host = 0; host < siteHosts; host += 3)
+            site.kill(host);
+        CHECK(site.runUntil([&] { return site.agrees(); }, 20s) < 20s);
+        CHECK(site.count(HostChange::Dead) == siteHosts / 3 * (siteHosts - siteHosts / 3));
+    }
+}
+
+TEST_CASE("All hosts can be replaced one by one, the seeds included", "[member][replace]")
+{
+    auto site = settledSite(siteHosts, 11);
+    std::vector<ListedHost> listed;
+    for (std::size_t old = 0; old < siteHosts; ++old) {
+        const auto fresh = site.add();
+        // The platform's list comes late and names the old host still.
+        listed.push_back({ GossipNetwork::nameOf(fresh), GossipNetwork::addressOf(fresh) });
+        for (std::size_t host = 0; host < site.size(); ++host) {
+            if (site.isUp(host) && old >= 2)
+                site.member(host).hostList(site.now(), { listed.begin(), listed.end() - 2 });
+        }
+        site.run(2s);
+        site.member(old).leave(site.now());
+        site.run(2s);
+        site.kill(old);
+    }
+    CHECK(site.runUntil([&] { return site.agrees(); }, 20s) < 20s);
+    CHECK(site.member(siteHosts).liveHosts().size() == siteHosts);
+}
+
+TEST_CASE("Two halves that were cut apart join again", "[member][cut]")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        auto site = settledSite(siteHosts, seed);
+        site.cut([](std::size_t host) { return static_cast<int>(host % 2); });
+        site.run(60s);
+        CHECK(site.member(0).liveHosts().size() == siteHosts / 2);
+        site.clearChanges();
+        site.join();
+        CHECK(site.runUntil([&] { return site.agrees(); }, 30s) < 30s);
+        // No half takes the other's old verdicts over.
+        CHECK(site.count(HostChange::Dead) == 0);
+    }
+}
+
+TEST_CASE("Loss of a tenth and pauses of a second kill nobody", "[member][false-death]")
+{
+    NetworkFaults faults;
+    faults.loss = 0.1;
+    faults.duplication = 0.05;
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        auto site = settledSite(siteHosts, seed, faults);
+        RandomEngine random(seed);
+        for (int round = 0; round < 60; ++round) {
+            site.pause(random() % siteHosts, Duration(random() % 1'000'000));
+            site.run(2s);
+        }
+        CHECK(site.count(HostChange::Dead) == 0);
+    }
+}
+
+TEST_CASE("A host that wakes from a long pause declares nobody dead", "[member][pause]")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        auto site = settledSite(siteHosts, seed);
+        site.pause(5, 10s);
+        site.run(9s);
+        CHECK(site.viewersOfLive(5) == 0);
+        CHECK(site.runUntil([&] { return site.agrees(); }, 20s) < 20s);
+        const auto& changes = site.changes();
+        CHECK(std::none_of(changes.begin(), changes.end(),
+            [](const SeenChange& seen) { return seen.viewer == 5 && seen.change.change == HostChange::Dead; }));
+    }
+}
+
+TEST_CASE("A restarted host wins over its former process", "[member][restart]")
+{
+    auto site = settledSite(siteHosts, 21);
+    site.kill(6);
+    site.run(100ms);
+    site.restart(6);
+    CHECK(site.runUntil([&] { return site.count(HostChange::Renewed) == siteHosts - 1; }, 10s) < 2s);
+    site.run(10s);
+    CHECK(site.agrees());
+    CHECK(site.count(HostChange::Renewed) == siteHosts - 1);
+    CHECK(site.count(HostChange::Dead) == 0);
+}
+
+TEST_CASE("The platform's list proves neither life nor death", "[member][list]")
+{
+    auto site = settledSite(siteHosts, 31);
+    SECTION("a list that misses live hosts and names ones that never were")
+    {
+        for (std::size_t host = 0; host < siteHosts; ++host)
+            site.member(host).hostList(site.now(), { { HostName("nobody"), GossipNetwork::addressOf(500) } });
+    }
+    SECTION("an empty list")
+    {
+        for (std::size_t host = 0; host < siteHosts; ++host)
+            site.member(host).hostList(site.now(), {});
+    }
+    site.run(30s);
+    CHECK(site.agrees());
+    CHECK(site.count(HostChange::Dead) == 0);
+    CHECK(site.count(HostChange::Joined) == 0);
+}
+
+TEST_CASE("A host whose seeds are all gone joins through the platform's list", "[member][list][join]")
+{
+    MembershipSettings settings;
+    settings.seeds = { GossipNetwork::addressOf(400) };
+    GossipNetwork site(4, 5, settings);
+    site.run(5s);
+    CHECK_FALSE(site.agrees());
+    for (std::size_t host = 1; host < 4; ++host)
+        site.member(host).hostList(site.now(), { { HostName("old name"), GossipNetwork::addressOf(0) } });
+    CHECK(site.runUntil([&] { return site.agrees(); }, 10s) < 10s);
+}
+
+TEST_CASE("A document version travels by gossip and never falls", "[member][config]")
+{
+    auto site = settledSite(siteHosts, 41);
+    site.member(3).setConfigVersion(site.now(), ConfigVersion(7));
+    const auto knows = [&] {
+        for (std::size_t host = 0; host < siteHosts; ++host) {
+            if (site.member(host).highestConfigVersion() != ConfigVersion(7))
+                return false;
+        }
+        return true;
+    };
+    CHECK(site.runUntil(knows, 10s) <= 2s);
+    site.member(3).setConfigVersion(site.now(), ConfigVersion(6));
+    CHECK(site.member(3).self().configVersion == ConfigVersion(7));
+    CHECK(site.member(9).find(GossipNetwork::nameOf(3))->configVersion <= ConfigVersion(7));
+}
