Add the engine: entry requests, homes, operations on targets, one facade

Cause: the decision libraries need one place that joins them without clock or socket. Ruled out: a home that retries by itself (two owners of retries multiply attempts); resolving a lost answer by reading alone (a late commit can follow the look): the key of a write without a caller's key is claimed instead. Change: RequestCoordinator owns deadline and retries; DatabaseHome owns connections and the watch of its group; one operation class for reads, writes, settling and transactions; replies are delivered after the event, never inside it. Before: nothing.

--- /dev/null
+++ b/src/engine/Engine.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "base/Random.h"
+#include "config/Settings.h"
+#include "engine/Action.h"
+#include "engine/Event.h"
+
+#include <memory>
+#include <string>
+
+namespace Auburnpost {
+
+class EngineState;
+
+/// All decisions of one host behind one call: an event with its time goes in, actions come out. No clock, socket or
+/// randomness of its own, so that anything can drive it.
+class Engine {
+public:
+    /// @param now the present time; @param seed of the random engine;
+    /// @param incarnation of this host: higher than that of any earlier run.
+    Engine(Instant now, const Config::Settings&, Incarnation, std::uint64_t seed);
+    ~Engine();
+    Engine(const Engine&) = delete;
+    Engine& operator=(const Engine&) = delete;
+
+    /// Takes an event. Calls come in order of time; a Tick is due at least every tickInterval.
+    /// @return what to do, in order.
+    Actions onEvent(Instant now, Event);
+
+    static constexpr Duration tickInterval { std::chrono::milliseconds(10) };
+
+    /// @return whether the balancer may send callers here.
+    [[nodiscard]] bool isReady() const;
+    /// @return the whole state as JSON.
+    [[nodiscard]] std::string dump(Instant now) const;
+    /// @return the document in force, or one of its sections, as JSON; empty when there is none.
+    [[nodiscard]] std::string documentText(const std::string& section) const;
+    [[nodiscard]] ConfigVersion documentVersion() const;
+
+private:
+    std::unique_ptr<EngineState> m_state;
+};
+
+} // namespace Auburnpost
--- /dev/null
+++ b/src/engine/EngineState.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "config/Document.h"
+#include "engine/DatabaseHome.h"
+#include "engine/Engine.h"
+#include "engine/RequestCoordinator.h"
+#include "member/Membership.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace Auburnpost {
+
+/// The parts of the engine and the ways between them.
+class EngineState : public DatabaseHomeOwner, public RequestCoordinatorOwner {
+public:
+    EngineState(Instant now, const Config::Settings&, Incarnation, std::uint64_t seed);
+
+    Actions onEvent(Instant now, Event);
+    [[nodiscard]] bool isReady() const;
+    [[nodiscard]] std::string dump(Instant now) const;
+    [[nodiscard]] const std::string& documentText() const { return m_documentText; }
+    [[nodiscard]] ConfigVersion documentVersion() const;
+
+    // RequestCoordinatorOwner
+    [[nodiscard]] const Config::Document* document() const override { return m_document ? &*m_document : nullptr; }
+    [[nodiscard]] std::vector<HomeRef> homesOf(const DatabaseName&) const override;
+    [[nodiscard]] std::optional<HomeRef> host(const HostName&) const override;
+    void dispatch(Instant now, AttemptNumber, const HomeRef&, const Work&, Instant deadline) override;
+
+    // DatabaseHomeOwner
+    Actions& actions() override { return m_actions; }
+    ConnectionId nextConnection() override { return ConnectionId(++m_lastConnection); }
+    CommandId nextCommand() override { return CommandId(++m_lastCommand); }
+    OperationId nextOperation() override { return OperationId(++m_lastOperation); }
+    void sendWatcherNote(const HostName&, const DatabaseName&, std::string content) override;
+    void workReplied(Instant now, OperationId, WorkReply) override;
+
+private:
+    /// Who waits for the reply to an operation.
+    struct Origin {
+        AttemptNumber attempt;
+        /// Empty when it is a request of this host.
+        std::optional<SocketAddress> replyTo;
+    };
+    struct HomeEntry {
+        std::unique_ptr<DatabaseHome> home;
+        /// Since when this host is not a home of the database any more.
+        std::optional<Instant> retiredAt;
+    };
+
+    void handle(Instant now, CallerRequest);
+    void handle(Instant now, const CallerGone&);
+    void handle(Instant now, const TargetOpened&);
+    void handle(Instant now, const TargetAnswer&);
+    void handle(Instant now, const TargetConnectionLost&);
+    void handle(Instant now, const PeerReceived&);
+    void handle(Instant now, const PeerNotSent&);
+    void handle(Instant now, const GossipReceived&);
+    void handle(Instant now, const PlatformAnswer&);
+    void handle(Instant now, const SectionPut&);
+    void handle(Instant now, const Tick&);
+    void handle(Instant now, const StopRequested&);
+
+    void take(Instant now, ForwardedWork);
+    void take(Instant now, ForwardedReply);
+    void take(Instant now, const DocumentWanted&);
+    void take(Instant now, const DocumentOffered&);
+    void take(Instant now, const WatcherNote&);
+
+    void submit(Instant now, const Origin&, Work, Instant deadline);
+    void deliverReplies(Instant now);
+    void apply(Instant now, const Member::MembershipActions&);
+    void apply(Instant now, const Member::SendDatagram&);
+    void apply(Instant now, const Member::HostChanged&);
+    void apply(Instant now, const Member::ConfigVersionSeen&);
+    void acceptDocument(Instant now, ConfigVersion, const std::string& text);
+    void placeHomes(Instant now);
+    void openHome(Instant now, const DatabaseName&, const Config::DatabasePlacement&);
+    void retireHomes(Instant now);
+    void applyMaintenance(Instant now);
+    void pollPlatform(Instant now);
+    void checkStop(Instant now);
+    DatabaseHome* holderOf(ConnectionId);
+    void sendPeer(const SocketAddress&, const PeerMessage&);
+    void log(LogEvent, std::vector<LogField> fields);
+
+    Config::Settings m_settings;
+    RandomEngine m_random;
+    Incarnation m_incarnation;
+    Actions m_actions;
+    Member::Membership m_membership;
+    RequestCoordinator m_coordinator;
+    std::optional<Config::Document> m_document;
+    std::string m_documentText;
+    std::map<DatabaseName, std::vector<HostName>> m_homeNames;
+    std::map<DatabaseName, HomeEntry> m_homes;
+    std::map<OperationId, Origin> m_origins;
+    struct Reply {
+        Origin origin;
+        WorkReply reply;
+    };
+    std::deque<Reply> m_replies;
+    /// The incarnation with which each other host started.
+    std::map<HostName, Incarnation> m_startOfHost;
+    bool m_placementStale { true };
+    Instant m_nextPoll {};
+    Instant m_nextHostList {};
+    std::map<PlatformCallId, std::string> m_platformCalls;
+    std::uint64_t m_lastConnection { 0 };
+    std::uint64_t m_lastCommand { 0 };
+    std::uint64_t m_lastOperation { 0 };
+    std::uint64_t m_lastPlatformCall { 0 };
+    std::optional<Instant> m_stopRequestedAt;
+};
+
+} // namespace Auburnpost
--- /dev/null
+++ b/src/engine/TargetPool.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Random.h"
+#include "base/Time.h"
+#include "engine/HomeServices.h"
+#include "engine/OperationId.h"
+#include "limit/AdmissionQueue.h"
+#include "limit/ConnectionBudget.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace Auburnpost {
+
+/// What a pool asks of its owner.
+class TargetPoolOwner {
+public:
+    virtual ~TargetPoolOwner() = default;
+    virtual ConnectionId openConnection(const TargetName&) = 0;
+    virtual void closeConnection(ConnectionId) = 0;
+    virtual void rollBackConnection(Instant now, ConnectionId) = 0;
+    virtual void connectionGranted(Instant now, OperationId, ConnectionId) = 0;
+    virtual void connectionRefused(Instant now, OperationId, const Error&, std::optional<Duration> retryAfter) = 0;
+};
+
+/// The connections of one home to one target and the operations that wait for them.
+class TargetPool {
+public:
+    /// @param inFlightLimit operations without a transaction that run on the target at a time.
+    TargetPool(TargetName, const Limit::ConnectionBudgetSettings&, std::size_t inFlightLimit, TargetPoolOwner&);
+
+    /// Queues an operation for a connection.
+    void request(Instant now, const Limit::Ticket&, bool pinned);
+    /// Takes an operation out of the queue.
+    void cancel(OperationId, const OrganisationName&);
+    /// Takes a connection back from the operation that holds it.
+    void release(Instant now, ConnectionId, ConnectionFate);
+
+    void opened(Instant now, ConnectionId);
+    /// @return the operation that held the connection; empty when none did.
+    std::optional<OperationId> lost(Instant now, ConnectionId, RandomEngine&);
+    /// A rollback that release() asked for is done.
+    void rolledBack(Instant now, ConnectionId);
+    /// Grants, opens, closes and refuses as time and state allow.
+    void pump(Instant now);
+    /// Takes no new operation and refuses those that wait.
+    void setLeaving(Instant now, bool leaving);
+    /// Closes every connection. @return the operations that held one or waited for one.
+    std::vector<OperationId> shutDown();
+
+    [[nodiscard]] bool holds(ConnectionId connection) const { return m_connections.contains(connection); }
+    /// @return the operation that holds the connection; empty when none does.
+    [[nodiscard]] std::optional<OperationId> holder(ConnectionId) const;
+    [[nodiscard]] std::size_t load() const { return m_queue.size() + m_pinnedQueue.size() + m_budget.busy(); }
+    [[nodiscard]] const Limit::ConnectionBudget& budget() const { return m_budget; }
+    [[nodiscard]] std::size_t waiting() const { return m_queue.size() + m_pinnedQueue.size(); }
+    [[nodiscard]] bool isLeaving() const { return m_leaving; }
+    [[nodiscard]] std::uint64_t granted() const { return m_granted; }
+
+private:
+    enum class State : std::uint8_t {
+        Opening,
+        Idle,
+        Busy,
+        Pinned,
+        /// Busy with the rollback before it is idle again.
+        RollingBack,
+    };
+    struct Connection {
+        State state { State::Opening };
+        OperationId holder;
+        bool pinned { false };
+    };
+
+    void grantPinned(Instant now);
+    void grantQueued(Instant now);
+    void grant(Instant now, OperationId, State);
+    void refuseExpired(Instant now);
+    void refuse(Instant now, const Limit::AdmissionRefusal&);
+    void makeIdle(Instant now, ConnectionId);
+    void drop(Instant now, Connection&);
+    [[nodiscard]] Error error(ErrorCode, std::string message) const;
+
+    TargetName m_target;
+    Limit::ConnectionBudget m_budget;
+    Limit::AdmissionQueue m_queue;
+    std::deque<Limit::Ticket> m_pinnedQueue;
+    std::size_t m_inFlightLimit;
+    TargetPoolOwner& m_owner;
+    std::map<ConnectionId, Connection> m_connections;
+    std::vector<ConnectionId> m_idle;
+    bool m_leaving { false };
+    std::uint64_t m_granted { 0 };
+};
+
+} // namespace Auburnpost
