Add the target and platform stand-ins

The system needs something outside it to talk to before the whole path can be tried. standin-target executes SQL in SQLite behind PostgreSQL's protocol, with terms, log shipping, slots, a connection cap and faults; standin-platform serves the table, the objects and the lagging host list.

--- /dev/null
+++ b/standins/target/Executor.cpp
@@ -0,0 +1,295 @@
+#include "target/Executor.h"
+
+#include "target/GroupCall.h"
+#include "target/StatementKind.h"
+
+#include <array>
+
+namespace Auburnpost::Standin {
+
+Executor::Executor(EventLoop& loop, Target& target, SlotQueue& slots, WriteLock& lock, WriteLock::Owner id)
+    : m_loop(loop)
+    , m_target(target)
+    , m_slots(slots)
+    , m_lock(lock)
+    , m_id(id)
+    , m_standing(target.standing())
+{
+}
+
+void Executor::execute(const SqlCommand& command, Done done)
+{
+    static constexpr std::array<Handler, 9> handlers { &Executor::runEmpty, &Executor::runBegin,
+        &Executor::runBeginReadOnly, &Executor::runCommit, &Executor::runRollback, &Executor::runSetReadOnly,
+        &Executor::runDiscard, &Executor::runGroup, &Executor::runSql };
+    const StatementKind kind = classify(command.sql);
+    const bool endsBlock = kind == StatementKind::Commit || kind == StatementKind::Rollback;
+    if (m_block == Block::Failed && !endsBlock && kind != StatementKind::Group) {
+        finish(refuse(SqlState::transactionFailed, "the transaction has failed; roll it back"), done);
+        return;
+    }
+    (this->*handlers[static_cast<std::size_t>(kind)])(command, done);
+}
+
+void Executor::sync(const Done& done)
+{
+    if (m_block != Block::Implicit) {
+        done(QueryResult {});
+        return;
+    }
+    const auto committed = commitWrites();
+    const bool withheld = m_wrote && m_target.faults().crash == CrashPoint::AfterShip;
+    end();
+    m_standing = m_target.standing();
+    if (!committed)
+        finish(tl::unexpected<SqlFault>(committed.error()), done);
+    else if (!withheld)
+        done(QueryResult {});
+}
+
+void Executor::abandon()
+{
+    m_waiting.reset();
+    undo();
+    m_block = Block::Idle;
+}
+
+SqlExpected<std::vector<Column>> Executor::describe(const std::string& sql)
+{
+    switch (classify(sql)) {
+    case StatementKind::Sql:
+        return (m_wrote ? m_target.store().working() : m_target.store().committed()).describe(sql);
+    case StatementKind::Group:
+        return groupColumns();
+    default:
+        return {};
+    }
+}
+
+char Executor::status() const
+{
+    switch (m_block) {
+    case Block::Open:
+        return 'T';
+    case Block::Failed:
+        return 'E';
+    default:
+        return 'I';
+    }
+}
+
+void Executor::runEmpty(const SqlCommand&, const Done& done)
+{
+    done(QueryResult {});
+}
+
+void Executor::runBegin(const SqlCommand&, const Done& done)
+{
+    begin(false, "BEGIN", done);
+}
+
+void Executor::runBeginReadOnly(const SqlCommand&, const Done& done)
+{
+    begin(true, "BEGIN", done);
+}
+
+void Executor::begin(bool readOnly, const std::string& tag, const Done& done)
+{
+    // As in PostgreSQL, what the implicit transaction did so far becomes part of the block.
+    m_block = Block::Open;
+    m_readOnly = readOnly;
+    succeed(tag, done);
+}
+
+void Executor::runCommit(const SqlCommand&, const Done& done)
+{
+    if (m_block == Block::Failed) {
+        end();
+        succeed("ROLLBACK", done);
+        return;
+    }
+    const auto committed = commitWrites();
+    const bool withheld = m_wrote && m_target.faults().crash == CrashPoint::AfterShip;
+    end();
+    if (!committed)
+        finish(tl::unexpected<SqlFault>(committed.error()), done);
+    else if (!withheld)
+        succeed("COMMIT", done);
+}
+
+void Executor::runRollback(const SqlCommand&, const Done& done)
+{
+    undo();
+    end();
+    succeed("ROLLBACK", done);
+}
+
+void Executor::runSetReadOnly(const SqlCommand&, const Done& done)
+{
+    m_readOnly = true;
+    succeed("SET", done);
+}
+
+void Executor::runDiscard(const SqlCommand&, const Done& done)
+{
+    if (m_block == Block::Open)
+        finish(refuse(SqlState::syntax, "not inside a transaction"), done);
+    else
+        succeed("DISCARD ALL", done);
+}
+
+void Executor::runGroup(const SqlCommand& command, const Done& done)
+{
+    const auto call = parseGroupCall(command);
+    if (!call) {
+        finish(tl::unexpected<SqlFault>(call.error()), done);
+        return;
+    }
+    GroupStatus status;
+    switch (call->operation) {
+    case GroupOperation::Status:
+        status = m_target.status(true);
+        break;
+    case GroupOperation::Fence:
+        status = m_target.fence(call->term, call->candidate);
+        break;
+    case GroupOperation::Promote:
+        status = m_target.promote(call->term, call->candidate);
+        break;
+    case GroupOperation::Follow:
+        status = m_target.follow(call->term, call->primary);
+        break;
+    case GroupOperation::Wait:
+        waitFor(*call, done);
+        return;
+    }
+    finish(toResult(status), done);
+}
+
+void Executor::waitFor(const GroupCommand& call, const Done& done)
+{
+    const auto covered = [this, point = call.point] { return m_target.log().end().covers(point); };
+    if (covered() || call.timeout <= Duration::zero()) {
+        finish(toResult(m_target.status(covered())), done);
+        return;
+    }
+    // Answered from the loop, so that neither the signal nor the timer is freed while it runs.
+    const auto answer = [this, covered, done, serial = ++m_lastWait, weak = weak_from_this()] {
+        m_loop.after(Duration::zero(), [this, covered, done, serial, weak] {
+            if (const auto alive = weak.lock(); alive && m_waiting && m_waiting->serial == serial) {
+                m_waiting.reset();
+                finish(toResult(m_target.status(covered())), done);
+            }
+        });
+    };
+    m_waiting = std::make_unique<Waiting>(m_lastWait);
+    m_waiting->timer = std::make_unique<Timer>(m_loop, answer);
+    m_waiting->timer->start(call.timeout);
+    m_waiting->change = m_target.changed.connect([covered, answer] {
+        if (covered())
+            answer();
+    });
+}
+
+void Executor::runSql(const SqlCommand& command, const Done& done)
+{
+    if (m_block == Block::Idle)
+        m_block = Block::Implicit;
+    auto& database = m_wrote ? m_target.store().working() : m_target.store().committed();
+    if (!database.writes(command.sql))
+        submit(command, false, done);
+    else if (m_readOnly)
+        finish(refuse(SqlState::readOnly, "the transaction is read-only"), done);
+    else if (m_target.group().role != TargetRole::Primary)
+        finish(refuse(SqlState::readOnly, "the target is not primary"), done);
+    else if (m_wrote)
+        submit(command, true, done);
+    else
+        lockAndWrite(command, done);
+}
+
+void Executor::lockAndWrite(const SqlCommand& command, const Done& done)
+{
+    m_lock.request(m_id, [this, command, done, weak = weak_from_this()](bool granted) {
+        const auto alive = weak.lock();
+        if (!alive)
+            return;
+        m_hasLock = granted;
+        if (granted)
+            submit(command, true, done);
+        else
+            finish(refuse(SqlState::lockTimeout, "another transaction holds the write lock"), done);
+    });
+}
+
+void Executor::submit(const SqlCommand& command, bool writes, const Done& done)
+{
+    const auto weak = weak_from_this();
+    m_slots.submit([weak] { return !weak.expired(); },
+        [this, weak, command, writes, done] {
+            if (const auto alive = weak.lock())
+                finish(run(command, writes), done);
+        });
+}
+
+SqlExpected<QueryResult> Executor::run(const SqlCommand& command, bool writes)
+{
+    if (m_wrote && !termHolds())
+        return refuse(SqlState::readOnly, "the target was fenced while the transaction was open");
+    if (!writes)
+        return (m_wrote ? m_target.store().working() : m_target.store().committed()).execute(command);
+    auto result = m_target.write(command);
+    if (result && !m_wrote) {
+        m_wrote = true;
+        m_startedIn = m_target.group().leading;
+    }
+    return result;
+}
+
+bool Executor::termHolds() const
+{
+    return m_target.group().role == TargetRole::Primary && m_target.group().leading == m_startedIn;
+}
+
+SqlExpected<LogPoint> Executor::commitWrites()
+{
+    if (!m_wrote)
+        return m_target.log().end();
+    return m_target.commit(m_startedIn);
+}
+
+void Executor::end()
+{
+    m_block = Block::Idle;
+    m_readOnly = false;
+    m_wrote = false;
+    m_hasLock = false;
+    m_lock.release(m_id);
+}
+
+void Executor::undo()
+{
+    if (m_hasLock)
+        m_target.rollback();
+    m_wrote = false;
+    m_hasLock = false;
+    m_lock.release(m_id);
+}
+
+void Executor::succeed(const std::string& tag, const Done& done)
+{
+    finish(QueryResult { {}, tag }, done);
+}
+
+void Executor::finish(const SqlExpected<QueryResult>& result, const Done& done)
+{
+    m_standing = m_target.standing();
+    if (!result) {
+        const bool inBlock = m_block == Block::Open || m_block == Block::Failed;
+        undo();
+        m_block = inBlock ? Block::Failed : Block::Idle;
+    }
+    done(result);
+}
+
+} // namespace Auburnpost::Standin
--- /dev/null
+++ b/standins/target/Executor.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "target/SlotQueue.h"
+#include "target/WriteLock.h"
+
+#include <memory>
+
+namespace Auburnpost::Standin {
+
+/// Runs the statements of one connection one after another and keeps its transaction.
+class Executor : public std::enable_shared_from_this<Executor> {
+public:
+    using Done = std::function<void(const SqlExpected<QueryResult>&)>;
+
+    /// @param id names the connection to the write lock; not 0.
+    Executor(EventLoop&, Target&, SlotQueue&, WriteLock&, WriteLock::Owner id);
+
+    /// Runs one statement. @param done called with its result, unless the connection ends before.
+    void execute(const SqlCommand&, Done done);
+    /// Ends the implicit transaction, if one is open, and calls @p done with the outcome.
+    void sync(const Done& done);
+    /// Rolls the transaction back, since the connection has ended.
+    void abandon();
+
+    /// @return the columns a statement will answer.
+    SqlExpected<std::vector<Column>> describe(const std::string& sql);
+    /// @return PostgreSQL's transaction status, 'I', 'T' or 'E'.
+    [[nodiscard]] char status() const;
+    /// @return where the target stood when the last statement was executed.
+    [[nodiscard]] const TargetStanding& standing() const { return m_standing; }
+
+private:
+    enum class Block : std::uint8_t {
+        Idle,
+        Implicit,
+        Open,
+        Failed,
+    };
+    using Handler = void (Executor::*)(const SqlCommand&, const Done&);
+
+    struct Waiting {
+        explicit Waiting(std::uint64_t number)
+            : serial(number)
+        {
+        }
+        ~Waiting() { change.disconnect(); }
+
+        std::uint64_t serial;
+        sigc::connection change;
+        std::unique_ptr<Timer> timer;
+    };
+
+    void runEmpty(const SqlCommand&, const Done&);
+    void runBegin(const SqlCommand&, const Done&);
+    void runBeginReadOnly(const SqlCommand&, const Done&);
+    void runCommit(const SqlCommand&, const Done&);
+    void runRollback(const SqlCommand&, const Done&);
+    void runSetReadOnly(const SqlCommand&, const Done&);
+    void runDiscard(const SqlCommand&, const Done&);
+    void runGroup(const SqlCommand&, const Done&);
+    void runSql(const SqlCommand&, const Done&);
+
+    void begin(bool readOnly, const std::string& tag, const Done&);
+    void waitFor(const GroupCommand&, const Done&);
+    void lockAndWrite(const SqlCommand&, const Done&);
+    void submit(const SqlCommand&, bool writes, const Done&);
+    SqlExpected<QueryResult> run(const SqlCommand&, bool writes);
+    /// @return whether the target is still primary in the term in which the transaction wrote.
+    [[nodiscard]] bool termHolds() const;
+    SqlExpected<LogPoint> commitWrites();
+    void end();
+    void undo();
+    void succeed(const std::string& tag, const Done&);
+    void finish(const SqlExpected<QueryResult>&, const Done&);
+
+    EventLoop& m_loop;
+    Target& m_target;
+    SlotQueue& m_slots;
+    WriteLock& m_lock;
+    WriteLock::Owner m_id;
+    Block m_block { Block::Idle };
+    bool m_readOnly { false };
+    bool m_wrote { false };
+    bool m_hasLock { false };
+    std::uint64_t m_lastWait { 0 };
+    Term m_startedIn;
+    TargetStanding m_standing;
+    std::unique_ptr<Waiting> m_waiting;
+};
+
+} // namespace Auburnpost::Standin
--- /dev/null
+++ b/standins/target/SqlCommand.cpp
@@ -0,0 +1,80 @@
+#include "target/SqlCommand.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <string_view>
+
+namespace Auburnpost::Standin {
+
+namespace {
+
+    constexpr std::array<std::uint32_t, 3> integerTypes { 20, 21, 23 };
+    constexpr std::array<std::uint32_t, 3> realTypes { 700, 701, 1700 };
+
+    template <typename Number> SqlExpected<SqlParameter> bindNumber(const std::string& text)
+    {
+        Number number {};
+        const auto* const end = text.data() + text.size();
+        const auto [rest, problem] = std::from_chars(text.data(), end, number);
+        if (problem != std::errc {} || rest != end)
+            return refuse(SqlState::badParameter, "'" + text + "' is no number of the declared type");
+        return SqlParameter(number);
+    }
+
+    // Length of the quoted text or comment that starts here; 0 when none does.
+    std::size_t skipped(std::string_view text)
+    {
+        const auto until = [&](std::string_view end, std::size_t from) {
+            const auto found = text.find(end, from);
+            return found == std::string_view::npos ? text.size() : found + end.size();
+        };
+        if (text.front() == '\'' || text.front() == '"')
+            return until(text.substr(0, 1), 1);
+        if (text.starts_with("--"))
+            return until("\n", 0);
+        if (text.starts_with("/*"))
+            return until("*/", 2);
+        return 0;
+    }
+
+    bool isBlank(const std::string& text)
+    {
+        return text.find_first_not_of(" \t\r\n") == std::string::npos;
+    }
+
+} // namespace
+
+SqlExpected<SqlParameter> bindText(const SqlValue& value, std::uint32_t oid)
+{
+    if (!value)
+        return SqlParameter();
+    if (std::find(integerTypes.begin(), integerTypes.end(), oid) != integerTypes.end())
+        return bindNumber<std::int64_t>(*value);
+    if (std::find(realTypes.begin(), realTypes.end(), oid) != realTypes.end())
+        return bindNumber<double>(*value);
+    return SqlParameter(*value);
+}
+
+std::vector<std::string> splitStatements(const std::string& text)
+{
+    std::vector<std::string> statements;
+    std::string current;
+    const auto finish = [&] {
+        if (!isBlank(current))
+            statements.push_back(current);
+        current.clear();
+    };
+    for (std::size_t at = 0; at < text.size();) {
+        const auto length = std::max<std::size_t>(1, skipped(std::string_view(text).substr(at)));
+        if (length == 1 && text[at] == ';')
+            finish();
+        else
+            current.append(text, at, length);
+        at += length;
+    }
+    finish();
+    return statements;
+}
+
+} // namespace Auburnpost::Standin
--- /dev/null
+++ b/tests/process/ChildProcess.cpp
@@ -0,0 +1,112 @@
+#include "process/ChildProcess.h"
+
+#include <arpa/inet.h>
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <set>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+namespace Auburnpost::Test {
+
+namespace {
+
+    constexpr auto patience = std::chrono::seconds(20);
+    constexpr auto pollInterval = std::chrono::milliseconds(5);
+
+} // namespace
+
+ChildProcess::ChildProcess(const std::vector<std::string>& arguments)
+{
+    std::vector<char*> pointers;
+    for (const std::string& argument : arguments)
+        pointers.push_back(const_cast<char*>(argument.c_str()));
+    pointers.push_back(nullptr);
+    if (posix_spawn(&m_pid, pointers[0], nullptr, nullptr, pointers.data(), environ) != 0)
+        throw std::runtime_error("can't start " + arguments.front());
+}
+
+ChildProcess::~ChildProcess()
+{
+    kill();
+}
+
+void ChildProcess::signal(int number) const
+{
+    if (m_pid)
+        ::kill(m_pid, number);
+}
+
+void ChildProcess::kill()
+{
+    signal(SIGKILL);
+    wait();
+}
+
+int ChildProcess::wait()
+{
+    if (!m_pid)
+        return 0;
+    int status = 0;
+    waitpid(m_pid, &status, 0);
+    m_pid = 0;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+TemporaryFolder::TemporaryFolder()
+{
+    std::string form = (std::filesystem::temp_directory_path() / "auburnpost-XXXXXX").string();
+    if (!mkdtemp(form.data()))
+        throw std::runtime_error("can't make a temporary folder");
+    m_path = form;
+}
+
+TemporaryFolder::~TemporaryFolder()
+{
+    std::error_code ignored;
+    std::filesystem::remove_all(m_path, ignored);
+}
+
+std::string TemporaryFolder::write(const std::string& name, const std::string& content) const
+{
+    const std::string path = m_path + "/" + name;
+    std::ofstream(path) << content;
+    return path;
+}
+
+std::uint16_t freePort()
+{
+    static std::set<std::uint16_t> given;
+    while (true) {
+        const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in place {};
+        place.sin_family = AF_INET;
+        place.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof place;
+        bind(descriptor, reinterpret_cast<sockaddr*>(&place), size);
+        getsockname(descriptor, reinterpret_cast<sockaddr*>(&place), &size);
+        close(descriptor);
+        if (given.insert(ntohs(place.sin_port)).second)
+            return ntohs(place.sin_port);
+    }
+}
+
+bool eventually(const std::function<bool()>& condition)
+{
+    const auto end = std::chrono::steady_clock::now() + patience;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > end)
+            return false;
+        std::this_thread::sleep_for(pollInterval);
+    }
+    return true;
+}
+
+} // namespace Auburnpost::Test
--- /dev/null
+++ b/tests/process/TargetGroup.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "process/ChildProcess.h"
+#include "process/PgClient.h"
+
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+
+namespace Auburnpost::Test {
+
+/// A database group of target stand-ins named "a", "b", …; "a" is the first primary.
+class TargetGroup {
+public:
+    /// @param extra further lines of the section [target], such as "slots = 1".
+    explicit TargetGroup(int size, std::string extra = "");
+
+    PgClient connect(const std::string& target, const std::string& application = "host-1/west-colombo") const;
+    [[nodiscard]] nlohmann::json state(const std::string& target) const;
+    [[nodiscard]] nlohmann::json log(const std::string& target) const;
+    /// Replaces the faults in force. @return the HTTP status.
+    int faults(const std::string& target, const std::string& json) const;
+    int post(const std::string& target, const std::string& path, const std::string& json) const;
+    ChildProcess& process(const std::string& target) { return *m_members.at(target).process; }
+    /// Starts a target again that has ended.
+    void restart(const std::string& target);
+    /// Waits until the target's last position is this one.
+    [[nodiscard]] bool reaches(const std::string& target, std::uint64_t position) const;
+
+    static constexpr auto database = "sizing-core-1";
+
+private:
+    struct Member {
+        std::uint16_t port;
+        std::uint16_t control;
+        std::unique_ptr<ChildProcess> process;
+    };
+
+    [[nodiscard]] std::string settings(const std::string& target) const;
+
+    TemporaryFolder m_folder;
+    std::string m_extra;
+    std::map<std::string, Member> m_members;
+};
+
+} // namespace Auburnpost::Test
--- /dev/null
+++ b/tests/process/TargetGroupTests.cpp
@@ -0,0 +1,1 @@
+#include <catch2/catch.hpp>
