Serve the callers' interface over evhttp

Cause: the program needs typed requests of callers and one typed answer to each. HttpServer hands out whole requests and takes replies in any order; CallerServer reads and writes the callers' JSON around it. Numbers of a result go out digit by digit as the target wrote them. Ruled out by reasoning, not tried: a filter bufferevent to count connections and rewrite evhttp's own error pages. evhttp would take an answer for sent once the filter has passed it on. A closing caller is seen by EV_CLOSED, since evhttp reads nothing while a request is being answered. A header or body may exceed its limit by 1 MB and is still read, so that it is refused in JSON; beyond that evhttp answers 413 itself.

--- /dev/null
+++ b/src/wire/CallerAnswerWriter.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "message/CallerAnswer.h"
+#include "wire/HttpMessage.h"
+
+namespace Auburnpost::Wire {
+
+/// Writes the whole answer to a caller: status, headers and JSON body.
+HttpReply writeCallerAnswer(const CallerAnswer&);
+
+/// Writes a refusal as callers and operators read it.
+HttpReply writeRefusal(const Refusal&);
+
+} // namespace Auburnpost::Wire
--- /dev/null
+++ b/src/wire/CallerServer.cpp
@@ -0,0 +1,36 @@
+#include "wire/CallerServer.h"
+
+#include "wire/CallerAnswerWriter.h"
+#include "wire/CallerRequestReader.h"
+
+#include <sigc++/functors/mem_fun.h>
+
+namespace Auburnpost::Wire {
+
+CallerServer::CallerServer(event_base* base, SocketAddress address, CallerServerLimits limits)
+    : m_server(base, std::move(address), limits)
+{
+    m_server.arrived().connect(sigc::mem_fun(*this, &CallerServer::onArrived));
+    m_server.refused().connect(sigc::mem_fun(*this, &CallerServer::onRefused));
+}
+
+void CallerServer::onArrived(const HttpRequest& message)
+{
+    const auto request = readCallerRequest(message);
+    if (request)
+        m_arrived.emit(*request);
+    else
+        onRefused(message.id, request.error());
+}
+
+void CallerServer::onRefused(RequestId id, const Error& error)
+{
+    m_server.reply(id, writeRefusal({ FailedOutcome::NotRun, error, {} }));
+}
+
+void CallerServer::answer(const CallerAnswer& answer)
+{
+    m_server.reply(answer.id, writeCallerAnswer(answer));
+}
+
+} // namespace Auburnpost::Wire
--- /dev/null
+++ b/src/wire/HttpMessage.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "base/Ids.h"
+#include "base/SocketAddress.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Auburnpost::Wire {
+
+enum class HttpMethod : std::uint8_t {
+    Get,
+    Post,
+    Put,
+    Other,
+};
+
+struct HttpHeader {
+    std::string name;
+    std::string value;
+};
+
+/// A whole request, as an HttpServer read it.
+struct HttpRequest {
+    RequestId id;
+    HttpMethod method { HttpMethod::Other };
+    /// The parts of the path between its slashes, decoded.
+    std::vector<std::string> path;
+    std::vector<HttpHeader> headers;
+    std::string body;
+    SocketAddress peer;
+
+    /// @return every value under a name, in any case of letters.
+    [[nodiscard]] std::vector<std::string_view> find(std::string_view name) const;
+};
+
+/// The answer to an HttpRequest.
+struct HttpReply {
+    int status { 200 };
+    std::vector<HttpHeader> headers;
+    std::string body;
+};
+
+} // namespace Auburnpost::Wire
--- /dev/null
+++ b/src/wire/SocketOptions.cpp
@@ -0,0 +1,39 @@
+#include "wire/SocketOptions.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <csignal>
+#include <sys/socket.h>
+
+namespace Auburnpost::Wire {
+
+void ignoreBrokenPipe()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+sockaddr_in toSockaddr(const SocketAddress& address)
+{
+    sockaddr_in result {};
+    result.sin_family = AF_INET;
+    result.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.ip.c_str(), &result.sin_addr);
+    return result;
+}
+
+SocketAddress fromSockaddr(const sockaddr_in& address)
+{
+    std::array<char, INET_ADDRSTRLEN> text {};
+    inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size());
+    return { text.data(), ntohs(address.sin_port) };
+}
+
+SocketAddress boundAddress(int descriptor)
+{
+    sockaddr_in address {};
+    socklen_t size = sizeof(address);
+    getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+    return fromSockaddr(address);
+}
+
+} // namespace Auburnpost::Wire
--- /dev/null
+++ b/tests/wire/RawClient.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "base/SocketAddress.h"
+
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+/// A TCP connection that sends any bytes and keeps all that comes back.
+class RawClient {
+public:
+    RawClient(event_base*, const Auburnpost::SocketAddress&);
+
+    void send(std::string_view bytes);
+    /// Sends a POST with a JSON body and the headers given, each with its line end.
+    void post(std::string_view path, std::string_view body, std::string_view headers = "");
+    /// Stops and goes on with reading.
+    void pauseReading() { bufferevent_disable(m_buffer.get(), EV_READ); }
+    void resumeReading() { bufferevent_enable(m_buffer.get(), EV_READ); }
+    /// Closes at once.
+    void close() { m_buffer.reset(); }
+
+    [[nodiscard]] const std::string& received() const { return m_received; }
+    /// @return whether the other side closed.
+    [[nodiscard]] bool closed() const { return m_closed; }
+    /// @return whether a reply with its whole body is there.
+    [[nodiscard]] bool hasReply() const;
+    /// @return the status of the first reply, 0 when there is none.
+    [[nodiscard]] int status() const;
+    /// @return the body of the first reply.
+    [[nodiscard]] std::string body() const;
+    /// Forgets the first reply, which must be whole.
+    void nextReply();
+
+private:
+    struct Callbacks;
+    [[nodiscard]] std::size_t replySize() const;
+
+    std::string m_received;
+    bool m_closed { false };
+    std::unique_ptr<bufferevent, void (*)(bufferevent*)> m_buffer;
+};
