Keep many pipelined connections to targets on one loop

Cause: commands of the decision libraries have to reach targets without a wait in the loop. TargetLink drives one libpq connection step by step and TargetLinks holds its events, so that a connection may be ended from within a signal. Results are matched by order within the pipeline; an answer is handed out only at the pipeline's sync, and anything else ends the connection. Ruled out: to tell a refused connection by libpq's result, since there is none before the connection is open; its verbose text carries the code (53300, 57P01).

--- /dev/null
+++ b/tests/wire/FakeTarget.cpp
@@ -0,0 +1,183 @@
+#include "wire/FakeTarget.h"
+
+#include "wire/SocketOptions.h"
+
+#include <event2/buffer.h>
+
+#include <arpa/inet.h>
+#include <cstring>
+
+namespace {
+
+constexpr std::size_t lengthBytes = 4;
+
+std::string number32(std::uint32_t value)
+{
+    const auto ordered = htonl(value);
+    return { reinterpret_cast<const char*>(&ordered), sizeof(ordered) };
+}
+
+std::string number16(std::uint16_t value)
+{
+    const auto ordered = htons(value);
+    return { reinterpret_cast<const char*>(&ordered), sizeof(ordered) };
+}
+
+std::string text(const std::string& value)
+{
+    return value + '\0';
+}
+
+std::string message(char type, const std::string& payload)
+{
+    return type + number32(static_cast<std::uint32_t>(payload.size() + lengthBytes)) + payload;
+}
+
+std::size_t readLength(const std::string& bytes, std::size_t offset)
+{
+    std::uint32_t ordered = 0;
+    std::memcpy(&ordered, bytes.data() + offset, sizeof(ordered));
+    return ntohl(ordered);
+}
+
+} // namespace
+
+struct FakeTarget::Session {
+    FakeTarget* target { nullptr };
+    std::string input;
+    bool started { false };
+    std::vector<std::string> statements;
+    std::unique_ptr<bufferevent, void (*)(bufferevent*)> buffer { nullptr, bufferevent_free };
+};
+
+struct FakeTarget::Callbacks {
+    static void accept(evconnlistener* listener, evutil_socket_t descriptor, sockaddr*, int, void* argument)
+    {
+        auto& target = *static_cast<FakeTarget*>(argument);
+        auto session = std::make_shared<Session>();
+        session->target = &target;
+        session->buffer.reset(
+            bufferevent_socket_new(evconnlistener_get_base(listener), descriptor, BEV_OPT_CLOSE_ON_FREE));
+        bufferevent_setcb(session->buffer.get(), &read, nullptr, nullptr, session.get());
+        bufferevent_enable(session->buffer.get(), EV_READ | EV_WRITE);
+        target.m_sessions.push_back(std::move(session));
+    }
+
+    static void read(bufferevent* buffer, void* argument)
+    {
+        auto& session = *static_cast<Session*>(argument);
+        auto* const input = bufferevent_get_input(buffer);
+        std::string bytes(evbuffer_get_length(input), '\0');
+        evbuffer_remove(input, bytes.data(), bytes.size());
+        session.input += bytes;
+        session.target->onBytes(session);
+    }
+
+    static void written(bufferevent* buffer, void* argument)
+    {
+        bufferevent_disable(buffer, EV_READ | EV_WRITE);
+        static_cast<Session*>(argument)->buffer.reset();
+    }
+};
+
+FakeTarget::FakeTarget(event_base* base)
+    : m_listener(nullptr, evconnlistener_free)
+{
+    const auto wanted = Auburnpost::Wire::toSockaddr({ "127.0.0.1", 0 });
+    m_listener.reset(evconnlistener_new_bind(base, &Callbacks::accept, this, LEV_OPT_CLOSE_ON_FREE, -1,
+        reinterpret_cast<const sockaddr*>(&wanted), sizeof(wanted)));
+    m_address = Auburnpost::Wire::boundAddress(evconnlistener_get_fd(m_listener.get()));
+}
+
+void FakeTarget::onBytes(Session& session)
+{
+    while (session.buffer && takeMessage(session)) { }
+}
+
+bool FakeTarget::takeMessage(Session& session)
+{
+    const std::size_t typeBytes = session.started ? 1 : 0;
+    auto& input = session.input;
+    if (input.size() < typeBytes + lengthBytes)
+        return false;
+    const auto size = typeBytes + readLength(input, typeBytes);
+    if (input.size() < size)
+        return false;
+    const auto payload = input.substr(typeBytes + lengthBytes, size - typeBytes - lengthBytes);
+    const char type = session.started ? input.front() : '\0';
+    input.erase(0, size);
+    if (!session.started) {
+        session.started = true;
+        m_startup = payload;
+        send(session, m_greeting);
+    } else if (type == 'P')
+        session.statements.emplace_back(payload.c_str() + std::strlen(payload.c_str()) + 1);
+    else if (type == 'S')
+        send(session, m_script(std::exchange(session.statements, {})));
+    return true;
+}
+
+void FakeTarget::send(Session& session, const Reply& reply)
+{
+    bufferevent_write(session.buffer.get(), reply.bytes.data(), reply.bytes.size());
+    if (!reply.thenClose)
+        return;
+    if (evbuffer_get_length(bufferevent_get_output(session.buffer.get())))
+        bufferevent_setcb(session.buffer.get(), nullptr, &Callbacks::written, nullptr, &session);
+    else
+        session.buffer.reset();
+}
+
+void FakeTarget::push(const Reply& reply)
+{
+    for (const auto& session : m_sessions) {
+        if (session->buffer)
+            send(*session, reply);
+    }
+}
+
+std::string FakeTarget::parameter(const std::string& name, const std::string& value)
+{
+    return message('S', text(name) + text(value));
+}
+
+std::string FakeTarget::standing(int term, int position, int fenced, const std::string& role)
+{
+    return parameter("group_term", std::to_string(term)) + parameter("group_position", std::to_string(position))
+        + parameter("group_fenced", std::to_string(fenced)) + parameter("group_role", role);
+}
+
+std::string FakeTarget::greeting()
+{
+    return message('R', number32(0)) + parameter("client_encoding", "UTF8") + standing(3, 7, 4, "primary") + ready();
+}
+
+std::string FakeTarget::row(const std::vector<std::string>& values, const std::string& tag)
+{
+    constexpr std::uint32_t textType = 25;
+    constexpr std::uint16_t anySize = 0xffff;
+    std::string columns = number16(static_cast<std::uint16_t>(values.size()));
+    std::string data = columns;
+    for (const auto& value : values) {
+        columns += text("c") + number32(0) + number16(0) + number32(textType) + number16(anySize) + number32(0);
+        columns += number16(0);
+        data += value == "\\N" ? number32(~0U) : number32(static_cast<std::uint32_t>(value.size())) + value;
+    }
+    return message('1', "") + message('2', "") + message('T', columns) + message('D', data) + message('C', text(tag));
+}
+
+std::string FakeTarget::done(const std::string& tag)
+{
+    return message('1', "") + message('2', "") + message('n', "") + message('C', text(tag));
+}
+
+std::string FakeTarget::fault(const std::string& state, const std::string& text, const std::string& severity)
+{
+    return message(
+        'E', 'S' + ::text(severity) + 'V' + ::text(severity) + 'C' + ::text(state) + 'M' + ::text(text) + '\0');
+}
+
+std::string FakeTarget::ready()
+{
+    return message('Z', "I");
+}
--- /dev/null
+++ b/tests/wire/TargetLinksTests.cpp
@@ -0,0 +1,284 @@
+#include "wire/TargetLinks.h"
+
+#include "wire/FakeTarget.h"
+#include "wire/Loop.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace Auburnpost;
+using namespace Auburnpost::Wire;
+
+namespace {
+
+constexpr std::chrono::milliseconds connectTimeout { 200 };
+using Statements = std::vector<std::string>;
+
+struct Fixture {
+    Fixture()
+    {
+        links.opened().connect([this](ConnectionId id, const TargetStanding& standing) { opened[id] = standing; });
+        links.answered().connect([this](const TargetAnswer& answer) { answers.push_back(answer); });
+        links.lost().connect([this](const TargetConnectionLost& loss) { losses.push_back(loss); });
+    }
+
+    void open(ConnectionId id) { links.open(id, TargetName("core-1-a"), target.address(), DatabaseName("core-1")); }
+
+    void openWhole(ConnectionId id)
+    {
+        open(id);
+        REQUIRE(loop.runUntil([&] { return opened.contains(id); }));
+    }
+
+    void send(ConnectionId id, const Statements& statements)
+    {
+        TargetCommand command { id, CommandId(++lastCommand), {} };
+        for (const auto& sql : statements)
+            command.statements.push_back({ sql, {} });
+        links.send(command);
+    }
+
+    const TargetAnswer& answer()
+    {
+        REQUIRE(loop.runUntil([&] { return !answers.empty() || !losses.empty(); }));
+        REQUIRE(losses.empty());
+        return answers.back();
+    }
+
+    const Error& loss()
+    {
+        REQUIRE(loop.runUntil([&] { return !losses.empty(); }));
+        CHECK(losses.size() == 1);
+        CHECK(links.size() == 0);
+        CHECK(losses.back().error.peer == "core-1-a");
+        return losses.back().error;
+    }
+
+    Loop loop;
+    FakeTarget target { loop.base() };
+    TargetLinks links { loop.base(), HostName("host-1"), DataCentreName("west-colombo"), connectTimeout };
+    std::map<ConnectionId, TargetStanding> opened;
+    std::vector<TargetAnswer> answers;
+    std::vector<TargetConnectionLost> losses;
+    std::uint64_t lastCommand { 0 };
+};
+
+const ConnectionId one(1);
+
+} // namespace
+
+TEST_CASE("A connection names its host and learns the target's standing", "[wire][target]")
+{
+    Fixture test;
+    test.openWhole(one);
+    CHECK(test.opened[one].end == LogPoint { Term(3), Position(7) });
+    CHECK(test.opened[one].fencedTerm == Term(4));
+    CHECK(test.opened[one].role == TargetRole::Primary);
+    const auto& startup = test.target.startup();
+    CHECK_THAT(startup, Catch::Contains(std::string("user\0host-1\0", 12)));
+    CHECK_THAT(startup, Catch::Contains(std::string("database\0core-1\0", 16)));
+    CHECK_THAT(startup, Catch::Contains(std::string("application_name\0host-1/west-colombo\0", 37)));
+}
+
+TEST_CASE("A connection that does not open is lost at the step connect", "[wire][target]")
+{
+    Fixture test;
+    auto code = ErrorCode::Internal;
+    SECTION("refused by the machine")
+    {
+        test.target.stopListening();
+        code = ErrorCode::ConnectionRefused;
+    }
+    SECTION("refused by the target's cap")
+    {
+        test.target.setGreeting({ FakeTarget::fault("53300", "too many", "FATAL"), true });
+        code = ErrorCode::TooManyConnections;
+    }
+    SECTION("refused by a target that leaves")
+    {
+        test.target.setGreeting({ FakeTarget::fault("57P01", "leaving", "FATAL"), true });
+        code = ErrorCode::Leaving;
+    }
+    SECTION("closed without a word")
+    {
+        test.target.setGreeting({ "", true });
+        code = ErrorCode::ConnectionLost;
+    }
+    SECTION("no answer in time")
+    {
+        test.target.setGreeting({ "", false });
+        code = ErrorCode::ConnectionLost;
+    }
+    SECTION("no standing")
+    {
+        test.target.setGreeting({ std::string("R\0\0\0\x08\0\0\0\0", 9) + FakeTarget::ready(), false });
+        code = ErrorCode::BadMessage;
+    }
+    test.open(one);
+    CHECK(test.losses.empty());
+    CHECK(test.loss().code == code);
+    CHECK(test.loss().step == "connect");
+    CHECK(test.opened.empty());
+}
+
+TEST_CASE("A pipeline is answered whole, in order, with the standing after it", "[wire][target]")
+{
+    Fixture test;
+    test.openWhole(one);
+    test.target.setScript([](const Statements& statements) {
+        CHECK(statements == Statements { "BEGIN", "UPDATE t", "SELECT a", "COMMIT" });
+        return FakeTarget::Reply { FakeTarget::done("BEGIN") + FakeTarget::done("UPDATE 3")
+            + FakeTarget::row({ "x", "\\N" }) + FakeTarget::done("COMMIT") + FakeTarget::standing(3, 8, 4, "primary")
+            + FakeTarget::ready() };
+    });
+    test.send(one, { "BEGIN", "UPDATE t", "SELECT a", "COMMIT" });
+    const auto& answer = test.answer();
+    CHECK(answer.connection == one);
+    CHECK(answer.command == CommandId(1));
+    REQUIRE(answer.results.size() == 4);
+    CHECK(answer.results[1].rowsAffected == 3);
+    CHECK(answer.results[2].rows == std::vector<std::vector<SqlValue>> { { "x", {} } });
+    CHECK(answer.results[2].columns == std::vector<Column> { { "c", 25 }, { "c", 25 } });
+    CHECK_FALSE(answer.fault.has_value());
+    CHECK(answer.standing.end == LogPoint { Term(3), Position(8) });
+}
+
+TEST_CASE("A fault in the middle keeps what ran before it and skips the rest", "[wire][target]")
+{
+    Fixture test;
+    test.openWhole(one);
+    test.target.setScript([](const Statements&) {
+        return FakeTarget::Reply { FakeTarget::done("BEGIN") + FakeTarget::fault("23505", "twice")
+            + FakeTarget::ready() };
+    });
+    test.send(one, { "BEGIN", "INSERT", "COMMIT" });
+    const auto& answer = test.answer();
+    CHECK(answer.results.size() == 1);
+    REQUIRE(answer.fault.has_value());
+    CHECK(answer.fault->sqlState == "23505");
+    CHECK(answer.fault->message == "twice");
+    SECTION("and the connection serves on")
+    {
+        test.answers.clear();
+        test.target.setScript(
+            [](const Statements&) { return FakeTarget::Reply { FakeTarget::row({ "y" }) + FakeTarget::ready() }; });
+        test.send(one, { "SELECT" });
+        CHECK(test.answer().results.front().rows.front().front() == "y");
+    }
+}
+
+TEST_CASE("A connection that ends in the middle of a pipeline gives no answer", "[wire][target]")
+{
+    Fixture test;
+    test.openWhole(one);
+    auto code = ErrorCode::ConnectionLost;
+    SECTION("without a word")
+    {
+        test.target.setScript([](const Statements&) { return FakeTarget::Reply { FakeTarget::done("BEGIN"), true }; });
+    }
+    SECTION("after every result but before the end of the pipeline")
+    {
+        test.target.setScript([](const Statements&) {
+            return FakeTarget::Reply { FakeTarget::done("BEGIN") + FakeTarget::done("COMMIT"), true };
+        });
+    }
+    SECTION("because the target leaves")
+    {
+        test.target.setScript([](const Statements&) {
+            return FakeTarget::Reply { FakeTarget::done("BEGIN") + FakeTarget::fault("57P01", "leaving", "FATAL"),
+                true };
+        });
+        code = ErrorCode::Leaving;
+    }
+    test.send(one, { "BEGIN", "COMMIT" });
+    CHECK(test.loss().code == code);
+    CHECK(test.loss().step == "connection");
+    CHECK(test.answers.empty());
+    test.send(one, { "SELECT" });
+    test.loop.runFor(std::chrono::milliseconds(20));
+    CHECK(test.losses.size() == 1);
+}
+
+TEST_CASE("A surprise in the protocol ends the connection", "[wire][target]")
+{
+    Fixture test;
+    test.openWhole(one);
+    std::string bytes;
+    SECTION("a result too many")
+    {
+        bytes = FakeTarget::done("BEGIN") + FakeTarget::done("COMMIT") + FakeTarget::done("MORE") + FakeTarget::ready();
+    }
+    SECTION("a result too few")
+    {
+        bytes = FakeTarget::done("BEGIN") + FakeTarget::ready();
+    }
+    SECTION("an answer that nobody asked for")
+    {
+        test.target.push({ FakeTarget::row({ "late" }) + FakeTarget::ready() });
+        CHECK(test.loss().code == ErrorCode::BadMessage);
+        return;
+    }
+    SECTION("a role that does not exist")
+    {
+        bytes = FakeTarget::done("BEGIN") + FakeTarget::done("COMMIT") + FakeTarget::parameter("group_role", "king")
+            + FakeTarget::ready();
+    }
+    test.target.setScript([&](const Statements&) { return FakeTarget::Reply { bytes }; });
+    test.send(one, { "BEGIN", "COMMIT" });
+    CHECK(test.loss().step == "connection");
+    CHECK(test.answers.empty());
+}
+
+TEST_CASE("An idle connection that the target ends is lost with the reason", "[wire][target]")
+{
+    Fixture test;
+    test.openWhole(one);
+    test.target.push({ FakeTarget::fault("57P01", "leaving", "FATAL"), true });
+    CHECK(test.loss().code == ErrorCode::Leaving);
+    CHECK(test.loss().step == "connection");
+}
+
+TEST_CASE("A closed connection reports nothing", "[wire][target]")
+{
+    Fixture test;
+    test.openWhole(one);
+    test.target.setScript(
+        [](const Statements&) { return FakeTarget::Reply { FakeTarget::done("BEGIN") + FakeTarget::ready() }; });
+    test.send(one, { "BEGIN" });
+    test.links.close(one);
+    test.loop.runFor(std::chrono::milliseconds(50));
+    CHECK(test.answers.empty());
+    CHECK(test.losses.empty());
+    CHECK(test.links.size() == 0);
+}
+
+TEST_CASE("Connections do not mix their answers", "[wire][target]")
+{
+    constexpr std::uint64_t count = 40;
+    Fixture test;
+    test.target.setScript([](const Statements& statements) {
+        return FakeTarget::Reply { FakeTarget::row({ statements.front() }) + FakeTarget::ready() };
+    });
+    for (std::uint64_t id = 1; id <= count; ++id)
+        test.open(ConnectionId(id));
+    REQUIRE(test.loop.runUntil([&] { return test.opened.size() == count; }));
+    for (std::uint64_t id = 1; id <= count; ++id)
+        test.send(ConnectionId(id), { std::to_string(id) });
+    REQUIRE(test.loop.runUntil([&] { return test.answers.size() == count; }));
+    for (const auto& answer : test.answers)
+        CHECK(answer.results.front().rows.front().front() == std::to_string(answer.connection.value()));
+}
+
+TEST_CASE("A command and an answer of 10 MB go through whole", "[wire][target]")
+{
+    Fixture test;
+    test.openWhole(one);
+    test.target.setScript([](const Statements& statements) {
+        return FakeTarget::Reply { FakeTarget::row({ statements.front() }) + FakeTarget::ready() };
+    });
+    std::string text(10UL * 1024 * 1024, 'a');
+    text.back() = 'z';
+    test.send(one, { text });
+    CHECK(test.answer().results.front().rows.front().front() == text);
+}
