--- a/scripts/embed-charts.py
+++ b/scripts/embed-charts.py
@@ -3,18 +3,13 @@
 import pathlib
 
 top = pathlib.Path(__file__).resolve().parent.parent
-lines = [
-    '#include "chart/EmbeddedCharts.h"',
-    "",
-    "// clang-format off",
-    "namespace Auburnpost::Chart {",
-    "",
-    "const std::vector<EmbeddedChart>& embeddedCharts()",
-    "{",
-    "    static const std::vector<EmbeddedChart> charts {",
-]
-for path in sorted((top / "src/chart/charts").glob("*.scxml")):
-    lines.append(f'        {{ "{path.stem}", R"scxml({path.read_text()})scxml" }},')
+charts = sorted((top / "src/chart/charts").glob("*.scxml"))
+lines = ['#include "chart/EmbeddedCharts.h"', "", "// clang-format off", "namespace Auburnpost::Chart {", "", "namespace {", ""]
+for path in charts:
+    lines += [f'constexpr std::string_view {path.stem}Text = R"scxml({path.read_text()})scxml";', ""]
+lines += ["} // namespace", "", "const std::vector<EmbeddedChart>& embeddedCharts()", "{"]
+lines += ["    static const std::vector<EmbeddedChart> charts {"]
+lines += [f'        {{ "{path.stem}", {path.stem}Text }},' for path in charts]
 lines += [
     "    };",
     "    return charts;",
--- a/src/chart/EmbeddedCharts.cpp
+++ b/src/chart/EmbeddedCharts.cpp
@@ -3,10 +3,9 @@
 // clang-format off
 namespace Auburnpost::Chart {
 
-const std::vector<EmbeddedChart>& embeddedCharts()
-{
-    static const std::vector<EmbeddedChart> charts {
-        { "shutdown", R"scxml(<scxml xmlns="http://www.w3.org/2005/07/scxml" version="1.0" initial="Serving">
+namespace {
+
+constexpr std::string_view shutdownText = R"scxml(<scxml xmlns="http://www.w3.org/2005/07/scxml" version="1.0" initial="Serving">
   <state id="Serving">
     <transition event="signal" target="AnnouncingLeave"/>
   </state>
@@ -27,8 +26,9 @@
     <onentry><action name="stop"/></onentry>
   </state>
 </scxml>
-)scxml" },
-        { "takeover", R"scxml(<scxml xmlns="http://www.w3.org/2005/07/scxml" version="1.0" initial="Idle">
+)scxml";
+
+constexpr std::string_view takeoverText = R"scxml(<scxml xmlns="http://www.w3.org/2005/07/scxml" version="1.0" initial="Idle">
   <state id="Idle">
     <transition event="startSwitch" target="Draining"/>
     <transition event="startAttempt" target="Fencing"/>
@@ -66,8 +66,9 @@
     </state>
   </state>
 </scxml>
-)scxml" },
-        { "transaction", R"scxml(<scxml xmlns="http://www.w3.org/2005/07/scxml" version="1.0" initial="Open">
+)scxml";
+
+constexpr std::string_view transactionText = R"scxml(<scxml xmlns="http://www.w3.org/2005/07/scxml" version="1.0" initial="Open">
   <state id="Open">
     <transition event="statement"><action name="runStatement"/></transition>
     <transition event="commit" target="Committing"/>
@@ -93,7 +94,16 @@
     <onentry><action name="releaseConnection"/></onentry>
   </state>
 </scxml>
-)scxml" },
+)scxml";
+
+} // namespace
+
+const std::vector<EmbeddedChart>& embeddedCharts()
+{
+    static const std::vector<EmbeddedChart> charts {
+        { "shutdown", shutdownText },
+        { "takeover", takeoverText },
+        { "transaction", transactionText },
     };
     return charts;
 }
--- a/src/group/GroupAction.h
+++ b/src/group/GroupAction.h
@@ -6,7 +6,6 @@
 #include "group/WatchVote.h"
 #include "message/GroupCommand.h"
 
-#include <optional>
 #include <string_view>
 #include <variant>
 #include <vector>
@@ -78,8 +77,7 @@
     ConfirmId id;
     Term term;
     /// End of the primary's log at a moment after the call; every write acknowledged before the call lies within.
-    /// Empty when the proof came without the primary.
-    std::optional<LogPoint> primaryEnd;
+    LogPoint primaryEnd;
 };
 
 struct NotConfirmed {
