Try the group watch on a simulated group under random faults

Cause: the decisions need proof by random schedules with every outcome checked against the logs. Change: fake targets, network, writers, lookups, read confirmations and age checks in simulated time.

--- /dev/null
+++ b/tests/group/GroupScheduleTests.cpp
@@ -0,0 +1,100 @@
+#include "base/Invariant.h"
+#include "group/GroupSimulation.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <iostream>
+#include <stdexcept>
+
+using namespace Auburnpost;
+using namespace Auburnpost::Group;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t defaultSchedules = 60;
+constexpr std::uint64_t firstSeed = 1;
+constexpr Duration recoveryLimit = 9s;
+
+void throwBroken(std::string_view text, const char* file, int line)
+{
+    throw std::logic_error(std::string(text) + " at " + file + ":" + std::to_string(line));
+}
+
+std::uint64_t numberFrom(const char* variable, std::uint64_t fallback)
+{
+    const auto* const text = std::getenv(variable);
+    return text ? std::strtoull(text, nullptr, 10) : fallback;
+}
+
+struct Totals {
+    std::size_t acknowledged { 0 };
+    std::size_t absent { 0 };
+    std::size_t promotions { 0 };
+    std::size_t confirmed { 0 };
+    std::size_t ages { 0 };
+};
+
+void runFaults(GroupSimulation& simulation)
+{
+    simulation.network().lossShare = simulation.network().chance(0.5) ? 0.02 : 0;
+    simulation.network().duplicateShare = 0.02;
+    simulation.network().lateShare = 0.01;
+    simulation.run(2s);
+    const auto strikes = 4 + simulation.random()() % 12;
+    for (std::uint64_t strike = 0; strike < strikes && simulation.violation().empty(); ++strike) {
+        simulation.strike();
+        simulation.run(simulation.network().between(20ms, 1200ms));
+    }
+}
+
+/// @return the first broken promise of the schedule; empty when it kept them all.
+std::string runSchedule(std::uint64_t seed, Totals& totals)
+{
+    GroupSimulation simulation({ .seed = seed, .targets = seed % 4 == 0 ? 5U : 3U, .watchers = 1 + seed % 3 });
+    try {
+        runFaults(simulation);
+        simulation.healAll();
+        const auto healedAt = simulation.now();
+        simulation.run(recoveryLimit);
+        if (!simulation.violation().empty())
+            return simulation.violation();
+        if (!simulation.isSettled())
+            return "no open primary that all watchers know after the faults ended";
+        if (simulation.checker().lastAcknowledgedAt().value_or(Instant {}) < healedAt)
+            return "no write acknowledged after the faults ended";
+        simulation.checkEnd();
+    } catch (const std::logic_error& broken) {
+        return broken.what();
+    }
+    totals.acknowledged += simulation.checker().acknowledgements();
+    totals.absent += simulation.checker().absences();
+    totals.promotions += simulation.checker().promotions().size();
+    totals.confirmed += simulation.checker().confirmations();
+    totals.ages += simulation.checker().ages();
+    return simulation.violation();
+}
+
+} // namespace
+
+TEST_CASE("A group keeps its promises under random faults", "[group][schedule]")
+{
+    const auto handler = setInvariantHandler(throwBroken);
+    Totals totals;
+    const auto first = numberFrom("AUBURNPOST_FIRST_SEED", firstSeed);
+    const auto schedules = numberFrom("AUBURNPOST_SCHEDULES", defaultSchedules);
+    std::size_t failures = 0;
+    for (auto seed = first; seed < first + schedules; ++seed) {
+        const auto violation = runSchedule(seed, totals);
+        if (violation.empty())
+            continue;
+        ++failures;
+        UNSCOPED_INFO("seed " << seed << ": " << violation);
+    }
+    setInvariantHandler(handler);
+    std::cout << "schedules " << schedules << ", failed " << failures << ", acknowledged " << totals.acknowledged
+              << ", absent " << totals.absent << ", promotions " << totals.promotions << ", confirmed "
+              << totals.confirmed << ", ages " << totals.ages << "\n";
+    CHECK(failures == 0);
+    CHECK(totals.acknowledged > 0);
+}
--- /dev/null
+++ b/tests/group/GroupSimulation.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "group/FakeNetwork.h"
+#include "group/FakeTarget.h"
+#include "group/GroupWatch.h"
+#include "group/OutcomeChecker.h"
+
+#include <memory>
+#include <optional>
+
+namespace Auburnpost::Group {
+
+/// A database group of fake targets, watched by several GroupWatch, with writers that check every outcome.
+class GroupSimulation {
+public:
+    struct Options {
+        std::uint64_t seed { 1 };
+        std::size_t targets { 3 };
+        std::size_t watchers { 3 };
+        Duration shipInterval { std::chrono::milliseconds(5) };
+        Duration writeInterval { std::chrono::milliseconds(25) };
+        Duration watcherDelay {};
+    };
+
+    explicit GroupSimulation(const Options&);
+
+    void run(Duration);
+    /// Brings one random fault about.
+    void strike();
+    /// Ends every fault: nothing is cut, frozen, dead, lossy or lagging any more.
+    void healAll();
+    /// @return first broken promise; empty when there was none.
+    [[nodiscard]] const std::string& violation() const { return m_checker.violation(); }
+    /// @return whether every watcher sees the same open primary, which is right.
+    [[nodiscard]] bool isSettled() const;
+    /// Checks what has to hold once all is quiet.
+    void checkEnd() { m_checker.checkFinal(openPrimary()); }
+
+    void killTarget(std::size_t);
+    void restartTarget(std::size_t);
+    void freezeTarget(std::size_t, Duration);
+    void freezeWatcher(std::size_t, Duration);
+    void cutTarget(std::size_t, bool fromWatchers);
+    void setLag(std::size_t target, Duration lag) { m_targets[target]->lag = lag; }
+    void setSlow(std::size_t target, Duration delay);
+    void requestSwitch(std::size_t target);
+    void healNetwork() { m_network.heal(); }
+    [[nodiscard]] std::optional<std::size_t> primaryIndex() const;
+
+    [[nodiscard]] const OutcomeChecker& checker() const { return m_checker; }
+    [[nodiscard]] const std::vector<std::pair<Instant, LogEvent>>& events() const { return m_events; }
+    [[nodiscard]] Instant now() const { return m_queue.now(); }
+    [[nodiscard]] RandomEngine& random() { return m_random; }
+    [[nodiscard]] FakeNetwork& network() { return m_network; }
+
+private:
+    struct HeldWait {
+        LogPoint point;
+        FakeTarget::StatusReply reply;
+        Instant deadline;
+    };
+    struct TargetNode {
+        explicit TargetNode(TargetName name)
+            : target(std::move(name))
+        {
+        }
+        FakeTarget target;
+        bool alive { true };
+        std::uint64_t life { 0 };
+        Duration lag {};
+        std::vector<HeldWait> waits;
+    };
+    enum class JobStep { Write, Lookup };
+    /// One key on its way through write, acknowledgement and lookup.
+    struct Job {
+        std::uint64_t key;
+        JobStep step { JobStep::Write };
+        std::uint64_t attempt { 0 };
+        bool settled { false };
+    };
+    /// An answer that counts once its point is durable.
+    struct PendingOutcome {
+        std::shared_ptr<Job> job;
+        bool written { false };
+        LogPoint point;
+    };
+    struct WatcherNode {
+        std::string name;
+        Duration clockOffset {};
+        std::uint64_t incarnation { 1 };
+        std::unique_ptr<GroupWatch> watch;
+        std::map<WaitId, PendingOutcome> waits;
+        std::map<ConfirmId, LogPoint> confirms;
+    };
+    using JobPointer = std::shared_ptr<Job>;
+
+    [[nodiscard]] Instant local(const WatcherNode& node) const { return m_queue.now() + node.clockOffset; }
+    [[nodiscard]] const FakeTarget* openPrimary() const;
+    TargetNode* find(const TargetName&);
+    void startWatch(WatcherNode&);
+    void tickWatcher(std::size_t);
+    void shipLogs();
+    void shipTo(TargetNode&);
+    void settleWaits(TargetNode&);
+    void act(std::size_t watcher, const GroupActions&);
+    void sendCommand(std::size_t watcher, const SendCommand&);
+    void runCommand(TargetNode&, const GroupCommand&, const FakeTarget::StatusReply&);
+    void reportFailure(std::size_t watcher, const SendCommand&, ErrorCode, std::uint64_t incarnation);
+    void startWrite();
+    void startLookup(const JobPointer&);
+    void retryLookup(const JobPointer&);
+    void sendJob(std::size_t watcher, const JobPointer&, const PrimaryView&);
+    void jobAnswered(std::size_t watcher, const JobPointer&, const KeyAnswer&, const PrimaryView&, Instant sentAt);
+    void waitEnded(std::size_t watcher, WaitId, bool durable);
+    void finish(const PendingOutcome&);
+    void startConfirm();
+    void checkAges();
+
+    Options m_options;
+    RandomEngine m_random;
+    EventQueue m_queue;
+    FakeNetwork m_network;
+    std::vector<std::unique_ptr<TargetNode>> m_targets;
+    std::vector<WatcherNode> m_watchers;
+    OutcomeChecker m_checker;
+    std::vector<std::pair<Instant, LogEvent>> m_events;
+    std::uint64_t m_lastKey { 0 };
+    std::uint64_t m_lastWait { 0 };
+};
+
+} // namespace Auburnpost::Group
--- /dev/null
+++ b/tests/group/GroupSimulationFaults.cpp
@@ -0,0 +1,115 @@
+#include "group/GroupSimulation.h"
+
+namespace Auburnpost::Group {
+
+using namespace std::chrono_literals;
+
+void GroupSimulation::killTarget(std::size_t index)
+{
+    auto& node = *m_targets[index];
+    node.alive = false;
+    ++node.life;
+    node.waits.clear();
+}
+
+void GroupSimulation::restartTarget(std::size_t index)
+{
+    auto& node = *m_targets[index];
+    if (node.alive)
+        return;
+    node.alive = true;
+    node.target.restart();
+}
+
+void GroupSimulation::freezeTarget(std::size_t index, Duration duration)
+{
+    m_network.freeze(m_targets[index]->target.name().value(), m_queue.now() + duration);
+}
+
+void GroupSimulation::freezeWatcher(std::size_t index, Duration duration)
+{
+    m_network.freeze(m_watchers[index].name, m_queue.now() + duration);
+}
+
+void GroupSimulation::setSlow(std::size_t index, Duration delay)
+{
+    m_network.extraDelay[m_targets[index]->target.name().value()] = delay;
+}
+
+void GroupSimulation::cutTarget(std::size_t index, bool fromWatchers)
+{
+    const auto name = m_targets[index]->target.name().value();
+    const auto cutBoth = [&](const std::string& other) {
+        m_network.cut(name, other);
+        m_network.cut(other, name);
+    };
+    for (const auto& other : m_targets)
+        cutBoth(other->target.name().value());
+    for (const auto& watcher : m_watchers) {
+        if (fromWatchers || m_network.chance(0.5))
+            cutBoth(watcher.name);
+    }
+}
+
+void GroupSimulation::requestSwitch(std::size_t index)
+{
+    for (std::size_t each = 0; each < m_watchers.size(); ++each) {
+        auto& node = m_watchers[each];
+        act(each, node.watch->requestSwitch(local(node), m_targets[index]->target.name()));
+    }
+}
+
+void GroupSimulation::strike()
+{
+    const auto any = m_random() % m_targets.size();
+    const auto target = m_network.chance(0.6) ? primaryIndex().value_or(any) : any;
+    const auto watcher = m_random() % m_watchers.size();
+    switch (m_random() % 9) {
+    case 0:
+    case 1:
+        killTarget(target);
+        m_queue.after(m_network.between(50ms, 3s), [this, target] { restartTarget(target); });
+        break;
+    case 2:
+        freezeTarget(target, m_network.between(200ms, 2s));
+        break;
+    case 3:
+        cutTarget(target, m_network.chance(0.3));
+        m_queue.after(m_network.between(100ms, 3s), [this] { healNetwork(); });
+        break;
+    case 4:
+        freezeWatcher(watcher, m_network.between(200ms, 2s));
+        break;
+    case 5:
+        ++m_watchers[watcher].incarnation;
+        startWatch(m_watchers[watcher]);
+        break;
+    case 6:
+        setLag(any, m_network.between(0ms, 1s));
+        break;
+    case 7:
+        setSlow(any, m_network.between(0ms, 300ms));
+        break;
+    case 8:
+        requestSwitch(any);
+        break;
+    }
+}
+
+void GroupSimulation::healAll()
+{
+    healNetwork();
+    m_network.lossShare = 0;
+    m_network.duplicateShare = 0;
+    m_network.lateShare = 0;
+    for (std::size_t index = 0; index < m_targets.size(); ++index) {
+        restartTarget(index);
+        setLag(index, 0ms);
+        setSlow(index, 0ms);
+        freezeTarget(index, 0ms);
+    }
+    for (std::size_t index = 0; index < m_watchers.size(); ++index)
+        freezeWatcher(index, 0ms);
+}
+
+} // namespace Auburnpost::Group
