--- /dev/null
+++ b/src/config/DocumentPoll.cpp
@@ -0,0 +1,238 @@
+#include "config/DocumentPoll.h"
+
+#include "config/Backoff.h"
+#include "config/DocumentRow.h"
+#include "config/Json.h"
+
+#include <algorithm>
+
+namespace Auburnpost::Config {
+
+namespace {
+
+    constexpr int statusOk = 200;
+    constexpr auto platformSource = "platform";
+    constexpr auto editSource = "edit on this host";
+
+    /// Calls end by their own timeout; this many of them without an answer mean that the answer never comes.
+    constexpr int lostAnswerTimeouts = 2;
+
+    /// A peer is asked so often in a row before one with an older version is.
+    constexpr unsigned maxPeerFailures = 3;
+
+    /// @return the version of the document's row, 0 when the table lacks it, nothing when the answer is malformed.
+    std::optional<ConfigVersion> versionInList(const std::string& body)
+    {
+        const auto list = Json::parse(body, nullptr, false);
+        if (!list.is_object() || !list.contains("rows") || !list.at("rows").is_array())
+            return std::nullopt;
+        for (const auto& row : list.at("rows")) {
+            if (!row.is_object() || row.value("row", Json()) != documentRowName)
+                continue;
+            const auto version = row.value("version", Json());
+            if (!version.is_number_unsigned())
+                return std::nullopt;
+            return ConfigVersion(version.get<std::uint64_t>());
+        }
+        return ConfigVersion(0);
+    }
+
+    LogRecord refusedRecord(
+        ConfigVersion version, const std::string& source, const std::vector<DocumentProblem>& problems)
+    {
+        LogRecord record { LogEvent::ConfigurationRefused,
+            { { "version", std::to_string(version.value()) }, { "source", source } } };
+        for (const auto& problem : problems) {
+            if (problem.severity == ProblemSeverity::Error)
+                record.fields.push_back({ "problem", problem.describe() });
+        }
+        return record;
+    }
+
+} // namespace
+
+DocumentPoll::DocumentPoll(DocumentStore& store, PollTimings timings, PlatformCallIds ids)
+    : m_store(store)
+    , m_timings(timings)
+    , m_ids(std::move(ids))
+{
+}
+
+DocumentPoll::Actions DocumentPoll::start(Instant now)
+{
+    m_gatheredAt = now + m_timings.gatherTime;
+    return call(now, Stage::ReadingVersion);
+}
+
+DocumentPoll::Actions DocumentPoll::onTimer(Instant now, RandomEngine& random)
+{
+    Actions actions;
+    if (now >= m_pollTimer)
+        actions
+            = m_stage == Stage::Idle ? call(now, Stage::ReadingVersion) : onPlatformFailure(now, random, "no answer");
+    if (m_question && now >= m_question->deadline) {
+        countFailure(m_question->peer);
+    }
+    for (auto& action : askBestPeer(now))
+        actions.push_back(std::move(action));
+    return actions;
+}
+
+DocumentPoll::Actions DocumentPoll::onPlatformAnswer(Instant now, RandomEngine& random, const PlatformAnswer& answer)
+{
+    if (m_stage == Stage::Idle || answer.id != m_awaited)
+        return {};
+    if (!answer.reply)
+        return onPlatformFailure(now, random, answer.reply.error().describe());
+    if (answer.reply->status != statusOk)
+        return onPlatformFailure(now, random, "status " + std::to_string(answer.reply->status));
+    return m_stage == Stage::ReadingVersion ? onVersionList(now, random, *answer.reply)
+                                            : onDocument(now, random, *answer.reply);
+}
+
+DocumentPoll::Actions DocumentPoll::onPeerVersion(Instant now, const HostName& peer, ConfigVersion version)
+{
+    if (version <= m_store.highestSeen())
+        return {};
+    auto& known = m_peers[peer].version;
+    known = std::max(known, version);
+    return askBestPeer(now);
+}
+
+DocumentPoll::Actions DocumentPoll::onPeerDocument(
+    Instant now, const HostName& peer, ConfigVersion version, std::string bytes)
+{
+    if (m_question && m_question->peer == peer)
+        m_question.reset();
+    m_peers.erase(peer);
+    Actions actions;
+    offer(actions, version, std::move(bytes), peer.value());
+    for (auto& action : askBestPeer(now))
+        actions.push_back(std::move(action));
+    return actions;
+}
+
+DocumentPoll::Actions DocumentPoll::onPeerFailed(Instant now, const HostName& peer)
+{
+    countFailure(peer);
+    return askBestPeer(now);
+}
+
+void DocumentPoll::countFailure(const HostName& peer)
+{
+    if (m_question && m_question->peer == peer)
+        m_question.reset();
+    const auto known = m_peers.find(peer);
+    if (known != m_peers.end() && ++known->second.failures >= maxPeerFailures)
+        m_peers.erase(known);
+}
+
+DocumentPoll::Actions DocumentPoll::onEditAccepted(Instant, ConfigVersion rowVersion, std::string rowBytes)
+{
+    Actions actions;
+    offer(actions, rowVersion, std::move(rowBytes), editSource);
+    return actions;
+}
+
+Instant DocumentPoll::nextTimer() const
+{
+    auto next = m_pollTimer;
+    if (m_question)
+        next = std::min(next, m_question->deadline);
+    else if (!m_store.hasDocument() && !m_peers.empty())
+        next = std::min(next, m_gatheredAt);
+    return next;
+}
+
+DocumentPoll::Actions DocumentPoll::call(Instant now, Stage stage)
+{
+    PlatformCall call;
+    call.id = m_ids();
+    call.path = stage == Stage::ReadingVersion ? documentTablePath : documentRowPath;
+    call.timeout = m_timings.callTimeout;
+    m_stage = stage;
+    m_awaited = call.id;
+    m_pollTimer = now + lostAnswerTimeouts * m_timings.callTimeout;
+    return { std::move(call) };
+}
+
+DocumentPoll::Actions DocumentPoll::onVersionList(Instant now, RandomEngine& random, const PlatformReply& reply)
+{
+    const auto version = versionInList(reply.body);
+    if (!version)
+        return onPlatformFailure(now, random, "malformed list of rows");
+    Actions actions;
+    markPlatformBack(actions);
+    if (*version <= m_store.highestSeen()) {
+        rest(now, random);
+        return actions;
+    }
+    for (auto& action : call(now, Stage::ReadingDocument))
+        actions.push_back(std::move(action));
+    return actions;
+}
+
+DocumentPoll::Actions DocumentPoll::onDocument(Instant now, RandomEngine& random, const PlatformReply& reply)
+{
+    if (!reply.version)
+        return onPlatformFailure(now, random, "document without its version");
+    Actions actions;
+    markPlatformBack(actions);
+    offer(actions, ConfigVersion(*reply.version), reply.body, platformSource);
+    rest(now, random);
+    return actions;
+}
+
+DocumentPoll::Actions DocumentPoll::onPlatformFailure(Instant now, RandomEngine& random, const std::string& reason)
+{
+    m_stage = Stage::Idle;
+    m_pollTimer = now + backoff(m_timings.interval, m_timings.backoffLimit, m_failures++, random);
+    if (std::exchange(m_isPlatformLost, true))
+        return {};
+    return { LogRecord { LogEvent::PlatformLost, { { "step", "read configuration" }, { "reason", reason } } } };
+}
+
+void DocumentPoll::rest(Instant now, RandomEngine& random)
+{
+    m_stage = Stage::Idle;
+    m_pollTimer = now + jittered(m_timings.interval, random);
+}
+
+void DocumentPoll::markPlatformBack(Actions& actions)
+{
+    m_failures = 0;
+    if (std::exchange(m_isPlatformLost, false))
+        actions.emplace_back(LogRecord { LogEvent::PlatformBack, {} });
+}
+
+bool DocumentPoll::isGathering(Instant now) const
+{
+    return !m_store.hasDocument() && now < m_gatheredAt;
+}
+
+DocumentPoll::Actions DocumentPoll::askBestPeer(Instant now)
+{
+    std::erase_if(m_peers, [this](const auto& peer) { return peer.second.version <= m_store.highestSeen(); });
+    if (m_question || m_peers.empty() || isGathering(now))
+        return {};
+    const auto best = std::max_element(m_peers.begin(), m_peers.end(), [](const auto& left, const auto& right) {
+        return std::pair(left.second.version, -static_cast<int>(left.second.failures))
+            < std::pair(right.second.version, -static_cast<int>(right.second.failures));
+    });
+    m_question = PeerQuestion { best->first, now + m_timings.peerTimeout };
+    return { AskPeer { best->first, best->second.version } };
+}
+
+void DocumentPoll::offer(Actions& actions, ConfigVersion version, std::string bytes, const std::string& source)
+{
+    const auto result = m_store.offer(version, std::move(bytes));
+    if (result.verdict == OfferVerdict::Refused)
+        actions.emplace_back(refusedRecord(version, source, result.problems));
+    if (result.verdict != OfferVerdict::Applied)
+        return;
+    actions.emplace_back(DocumentApplied { version });
+    actions.emplace_back(LogRecord {
+        LogEvent::ConfigurationApplied, { { "version", std::to_string(version.value()) }, { "source", source } } });
+}
+
+} // namespace Auburnpost::Config
--- a/src/config/JsonReader.h
+++ b/src/config/JsonReader.h
@@ -3,9 +3,9 @@
 #include "base/SocketAddress.h"
 #include "base/Time.h"
 #include "config/DocumentProblem.h"
+#include "config/Json.h"
 
 #include <initializer_list>
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -13,9 +13,6 @@
 
 namespace Auburnpost::Config {
 
-/// Keeps the members in the order in which operators wrote them.
-using Json = nlohmann::ordered_json;
-
 /// A value of the document and its path inside its section.
 struct JsonPlace {
     const Json* value;
