Keep the document through the poll, store and edit machines

Cause: the engine read the document by itself and could not edit it. Ruled out: a second path beside the config library. Change: ConfigKeeper drives DocumentPoll, DocumentStore and SectionEdit; peers are asked for newer versions. Before: edits answered 503. After: builds; not yet run over processes.

--- /dev/null
+++ b/src/engine/ConfigKeeper.cpp
@@ -0,0 +1,195 @@
+#include "engine/ConfigKeeper.h"
+
+#include "config/StoredDocument.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Auburnpost {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    Config::PollTimings timings(const Config::PlatformSettings& settings)
+    {
+        Config::PollTimings result;
+        result.interval = settings.configPollInterval;
+        result.backoffLimit = settings.configPollBackoff;
+        result.callTimeout = settings.callTimeout;
+        return result;
+    }
+
+    Json problemsJson(const std::vector<Config::DocumentProblem>& problems)
+    {
+        auto list = Json::array();
+        for (const auto& problem : problems)
+            list.push_back(problem.describe());
+        return list;
+    }
+
+    /// Status and body of the answer to an edit.
+    struct EditAnswer {
+        int status { 200 };
+        ConfigVersion version;
+        Json body;
+    };
+
+    EditAnswer answerOf(const Config::EditAccepted& accepted)
+    {
+        return { 200, accepted.version,
+            { { "version", accepted.version.value() }, { "warnings", problemsJson(accepted.warnings) } } };
+    }
+
+    EditAnswer answerOf(const Config::EditConflict& conflict)
+    {
+        return { 409, conflict.sectionVersion,
+            { { "error",
+                { { "outcome", "not_run" }, { "code", "conflict" }, { "base", conflict.base.value() },
+                    { "changed_at", conflict.sectionVersion.value() },
+                    { "message", "the section was changed after the version that the edit started from" } } } } };
+    }
+
+    EditAnswer answerOf(const Config::EditInvalid& invalid)
+    {
+        return { 400, ConfigVersion(0),
+            { { "error",
+                { { "outcome", "not_run" }, { "code", "bad_document" }, { "message", "the text has errors" },
+                    { "problems", problemsJson(invalid.problems) } } } } };
+    }
+
+    EditAnswer answerOf(const Config::EditFailed& failed)
+    {
+        const bool isNotRun = failed.outcome == FailedOutcome::NotRun;
+        return { 503, ConfigVersion(0),
+            { { "error",
+                { { "outcome", isNotRun ? "not_run" : "unknown" }, { "code", toString(failed.error.code) },
+                    { "step", failed.error.step }, { "peer", failed.error.peer },
+                    { "message", failed.error.message } } } } };
+    }
+
+} // namespace
+
+ConfigKeeper::ConfigKeeper(const Config::PlatformSettings& settings, RandomEngine& random, ConfigKeeperOwner& owner)
+    : m_callTimeout(settings.callTimeout)
+    , m_random(random)
+    , m_owner(owner)
+    , m_poll(m_store, timings(settings), [this] { return m_owner.nextPlatformCall(); })
+{
+}
+
+void ConfigKeeper::tick(Instant now)
+{
+    if (!m_started) {
+        m_started = true;
+        perform(now, m_poll.start(now));
+    }
+    if (now >= m_poll.nextTimer())
+        perform(now, m_poll.onTimer(now, m_random));
+    for (auto& [id, edit] : m_edits) {
+        if (const auto timer = edit.nextTimer(); timer && now >= *timer)
+            call(edit.onTimer(now));
+    }
+    finishEdits(now);
+}
+
+void ConfigKeeper::platformAnswered(Instant now, const PlatformAnswer& answer)
+{
+    perform(now, m_poll.onPlatformAnswer(now, m_random, answer));
+    for (auto& [id, edit] : m_edits)
+        call(edit.onAnswer(now, m_random, answer));
+    finishEdits(now);
+}
+
+void ConfigKeeper::peerHasVersion(Instant now, const HostName& peer, ConfigVersion version)
+{
+    perform(now, m_poll.onPeerVersion(now, peer, version));
+}
+
+void ConfigKeeper::peerDocument(Instant now, const HostName& peer, ConfigVersion version, std::string bytes)
+{
+    perform(now, m_poll.onPeerDocument(now, peer, version, std::move(bytes)));
+}
+
+void ConfigKeeper::edit(Instant now, const SectionPut& put, std::string editId)
+{
+    Config::EditLimits limits;
+    limits.callTimeout = m_callTimeout;
+    Config::EditRequest request { std::move(editId), put.section, put.text, put.base };
+    const auto [entry, added]
+        = m_edits.try_emplace(put.id, std::move(request), limits, [this] { return m_owner.nextPlatformCall(); });
+    call(entry->second.start(now));
+    finishEdits(now);
+}
+
+void ConfigKeeper::finishEdits(Instant now)
+{
+    for (auto entry = m_edits.begin(); entry != m_edits.end();) {
+        if (!entry->second.outcome()) {
+            ++entry;
+            continue;
+        }
+        const auto id = entry->first;
+        const auto outcome = *entry->second.outcome();
+        entry = m_edits.erase(entry);
+        if (const auto* accepted = std::get_if<Config::EditAccepted>(&outcome))
+            perform(now, m_poll.onEditAccepted(now, accepted->rowVersion, accepted->rowBytes));
+        answer(now, id, outcome);
+    }
+}
+
+void ConfigKeeper::answer(Instant, RequestId id, const Config::EditOutcome& outcome)
+{
+    auto answer = std::visit([](const auto& alternative) { return answerOf(alternative); }, outcome);
+    m_owner.actions().emplace_back(AnswerOperator { id, answer.status, answer.version, answer.body.dump() });
+}
+
+void ConfigKeeper::call(std::vector<PlatformCall> calls)
+{
+    for (auto& platformCall : calls)
+        m_owner.actions().emplace_back(std::move(platformCall));
+}
+
+void ConfigKeeper::perform(Instant now, const Config::DocumentPoll::Actions& actions)
+{
+    for (const auto& action : actions)
+        std::visit([this, now](const auto& alternative) { perform(now, alternative); }, action);
+}
+
+void ConfigKeeper::perform(Instant, const PlatformCall& platformCall)
+{
+    m_owner.actions().emplace_back(platformCall);
+}
+
+void ConfigKeeper::perform(Instant now, const Config::AskPeer& ask)
+{
+    if (!m_owner.askForDocument(ask.peer))
+        perform(now, m_poll.onPeerFailed(now, ask.peer));
+}
+
+void ConfigKeeper::perform(Instant now, const Config::DocumentApplied&)
+{
+    m_owner.documentApplied(now);
+}
+
+void ConfigKeeper::perform(Instant, const LogRecord& record)
+{
+    m_owner.actions().emplace_back(record);
+}
+
+const Config::Document* ConfigKeeper::document() const
+{
+    return m_store.hasDocument() ? &m_store.document() : nullptr;
+}
+
+std::string ConfigKeeper::sectionText(const std::string& section) const
+{
+    const auto stored = Config::StoredDocument::parse(m_store.bytes(), m_store.version());
+    if (!m_store.hasDocument() || !stored)
+        return {};
+    if (section.empty())
+        return Json { { "sections", stored->sections() } }.dump(2);
+    const auto found = stored->sections().find(section);
+    return found == stored->sections().end() ? std::string() : found->dump(2);
+}
+
+} // namespace Auburnpost
--- a/src/engine/Engine.cpp
+++ b/src/engine/Engine.cpp
@@ -2,8 +2,6 @@
 
 #include "engine/EngineState.h"
 
-#include <nlohmann/json.hpp>
-
 namespace Auburnpost {
 
 Engine::Engine(Instant now, const Config::Settings& settings, Incarnation incarnation, std::uint64_t seed)
@@ -30,18 +28,12 @@
 
 std::string Engine::documentText(const std::string& section) const
 {
-    const auto& text = m_state->documentText();
-    if (section.empty() || text.empty())
-        return text;
-    const auto json = nlohmann::json::parse(text, nullptr, false);
-    const auto sections
-        = json.is_object() ? json.value("sections", nlohmann::json::object()) : nlohmann::json::object();
-    return sections.contains(section) ? sections[section].dump(2) : std::string();
+    return m_state->config().sectionText(section);
 }
 
 ConfigVersion Engine::documentVersion() const
 {
-    return m_state->documentVersion();
+    return m_state->config().version();
 }
 
 } // namespace Auburnpost
--- a/src/engine/EngineState.cpp
+++ b/src/engine/EngineState.cpp
@@ -1,10 +1,11 @@
 #include "engine/EngineState.h"
 
-#include "config/DocumentParser.h"
 #include "engine/HomeOperation.h"
 #include "engine/PeerCodec.h"
 #include "member/HomePlacement.h"
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 
 namespace Auburnpost {
@@ -16,6 +17,9 @@
     /// A home that another host has taken over keeps answering for this long.
     constexpr Duration retireDelay = std::chrono::seconds(5);
 
+    constexpr const char* hostsPath = "/hosts";
+    constexpr int httpOk = 200;
+
     Member::HostDescription describe(const Config::Settings& settings, Incarnation incarnation)
     {
         return { settings.host.name, settings.host.dataCentre, settings.listen.gossip, settings.listen.peers,
@@ -70,7 +74,7 @@
     , m_membership(describe(settings, incarnation), membershipSettings(settings))
     , m_coordinator(settings.host.name, incarnation, settings.host.dataCentre, signer(settings),
           requestSettings(settings), m_random, *this)
-    , m_nextPoll(now)
+    , m_config(settings.platform, m_random, *this)
     , m_nextHostList(now)
 {
 }
@@ -157,7 +161,8 @@
 void EngineState::handle(Instant now, const Tick&)
 {
     apply(now, m_membership.tick(now, m_random));
-    pollPlatform(now);
+    m_config.tick(now);
+    pollHostList(now);
     for (auto& [name, entry] : m_homes)
         entry.home->tick(now);
     m_coordinator.tick(now);
@@ -179,13 +184,13 @@
 
 void EngineState::take(Instant, const DocumentWanted& message)
 {
-    if (m_document)
-        sendPeer(message.replyTo, DocumentOffered { m_settings.host.name, m_document->version, m_documentText });
+    if (document())
+        sendPeer(message.replyTo, DocumentOffered { m_settings.host.name, m_config.version(), m_config.bytes() });
 }
 
 void EngineState::take(Instant now, const DocumentOffered& message)
 {
-    acceptDocument(now, message.version, message.text);
+    m_config.peerDocument(now, message.from, message.version, message.text);
 }
 
 void EngineState::take(Instant now, const WatcherNote& note)
@@ -325,11 +330,11 @@
 void EngineState::placeHomes(Instant now)
 {
     m_placementStale = false;
-    if (!m_document)
+    if (!document())
         return;
     const Member::HomePlacement placement(m_membership.liveHosts());
     m_homeNames.clear();
-    for (const auto& [name, demand] : m_document->databases) {
+    for (const auto& [name, demand] : document()->databases) {
         auto& homes = m_homeNames[name];
         homes = placement.homes(demandOf(name, demand));
         const bool isHome = std::find(homes.begin(), homes.end(), m_settings.host.name) != homes.end();
@@ -379,10 +384,72 @@
 void EngineState::applyMaintenance(Instant now)
 {
     for (auto& [name, entry] : m_homes) {
-        const auto wish = m_document->maintenance.switches.find(name);
-        entry.home->setMaintenance(now, m_document->maintenance.leavingTargets,
-            wish == m_document->maintenance.switches.end() ? std::nullopt : std::optional(wish->second));
+        const auto wish = document()->maintenance.switches.find(name);
+        entry.home->setMaintenance(now, document()->maintenance.leavingTargets,
+            wish == document()->maintenance.switches.end() ? std::nullopt : std::optional(wish->second));
+    }
+}
+
+// Configuration and the platform
+
+void EngineState::documentApplied(Instant now)
+{
+    m_membership.setConfigVersion(now, m_config.version());
+    m_placementStale = true;
+}
+
+bool EngineState::askForDocument(const HostName& name)
+{
+    const auto holder = host(name);
+    if (holder)
+        sendPeer(holder->peers, DocumentWanted { m_settings.host.name, m_settings.listen.peers });
+    return holder.has_value();
+}
+
+void EngineState::apply(Instant now, const Member::ConfigVersionSeen& seen)
+{
+    m_config.peerHasVersion(now, seen.host, seen.version);
+}
+
+void EngineState::handle(Instant now, const SectionPut& put)
+{
+    const auto editId = m_settings.host.name.value() + "#" + std::to_string(m_incarnation.value()) + ":"
+        + std::to_string(++m_lastEdit);
+    m_config.edit(now, put, editId);
+}
+
+void EngineState::pollHostList(Instant now)
+{
+    if (now < m_nextHostList)
+        return;
+    m_nextHostList = now + m_settings.platform.hostListInterval;
+    m_hostListCall = nextPlatformCall();
+    m_actions.emplace_back(PlatformCall {
+        m_hostListCall, PlatformMethod::Get, hostsPath, "", std::nullopt, m_settings.platform.callTimeout });
+}
+
+void EngineState::handle(Instant now, const PlatformAnswer& answer)
+{
+    if (answer.id != m_hostListCall)
+        m_config.platformAnswered(now, answer);
+    else if (answer.reply && answer.reply->status == httpOk)
+        takeHostList(now, *answer.reply);
+}
+
+void EngineState::takeHostList(Instant now, const PlatformReply& reply)
+{
+    const auto json = nlohmann::json::parse(reply.body, nullptr, false);
+    if (!json.is_object() || !json.contains("hosts") || !json["hosts"].is_array())
+        return;
+    std::vector<Member::ListedHost> hosts;
+    for (const auto& item : json["hosts"]) {
+        if (!item.is_object())
+            continue;
+        const auto gossip = SocketAddress::parse(item.value("gossip", ""));
+        if (gossip)
+            hosts.push_back({ HostName(item.value("name", "")), *gossip });
     }
+    m_membership.hostList(now, hosts);
 }
 
 // Stop
@@ -419,12 +486,7 @@
 
 bool EngineState::isReady() const
 {
-    return m_document && !m_stopRequestedAt;
-}
-
-ConfigVersion EngineState::documentVersion() const
-{
-    return m_document ? m_document->version : ConfigVersion(0);
+    return document() && !m_stopRequestedAt;
 }
 
 } // namespace Auburnpost
--- a/src/engine/EngineState.h
+++ b/src/engine/EngineState.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "config/Document.h"
+#include "engine/ConfigKeeper.h"
 #include "engine/DatabaseHome.h"
 #include "engine/Engine.h"
 #include "engine/RequestCoordinator.h"
@@ -14,18 +14,17 @@
 namespace Auburnpost {
 
 /// The parts of the engine and the ways between them.
-class EngineState : public DatabaseHomeOwner, public RequestCoordinatorOwner {
+class EngineState : public DatabaseHomeOwner, public RequestCoordinatorOwner, public ConfigKeeperOwner {
 public:
     EngineState(Instant now, const Config::Settings&, Incarnation, std::uint64_t seed);
 
     Actions onEvent(Instant now, Event);
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] std::string dump(Instant now) const;
-    [[nodiscard]] const std::string& documentText() const { return m_documentText; }
-    [[nodiscard]] ConfigVersion documentVersion() const;
+    [[nodiscard]] const ConfigKeeper& config() const { return m_config; }
 
     // RequestCoordinatorOwner
-    [[nodiscard]] const Config::Document* document() const override { return m_document ? &*m_document : nullptr; }
+    [[nodiscard]] const Config::Document* document() const override { return m_config.document(); }
     [[nodiscard]] std::vector<HomeRef> homesOf(const DatabaseName&) const override;
     [[nodiscard]] std::optional<HomeRef> host(const HostName&) const override;
     void dispatch(Instant now, AttemptNumber, const HomeRef&, const Work&, Instant deadline) override;
@@ -38,6 +37,11 @@
     void sendWatcherNote(const HostName&, const DatabaseName&, std::string content) override;
     void workReplied(Instant now, OperationId, WorkReply) override;
 
+    // ConfigKeeperOwner
+    PlatformCallId nextPlatformCall() override { return PlatformCallId(++m_lastPlatformCall); }
+    bool askForDocument(const HostName&) override;
+    void documentApplied(Instant now) override;
+
 private:
     /// Who waits for the reply to an operation.
     struct Origin {
@@ -76,12 +80,12 @@
     void apply(Instant now, const Member::SendDatagram&);
     void apply(Instant now, const Member::HostChanged&);
     void apply(Instant now, const Member::ConfigVersionSeen&);
-    void acceptDocument(Instant now, ConfigVersion, const std::string& text);
     void placeHomes(Instant now);
     void openHome(Instant now, const DatabaseName&, const Config::DatabasePlacement&);
     void retireHomes(Instant now);
     void applyMaintenance(Instant now);
-    void pollPlatform(Instant now);
+    void pollHostList(Instant now);
+    void takeHostList(Instant now, const PlatformReply&);
     void checkStop(Instant now);
     DatabaseHome* holderOf(ConnectionId);
     void sendPeer(const SocketAddress&, const PeerMessage&);
@@ -93,8 +97,7 @@
     Actions m_actions;
     Member::Membership m_membership;
     RequestCoordinator m_coordinator;
-    std::optional<Config::Document> m_document;
-    std::string m_documentText;
+    ConfigKeeper m_config;
     std::map<DatabaseName, std::vector<HostName>> m_homeNames;
     std::map<DatabaseName, HomeEntry> m_homes;
     std::map<OperationId, Origin> m_origins;
@@ -106,13 +109,13 @@
     /// The incarnation with which each other host started.
     std::map<HostName, Incarnation> m_startOfHost;
     bool m_placementStale { true };
-    Instant m_nextPoll {};
     Instant m_nextHostList {};
-    std::map<PlatformCallId, std::string> m_platformCalls;
+    PlatformCallId m_hostListCall;
     std::uint64_t m_lastConnection { 0 };
     std::uint64_t m_lastCommand { 0 };
     std::uint64_t m_lastOperation { 0 };
     std::uint64_t m_lastPlatformCall { 0 };
+    std::uint64_t m_lastEdit { 0 };
     std::optional<Instant> m_stopRequestedAt;
 };
 
