Add the links to peers, gossip, the platform and operators

Cause: the remaining adapters of the host: nng push and pull between hosts, UDP datagrams, calls to the platform, the operators' interface, and a small store of metrics. Ruled out: to start the next platform call within the callback of the one before; evhttp runs callbacks while it empties a failed connection, so calls are started from an event of their own. Tests share one scripted TCP server; the scripted target now sits on it.

--- /dev/null
+++ b/src/wire/Metrics.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace Auburnpost::Wire {
+
+/// Named series of samples, each with its count, mean and the 50th, 90th and 99th percentile.
+class Metrics {
+public:
+    Metrics();
+    ~Metrics();
+    Metrics(const Metrics&) = delete;
+    Metrics& operator=(const Metrics&) = delete;
+
+    /// Adds a sample to a series, which starts with its first one.
+    /// @param series a name with its unit, such as "caller_request_ms".
+    void record(std::string_view series, double sample);
+
+    /// @return one line for each series in order of names: "NAME count=N mean=X p50=X p90=X p99=X".
+    [[nodiscard]] std::string dump() const;
+
+private:
+    struct Series;
+
+    std::map<std::string, std::unique_ptr<Series>, std::less<>> m_series;
+};
+
+} // namespace Auburnpost::Wire
--- /dev/null
+++ b/src/wire/PlatformClient.cpp
@@ -0,0 +1,204 @@
+#include "wire/PlatformClient.h"
+
+#include "base/Invariant.h"
+#include "wire/LoopTime.h"
+#include "wire/SocketOptions.h"
+
+#include <charconv>
+
+namespace Auburnpost::Wire {
+
+namespace {
+
+    constexpr ev_ssize_t headerBytesLimit = 64L * 1024;
+    /// Above the limit of any call, so that a call's own timer is the one that ends it.
+    constexpr Duration connectionTimeout = std::chrono::hours(1);
+
+    std::optional<std::uint64_t> readNumber(std::string_view text)
+    {
+        std::uint64_t number = 0;
+        const auto [rest, problem] = std::from_chars(text.data(), text.data() + text.size(), number);
+        if (problem != std::errc {} || rest != text.data() + text.size())
+            return {};
+        return number;
+    }
+
+    std::string takeBody(evhttp_request* request)
+    {
+        auto* const buffer = evhttp_request_get_input_buffer(request);
+        std::string body(evbuffer_get_length(buffer), '\0');
+        evbuffer_remove(buffer, body.data(), body.size());
+        return body;
+    }
+
+} // namespace
+
+/// A call without an answer.
+struct PlatformClient::Pending {
+    PlatformClient* client { nullptr };
+    PlatformCall call;
+    /// Set while the call is on a connection.
+    evhttp_request* request { nullptr };
+    evhttp_connection* connection { nullptr };
+    /// Why it failed within call(), until that is reported from the loop.
+    std::string refusal;
+    EventPointer timer;
+};
+
+struct PlatformClient::Callbacks {
+    static void reply(evhttp_request* request, void* argument)
+    {
+        auto& pending = *static_cast<Pending*>(argument);
+        pending.client->onReply(pending, request);
+    }
+
+    static void start(evutil_socket_t, short, void* client) { static_cast<PlatformClient*>(client)->startWaiting(); }
+
+    static void timeout(evutil_socket_t, short, void* argument)
+    {
+        auto& pending = *static_cast<Pending*>(argument);
+        pending.client->onTimeout(pending);
+    }
+};
+
+PlatformClient::PlatformClient(event_base* base, SocketAddress address, PlatformClientLimits limits)
+    : m_base(base)
+    , m_address(std::move(address))
+    , m_limits(limits)
+    , m_startEvent(event_new(base, -1, 0, &Callbacks::start, this))
+{
+    ignoreBrokenPipe();
+    const auto timeout = toTimeval(connectionTimeout);
+    for (std::size_t count = 0; count < limits.connections; ++count) {
+        HttpConnectionPointer connection(
+            evhttp_connection_base_new(base, nullptr, m_address.ip.c_str(), m_address.port));
+        evhttp_connection_set_retries(connection.get(), 0);
+        evhttp_connection_set_timeout_tv(connection.get(), &timeout);
+        evhttp_connection_set_max_headers_size(connection.get(), headerBytesLimit);
+        evhttp_connection_set_max_body_size(connection.get(), static_cast<ev_ssize_t>(limits.bodyBytes));
+        m_idle.push_back(connection.get());
+        m_connections.push_back(std::move(connection));
+    }
+}
+
+PlatformClient::~PlatformClient()
+{
+    m_answered.clear();
+    for (const auto& [id, pending] : m_pending) {
+        if (pending->request)
+            evhttp_cancel_request(pending->request);
+    }
+}
+
+void PlatformClient::call(const PlatformCall& call)
+{
+    auto entry = std::make_unique<Pending>();
+    auto& pending = *entry;
+    pending.client = this;
+    pending.call = call;
+    pending.timer.reset(evtimer_new(m_base, &Callbacks::timeout, &pending));
+    const bool isNew = m_pending.emplace(call.id, std::move(entry)).second;
+    AUBURNPOST_INVARIANT(isNew, "a platform call's id is used once");
+    const auto timeout = toTimeval(call.timeout);
+    evtimer_add(pending.timer.get(), &timeout);
+    if (m_waiting.size() >= m_limits.waiting) {
+        pending.refusal = "too many calls wait for a connection";
+        event_active(pending.timer.get(), EV_TIMEOUT, 0);
+        return;
+    }
+    m_waiting.push_back(call.id);
+    scheduleStart();
+}
+
+void PlatformClient::scheduleStart()
+{
+    if (!m_idle.empty() && !m_waiting.empty())
+        event_active(m_startEvent.get(), 0, 0);
+}
+
+void PlatformClient::startWaiting()
+{
+    while (!m_idle.empty() && !m_waiting.empty()) {
+        const auto next = m_pending.find(m_waiting.front());
+        m_waiting.pop_front();
+        if (next == m_pending.end())
+            continue;
+        auto* const connection = m_idle.back();
+        m_idle.pop_back();
+        start(*next->second, connection);
+    }
+}
+
+void PlatformClient::start(Pending& pending, evhttp_connection* connection)
+{
+    pending.connection = connection;
+    pending.request = evhttp_request_new(&Callbacks::reply, &pending);
+    auto* const headers = evhttp_request_get_output_headers(pending.request);
+    evhttp_add_header(headers, "Host", m_address.toString().c_str());
+    const bool isPut = pending.call.method == PlatformMethod::Put;
+    if (isPut) {
+        evhttp_add_header(headers, "Content-Type", "application/json");
+        if (pending.call.expectedVersion)
+            evhttp_add_header(headers, "If-Match", std::to_string(*pending.call.expectedVersion).c_str());
+        evbuffer_add(
+            evhttp_request_get_output_buffer(pending.request), pending.call.body.data(), pending.call.body.size());
+    }
+    const auto command = isPut ? EVHTTP_REQ_PUT : EVHTTP_REQ_GET;
+    if (!evhttp_make_request(connection, pending.request, command, pending.call.path.c_str()))
+        return;
+    // evhttp has freed the request.
+    pending.request = nullptr;
+    pending.refusal = "the connection takes no request";
+    event_active(pending.timer.get(), EV_TIMEOUT, 0);
+}
+
+void PlatformClient::onReply(Pending& pending, evhttp_request* request)
+{
+    pending.request = nullptr;
+    finish(pending, readReply(pending, request));
+}
+
+void PlatformClient::onTimeout(Pending& pending)
+{
+    if (pending.request)
+        evhttp_cancel_request(std::exchange(pending.request, nullptr));
+    const auto message = pending.refusal.empty()
+        ? "no answer within " + std::to_string(toMilliseconds(pending.call.timeout)) + " ms"
+        : pending.refusal;
+    finish(pending, failure(pending, message));
+}
+
+void PlatformClient::finish(Pending& pending, Expected<PlatformReply> reply)
+{
+    const PlatformAnswer answer { pending.call.id, std::move(reply) };
+    if (pending.connection)
+        m_idle.push_back(pending.connection);
+    m_pending.erase(answer.id);
+    scheduleStart();
+    m_answered.emit(answer);
+}
+
+Expected<PlatformReply> PlatformClient::readReply(const Pending& pending, evhttp_request* request) const
+{
+    if (!request || !evhttp_request_get_response_code(request))
+        return failure(pending, "the connection failed before the whole answer came");
+    PlatformReply reply { evhttp_request_get_response_code(request), takeBody(request), {} };
+    const auto* const headers = evhttp_request_get_input_headers(request);
+    const auto* const length = evhttp_find_header(headers, "Content-Length");
+    if (length && readNumber(length) != reply.body.size())
+        return failure(pending, "the answer is not whole");
+    if (const auto* const version = evhttp_find_header(headers, "Version")) {
+        reply.version = readNumber(version);
+        if (!reply.version)
+            return failure(pending, "the answer's Version is not a number");
+    }
+    return reply;
+}
+
+tl::unexpected<Error> PlatformClient::failure(const Pending& pending, std::string message) const
+{
+    const auto* const method = pending.call.method == PlatformMethod::Put ? "PUT " : "GET ";
+    return fail(ErrorCode::PlatformUnavailable, method + pending.call.path, m_address.toString(), std::move(message));
+}
+
+} // namespace Auburnpost::Wire
--- a/tests/wire/FakeTarget.cpp
+++ b/tests/wire/FakeTarget.cpp
@@ -1,9 +1,5 @@
 #include "wire/FakeTarget.h"
 
-#include "wire/SocketOptions.h"
-
-#include <event2/buffer.h>
-
 #include <arpa/inet.h>
 #include <cstring>
 
@@ -42,61 +38,20 @@
 
 } // namespace
 
-struct FakeTarget::Session {
-    FakeTarget* target { nullptr };
-    std::string input;
-    bool started { false };
-    std::vector<std::string> statements;
-    std::unique_ptr<bufferevent, void (*)(bufferevent*)> buffer { nullptr, bufferevent_free };
-};
-
-struct FakeTarget::Callbacks {
-    static void accept(evconnlistener* listener, evutil_socket_t descriptor, sockaddr*, int, void* argument)
-    {
-        auto& target = *static_cast<FakeTarget*>(argument);
-        auto session = std::make_shared<Session>();
-        session->target = &target;
-        session->buffer.reset(
-            bufferevent_socket_new(evconnlistener_get_base(listener), descriptor, BEV_OPT_CLOSE_ON_FREE));
-        bufferevent_setcb(session->buffer.get(), &read, nullptr, nullptr, session.get());
-        bufferevent_enable(session->buffer.get(), EV_READ | EV_WRITE);
-        target.m_sessions.push_back(std::move(session));
-    }
-
-    static void read(bufferevent* buffer, void* argument)
-    {
-        auto& session = *static_cast<Session*>(argument);
-        auto* const input = bufferevent_get_input(buffer);
-        std::string bytes(evbuffer_get_length(input), '\0');
-        evbuffer_remove(input, bytes.data(), bytes.size());
-        session.input += bytes;
-        session.target->onBytes(session);
-    }
-
-    static void written(bufferevent* buffer, void* argument)
-    {
-        bufferevent_disable(buffer, EV_READ | EV_WRITE);
-        static_cast<Session*>(argument)->buffer.reset();
-    }
-};
-
 FakeTarget::FakeTarget(event_base* base)
-    : m_listener(nullptr, evconnlistener_free)
+    : m_server(base, [this](RawServer::Session& session) { onBytes(session); })
 {
-    const auto wanted = Auburnpost::Wire::toSockaddr({ "127.0.0.1", 0 });
-    m_listener.reset(evconnlistener_new_bind(base, &Callbacks::accept, this, LEV_OPT_CLOSE_ON_FREE, -1,
-        reinterpret_cast<const sockaddr*>(&wanted), sizeof(wanted)));
-    m_address = Auburnpost::Wire::boundAddress(evconnlistener_get_fd(m_listener.get()));
 }
 
-void FakeTarget::onBytes(Session& session)
+void FakeTarget::onBytes(RawServer::Session& session)
 {
     while (session.buffer && takeMessage(session)) { }
 }
 
-bool FakeTarget::takeMessage(Session& session)
+bool FakeTarget::takeMessage(RawServer::Session& session)
 {
-    const std::size_t typeBytes = session.started ? 1 : 0;
+    auto& progress = m_progress[session.number];
+    const std::size_t typeBytes = progress.started ? 1 : 0;
     auto& input = session.input;
     if (input.size() < typeBytes + lengthBytes)
         return false;
@@ -104,38 +59,19 @@
     if (input.size() < size)
         return false;
     const auto payload = input.substr(typeBytes + lengthBytes, size - typeBytes - lengthBytes);
-    const char type = session.started ? input.front() : '\0';
+    const char type = progress.started ? input.front() : '\0';
     input.erase(0, size);
-    if (!session.started) {
-        session.started = true;
+    if (!progress.started) {
+        progress.started = true;
         m_startup = payload;
-        send(session, m_greeting);
+        RawServer::send(session, m_greeting);
     } else if (type == 'P')
-        session.statements.emplace_back(payload.c_str() + std::strlen(payload.c_str()) + 1);
+        progress.statements.emplace_back(payload.c_str() + std::strlen(payload.c_str()) + 1);
     else if (type == 'S')
-        send(session, m_script(std::exchange(session.statements, {})));
+        RawServer::send(session, m_script(std::exchange(progress.statements, {})));
     return true;
 }
 
-void FakeTarget::send(Session& session, const Reply& reply)
-{
-    bufferevent_write(session.buffer.get(), reply.bytes.data(), reply.bytes.size());
-    if (!reply.thenClose)
-        return;
-    if (evbuffer_get_length(bufferevent_get_output(session.buffer.get())))
-        bufferevent_setcb(session.buffer.get(), nullptr, &Callbacks::written, nullptr, &session);
-    else
-        session.buffer.reset();
-}
-
-void FakeTarget::push(const Reply& reply)
-{
-    for (const auto& session : m_sessions) {
-        if (session->buffer)
-            send(*session, reply);
-    }
-}
-
 std::string FakeTarget::parameter(const std::string& name, const std::string& value)
 {
     return message('S', text(name) + text(value));
--- a/tests/wire/FakeTarget.h
+++ b/tests/wire/FakeTarget.h
@@ -1,36 +1,29 @@
 #pragma once
 
-#include "base/SocketAddress.h"
-
-#include <event2/bufferevent.h>
-#include <event2/event.h>
-#include <event2/listener.h>
+#include "wire/RawServer.h"
 
 #include <functional>
-#include <memory>
+#include <map>
 #include <string>
 #include <vector>
 
 /// Speaks just enough of PostgreSQL's protocol for a test to script each reply.
 class FakeTarget {
 public:
-    /// What to do with the statements of one pipeline: send these bytes, then perhaps close.
-    struct Reply {
-        std::string bytes;
-        bool thenClose { false };
-    };
+    using Reply = RawServer::Reply;
+    /// What to reply to the statements of one pipeline.
     using Script = std::function<Reply(const std::vector<std::string>& statements)>;
 
     explicit FakeTarget(event_base*);
 
-    [[nodiscard]] const Auburnpost::SocketAddress& address() const { return m_address; }
+    [[nodiscard]] const Auburnpost::SocketAddress& address() const { return m_server.address(); }
     /// What a connection is greeted with.
     void setGreeting(Reply greeting) { m_greeting = std::move(greeting); }
     void setScript(Script script) { m_script = std::move(script); }
     /// Sends bytes unasked on every connection, then closes them when told to.
-    void push(const Reply&);
+    void push(const Reply& reply) { m_server.push(reply); }
     /// Stops to listen; what is open stays.
-    void stopListening() { m_listener.reset(); }
+    void stopListening() { m_server.stopListening(); }
     /// @return the parameters of the last start-up message, NUL-separated.
     [[nodiscard]] const std::string& startup() const { return m_startup; }
 
@@ -47,17 +40,17 @@
     static std::string ready();
 
 private:
-    struct Session;
-    struct Callbacks;
+    struct Progress {
+        bool started { false };
+        std::vector<std::string> statements;
+    };
 
-    void onBytes(Session&);
-    bool takeMessage(Session&);
-    void send(Session&, const Reply&);
+    void onBytes(RawServer::Session&);
+    bool takeMessage(RawServer::Session&);
 
-    Auburnpost::SocketAddress m_address;
     Reply m_greeting { greeting() };
     Script m_script;
     std::string m_startup;
-    std::vector<std::shared_ptr<Session>> m_sessions;
-    std::unique_ptr<evconnlistener, void (*)(evconnlistener*)> m_listener;
+    std::map<std::size_t, Progress> m_progress;
+    RawServer m_server;
 };
--- /dev/null
+++ b/tests/wire/PeerLinksTests.cpp
@@ -0,0 +1,136 @@
+#include "wire/PeerLinks.h"
+
+#include "wire/Loop.h"
+#include "wire/RawServer.h"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+
+using namespace Auburnpost;
+using namespace Auburnpost::Wire;
+
+namespace {
+
+/// @return an address whose port was free a moment ago.
+SocketAddress freeAddress(const Loop& loop)
+{
+    const RawServer server(loop.base(), {});
+    return server.address();
+}
+
+struct Fixture {
+    std::unique_ptr<PeerLinks> listen(PeerLinksLimits limits = {})
+    {
+        auto links = std::make_unique<PeerLinks>(loop.base(), address, limits);
+        links->received().connect([this](const std::string& bytes) { received.push_back(bytes); });
+        REQUIRE(links->listen().has_value());
+        return links;
+    }
+
+    Loop loop;
+    SocketAddress address { freeAddress(loop) };
+    std::deque<std::string> received;
+};
+
+PeerLinksLimits smallBuffer()
+{
+    PeerLinksLimits limits;
+    limits.sendBufferMessages = 4;
+    limits.receiveBufferMessages = 4;
+    return limits;
+}
+
+} // namespace
+
+TEST_CASE("Messages to a peer arrive whole and in the order sent", "[wire][peer]")
+{
+    constexpr int count = 500;
+    Fixture test;
+    const auto receiver = test.listen();
+    PeerLinks sender(test.loop.base(), {});
+    for (int number = 0; number < count; ++number)
+        REQUIRE(sender.send(test.address, std::to_string(number)).has_value());
+    REQUIRE(test.loop.runUntil([&] { return test.received.size() == count; }));
+    for (int number = 0; number < count; ++number)
+        CHECK(test.received[static_cast<std::size_t>(number)] == std::to_string(number));
+}
+
+TEST_CASE("A message of 20 MB arrives whole, one above the limit is refused", "[wire][peer]")
+{
+    Fixture test;
+    const auto receiver = test.listen();
+    PeerLinks sender(test.loop.base(), {});
+    std::string bytes(20UL * 1024 * 1024, 'a');
+    bytes.back() = 'z';
+    REQUIRE(sender.send(test.address, bytes).has_value());
+    REQUIRE(test.loop.runUntil([&] { return !test.received.empty(); }));
+    CHECK(test.received.front() == bytes);
+    const auto refused = sender.send(test.address, std::string(65UL * 1024 * 1024, 'a'));
+    REQUIRE_FALSE(refused.has_value());
+    CHECK(refused.error().code == ErrorCode::BadMessage);
+}
+
+TEST_CASE("A peer that does not take its messages pushes back", "[wire][peer]")
+{
+    Fixture test;
+    PeerLinks sender(test.loop.base(), {}, smallBuffer());
+    std::size_t accepted = 0;
+    Expected<void> sent;
+    while (accepted < 1000 && (sent = sender.send(test.address, std::to_string(accepted))))
+        ++accepted;
+    REQUIRE_FALSE(sent.has_value());
+    CHECK(sent.error().code == ErrorCode::PeerUnreachable);
+    CHECK(sent.error().step == "send");
+    CHECK(sent.error().peer == test.address.toString());
+    CHECK(accepted >= 4);
+    SECTION("and gets what was accepted, and no more, once it is there")
+    {
+        const auto receiver = test.listen();
+        REQUIRE(test.loop.runUntil([&] { return test.received.size() == accepted; }));
+        for (std::size_t number = 0; number < accepted; ++number)
+            CHECK(test.received[number] == std::to_string(number));
+        CHECK(sender.send(test.address, "more").has_value());
+        CHECK(test.loop.runUntil([&] { return test.received.back() == "more"; }));
+    }
+    SECTION("and other peers are served")
+    {
+        Fixture other;
+        const auto receiver = other.listen();
+        CHECK(sender.send(other.address, "hello").has_value());
+        CHECK(other.loop.runUntil([&] { return !other.received.empty(); }));
+    }
+    SECTION("and is forgotten when dropped")
+    {
+        sender.drop(test.address);
+        CHECK(sender.peers() == 0);
+        CHECK(sender.send(test.address, "new").has_value());
+        const auto receiver = test.listen();
+        REQUIRE(test.loop.runUntil([&] { return !test.received.empty(); }));
+        CHECK(test.received.front() == "new");
+    }
+}
+
+TEST_CASE("A peer that starts again is found again", "[wire][peer]")
+{
+    Fixture test;
+    PeerLinks sender(test.loop.base(), {});
+    auto receiver = test.listen();
+    REQUIRE(sender.send(test.address, "first").has_value());
+    REQUIRE(test.loop.runUntil([&] { return !test.received.empty(); }));
+    receiver.reset();
+    receiver = test.listen();
+    // Messages on their way at the time of the restart may be lost, so send until one arrives.
+    REQUIRE(test.loop.runUntil([&] { return sender.send(test.address, "again") && test.received.size() > 1; }));
+    CHECK(test.received.back() == "again");
+}
+
+TEST_CASE("A port that is taken is reported", "[wire][peer]")
+{
+    Fixture test;
+    const auto receiver = test.listen();
+    PeerLinks second(test.loop.base(), test.address);
+    const auto listening = second.listen();
+    REQUIRE_FALSE(listening.has_value());
+    CHECK(listening.error().step == "listen");
+}
