Serve a request from end to end over separate processes

Cause: the parts had never run together. Ruled out: a thin path with its own shortcuts; the real engine was ready, so it is the path. Before: nothing served.

--- /dev/null
+++ b/src/app/HostAssembly.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "config/Settings.h"
+#include "engine/Engine.h"
+#include "wire/CallerServer.h"
+#include "wire/GossipSocket.h"
+#include "wire/Metrics.h"
+#include "wire/OperatorServer.h"
+#include "wire/PeerLinks.h"
+#include "wire/PlatformClient.h"
+#include "wire/TargetLinks.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+
+struct event;
+
+namespace Auburnpost {
+
+/// The engine and its adapters on one loop: signals of the adapters become events, actions become calls.
+class HostAssembly {
+public:
+    HostAssembly(event_base*, const Config::Settings&);
+    ~HostAssembly();
+    HostAssembly(const HostAssembly&) = delete;
+    HostAssembly& operator=(const HostAssembly&) = delete;
+
+    /// Opens every address of the settings.
+    /// @return nothing, or the first failure.
+    Expected<void> listen();
+    [[nodiscard]] int exitStatus() const { return m_exitStatus; }
+
+private:
+    using EventHandle = std::unique_ptr<event, void (*)(event*)>;
+
+    static Instant now();
+    void connectSignals();
+    void watchProcessSignals();
+    void post(Event);
+    void perform(Action);
+    void perform(const CallerAnswer&);
+    void perform(const OpenConnection&);
+    void perform(const CloseConnection&);
+    void perform(const TargetCommand&);
+    void perform(const SendToPeer&);
+    void perform(const DropPeer&);
+    void perform(const SendGossip&);
+    void perform(const PlatformCall&);
+    void perform(const AnswerOperator&);
+    void perform(const LogRecord&);
+    void perform(const StopNow&);
+    void answerOperator(const Wire::OperatorRequest&);
+    void answerConfig(const Wire::OperatorRequest&);
+    void dumpState();
+
+    event_base* m_base;
+    Config::Settings m_settings;
+    Engine m_engine;
+    Wire::CallerServer m_callers;
+    Wire::TargetLinks m_targets;
+    Wire::PeerLinks m_peers;
+    Wire::GossipSocket m_gossip;
+    Wire::PlatformClient m_platform;
+    Wire::OperatorServer m_operators;
+    Wire::Metrics m_metrics;
+    std::map<RequestId, Instant> m_requestStarts;
+    std::vector<EventHandle> m_events;
+    /// Events that came up while others were being performed.
+    std::deque<Event> m_posted;
+    bool m_performing { false };
+    int m_exitStatus { 0 };
+};
+
+} // namespace Auburnpost
--- a/src/engine/Action.h
+++ b/src/engine/Action.h
@@ -7,6 +7,7 @@
 #include "message/PlatformCall.h"
 #include "message/TargetCommand.h"
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -43,12 +44,12 @@
     std::string bytes;
 };
 
-/// The answer to an operator's edit.
+/// The answer to an operator's edit: JSON on what was accepted, or why it was not.
 struct AnswerOperator {
     RequestId id;
-    int status { 200 };
-    ConfigVersion version;
-    std::string body;
+    std::variant<std::string, Refusal> body;
+    /// Empty when there is none to tell of.
+    std::optional<ConfigVersion> version;
 };
 
 /// Leave the loop; nothing is in flight any more, or the wait for it is over.
--- a/src/engine/ConfigKeeper.cpp
+++ b/src/engine/ConfigKeeper.cpp
@@ -19,52 +19,40 @@
         return result;
     }
 
-    Json problemsJson(const std::vector<Config::DocumentProblem>& problems)
+    std::string linesOf(const std::vector<Config::DocumentProblem>& problems)
     {
-        auto list = Json::array();
+        std::string lines;
         for (const auto& problem : problems)
-            list.push_back(problem.describe());
-        return list;
+            lines += (lines.empty() ? "" : "\n") + problem.describe();
+        return lines;
     }
 
-    /// Status and body of the answer to an edit.
-    struct EditAnswer {
-        int status { 200 };
-        ConfigVersion version;
-        Json body;
-    };
-
-    EditAnswer answerOf(const Config::EditAccepted& accepted)
+    AnswerOperator answerOf(RequestId id, const Config::EditAccepted& accepted)
     {
-        return { 200, accepted.version,
-            { { "version", accepted.version.value() }, { "warnings", problemsJson(accepted.warnings) } } };
+        auto warnings = Json::array();
+        for (const auto& problem : accepted.warnings)
+            warnings.push_back(problem.describe());
+        const Json body { { "version", accepted.version.value() }, { "warnings", std::move(warnings) } };
+        return { id, body.dump(), accepted.version };
     }
 
-    EditAnswer answerOf(const Config::EditConflict& conflict)
+    AnswerOperator answerOf(RequestId id, const Config::EditConflict& conflict)
     {
-        return { 409, conflict.sectionVersion,
-            { { "error",
-                { { "outcome", "not_run" }, { "code", "conflict" }, { "base", conflict.base.value() },
-                    { "changed_at", conflict.sectionVersion.value() },
-                    { "message", "the section was changed after the version that the edit started from" } } } } };
+        Error error { ErrorCode::Conflict, "edit", "",
+            "the section was changed at version " + std::to_string(conflict.sectionVersion.value())
+                + ", after the version " + std::to_string(conflict.base.value()) + " that the edit started from" };
+        return { id, Refusal { FailedOutcome::NotRun, std::move(error), std::nullopt }, conflict.sectionVersion };
     }
 
-    EditAnswer answerOf(const Config::EditInvalid& invalid)
+    AnswerOperator answerOf(RequestId id, const Config::EditInvalid& invalid)
     {
-        return { 400, ConfigVersion(0),
-            { { "error",
-                { { "outcome", "not_run" }, { "code", "bad_document" }, { "message", "the text has errors" },
-                    { "problems", problemsJson(invalid.problems) } } } } };
+        Error error { ErrorCode::BadDocument, "check edit", "", linesOf(invalid.problems) };
+        return { id, Refusal { FailedOutcome::NotRun, std::move(error), std::nullopt }, std::nullopt };
     }
 
-    EditAnswer answerOf(const Config::EditFailed& failed)
+    AnswerOperator answerOf(RequestId id, const Config::EditFailed& failed)
     {
-        const bool isNotRun = failed.outcome == FailedOutcome::NotRun;
-        return { 503, ConfigVersion(0),
-            { { "error",
-                { { "outcome", isNotRun ? "not_run" : "unknown" }, { "code", toString(failed.error.code) },
-                    { "step", failed.error.step }, { "peer", failed.error.peer },
-                    { "message", failed.error.message } } } } };
+        return { id, Refusal { failed.outcome, failed.error, std::nullopt }, std::nullopt };
     }
 
 } // namespace
@@ -139,8 +127,8 @@
 
 void ConfigKeeper::answer(Instant, RequestId id, const Config::EditOutcome& outcome)
 {
-    auto answer = std::visit([](const auto& alternative) { return answerOf(alternative); }, outcome);
-    m_owner.actions().emplace_back(AnswerOperator { id, answer.status, answer.version, answer.body.dump() });
+    m_owner.actions().emplace_back(
+        std::visit([id](const auto& alternative) { return answerOf(id, alternative); }, outcome));
 }
 
 void ConfigKeeper::call(std::vector<PlatformCall> calls)
