Drive whole sites of engines through random faults on simulated time

Cause: the engine's promises had no proof under failure. Change: fakes at the engine's interfaces (targets with log, lock and outcome table; network; platform), callers whose sessions roam, a checker of acknowledgements, refusals and reads against the final log. Before: no run. Conclusion: a base for the proofs; the mutations that must make it fail are tried next.

--- /dev/null
+++ b/tests/engine/SiteCallers.cpp
@@ -0,0 +1,115 @@
+// The callers of the simulated site: what they ask, how they try again, what they check.
+#include "engine/SiteSimulation.h"
+
+namespace Auburnpost {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    constexpr int maxTries = 4;
+
+} // namespace
+
+void SiteSimulation::nextJob(std::size_t caller)
+{
+    m_queue.after(m_network.between(10ms, 120ms), [this, caller] {
+        if (m_callersActive)
+            startJob(caller);
+    });
+}
+
+void SiteSimulation::startJob(std::size_t caller)
+{
+    auto job = std::make_shared<Job>();
+    job->caller = caller;
+    job->request.organisation = OrganisationName("kandy-tailors");
+    job->request.key = "a key for the tests";
+    job->request.database = DatabaseName("sizing-core-1");
+    job->request.timeout = 3s;
+    const auto kind = std::uniform_int_distribution<int>(0, 3)(m_random);
+    job->isWrite = kind <= 1;
+    job->isKeyed = kind == 0;
+    if (job->isWrite) {
+        job->fact = std::to_string(++m_lastFact);
+        job->request.access = Access::Write;
+        job->request.statement = { "INSERT INTO facts VALUES ($1)", { job->fact } };
+        job->request.idempotencyKey = job->isKeyed ? "key-" + job->fact : "";
+        job->triesLeft = job->isKeyed ? maxTries : 1;
+    } else {
+        job->request.statement = { "SELECT id FROM facts", {} };
+        job->request.maxAge = kind == 2 ? Duration(10s) : Duration(0);
+        job->triesLeft = maxTries;
+        if (kind == 2)
+            job->mustSee = m_callers[caller].ownFacts;
+        else
+            job->mustSee.assign(m_checker.acknowledged().begin(), m_checker.acknowledged().end());
+    }
+    sendJob(job);
+}
+
+void SiteSimulation::sendJob(const JobPointer& job)
+{
+    job->host = std::uniform_int_distribution<std::size_t>(0, m_hosts.size() - 1)(m_random);
+    --job->triesLeft;
+    const auto& node = m_hosts[job->host];
+    if (!node.engine || node.exitStatus) {
+        // The balancer's connect is refused: nothing was sent.
+        m_queue.after(1ms, [this, job] { jobFailed(job, false); });
+        return;
+    }
+    auto request = job->request;
+    request.id = RequestId(++m_lastRequest);
+    request.session = m_callers[job->caller].session;
+    const auto entry = std::pair(job->host, request.id);
+    m_jobs[entry] = job;
+    onHost(job->host, 1ms, [this, host = job->host, request] { post(host, request); });
+    m_queue.after(6s, [this, entry] {
+        // The caller's own time limit: the connection is given up.
+        const auto expired = m_jobs.extract(entry);
+        if (expired)
+            jobFailed(expired.mapped(), true);
+    });
+}
+
+void SiteSimulation::perform(std::size_t host, const CallerAnswer& answer)
+{
+    const auto found = m_jobs.extract({ host, answer.id });
+    if (found)
+        m_queue.after(1ms, [this, job = found.mapped(), answer] { jobAnswered(job, answer); });
+}
+
+void SiteSimulation::jobAnswered(const JobPointer& job, const CallerAnswer& answer)
+{
+    auto& caller = m_callers[job->caller];
+    if (!answer.session.empty())
+        caller.session = answer.session;
+    if (const auto* refusal = std::get_if<Refusal>(&answer.body)) {
+        jobFailed(job, refusal->outcome == FailedOutcome::Unknown);
+        return;
+    }
+    if (job->isWrite) {
+        m_checker.told(job->fact, SiteChecker::Told::Acknowledged);
+        caller.ownFacts.push_back(job->fact);
+    } else {
+        std::vector<std::string> seen;
+        for (const auto& row : std::get<ResultSet>(answer.body).rows)
+            seen.push_back(row[0].value_or(""));
+        m_checker.read("read by " + answer.servedBy, job->mustSee, seen);
+    }
+    nextJob(job->caller);
+}
+
+void SiteSimulation::jobFailed(const JobPointer& job, bool unknown)
+{
+    job->everUnknown = job->everUnknown || unknown;
+    if (job->triesLeft > 0) {
+        m_queue.after(m_network.between(5ms, 100ms), [this, job] { sendJob(job); });
+        return;
+    }
+    if (job->isWrite)
+        m_checker.told(job->fact, job->everUnknown ? SiteChecker::Told::Unknown : SiteChecker::Told::NotRun);
+    nextJob(job->caller);
+}
+
+} // namespace Auburnpost
--- /dev/null
+++ b/tests/engine/SiteFaults.cpp
@@ -0,0 +1,161 @@
+// The faults that strike the simulated site.
+#include "engine/SiteSimulation.h"
+
+namespace Auburnpost {
+
+using namespace std::chrono_literals;
+
+void SiteSimulation::killTarget(std::size_t index)
+{
+    auto& node = *m_targets[index];
+    if (!node.alive)
+        return;
+    loseLinks(index);
+    node.alive = false;
+    ++node.life;
+    node.target.restart();
+}
+
+void SiteSimulation::killPrimary()
+{
+    if (const auto primary = primaryIndex())
+        killTarget(*primary);
+}
+
+void SiteSimulation::restartTarget(std::size_t index)
+{
+    m_targets[index]->alive = true;
+}
+
+void SiteSimulation::freezeTarget(std::size_t index, Duration duration)
+{
+    m_network.freeze(m_targets[index]->target.name().value(), m_queue.now() + duration);
+}
+
+void SiteSimulation::cutTarget(std::size_t index, bool fromHosts, bool fromTargets)
+{
+    for (std::size_t host = 0; fromHosts && host < m_hosts.size(); ++host) {
+        // Some hosts stay on the target's side.
+        if (m_network.chance(0.7))
+            m_hostTargetCuts.insert({ host, index });
+    }
+    for (std::size_t other = 0; fromTargets && other < m_targets.size(); ++other) {
+        m_targetCuts.insert({ index, other });
+        m_targetCuts.insert({ other, index });
+    }
+}
+
+void SiteSimulation::killHost(std::size_t index)
+{
+    auto& node = m_hosts[index];
+    if (!node.engine)
+        return;
+    for (const auto& [connection, link] : node.links) {
+        if (link.open)
+            m_targets[link.target]->target.disconnect(ConnectionId(index * 1000000 + connection.value()));
+    }
+    node.links.clear();
+    node.engine.reset();
+    ++node.life;
+    for (auto entry = m_jobs.begin(); entry != m_jobs.end();) {
+        if (entry->first.first != index) {
+            ++entry;
+            continue;
+        }
+        // The caller's connection is reset in the middle of the request.
+        m_queue.after(1ms, [this, job = entry->second] { jobFailed(job, true); });
+        entry = m_jobs.erase(entry);
+    }
+}
+
+void SiteSimulation::restartHost(std::size_t index)
+{
+    if (!m_hosts[index].engine)
+        startHost(index);
+}
+
+void SiteSimulation::freezeHost(std::size_t index, Duration duration)
+{
+    m_network.freeze(m_hosts[index].name, m_queue.now() + duration);
+}
+
+void SiteSimulation::stopHost(std::size_t index)
+{
+    post(index, StopRequested {});
+}
+
+void SiteSimulation::strike()
+{
+    const auto target = std::uniform_int_distribution<std::size_t>(0, targetCount - 1)(m_random);
+    const auto host = std::uniform_int_distribution<std::size_t>(0, m_hosts.size() - 1)(m_random);
+    const auto victim = m_network.chance(0.6) ? primaryIndex().value_or(target) : target;
+    switch (std::uniform_int_distribution<int>(0, 9)(m_random)) {
+    case 0:
+    case 1:
+        killTarget(victim);
+        m_queue.after(m_network.between(200ms, 3s), [this, victim] { restartTarget(victim); });
+        break;
+    case 2:
+    case 3:
+        freezeTarget(victim, m_network.between(300ms, 3s));
+        break;
+    case 4:
+        cutTarget(victim, m_network.chance(0.8), m_network.chance(0.6));
+        m_queue.after(m_network.between(500ms, 3s), [this] {
+            m_hostTargetCuts.clear();
+            m_targetCuts.clear();
+        });
+        break;
+    case 5:
+        killHost(host);
+        m_queue.after(m_network.between(300ms, 3s), [this, host] { restartHost(host); });
+        break;
+    case 6:
+        freezeHost(host, m_network.between(200ms, 3s));
+        break;
+    case 7:
+        m_network.cut(m_hosts[host].name, m_hosts[(host + 1) % m_hosts.size()].name);
+        m_network.cut(m_hosts[(host + 1) % m_hosts.size()].name, m_hosts[host].name);
+        break;
+    case 8:
+        m_targets[target]->lag = m_network.between(0ms, 800ms);
+        break;
+    default:
+        m_platformOut = !m_platformOut;
+        m_network.lossShare = m_network.lossShare > 0 ? 0 : 0.05;
+        break;
+    }
+}
+
+void SiteSimulation::healAll()
+{
+    m_network.heal();
+    m_network.lossShare = 0;
+    m_hostTargetCuts.clear();
+    m_targetCuts.clear();
+    m_platformOut = false;
+    for (std::size_t index = 0; index < targetCount; ++index) {
+        restartTarget(index);
+        freezeTarget(index, 0us);
+        m_targets[index]->lag = m_options.replicationLag;
+    }
+    for (std::size_t index = 0; index < m_hosts.size(); ++index) {
+        freezeHost(index, 0us);
+        if (!m_hosts[index].exitStatus)
+            restartHost(index);
+    }
+}
+
+void SiteSimulation::finish()
+{
+    m_callersActive = false;
+    run(15s);
+    const auto primary = primaryIndex();
+    if (!primary) {
+        m_checker.fail("there is no primary after every fault has ended");
+        return;
+    }
+    m_checker.checkLog(m_targets[*primary]->target.factCounts());
+}
+
+} // namespace Auburnpost
--- /dev/null
+++ b/tests/engine/SiteSimulation.h
@@ -0,0 +1,161 @@
+#pragma once
+
+#include "engine/Engine.h"
+#include "engine/FakeSqlTarget.h"
+#include "engine/SiteChecker.h"
+#include "group/FakeNetwork.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace Auburnpost {
+
+/// A site of engines, fake targets and a fake platform on simulated time, with callers whose sessions roam.
+/// Connections deliver in order and stall while cut; datagrams and messages between hosts can be lost.
+class SiteSimulation {
+public:
+    struct Options {
+        std::uint64_t seed { 1 };
+        std::size_t hosts { 4 };
+        std::size_t callers { 5 };
+        Duration replicationLag { std::chrono::milliseconds(5) };
+    };
+
+    explicit SiteSimulation(const Options&);
+    ~SiteSimulation();
+
+    void run(Duration);
+    /// Brings one random fault about.
+    void strike();
+    /// Ends every fault.
+    void healAll();
+    /// Lets callers finish and checks the whole history against the final log.
+    void finish();
+    void stopCallers() { m_callersActive = false; }
+
+    void killPrimary();
+    void killTarget(std::size_t);
+    void restartTarget(std::size_t);
+    void freezeTarget(std::size_t, Duration);
+    void cutTarget(std::size_t, bool fromHosts, bool fromTargets);
+    void killHost(std::size_t);
+    void restartHost(std::size_t);
+    void freezeHost(std::size_t, Duration);
+    void setPlatformOut(bool out) { m_platformOut = out; }
+    void setLag(std::size_t target, Duration lag) { m_targets[target]->lag = lag; }
+    void stopHost(std::size_t);
+    /// Puts a document with this maintenance section into force.
+    void setMaintenance(const std::string& json);
+
+    [[nodiscard]] std::optional<std::size_t> primaryIndex() const;
+    [[nodiscard]] const SiteChecker& checker() const { return m_checker; }
+    [[nodiscard]] RandomEngine& random() { return m_random; }
+    [[nodiscard]] const FakeSqlTarget& target(std::size_t index) const { return m_targets[index]->target; }
+    [[nodiscard]] bool isHostAlive(std::size_t index) const { return m_hosts[index].engine != nullptr; }
+    /// @return exit status of a host that stopped by itself; empty before.
+    [[nodiscard]] std::optional<int> exitStatus(std::size_t index) const { return m_hosts[index].exitStatus; }
+    [[nodiscard]] const std::string& dump(std::size_t host);
+
+private:
+    struct TargetNode {
+        explicit TargetNode(TargetName name)
+            : target(std::move(name))
+        {
+        }
+        FakeSqlTarget target;
+        bool alive { true };
+        std::uint64_t life { 0 };
+        Duration lag {};
+    };
+    /// One connection of a host to a target, with the moment of the last delivery in each direction.
+    struct Link {
+        std::size_t target { 0 };
+        std::uint64_t targetLife { 0 };
+        bool open { false };
+        Instant lastToTarget {};
+        Instant lastToHost {};
+    };
+    struct HostNode {
+        std::string name;
+        std::unique_ptr<Engine> engine;
+        std::uint64_t incarnation { 1000 };
+        std::uint64_t life { 0 };
+        std::map<ConnectionId, Link> links;
+        std::optional<int> exitStatus;
+    };
+    struct Caller {
+        std::string session;
+        std::vector<std::string> ownFacts;
+    };
+    /// One request of a caller through all its tries.
+    struct Job {
+        std::size_t caller { 0 };
+        CallerRequest request;
+        std::string fact;
+        bool isWrite { false };
+        bool isKeyed { false };
+        bool everUnknown { false };
+        int triesLeft { 0 };
+        std::size_t host { 0 };
+        std::vector<std::string> mustSee;
+    };
+    using JobPointer = std::shared_ptr<Job>;
+
+    static constexpr std::size_t targetCount = 3;
+
+    Config::Settings settingsOf(std::size_t host) const;
+    std::string documentText() const;
+    void startHost(std::size_t);
+    void tickHost(std::size_t host, std::uint64_t life);
+    void post(std::size_t host, Event);
+    /// Runs @p task on the host after @p delay unless it has died or restarted, later while it is frozen.
+    void onHost(std::size_t host, Duration delay, std::function<void()> task);
+    void perform(std::size_t host, Action);
+    void perform(std::size_t host, const CallerAnswer&);
+    void perform(std::size_t host, const OpenConnection&);
+    void perform(std::size_t host, const CloseConnection&);
+    void perform(std::size_t host, const TargetCommand&);
+    void perform(std::size_t host, const SendToPeer&);
+    void perform(std::size_t host, const DropPeer&) { (void)host; }
+    void perform(std::size_t host, const SendGossip&);
+    void perform(std::size_t host, const PlatformCall&);
+    void perform(std::size_t host, const AnswerOperator&) { (void)host; }
+    void perform(std::size_t host, const LogRecord&) { (void)host; }
+    void perform(std::size_t host, const StopNow&);
+    void deliverToTarget(std::size_t host, const TargetCommand&, std::uint64_t hostLife);
+    void deliverToHost(std::size_t host, ConnectionId, Event, std::uint64_t hostLife);
+    void loseLinks(std::size_t target);
+    [[nodiscard]] bool isCut(std::size_t host, std::size_t target) const;
+    [[nodiscard]] std::optional<std::size_t> hostByPort(std::uint16_t port) const;
+    [[nodiscard]] std::optional<std::size_t> targetByName(const TargetName&) const;
+    void shipLogs();
+    void startJob(std::size_t caller);
+    void sendJob(const JobPointer&);
+    void jobAnswered(const JobPointer&, const CallerAnswer&);
+    void jobFailed(const JobPointer&, bool unknown);
+    void nextJob(std::size_t caller);
+
+    Options m_options;
+    RandomEngine m_random;
+    Group::EventQueue m_queue;
+    Group::FakeNetwork m_network;
+    std::vector<std::unique_ptr<TargetNode>> m_targets;
+    std::vector<HostNode> m_hosts;
+    std::vector<Caller> m_callers;
+    std::map<std::pair<std::size_t, RequestId>, JobPointer> m_jobs;
+    std::set<std::pair<std::size_t, std::size_t>> m_targetCuts;
+    std::set<std::pair<std::size_t, std::size_t>> m_hostTargetCuts;
+    SiteChecker m_checker;
+    bool m_platformOut { false };
+    std::uint64_t m_documentVersion { 1 };
+    std::string m_maintenance { "{}" };
+    std::uint64_t m_lastRequest { 0 };
+    std::uint64_t m_lastFact { 0 };
+    bool m_callersActive { true };
+    std::string m_dump;
+};
+
+} // namespace Auburnpost
