--- a/standins/platform/HostList.cpp
+++ b/standins/platform/HostList.cpp
@@ -47,11 +47,21 @@
 }
 
 std::map<std::string, std::string> HostList::visible() const
+{
+    return states(&Probe::shown);
+}
+
+std::map<std::string, std::string> HostList::found() const
+{
+    return states(&Probe::found);
+}
+
+std::map<std::string, std::string> HostList::states(std::string Probe::*state) const
 {
     std::map<std::string, std::string> states;
     for (const auto& probe : m_probes) {
-        if (!probe->shown.empty())
-            states[m_settings.hosts[probe->index].name.value()] = probe->shown;
+        if (!((*probe).*state).empty())
+            states[m_settings.hosts[probe->index].name.value()] = (*probe).*state;
     }
     return states;
 }
--- a/standins/platform/HostList.h
+++ b/standins/platform/HostList.h
@@ -24,6 +24,8 @@
 
     /// @return the visible state, "live" or "leaving", of each host that is on the list.
     [[nodiscard]] std::map<std::string, std::string> visible() const;
+    /// @return the same as of the last check, ahead of the lag.
+    [[nodiscard]] std::map<std::string, std::string> found() const;
     [[nodiscard]] const std::vector<ListedHost>& hosts() const { return m_settings.hosts; }
 
 private:
@@ -38,6 +40,7 @@
 
     static void onAnswer(evhttp_request*, void* probe);
 
+    [[nodiscard]] std::map<std::string, std::string> states(std::string Probe::*state) const;
     void checkAll();
     void check(Probe&);
     void note(Probe&, const std::string& found);
--- a/standins/platform/PlatformServer.cpp
+++ b/standins/platform/PlatformServer.cpp
@@ -227,8 +227,8 @@
     Json tables = Json::object();
     for (const auto& [name, row] : m_store.rows(documentTable))
         tables[name] = row.version;
-    const Json state { { "role", "platform" }, { "hosts", m_hosts.visible() }, { "config_versions", tables },
-        { "counters", m_counters } };
+    const Json state { { "role", "platform" }, { "hosts", m_hosts.visible() }, { "hosts_found", m_hosts.found() },
+        { "config_versions", tables }, { "counters", m_counters } };
     exchange.reply(ok, state.dump());
 }
 
--- a/standins/target/Database.cpp
+++ b/standins/target/Database.cpp
@@ -65,8 +65,10 @@
 
     std::vector<Column> readColumns(sqlite3_stmt* statement)
     {
+        const int count = sqlite3_column_count(statement);
         std::vector<Column> columns;
-        for (int column = 0; column < sqlite3_column_count(statement); ++column)
+        columns.reserve(count);
+        for (int column = 0; column < count; ++column)
             columns.push_back({ sqlite3_column_name(statement, column), declaredType(statement, column) });
         return columns;
     }
--- a/tests/process/ChildProcess.cpp
+++ b/tests/process/ChildProcess.cpp
@@ -26,6 +26,7 @@
 ChildProcess::ChildProcess(const std::vector<std::string>& arguments)
 {
     std::vector<char*> pointers;
+    pointers.reserve(arguments.size() + 1);
     for (const std::string& argument : arguments)
         pointers.push_back(const_cast<char*>(argument.c_str()));
     pointers.push_back(nullptr);
@@ -90,7 +91,8 @@
         place.sin_family = AF_INET;
         place.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t size = sizeof place;
-        bind(descriptor, reinterpret_cast<sockaddr*>(&place), size);
+        if (bind(descriptor, reinterpret_cast<sockaddr*>(&place), size) != 0)
+            throw std::runtime_error("no port can be bound");
         getsockname(descriptor, reinterpret_cast<sockaddr*>(&place), &size);
         close(descriptor);
         if (given.insert(ntohs(place.sin_port)).second)
--- a/tests/process/PgClient.cpp
+++ b/tests/process/PgClient.cpp
@@ -7,6 +7,9 @@
     PgAnswer read(PGresult* result)
     {
         PgAnswer answer;
+        // libpq gives no result on a connection that is already known to be lost.
+        if (!result)
+            return answer;
         const auto status = PQresultStatus(result);
         answer.succeeded = status == PGRES_TUPLES_OK || status == PGRES_COMMAND_OK;
         const char* const state = PQresultErrorField(result, PG_DIAG_SQLSTATE);
@@ -56,6 +59,7 @@
 PgAnswer PgClient::run(const std::string& sql, const std::vector<std::string>& parameters)
 {
     std::vector<const char*> values;
+    values.reserve(parameters.size());
     for (const std::string& parameter : parameters)
         values.push_back(parameter.c_str());
     return read(PQexecParams(
--- a/tests/process/TargetLimitTests.cpp
+++ b/tests/process/TargetLimitTests.cpp
@@ -1,1 +1,70 @@
+#include "process/TargetGroup.h"
+
 #include <catch2/catch.hpp>
+
+using namespace Auburnpost::Test;
+
+TEST_CASE("A target refuses connections above its cap", "[limits]")
+{
+    const TargetGroup group(1, "max_connections = 2");
+    const PgClient first = group.connect("a");
+    {
+        const PgClient second = group.connect("a", "host-2/west-colombo");
+        const PgClient third = group.connect("a");
+        CHECK(second.connected());
+        CHECK_FALSE(third.connected());
+        CHECK(third.problem().find("too many connections") != std::string::npos);
+        CHECK(group.state("a").at("connections_by_host").at("host-2") == 1);
+    }
+    REQUIRE(eventually([&] { return group.state("a").at("connections") == 1; }));
+    CHECK(group.connect("a").connected());
+    CHECK(group.state("a").at("counters").at("refused_connections") == 1);
+    CHECK(group.state("a").at("counters").at("peak_connections") == 2);
+}
+
+TEST_CASE("A target takes its time to connect", "[limits]")
+{
+    const TargetGroup group(1, "connect_ms = 60000");
+    CHECK_FALSE(group.connect("a").connected());
+}
+
+TEST_CASE("A target that leaves refuses new connections and serves the others", "[limits]")
+{
+    const TargetGroup group(1);
+    PgClient client = group.connect("a");
+    CHECK(group.post("a", "/leaving", "{\"leaving\": 1}") == 400);
+    CHECK(group.post("a", "/leaving", "{\"leaving\": true}") == 200);
+    CHECK_FALSE(group.connect("a").connected());
+    CHECK(client.run("SELECT 1").single() == "1");
+    CHECK(group.post("a", "/leaving", "{\"leaving\": false}") == 200);
+    CHECK(group.connect("a").connected());
+}
+
+TEST_CASE("A target executes no more statements at a time than it has slots", "[limits]")
+{
+    const TargetGroup group(1, "slots = 3\nstatement_ms = 20");
+    constexpr int clientCount = 8;
+    std::vector<PgClient> clients;
+    clients.reserve(clientCount);
+    for (int count = 0; count < clientCount; ++count)
+        clients.push_back(group.connect("a"));
+    for (PgClient& client : clients)
+        client.send("SELECT 1");
+    for (PgClient& client : clients)
+        CHECK(client.receive().single() == "1");
+    CHECK(group.state("a").at("counters").at("peak_slots") == 3);
+    CHECK(group.state("a").at("counters").at("statements") == clientCount);
+}
+
+TEST_CASE("A target busy with statements answers group operations", "[limits]")
+{
+    const TargetGroup group(1, "slots = 1\nstatement_ms = 600000");
+    PgClient busy = group.connect("a");
+    PgClient waiting = group.connect("a");
+    busy.send("SELECT 1");
+    waiting.send("SELECT 1");
+    PgClient client = group.connect("a");
+    CHECK(client.run("SELECT * FROM group_status()").rows.at(0).at(1) == "primary");
+    CHECK_FALSE(busy.answered());
+    CHECK_FALSE(waiting.answered());
+}
