Bring up hosts in the demo site, and clean up after a failed start

Cause: the program takes the settings file as an argument of its own, so up.sh's hosts ended with the usage text; and the trap on ERR did not run for a failure inside a function, so that the stand-ins stayed up. Change: one form of the argument for all three programs, and a trap on EXIT.

--- a/scripts/down.sh
+++ b/scripts/down.sh
@@ -11,7 +11,7 @@
 fi
 
 # A pid may have been given to another process since; ours names its settings in build/run.
-is_ours() { tr '\0' ' ' 2>/dev/null < "/proc/$1/cmdline" | grep -qF -- "--settings=$run/$2.ini"; }
+is_ours() { tr '\0' ' ' 2>/dev/null < "/proc/$1/cmdline" | grep -qF -- "--settings $run/$2.ini"; }
 
 each_process() {
     local pid name
--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -205,11 +205,11 @@
 start_target() {
     local name
     name=$(target_name "$1" "$2")
-    start "$name" "$build/standins/target/standin-target" --settings="$run/$name.ini"
+    start "$name" "$build/standins/target/standin-target" --settings "$run/$name.ini"
 }
 
 start_host() {
-    start "host-$(($1 + 1))" "$build/src/app/auburnpost" serve --settings="$run/host-$(($1 + 1)).ini"
+    start "host-$(($1 + 1))" "$build/src/app/auburnpost" serve --settings "$run/host-$(($1 + 1)).ini"
 }
 
 # Waits until a URL answers 200.
--- a/scripts/up.sh
+++ b/scripts/up.sh
@@ -19,7 +19,7 @@
 mkdir -p "$run/state" "$run/log"
 # shellcheck source=scripts/site.sh
 source "$top/scripts/site.sh"
-trap '"$top/scripts/down.sh" >&2' ERR
+trap 'if [ $? -ne 0 ]; then "$top/scripts/down.sh" >&2; fi' EXIT
 
 echo "up: writing settings"
 write_schemas
@@ -29,7 +29,7 @@
 each_host write_host_settings
 
 echo "up: starting the platform"
-start platform "$build/standins/platform/standin-platform" --settings="$run/platform.ini"
+start platform "$build/standins/platform/standin-platform" --settings "$run/platform.ini"
 echo "up: starting the targets"
 each_target start_target
 await platform "$(address $((base + 1)))/state"
