--- a/src/wire/Metrics.h
+++ b/src/wire/Metrics.h
@@ -19,7 +19,8 @@
     /// @param series a name with its unit, such as "caller_request_ms".
     void record(std::string_view series, double sample);
 
-    /// @return one line for each series in order of names: "NAME count=N mean=X p50=X p90=X p99=X".
+    /// @return one line for each series in order of names: "NAME count=N mean=X p50=X p90=X p99=X",
+    /// without the percentiles while a series has fewer than nine samples.
     [[nodiscard]] std::string dump() const;
 
 private:
--- a/src/wire/TargetLink.cpp
+++ b/src/wire/TargetLink.cpp
@@ -100,7 +100,8 @@
 {
     auto& self = *static_cast<TargetLink*>(link);
     const auto state = textOf(PQresultErrorField(notice, PG_DIAG_SQLSTATE));
-    const auto severity = textOf(PQresultErrorField(notice, PG_DIAG_SEVERITY));
+    const auto* const fixedSeverity = PQresultErrorField(notice, PG_DIAG_SEVERITY_NONLOCALIZED);
+    const auto severity = textOf(fixedSeverity ? fixedSeverity : PQresultErrorField(notice, PG_DIAG_SEVERITY));
     // libpq's own notices have no code: they tell of messages that it did not expect.
     if (state.empty())
         self.m_surprise = oneLine(textOf(PQresultErrorField(notice, PG_DIAG_MESSAGE_PRIMARY)));
@@ -257,7 +258,7 @@
 Expected<void> TargetLink::take(const PGresult* result)
 {
     auto& flight = *m_flight;
-    if (flight.answer.results.size() + flight.abortedCount + flight.answer.fault.has_value() >= flight.statementCount)
+    if (flight.accounted() >= flight.statementCount)
         return tl::unexpected<Error>(surprise("more results than statements"));
     switch (PQresultStatus(result)) {
     case PGRES_TUPLES_OK:
@@ -295,7 +296,7 @@
 {
     auto flight = std::move(*m_flight);
     m_flight.reset();
-    if (flight.answer.results.size() + flight.abortedCount + flight.answer.fault.has_value() != flight.statementCount)
+    if (flight.accounted() != flight.statementCount)
         return tl::unexpected<Error>(surprise("fewer results than statements"));
     auto now = standing();
     if (!now)
--- a/src/wire/TargetLink.h
+++ b/src/wire/TargetLink.h
@@ -38,6 +38,23 @@
 /// What came of an advance: nothing yet, an opening, a whole answer, or the end of the connection.
 using LinkProgress = std::variant<std::monostate, LinkOpened, TargetAnswer, Error>;
 
+namespace Detail {
+
+    /// The command in flight and what of its answer is there.
+    struct TargetFlight {
+        TargetAnswer answer;
+        std::size_t statementCount { 0 };
+        std::size_t abortedCount { 0 };
+
+        /// @return how many statements have been accounted for.
+        [[nodiscard]] std::size_t accounted() const
+        {
+            return answer.results.size() + abortedCount + (answer.fault ? 1 : 0);
+        }
+    };
+
+} // namespace Detail
+
 /// One connection to a target through libpq, without a loop of its own: the owner calls advance() when the
 /// descriptor is ready. After an Error it is only good for destruction.
 class TargetLink {
@@ -70,13 +87,6 @@
     };
     using ResultPointer = std::unique_ptr<PGresult, ResultDeleter>;
 
-    /// The command in flight and what of its answer is there.
-    struct Flight {
-        TargetAnswer answer;
-        std::size_t statementCount { 0 };
-        std::size_t abortedCount { 0 };
-    };
-
     static void onNotice(void* link, const PGresult*);
 
     LinkProgress advanceConnecting();
@@ -98,7 +108,7 @@
     std::string m_endState;
     /// What the target sent that has no place in the protocol; empty when nothing did.
     std::string m_surprise;
-    std::optional<Flight> m_flight;
+    std::optional<Detail::TargetFlight> m_flight;
     std::unique_ptr<PGconn, ConnectionDeleter> m_connection;
 };
 
--- a/tests/wire/CallerServerTests.cpp
+++ b/tests/wire/CallerServerTests.cpp
@@ -292,6 +292,20 @@
     CHECK(test.server.pending() == 0);
 }
 
+TEST_CASE("A caller that stops reading is given up after the idle time", "[wire][caller]")
+{
+    Fixture test;
+    const auto client = test.client();
+    client->post(statements, goodBody);
+    REQUIRE(test.loop.runUntil([&] { return !test.arrived.empty(); }));
+    client->pauseReading();
+    test.server.answer(okAnswer(test.arrived.front().id, std::string(20UL * 1024 * 1024, 'a')));
+    CHECK(test.loop.runUntil([&] { return test.server.connections() == 0; }));
+    CHECK(test.server.pending() == 0);
+    CHECK(test.gone.empty());
+    test.serveOne();
+}
+
 TEST_CASE("Many requests are answered in any order, each on its own connection", "[wire][caller]")
 {
     constexpr int clientCount = 50;
