Carry edits into the document and keep each host's copy newest

Cause: operators race one another, answers of the platform get lost, and hosts restart while it is out. Change: SectionEdit reads, replaces one section, checks and writes on condition of the version, with the edit's id in the row; DocumentStore only rises; DocumentPoll reads the version, then the document, and asks peers whose gossip shows a newer one. A host without a document gathers gossip for a second first, and asks the newest peer three times before an older one. Ruled out: "unknown" turned into "not run" by a read that finds the old version, since the write may still be under way; only a row above the tried version, with its history whole, proves that.

--- /dev/null
+++ b/tests/config/DocumentPollTests.cpp
@@ -0,0 +1,142 @@
+#include "config/DocumentPoll.h"
+#include "config/DocumentSamples.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Auburnpost;
+using namespace Auburnpost::Config;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string emptyDocument = R"({"sections":{}})";
+
+class PollFixture {
+protected:
+    PollFixture()
+        : poll(store, PollTimings {}, [this] { return PlatformCallId(++lastId); })
+    {
+        actions = poll.start(now);
+    }
+
+    template <typename Action> std::vector<Action> all() const
+    {
+        std::vector<Action> found;
+        for (const auto& action : actions) {
+            if (const auto* const match = std::get_if<Action>(&action))
+                found.push_back(*match);
+        }
+        return found;
+    }
+
+    void answer(PlatformReply reply)
+    {
+        actions = poll.onPlatformAnswer(now, random, { PlatformCallId(lastId), std::move(reply) });
+    }
+
+    void lose()
+    {
+        actions = poll.onPlatformAnswer(
+            now, random, { PlatformCallId(lastId), fail(ErrorCode::PlatformUnavailable, "", "", "") });
+    }
+
+    void wait()
+    {
+        now = poll.nextTimer();
+        actions = poll.onTimer(now, random);
+    }
+
+    Instant now;
+    RandomEngine random;
+    std::uint64_t lastId { 0 };
+    DocumentStore store;
+    DocumentPoll poll;
+    DocumentPoll::Actions actions;
+};
+
+const auto versionThree = R"({"rows":[{"row":"other","version":9},{"row":"document","version":3}]})";
+
+} // namespace
+
+TEST_CASE("A host's document only rises", "[config][store]")
+{
+    DocumentStore store;
+    CHECK(store.offer(ConfigVersion(2), emptyDocument).verdict == OfferVerdict::Applied);
+    CHECK(store.offer(ConfigVersion(1), goodDocument()).verdict == OfferVerdict::NotNewer);
+    CHECK(store.offer(ConfigVersion(2), goodDocument()).verdict == OfferVerdict::NotNewer);
+    SECTION("one with errors is refused and the old one stays")
+    {
+        const auto result = store.offer(ConfigVersion(3), R"({"sections":{"placement":{}}})");
+        CHECK(result.verdict == OfferVerdict::Refused);
+        CHECK(result.problems.size() == 1);
+        CHECK(store.version() == ConfigVersion(2));
+        CHECK(store.bytes() == emptyDocument);
+    }
+}
+
+TEST_CASE_METHOD(PollFixture, "A host reads the document only when its version rose", "[config][poll]")
+{
+    CHECK(all<PlatformCall>().at(0).path == "/table/config");
+    answer({ 200, versionThree, {} });
+    CHECK(all<PlatformCall>().at(0).path == "/table/config/document");
+    answer({ 200, emptyDocument, 3 });
+    CHECK(all<DocumentApplied>().at(0).version == ConfigVersion(3));
+    wait();
+    answer({ 200, versionThree, {} });
+    CHECK(all<PlatformCall>().empty());
+    CHECK(poll.nextTimer() > now + 1s);
+    CHECK(poll.nextTimer() < now + 3s);
+}
+
+TEST_CASE_METHOD(PollFixture, "A platform that is out is logged once and asked less often", "[config][poll]")
+{
+    lose();
+    CHECK(all<LogRecord>().at(0).event == LogEvent::PlatformLost);
+    for (int each = 0; each < 10; ++each) {
+        wait();
+        lose();
+        CHECK(all<LogRecord>().empty());
+    }
+    CHECK(poll.nextTimer() > now + 11s);
+    CHECK(poll.nextTimer() < now + 19s);
+    wait();
+    answer({ 200, R"({"rows":[]})", {} });
+    CHECK(all<LogRecord>().at(0).event == LogEvent::PlatformBack);
+}
+
+TEST_CASE_METHOD(PollFixture, "Malformed answers of the platform count as failures", "[config][poll]")
+{
+    for (const auto* body : { "", "[]", "{}", R"({"rows":{}})", R"({"rows":[{"row":"document"}]})" }) {
+        INFO(body);
+        answer({ 200, body, {} });
+        CHECK(poll.isPlatformLost());
+        wait();
+    }
+}
+
+TEST_CASE_METHOD(PollFixture, "A new host gathers versions and asks a peer with the newest", "[config][poll]")
+{
+    lose();
+    actions = poll.onPeerVersion(now, HostName("old"), ConfigVersion(4));
+    CHECK(all<AskPeer>().empty());
+    actions = poll.onPeerVersion(now + 500ms, HostName("new"), ConfigVersion(5));
+    CHECK(all<AskPeer>().empty());
+    wait();
+    REQUIRE(all<AskPeer>().size() == 1);
+    CHECK(all<AskPeer>().at(0).peer == HostName("new"));
+    SECTION("again when it does not answer, before it takes an older one")
+    {
+        for (int each = 0; each < 2; ++each) {
+            actions = poll.onPeerFailed(now, HostName("new"));
+            CHECK(all<AskPeer>().at(0).peer == HostName("new"));
+        }
+        actions = poll.onPeerFailed(now, HostName("new"));
+        CHECK(all<AskPeer>().at(0).peer == HostName("old"));
+    }
+    SECTION("and has its document in force")
+    {
+        actions = poll.onPeerDocument(now, HostName("new"), ConfigVersion(5), emptyDocument);
+        CHECK(all<DocumentApplied>().size() == 1);
+        CHECK(store.version() == ConfigVersion(5));
+    }
+}
--- /dev/null
+++ b/tests/config/SectionEditTests.cpp
@@ -0,0 +1,177 @@
+#include "config/DocumentSamples.h"
+
+#include "config/SectionEdit.h"
+#include "config/StoredDocument.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Auburnpost;
+using namespace Auburnpost::Config;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Json ages = Json::parse(R"({"staleness":{"default_ms":5}})");
+const Json homes = Json::parse(R"({"maintenance":{"leaving_targets":[]}})");
+
+/// Drives one edit call by call.
+class EditFixture {
+protected:
+    explicit EditFixture(std::optional<ConfigVersion> base = {}, std::string text = R"({"default_ms":7})")
+        : edit(
+            { "mine", "staleness", std::move(text), base }, EditLimits {}, [this] { return PlatformCallId(++lastId); })
+        , row(StoredDocument::parse("", ConfigVersion(0))->withEdit("a", "staleness", ages))
+    {
+        calls = edit.start(now);
+    }
+
+    void answer(int status, const StoredDocument& stored)
+    {
+        REQUIRE(calls.size() == 1);
+        const PlatformReply reply { status, stored.toText(), stored.version().value() };
+        calls = edit.onAnswer(now, random, { calls.front().id, reply });
+    }
+
+    /// Loses the answer and lets the retry begin.
+    void lose()
+    {
+        calls = edit.onAnswer(
+            now, random, { calls.front().id, fail(ErrorCode::PlatformUnavailable, "call", "platform", "") });
+        now = *edit.nextTimer();
+        calls = edit.onTimer(now);
+    }
+
+    template <typename Outcome> const Outcome& outcome()
+    {
+        REQUIRE(edit.outcome());
+        REQUIRE(std::holds_alternative<Outcome>(*edit.outcome()));
+        return std::get<Outcome>(*edit.outcome());
+    }
+
+    Instant now;
+    RandomEngine random;
+    std::uint64_t lastId { 0 };
+    SectionEdit edit;
+    StoredDocument row;
+    std::vector<PlatformCall> calls;
+};
+
+struct StaleEditFixture : EditFixture {
+    StaleEditFixture()
+        : EditFixture(ConfigVersion(1))
+    {
+    }
+};
+
+struct WrongTextFixture : EditFixture {
+    WrongTextFixture()
+        : EditFixture({}, "{\n\"default_ms\": -7}")
+    {
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(EditFixture, "An edit writes on the version that it read", "[config][edit]")
+{
+    answer(200, row);
+    REQUIRE(calls.size() == 1);
+    CHECK(calls.front().method == PlatformMethod::Put);
+    CHECK(calls.front().expectedVersion == 1);
+    answer(200, row.withEdit("mine", "staleness", ages));
+    CHECK(outcome<EditAccepted>().version == ConfigVersion(2));
+}
+
+TEST_CASE_METHOD(EditFixture, "A write whose answer was lost is looked up by its id", "[config][edit]")
+{
+    answer(200, row);
+    lose();
+    SECTION("it took effect, and another edit came after it")
+    {
+        answer(200, row.withEdit("mine", "staleness", ages).withEdit("b", "maintenance", homes));
+        CHECK(outcome<EditAccepted>().version == ConfigVersion(2));
+        CHECK(outcome<EditAccepted>().rowVersion == ConfigVersion(3));
+    }
+    SECTION("it did not, and is sent again")
+    {
+        answer(200, row);
+        CHECK(calls.front().expectedVersion == 1);
+    }
+    SECTION("it can't be told once the row has forgotten the edits of that time")
+    {
+        auto later = row.withEdit("mine", "staleness", ages);
+        for (std::size_t each = 0; each < StoredDocument::rememberedEdits; ++each)
+            later = later.withEdit("b" + std::to_string(each), "maintenance", homes);
+        answer(200, later);
+        CHECK(outcome<EditFailed>().outcome == FailedOutcome::Unknown);
+    }
+    SECTION("it is unknown when the platform stays away until the deadline")
+    {
+        while (!edit.outcome()) {
+            now = *edit.nextTimer();
+            edit.onTimer(now);
+        }
+        CHECK(outcome<EditFailed>().outcome == FailedOutcome::Unknown);
+        CHECK(outcome<EditFailed>().error.code == ErrorCode::DeadlineExceeded);
+    }
+}
+
+TEST_CASE_METHOD(EditFixture, "An edit that never wrote is known not to have run", "[config][edit]")
+{
+    for (int each = 0; each < 100 && !edit.outcome(); ++each)
+        lose();
+    CHECK(outcome<EditFailed>().outcome == FailedOutcome::NotRun);
+    CHECK(outcome<EditFailed>().error.peer == "platform");
+}
+
+TEST_CASE_METHOD(EditFixture, "An edit that lost the race merges with one of another section", "[config][edit]")
+{
+    answer(200, row);
+    const auto raced = row.withEdit("b", "maintenance", homes);
+    answer(412, raced);
+    answer(200, raced);
+    REQUIRE(calls.size() == 1);
+    CHECK(calls.front().expectedVersion == 2);
+    const auto merged = Json::parse(calls.front().body);
+    CHECK(merged.at("sections").at("maintenance") == homes.at("maintenance"));
+    CHECK(merged.at("sections").at("staleness").at("default_ms") == 7);
+}
+
+TEST_CASE_METHOD(EditFixture, "An edit that lost the race for its section is a conflict", "[config][edit]")
+{
+    answer(200, row);
+    const auto raced = row.withEdit("b", "staleness", ages);
+    answer(412, raced);
+    answer(200, raced);
+    CHECK(outcome<EditConflict>().sectionVersion == ConfigVersion(2));
+    CHECK(outcome<EditConflict>().base == ConfigVersion(1));
+}
+
+TEST_CASE_METHOD(
+    StaleEditFixture, "An edit from an older version goes through if its section is the same", "[config][edit]")
+{
+    SECTION("another section changed")
+    {
+        answer(200, row.withEdit("b", "maintenance", homes));
+        CHECK(calls.size() == 1);
+    }
+    SECTION("the section changed")
+    {
+        answer(200, row.withEdit("b", "staleness", ages));
+        CHECK(outcome<EditConflict>().sectionVersion == ConfigVersion(2));
+    }
+    SECTION("the row was written by other means, without history")
+    {
+        answer(200, *StoredDocument::parse(R"({"sections":{}})", ConfigVersion(2)));
+        CHECK(outcome<EditConflict>().sectionVersion == ConfigVersion(2));
+    }
+}
+
+TEST_CASE_METHOD(WrongTextFixture, "An edit with errors names the line of the operator's text", "[config][edit]")
+{
+    answer(200, row);
+    const auto& problems = outcome<EditInvalid>().problems;
+    REQUIRE(problems.size() == 1);
+    CHECK(problems.front().section == "staleness");
+    CHECK(problems.front().line == 2);
+}
