Add the command line, the log and the pages that tests hold against the code

Cause: hosts were started and edited by hand-made calls, the log had no levels, and nothing said what a code or event means. Change: subcommands with flags of their own, settings loaded with the key file, an HTTP client with one time limit over the whole call, log4cxx to console or file, levels of events beside their texts, and the pages. Ruled out: Abseil's own parser, which ends the process with status 1 at a wrong flag (flags are set through its reflection interface); log4cxx's own complaint about a log file that can't be opened, which goes to standard error while the host runs on. A value with blanks or line ends is quoted in the log, so that a caller's text can't pass for another line. HostProcess is a stand-in until the assembly lands.

--- /dev/null
+++ b/src/app/Commands.cpp
@@ -0,0 +1,180 @@
+#include "app/Commands.h"
+
+#include "app/Flags.h"
+#include "app/HostProcess.h"
+#include "app/HttpClient.h"
+#include "app/Logging.h"
+#include "app/SettingsFile.h"
+#include "app/TextFile.h"
+#include "config/DocumentParser.h"
+
+#include <absl/flags/flag.h>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+
+namespace Auburnpost {
+
+namespace {
+
+    using Arguments = std::vector<std::string>;
+
+    constexpr auto programVersion = "0.1.0";
+    constexpr int firstFailureStatus = 300;
+    /// Stands for the whole document where a section is named.
+    constexpr std::string_view wholeDocument = "document";
+
+    void complain(const std::string& text)
+    {
+        std::fprintf(stderr, "%s\n", text.c_str());
+    }
+
+    void print(const std::string& text)
+    {
+        std::fwrite(text.data(), 1, text.size(), stdout);
+        if (!text.ends_with('\n'))
+            std::fputc('\n', stdout);
+    }
+
+    int serve(const Arguments&)
+    {
+        const auto path = absl::GetFlag(FLAGS_settings);
+        const auto settings = loadSettings(path);
+        if (!settings) {
+            for (const auto& problem : settings.error())
+                complain(problem.describe());
+            complain(Logging::formatLine({ LogEvent::SettingsRefused,
+                { { "file", path }, { "problems", std::to_string(settings.error().size()) } } }));
+            return UsageError;
+        }
+        if (const auto configured = Logging::configure(settings->log); !configured) {
+            complain(configured.error().describe());
+            return UsageError;
+        }
+        return runHost(*settings);
+    }
+
+    /// Fills in address and timeout from the flags and makes the call.
+    Expected<OperatorResponse> call(OperatorCall operatorCall)
+    {
+        const auto address = SocketAddress::parse(absl::GetFlag(FLAGS_operators));
+        if (!address)
+            return tl::unexpected(address.error());
+        operatorCall.address = *address;
+        operatorCall.timeout = Duration(absl::ToInt64Microseconds(absl::GetFlag(FLAGS_timeout)));
+        if (operatorCall.timeout <= Duration::zero())
+            return fail(ErrorCode::BadSettings, "read command line", "", "--timeout must be above zero");
+        return callOperators(operatorCall);
+    }
+
+    /// @return the message of a host's error answer, or the answer as it is.
+    std::string errorText(const OperatorResponse& response)
+    {
+        const auto body = nlohmann::json::parse(response.body, nullptr, false);
+        if (!body.is_object() || !body.contains("error") || !body.at("error").is_object())
+            return "status " + std::to_string(response.status) + ": " + response.body;
+        const auto& error = body.at("error");
+        const auto part = [&error](const char* name) {
+            const auto found = error.find(name);
+            return found != error.end() && found->is_string() ? found->get<std::string>() : std::string();
+        };
+        return part("outcome") + ", " + part("code") + " at " + part("step")
+            + (part("peer").empty() ? "" : " with " + part("peer")) + ": " + part("message");
+    }
+
+    /// Prints an answer, or what went wrong.
+    int finish(const Expected<OperatorResponse>& response)
+    {
+        if (!response) {
+            complain(response.error().describe());
+            return response.error().code == ErrorCode::BadSettings ? UsageError : Failure;
+        }
+        if (response->status >= firstFailureStatus) {
+            complain(errorText(*response));
+            return Failure;
+        }
+        if (!response->version.empty())
+            complain("version " + response->version);
+        print(response->body);
+        return Success;
+    }
+
+    bool namesSection(const std::string& name)
+    {
+        const bool isNamed = name == wholeDocument || Config::isSection(name);
+        if (!isNamed)
+            complain("unknown section '" + name + "'");
+        return isNamed;
+    }
+
+    std::string configPath(const std::string& section)
+    {
+        return section == wholeDocument ? "/config" : "/config/" + section;
+    }
+
+    int configGet(const Arguments& arguments)
+    {
+        const auto section = arguments.empty() ? std::string(wholeDocument) : arguments.front();
+        if (!namesSection(section))
+            return UsageError;
+        return finish(call({ {}, configPath(section), {}, "", {} }));
+    }
+
+    int configPut(const Arguments& arguments)
+    {
+        const auto& section = arguments.front();
+        if (!namesSection(section))
+            return UsageError;
+        auto text = readTextFile(arguments.back());
+        if (!text) {
+            complain(text.error().describe());
+            return Failure;
+        }
+        return finish(call({ {}, configPath(section), std::move(*text), absl::GetFlag(FLAGS_if_match), {} }));
+    }
+
+    int configCheck(const Arguments& arguments)
+    {
+        const auto text = readTextFile(arguments.front());
+        if (!text) {
+            complain(text.error().describe());
+            return Failure;
+        }
+        const auto parsed = Config::parseDocument(*text);
+        for (const auto& problem : parsed.problems)
+            print(problem.describe());
+        print(parsed.isAccepted() ? "the document would be accepted" : "the document would be refused");
+        return parsed.isAccepted() ? Success : Failure;
+    }
+
+    int state(const Arguments&)
+    {
+        return finish(call({ {}, "/state", {}, "", {} }));
+    }
+
+    int version(const Arguments&)
+    {
+        print(std::string("auburnpost ") + programVersion);
+        return Success;
+    }
+
+} // namespace
+
+const std::vector<Command>& commands()
+{
+    static const std::vector<Command> list {
+        { "serve", "--settings FILE", "run a host until SIGTERM", { "settings" }, 1, 0, 0, serve },
+        { "config get", "[SECTION] --operators IP:PORT", "print the document in force on a host, or one section of it",
+            { "operators", "timeout" }, 1, 0, 1, configGet },
+        { "config check", "FILE", "check a whole document without a host; '-' reads standard input", {}, 0, 1, 1,
+            configCheck },
+        { "config put", "SECTION FILE --operators IP:PORT [--if-match VERSION]",
+            "replace one section, or the whole document when SECTION is 'document'",
+            { "operators", "if_match", "timeout" }, 1, 2, 2, configPut },
+        { "state", "--operators IP:PORT", "print the state of a host as JSON", { "operators", "timeout" }, 1, 0, 0,
+            state },
+        { "version", "", "print the version of the program", {}, 0, 0, 0, version },
+    };
+    return list;
+}
+
+} // namespace Auburnpost
--- /dev/null
+++ b/src/app/Commands.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Auburnpost {
+
+/// Exit status of the program.
+enum ExitStatus : int {
+    Success = 0,
+    Failure = 1,
+    /// Wrong use, or wrong settings.
+    UsageError = 2,
+};
+
+/// One subcommand.
+struct Command {
+    /// One or two words, such as "config get".
+    std::string_view name;
+    /// What follows the name on the command line.
+    std::string_view usage;
+    std::string_view summary;
+    /// Names of its flags, with '_'; the first requiredFlags of them must be given.
+    std::vector<std::string_view> flags;
+    std::size_t requiredFlags;
+    std::size_t minArguments;
+    std::size_t maxArguments;
+    /// @return the exit status.
+    int (*run)(const std::vector<std::string>& arguments);
+};
+
+/// @return the subcommands, in the order in which the help lists them.
+const std::vector<Command>& commands();
+
+} // namespace Auburnpost
--- /dev/null
+++ b/src/app/Logging.cpp
@@ -0,0 +1,82 @@
+#include "app/Logging.h"
+
+#include <algorithm>
+#include <cctype>
+#include <fstream>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/fileappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
+#include <log4cxx/patternlayout.h>
+#include <nlohmann/json.hpp>
+
+namespace Auburnpost {
+
+namespace {
+
+    constexpr auto linePattern = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSZ} %-5p %m%n";
+
+    log4cxx::LevelPtr toLog4cxx(LogLevel level)
+    {
+        switch (level) {
+        case LogLevel::Debug:
+            return log4cxx::Level::getDebug();
+        case LogLevel::Info:
+            return log4cxx::Level::getInfo();
+        case LogLevel::Warn:
+            return log4cxx::Level::getWarn();
+        case LogLevel::Error:
+            return log4cxx::Level::getError();
+        }
+        return log4cxx::Level::getError();
+    }
+
+    bool needsQuotes(const std::string& value)
+    {
+        return value.empty() || std::any_of(value.begin(), value.end(), [](unsigned char character) {
+            return std::isspace(character) || std::iscntrl(character) || character == '"';
+        });
+    }
+
+    std::string fieldText(const std::string& value)
+    {
+        if (!needsQuotes(value))
+            return value;
+        return nlohmann::json(value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    }
+
+    log4cxx::AppenderPtr makeAppender(const Config::LogSettings& settings, const log4cxx::LayoutPtr& layout)
+    {
+        if (settings.file.empty())
+            return std::make_shared<log4cxx::ConsoleAppender>(layout);
+        return std::make_shared<log4cxx::FileAppender>(layout, settings.file, true);
+    }
+
+} // namespace
+
+Expected<void> Logging::configure(const Config::LogSettings& settings)
+{
+    // log4cxx reports a file that it can't open to standard error only.
+    if (!settings.file.empty() && !std::ofstream(settings.file, std::ios::app))
+        return fail(ErrorCode::BadSettings, "open log", settings.file, "the file can't be opened");
+    const auto root = log4cxx::Logger::getRootLogger();
+    root->removeAllAppenders();
+    root->addAppender(makeAppender(settings, std::make_shared<log4cxx::PatternLayout>(linePattern)));
+    root->setLevel(toLog4cxx(settings.level));
+    return {};
+}
+
+std::string Logging::formatLine(const LogRecord& record)
+{
+    auto line = numberOf(record.event) + " " + std::string(describe(record.event));
+    for (const auto& field : record.fields)
+        line += " " + field.name + "=" + fieldText(field.value);
+    return line;
+}
+
+void Logging::write(const LogRecord& record)
+{
+    log4cxx::Logger::getRootLogger()->log(toLog4cxx(levelOf(record.event)), formatLine(record));
+}
+
+} // namespace Auburnpost
--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -1,5 +1,9 @@
 #pragma once
 
+#include "base/LogLevel.h"
+
+#include <span>
+#include <string>
 #include <string_view>
 
 namespace Auburnpost {
@@ -47,5 +51,11 @@
 
 /// @return the fixed text of the event.
 std::string_view describe(LogEvent);
+/// @return the level at which the event is logged.
+LogLevel levelOf(LogEvent);
+/// @return the number as the log shows it, such as "E0400".
+std::string numberOf(LogEvent);
+/// @return every event, in the order of the numbers.
+std::span<const LogEvent> allLogEvents();
 
 } // namespace Auburnpost
--- a/src/config/Settings.h
+++ b/src/config/Settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Ids.h"
+#include "base/LogLevel.h"
 #include "base/SocketAddress.h"
 #include "base/Time.h"
 #include "config/ByteCount.h"
@@ -107,13 +108,6 @@
     Duration suspectTimeout {};
 };
 
-enum class LogLevel : std::uint8_t {
-    Debug,
-    Info,
-    Warn,
-    Error,
-};
-
 /// Section [log]: where the log goes.
 struct LogSettings {
     /// Events below this level are dropped.
--- a/src/config/SettingsKeys.cpp
+++ b/src/config/SettingsKeys.cpp
@@ -106,9 +106,9 @@
         keys.push_back({ "session", "signing_key", "hexadecimal, at least 16 bytes", "",
             "key that signs session tokens; the same on all hosts", false,
             readSigningKey<&SessionSettings::signingKey> });
-        keys.push_back(
-            { "session", "signing_key_file", "path", "", "file with that key in hexadecimal, in place of `signing_key`",
-                false, readPath<&Settings::session, &SessionSettings::signingKeyFile> });
+        keys.push_back({ "session", "signing_key_file", "path", "",
+            "file that holds that key in hexadecimal, in place of the key itself", false,
+            readPath<&Settings::session, &SessionSettings::signingKeyFile> });
         keys.push_back({ "session", "previous_key", "hexadecimal, at least 16 bytes", "",
             "key whose tokens are still accepted while the signing key is replaced", false,
             readSigningKey<&SessionSettings::previousKey> });
--- a/tests/config/DocumentPollTests.cpp
+++ b/tests/config/DocumentPollTests.cpp
@@ -11,8 +11,7 @@
 
 const std::string emptyDocument = R"({"sections":{}})";
 
-class PollFixture {
-protected:
+struct PollFixture {
     PollFixture()
         : poll(store, PollTimings {}, [this] { return PlatformCallId(++lastId); })
     {
--- a/tests/config/SectionEditTests.cpp
+++ b/tests/config/SectionEditTests.cpp
@@ -15,8 +15,7 @@
 const Json homes = Json::parse(R"({"maintenance":{"leaving_targets":[]}})");
 
 /// Drives one edit call by call.
-class EditFixture {
-protected:
+struct EditFixture {
     explicit EditFixture(std::optional<ConfigVersion> base = {}, std::string text = R"({"default_ms":7})")
         : edit(
             { "mine", "staleness", std::move(text), base }, EditLimits {}, [this] { return PlatformCallId(++lastId); })
