Count the vote of a watcher that knows no or an older primary

Ruled out: spreading the term by the votes alone; a vote is a hint and must not stand for a primary nobody saw. Change: a vote of a lower term counts once its sender has had the silence limit to see the newer primary.

--- a/src/group/AttemptTrigger.cpp
+++ b/src/group/AttemptTrigger.cpp
@@ -25,7 +25,7 @@
 {
     noteOtherAttempt(now, members, takeover);
     noteFailure(now, random, takeover.failuresInRow());
-    if (!votes.isWatcher() || !votes.majoritySuspects(now, members.primaryTerm())) {
+    if (!votes.isWatcher() || !votes.majoritySuspects(now)) {
         m_suspectedSince.reset();
         return false;
     }
@@ -33,7 +33,7 @@
         m_suspectedSince = now;
         m_jitter = draw(random, m_settings->rankSpacing / 3);
     }
-    const auto ahead = static_cast<int>(votes.suspectingAhead(now, members.primaryTerm()));
+    const auto ahead = static_cast<int>(votes.suspectingAhead(now));
     const auto wait = ahead == 0 ? Duration {} : m_settings->rankSpacing * ahead + m_jitter;
     return takeover.isIdle() && now >= *m_suspectedSince + wait && now >= m_graceUntil && now >= m_backoffUntil;
 }
--- a/src/group/GroupState.cpp
+++ b/src/group/GroupState.cpp
@@ -8,7 +8,7 @@
     , database(std::move(databaseName))
     , self(std::move(selfName))
     , members(std::move(groupMembers))
-    , votes(self, settings.voteLifetime)
+    , votes(self, settings)
     , detector(now, settings)
     , probes(settings)
     , voteSender(self, incarnation, settings)
@@ -22,7 +22,7 @@
 
 TakeoverContext GroupState::takeoverContext(Instant now)
 {
-    return { now, outbox, members, votes.watchers() };
+    return { now, outbox, members, votes };
 }
 
 void GroupState::observe(Instant now, const TargetName& target, Instant sentAt, const TargetStanding& standing)
@@ -43,6 +43,7 @@
     const auto& primary = *members.primary();
     const auto promotions = takeover.promotions();
     detector.primaryChanged(now);
+    votes.primaryLearned(now, primary.term);
     outbox.push(PrimaryLearned { primary.term, primary.target });
     outbox.log(LogEvent::PrimaryLearned,
         { { "database", database.value() }, { "target", primary.target.value() },
--- a/src/group/Takeover.cpp
+++ b/src/group/Takeover.cpp
@@ -112,7 +112,7 @@
 
 bool Takeover::writesDrained(const TakeoverContext& context) const
 {
-    return std::all_of(context.watchers.begin(), context.watchers.end(),
+    return std::all_of(context.votes.watchers().begin(), context.votes.watchers().end(),
         [this](const HostName& watcher) { return m_drained.contains(watcher); });
 }
 
@@ -163,7 +163,7 @@
     m_stepSince = context.now;
     m_drained.clear();
     m_draining = SwitchId(++m_lastSwitch);
-    context.outbox.push(DrainWrites { *m_draining, context.watchers,
+    context.outbox.push(DrainWrites { *m_draining, context.votes.watchers(),
         m_settings->drainLimit + m_settings->catchUpLimit + m_settings->attemptStepLimit * 2 });
 }
 
@@ -171,7 +171,7 @@
 {
     if (!m_draining)
         return;
-    context.outbox.push(ResumeWrites { *m_draining, context.watchers });
+    context.outbox.push(ResumeWrites { *m_draining, context.votes.watchers() });
     m_draining.reset();
 }
 
@@ -183,7 +183,7 @@
 void Takeover::fenceMembers(TakeoverContext& context)
 {
     ++m_attempts;
-    m_term = Term(std::max(context.members.highestTerm(), m_term).value() + 1);
+    m_term = Term(std::max({ context.members.highestTerm(), context.votes.highestTerm(), m_term }).value() + 1);
     m_candidate = m_self.value() + "#" + std::to_string(m_incarnation.value()) + "#" + std::to_string(m_attempts);
     m_accepted.clear();
     m_promoted.reset();
--- a/src/group/Takeover.h
+++ b/src/group/Takeover.h
@@ -4,6 +4,7 @@
 #include "group/CommandOutbox.h"
 #include "group/GroupSettings.h"
 #include "group/MemberTable.h"
+#include "group/VoteTable.h"
 
 #include <map>
 #include <set>
@@ -15,7 +16,7 @@
     Instant now;
     CommandOutbox& outbox;
     const MemberTable& members;
-    const std::vector<HostName>& watchers;
+    const VoteTable& votes;
 };
 
 /// Changes the primary, driven by takeover.scxml: fence a majority to a new term, promote the member among them
--- a/src/group/VoteTable.cpp
+++ b/src/group/VoteTable.cpp
@@ -7,9 +7,9 @@
 
 namespace Auburnpost::Group {
 
-VoteTable::VoteTable(HostName self, Duration voteLifetime)
+VoteTable::VoteTable(HostName self, const GroupSettings& settings)
     : m_self(std::move(self))
-    , m_voteLifetime(voteLifetime)
+    , m_settings(&settings)
 {
 }
 
@@ -21,6 +21,13 @@
     });
 }
 
+void VoteTable::primaryLearned(Instant now, Term term)
+{
+    m_primaryTerm = term;
+    m_primaryLearnedAt = now;
+    m_highestTerm = std::max(m_highestTerm, term);
+}
+
 void VoteTable::record(Instant now, const HostName& from, const WatchVote& vote)
 {
     if (std::find(m_watchers.begin(), m_watchers.end(), from) == m_watchers.end())
@@ -29,6 +36,7 @@
     const auto order = [](const WatchVote& each) { return std::tie(each.incarnation, each.sequence); };
     if (found != m_entries.end() && order(vote) <= order(found->second.vote))
         return;
+    m_highestTerm = std::max(m_highestTerm, vote.term);
     m_entries.insert_or_assign(from, Entry { vote, now });
 }
 
@@ -43,26 +51,29 @@
         std::distance(m_watchers.begin(), std::find(m_watchers.begin(), m_watchers.end(), m_self)));
 }
 
-bool VoteTable::majoritySuspects(Instant now, Term term) const
+bool VoteTable::majoritySuspects(Instant now) const
 {
     const auto count = std::count_if(
-        m_watchers.begin(), m_watchers.end(), [&](const HostName& watcher) { return suspects(now, watcher, term); });
-    return suspects(now, m_self, term) && static_cast<std::size_t>(count) >= majorityOf(m_watchers.size());
+        m_watchers.begin(), m_watchers.end(), [&](const HostName& watcher) { return suspects(now, watcher); });
+    return suspects(now, m_self) && static_cast<std::size_t>(count) >= majorityOf(m_watchers.size());
 }
 
-std::size_t VoteTable::suspectingAhead(Instant now, Term term) const
+std::size_t VoteTable::suspectingAhead(Instant now) const
 {
     const auto end = std::find(m_watchers.begin(), m_watchers.end(), m_self);
     return static_cast<std::size_t>(
-        std::count_if(m_watchers.begin(), end, [&](const HostName& watcher) { return suspects(now, watcher, term); }));
+        std::count_if(m_watchers.begin(), end, [&](const HostName& watcher) { return suspects(now, watcher); }));
 }
 
-bool VoteTable::suspects(Instant now, const HostName& watcher, Term term) const
+bool VoteTable::suspects(Instant now, const HostName& watcher) const
 {
     const auto found = m_entries.find(watcher);
-    if (found == m_entries.end() || now - found->second.arrivedAt > m_voteLifetime)
+    if (found == m_entries.end() || !found->second.vote.suspects)
         return false;
-    return found->second.vote.suspects && found->second.vote.term == term;
+    const auto& entry = found->second;
+    const auto isCurrent
+        = entry.vote.term >= m_primaryTerm || entry.arrivedAt - m_primaryLearnedAt > m_settings->silenceLimit;
+    return isCurrent && now - entry.arrivedAt <= m_settings->voteLifetime;
 }
 
 } // namespace Auburnpost::Group
--- a/src/group/VoteTable.h
+++ b/src/group/VoteTable.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/Time.h"
+#include "group/GroupSettings.h"
 #include "group/WatchVote.h"
 
 #include <map>
@@ -11,9 +11,12 @@
 /// The watchers in rank order and their last votes.
 class VoteTable {
 public:
-    VoteTable(HostName self, Duration voteLifetime);
+    VoteTable(HostName self, const GroupSettings&);
 
     void setWatchers(std::vector<HostName>);
+    /// Notes the primary that this watcher knows now. A vote that tells of an older one counts again once its sender
+    /// has had the time to see the new one.
+    void primaryLearned(Instant now, Term);
     /// Takes a vote; an older one than the last of its sender changes nothing.
     void record(Instant now, const HostName& from, const WatchVote&);
 
@@ -22,10 +25,12 @@
     [[nodiscard]] bool isWatcher() const;
     /// @return how many watchers come before this host.
     [[nodiscard]] std::size_t rank() const;
-    /// @return whether a majority of the watchers, this host among them, suspects the primary of @p term now.
-    [[nodiscard]] bool majoritySuspects(Instant now, Term term) const;
-    /// @return how many of the watchers before this host suspect the primary of @p term now.
-    [[nodiscard]] std::size_t suspectingAhead(Instant now, Term term) const;
+    /// @return whether a majority of the watchers, this host among them, sees no working primary now.
+    [[nodiscard]] bool majoritySuspects(Instant now) const;
+    /// @return how many of the watchers before this host see no working primary now.
+    [[nodiscard]] std::size_t suspectingAhead(Instant now) const;
+    /// @return the highest term of a primary that a watcher told of.
+    [[nodiscard]] Term highestTerm() const { return m_highestTerm; }
 
 private:
     struct Entry {
@@ -33,10 +38,13 @@
         Instant arrivedAt;
     };
 
-    [[nodiscard]] bool suspects(Instant now, const HostName&, Term) const;
+    [[nodiscard]] bool suspects(Instant now, const HostName&) const;
 
     HostName m_self;
-    Duration m_voteLifetime;
+    const GroupSettings* m_settings;
+    Term m_primaryTerm;
+    Instant m_primaryLearnedAt {};
+    Term m_highestTerm;
     std::vector<HostName> m_watchers;
     std::map<HostName, Entry> m_entries;
 };
--- a/tests/group/GroupScheduleTests.cpp
+++ b/tests/group/GroupScheduleTests.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::uint64_t defaultSchedules = 60;
+constexpr std::uint64_t defaultSchedules = 150;
 constexpr std::uint64_t firstSeed = 1;
 constexpr Duration recoveryLimit = 9s;
 
