Learn the members before placing homes; stop by chart; bound retries and organisations

Cause: at the start of 15 hosts each took itself for every home: one target refused 869 connections by its cap, and back-offs of seconds made idle reads fail with 'the target is loaded' (9 of 20 in the first seconds). Ruled out: the cap's share (13 of 50 each, right once three homes are left); the lag of the host list alone. Change: homes are placed after the members have been quiet for 700 ms (at most 4 s); a host alone reads the list each second; a retired home gives its connections up at once; the stop follows shutdown.scxml; one retry budget for each database and a share for each organisation at the entry; settings of group and members reach their libraries.

--- a/src/app/HostAssembly.cpp
+++ b/src/app/HostAssembly.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+    /// How long the last answers may take on their way out.
+    constexpr Duration lastAnswersLimit = std::chrono::seconds(2);
     constexpr const char* jsonType = "application/json";
 
     /// The wall clock in microseconds: higher than at any earlier start of the host.
@@ -123,6 +125,8 @@
             perform(std::move(action));
     }
     m_performing = false;
+    if (m_stopAt)
+        leaveWhenAnswered();
 }
 
 void HostAssembly::perform(Action action)
@@ -192,10 +196,23 @@
     Logging::write(record);
 }
 
+void HostAssembly::perform(const DrainCallers&)
+{
+    m_callers.drain();
+}
+
+void HostAssembly::leaveWhenAnswered()
+{
+    const bool isLate = now() - *m_stopAt >= lastAnswersLimit;
+    if (m_callers.pending() == 0 || isLate)
+        event_base_loopexit(m_base, nullptr);
+}
+
 void HostAssembly::perform(const StopNow& stop)
 {
     m_exitStatus = stop.exitStatus;
-    event_base_loopexit(m_base, nullptr);
+    m_stopAt = now();
+    leaveWhenAnswered();
 }
 
 void HostAssembly::answerOperator(const Wire::OperatorRequest& request)
--- a/src/app/HostAssembly.h
+++ b/src/app/HostAssembly.h
@@ -13,6 +13,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 
 struct event;
 
@@ -49,7 +50,9 @@
     void perform(const PlatformCall&);
     void perform(const AnswerOperator&);
     void perform(const LogRecord&);
+    void perform(const DrainCallers&);
     void perform(const StopNow&);
+    void leaveWhenAnswered();
     void answerOperator(const Wire::OperatorRequest&);
     void answerConfig(const Wire::OperatorRequest&);
     void dumpState();
@@ -69,6 +72,8 @@
     /// Events that came up while others were being performed.
     std::deque<Event> m_posted;
     bool m_performing { false };
+    /// When the engine asked to stop.
+    std::optional<Instant> m_stopAt;
     int m_exitStatus { 0 };
 };
 
--- a/src/config/Settings.h
+++ b/src/config/Settings.h
@@ -94,16 +94,16 @@
     Duration suspectAfter {};
     /// Time limit of one group operation.
     Duration operationTimeout {};
-    /// Longest random wait before a takeover begins.
-    Duration takeoverJitter {};
+    /// Head start in a takeover of each watcher over the next in rank.
+    Duration rankSpacing {};
 };
 
 /// Section [member]: membership gossip.
 struct MemberSettings {
     /// Time between two rounds.
     Duration gossipInterval {};
-    /// Time without an answer after which a probed host is suspected.
-    Duration probeTimeout {};
+    /// Time between two probes, and for the answer to one.
+    Duration probePeriod {};
     /// Time that a suspected host has to refute the suspicion.
     Duration suspectTimeout {};
 };
--- a/src/config/SettingsKeys.cpp
+++ b/src/config/SettingsKeys.cpp
@@ -142,19 +142,19 @@
         keys.push_back(
             group.key<&GroupSettings::probeInterval>("probe_interval", "100ms", "time between two probes of a target"));
         keys.push_back(group.key<&GroupSettings::suspectAfter>(
-            "suspect_after", "500ms", "silence of a primary after which a watcher suspects it"));
+            "suspect_after", "600ms", "silence of a primary after which a watcher suspects it"));
         keys.push_back(group.key<&GroupSettings::operationTimeout>(
-            "operation_timeout", "500ms", "time limit of one group operation"));
-        keys.push_back(group.key<&GroupSettings::takeoverJitter>(
-            "takeover_jitter", "100ms", "longest random wait before a takeover begins"));
+            "operation_timeout", "2s", "time limit of one group operation"));
+        keys.push_back(group.key<&GroupSettings::rankSpacing>(
+            "rank_spacing", "300ms", "head start in a takeover of each watcher over the next in rank"));
 
         const SectionKeys<&Settings::member> member { "member" };
         keys.push_back(
-            member.key<&MemberSettings::gossipInterval>("gossip_interval", "200ms", "time between two rounds"));
-        keys.push_back(member.key<&MemberSettings::probeTimeout>(
-            "probe_timeout", "500ms", "time without an answer after which a probed host is suspected"));
+            member.key<&MemberSettings::gossipInterval>("gossip_interval", "100ms", "time between two rounds"));
+        keys.push_back(member.key<&MemberSettings::probePeriod>(
+            "probe_period", "400ms", "time between two probes, and for the answer to one"));
         keys.push_back(member.key<&MemberSettings::suspectTimeout>(
-            "suspect_timeout", "2s", "time that a suspected host has to refute the suspicion"));
+            "suspect_timeout", "1500ms", "time that a suspected host has to refute the suspicion"));
     }
 
     void addLogKeys(KeyList& keys)
--- a/src/engine/Action.h
+++ b/src/engine/Action.h
@@ -52,6 +52,9 @@
     std::optional<ConfigVersion> version;
 };
 
+/// Accept no more connections of callers, and close each one after its next answer.
+struct DrainCallers { };
+
 /// Leave the loop; nothing is in flight any more, or the wait for it is over.
 struct StopNow {
     int exitStatus { 0 };
@@ -59,7 +62,7 @@
 
 /// What the engine asks of the adapters.
 using Action = std::variant<CallerAnswer, OpenConnection, CloseConnection, TargetCommand, SendToPeer, DropPeer,
-    SendGossip, PlatformCall, AnswerOperator, LogRecord, StopNow>;
+    SendGossip, PlatformCall, AnswerOperator, LogRecord, DrainCallers, StopNow>;
 using Actions = std::vector<Action>;
 
 } // namespace Auburnpost
--- a/src/engine/DatabaseHome.cpp
+++ b/src/engine/DatabaseHome.cpp
@@ -72,6 +72,13 @@
         dropFinished(now);
         return;
     }
+    if (m_retired) {
+        reply(now, id,
+            WorkFailed { FailedOutcome::NotRun,
+                { ErrorCode::NoHome, "forward", m_self.value(), "another host has taken the database over" },
+                std::nullopt });
+        return;
+    }
     auto operation = makeOperation(id, std::move(work), deadline);
     auto& started = *operation;
     m_operations.emplace(id, std::move(operation));
@@ -124,7 +131,7 @@
     const auto primary = m_watch.primary(now);
     for (auto& [name, pool] : m_pools) {
         // A leaving primary goes on until the planned switch has replaced it.
-        pool.setLeaving(now, m_leaving.contains(name) && !(primary && primary->target == name));
+        pool.setLeaving(now, m_retired || (m_leaving.contains(name) && !(primary && primary->target == name)));
         pool.pump(now);
     }
     for (const auto id : m_deadlines.takeExpired(now)) {
--- a/src/engine/DatabaseHome.h
+++ b/src/engine/DatabaseHome.h
@@ -55,8 +55,9 @@
     void submit(Instant now, OperationId id, Work, Instant deadline);
     void tick(Instant now);
     void setWatchers(Instant now, std::vector<HostName>);
-    /// @param homes how many homes share the connections.
     void setMaintenance(Instant now, const std::set<TargetName>& leaving, const std::optional<TargetName>& switchTo);
+    /// Another host has taken over: takes no new work, and gives connections up as they fall idle.
+    void setRetired(bool retired) { m_retired = retired; }
     void watcherNote(Instant now, const HostName& from, const std::string& content);
 
     [[nodiscard]] bool holds(ConnectionId) const;
@@ -159,6 +160,7 @@
     std::map<ConnectionId, Flight> m_flights;
     std::set<ConnectionId> m_rollingBack;
     std::optional<Drain> m_drain;
+    bool m_retired { false };
     std::set<TargetName> m_leaving;
     std::optional<TargetName> m_switchTo;
 };
--- a/src/engine/DatabaseHomeGroup.cpp
+++ b/src/engine/DatabaseHomeGroup.cpp
@@ -39,11 +39,8 @@
     endDrain(now, m_self, resume.id);
 }
 
-void DatabaseHome::apply(Instant now, const Group::PrimaryLearned& learned)
+void DatabaseHome::apply(Instant now, const Group::PrimaryLearned&)
 {
-    m_owner.actions().emplace_back(LogRecord { LogEvent::PrimaryLearned,
-        { { "database", m_database.value() }, { "target", learned.target.value() },
-            { "term", std::to_string(learned.term.value()) } } });
     moveToPrimary(now);
     restartHeld(now);
 }
--- a/src/engine/EngineState.cpp
+++ b/src/engine/EngineState.cpp
@@ -12,8 +12,12 @@
 
 namespace {
 
-    /// A host that stops goes on for at least this long, so that the balancer and the others notice first.
-    constexpr Duration leaveNotice = std::chrono::seconds(2);
+    /// A host that has started waits for this long after the last host that joined before it places homes.
+    constexpr Duration joinQuiet = std::chrono::milliseconds(700);
+    /// It waits no longer than this in all, as it may be alone.
+    constexpr Duration joinLimit = std::chrono::seconds(4);
+    /// While no other host is known the list is read this often.
+    constexpr Duration aloneListInterval = std::chrono::seconds(1);
     /// A home that another host has taken over keeps answering for this long.
     constexpr Duration retireDelay = std::chrono::seconds(5);
 
@@ -30,6 +34,9 @@
     {
         Member::MembershipSettings result;
         result.seeds = settings.seeds.hosts;
+        result.gossipInterval = settings.member.gossipInterval;
+        result.protocolPeriod = settings.member.probePeriod;
+        result.suspicionTimeout = settings.member.suspectTimeout;
         return result;
     }
 
@@ -38,6 +45,7 @@
         RequestSettings result;
         result.defaultTimeout = settings.limits.defaultTimeout;
         result.maxTimeout = settings.limits.maxTimeout;
+        result.organisations.capacity = settings.limits.queueLength;
         return result;
     }
 
@@ -46,6 +54,8 @@
         HomeSettings result;
         result.group.probeInterval = settings.group.probeInterval;
         result.group.silenceLimit = settings.group.suspectAfter;
+        result.group.commandLimit = settings.group.operationTimeout;
+        result.group.rankSpacing = settings.group.rankSpacing;
         result.transaction = { settings.limits.transactionIdle, settings.limits.transactionMax };
         result.queueLength = settings.limits.queueLength;
         return result;
@@ -76,6 +86,9 @@
           requestSettings(settings), m_random, *this)
     , m_config(settings.platform, m_random, *this)
     , m_nextHostList(now)
+    , m_shutdown({ ShutdownTimes {}.notice, settings.limits.stopTimeout }, *this)
+    , m_startedAt(now)
+    , m_lastJoin(now)
 {
 }
 
@@ -167,7 +180,8 @@
         entry.home->tick(now);
     m_coordinator.tick(now);
     retireHomes(now);
-    checkStop(now);
+    settleMembers(now);
+    m_shutdown.tick(now);
 }
 
 // Messages of other hosts
@@ -280,6 +294,7 @@
     switch (changed.change) {
     case HostChange::Joined:
     case HostChange::Renewed:
+        m_lastJoin = now;
         log(LogEvent::HostJoined, fields);
         break;
     case HostChange::Suspected:
@@ -304,6 +319,18 @@
     m_placementStale = true;
 }
 
+void EngineState::settleMembers(Instant now)
+{
+    if (m_knowsMembers)
+        return;
+    const bool isAlone = m_membership.liveHosts().size() == 1;
+    const bool isQuiet = !isAlone && now - m_lastJoin >= joinQuiet;
+    if (!isQuiet && now - m_startedAt < joinLimit)
+        return;
+    m_knowsMembers = true;
+    m_placementStale = true;
+}
+
 std::vector<HomeRef> EngineState::homesOf(const DatabaseName& database) const
 {
     std::vector<HomeRef> homes;
@@ -330,7 +357,7 @@
 void EngineState::placeHomes(Instant now)
 {
     m_placementStale = false;
-    if (!document())
+    if (!document() || !m_knowsMembers)
         return;
     const Member::HomePlacement placement(m_membership.liveHosts());
     m_homeNames.clear();
@@ -344,6 +371,7 @@
         if (found == m_homes.end())
             continue;
         found->second.home->setWatchers(now, homes);
+        found->second.home->setRetired(!isHome);
         if (isHome)
             found->second.retiredAt.reset();
         else if (!found->second.retiredAt)
@@ -422,7 +450,8 @@
 {
     if (now < m_nextHostList)
         return;
-    m_nextHostList = now + m_settings.platform.hostListInterval;
+    const bool isAlone = m_membership.liveHosts().size() == 1;
+    m_nextHostList = now + (isAlone ? aloneListInterval : m_settings.platform.hostListInterval);
     m_hostListCall = nextPlatformCall();
     m_actions.emplace_back(PlatformCall {
         m_hostListCall, PlatformMethod::Get, hostsPath, "", std::nullopt, m_settings.platform.callTimeout });
@@ -456,37 +485,49 @@
 
 void EngineState::handle(Instant now, const StopRequested&)
 {
-    if (m_stopRequestedAt) {
-        log(LogEvent::StopForced, { { "requests", std::to_string(m_coordinator.inFlight()) } });
-        m_actions.emplace_back(StopNow { 1 });
-        return;
-    }
-    m_stopRequestedAt = now;
+    m_shutdown.signal(now);
+}
+
+void EngineState::announceLeave(Instant now)
+{
     log(LogEvent::Stopping, { { "requests", std::to_string(m_coordinator.inFlight()) } });
     m_membership.leave(now);
     m_placementStale = true;
 }
 
-void EngineState::checkStop(Instant now)
+void EngineState::stopAccepting()
+{
+    m_actions.emplace_back(DrainCallers {});
+}
+
+void EngineState::reportCut()
+{
+    log(LogEvent::StopForced,
+        { { "requests", std::to_string(m_coordinator.inFlight()) }, { "operations", std::to_string(operations()) } });
+}
+
+void EngineState::stop(bool cutsNothing)
 {
-    if (!m_stopRequestedAt || now - *m_stopRequestedAt < leaveNotice)
-        return;
-    std::size_t operations = 0;
-    for (const auto& [name, entry] : m_homes)
-        operations += entry.home->operations();
-    const bool idle = m_coordinator.inFlight() == 0 && operations == 0;
-    if (!idle && now - *m_stopRequestedAt < m_settings.limits.stopTimeout)
-        return;
-    if (!idle)
-        log(LogEvent::StopForced,
-            { { "requests", std::to_string(m_coordinator.inFlight()) }, { "operations", std::to_string(operations) } });
     log(LogEvent::Stopped, {});
-    m_actions.emplace_back(StopNow { 0 });
+    m_actions.emplace_back(StopNow { cutsNothing ? 0 : 1 });
+}
+
+std::size_t EngineState::operations() const
+{
+    std::size_t count = 0;
+    for (const auto& [name, entry] : m_homes)
+        count += entry.home->operations();
+    return count;
+}
+
+bool EngineState::nothingInFlight() const
+{
+    return m_coordinator.inFlight() == 0 && operations() == 0;
 }
 
 bool EngineState::isReady() const
 {
-    return document() && !m_stopRequestedAt;
+    return document() && m_knowsMembers && !m_shutdown.isStopping();
 }
 
 } // namespace Auburnpost
--- a/src/engine/EngineState.h
+++ b/src/engine/EngineState.h
@@ -4,6 +4,7 @@
 #include "engine/DatabaseHome.h"
 #include "engine/Engine.h"
 #include "engine/RequestCoordinator.h"
+#include "engine/Shutdown.h"
 #include "member/Membership.h"
 
 #include <deque>
@@ -14,7 +15,10 @@
 namespace Auburnpost {
 
 /// The parts of the engine and the ways between them.
-class EngineState : public DatabaseHomeOwner, public RequestCoordinatorOwner, public ConfigKeeperOwner {
+class EngineState : public DatabaseHomeOwner,
+                    public RequestCoordinatorOwner,
+                    public ConfigKeeperOwner,
+                    public ShutdownOwner {
 public:
     EngineState(Instant now, const Config::Settings&, Incarnation, std::uint64_t seed);
 
@@ -42,6 +46,13 @@
     bool askForDocument(const HostName&) override;
     void documentApplied(Instant now) override;
 
+    // ShutdownOwner
+    void announceLeave(Instant now) override;
+    void stopAccepting() override;
+    void reportCut() override;
+    void stop(bool cutsNothing) override;
+    [[nodiscard]] bool nothingInFlight() const override;
+
 private:
     /// Who waits for the reply to an operation.
     struct Origin {
@@ -86,7 +97,8 @@
     void applyMaintenance(Instant now);
     void pollHostList(Instant now);
     void takeHostList(Instant now, const PlatformReply&);
-    void checkStop(Instant now);
+    void settleMembers(Instant now);
+    [[nodiscard]] std::size_t operations() const;
     DatabaseHome* holderOf(ConnectionId);
     void sendPeer(const SocketAddress&, const PeerMessage&);
     void log(LogEvent, std::vector<LogField> fields);
@@ -116,7 +128,11 @@
     std::uint64_t m_lastOperation { 0 };
     std::uint64_t m_lastPlatformCall { 0 };
     std::uint64_t m_lastEdit { 0 };
-    std::optional<Instant> m_stopRequestedAt;
+    Shutdown m_shutdown;
+    Instant m_startedAt;
+    Instant m_lastJoin;
+    /// Whether this host has had time to learn of the others, so that it does not take itself for every home.
+    bool m_knowsMembers { false };
 };
 
 } // namespace Auburnpost
--- a/src/engine/RequestChecks.cpp
+++ b/src/engine/RequestChecks.cpp
@@ -197,6 +197,7 @@
     answer.session = Route::writeSession(m_signer, request.caller.organisation, request.session);
     m_owner.actions().emplace_back(std::move(answer));
     closeAttempt(request);
+    m_organisations.finished(request.caller.organisation);
     m_deadlines.remove(request.deadline, id);
     if (request.retryAt)
         m_retries.remove(*request.retryAt, id);
--- a/src/engine/RequestCoordinator.cpp
+++ b/src/engine/RequestCoordinator.cpp
@@ -66,6 +66,7 @@
     , m_settings(settings)
     , m_random(random)
     , m_owner(owner)
+    , m_organisations(settings.organisations)
 {
 }
 
@@ -77,6 +78,13 @@
         refuseAtOnce(caller, prepared.error());
         return;
     }
+    if (!m_organisations.tryAdmit(now, caller.organisation)) {
+        const Error error { ErrorCode::OrganisationLimit, "admit", caller.organisation.value(),
+            "the organisation holds its share of this host" };
+        refuseAtOnce(caller, error, std::chrono::seconds(1));
+        return;
+    }
+    retryBudget(prepared->work.database).freshRequest(now);
     const auto id = caller.id;
     const auto [entry, added] = m_requests.emplace(id, std::move(*prepared));
     AUBURNPOST_INVARIANT(added, "a request id is used once");
@@ -99,6 +107,11 @@
     attempt(now, request, request.work);
 }
 
+Limit::RetryBudget& RequestCoordinator::retryBudget(const DatabaseName& database)
+{
+    return m_retryBudgets.try_emplace(database, m_settings.retries).first->second;
+}
+
 OutcomeKey RequestCoordinator::freshKey()
 {
     return OutcomeKey(
@@ -239,7 +252,12 @@
     if (mayRetry(request, failed.error.code)) {
         if (failed.error.code == ErrorCode::NoHome || failed.error.code == ErrorCode::Leaving)
             request.avoided.insert(request.home.name);
-        retryLater(now, request, failed.retryAfter);
+        if (retryBudget(request.work.database).tryRetry(now)) {
+            retryLater(now, request, failed.retryAfter);
+            return;
+        }
+        request.lastError.code = ErrorCode::RetryBudgetSpent;
+        giveUp(now, request);
         return;
     }
     answerRefusal(
--- a/src/engine/RequestCoordinator.h
+++ b/src/engine/RequestCoordinator.h
@@ -6,6 +6,8 @@
 #include "engine/DeadlineSet.h"
 #include "engine/HomeRef.h"
 #include "limit/Backoff.h"
+#include "limit/OrganisationLimits.h"
+#include "limit/RetryBudget.h"
 #include "message/CallerRequest.h"
 #include "message/PeerMessage.h"
 #include "route/SessionToken.h"
@@ -44,6 +46,9 @@
     Duration answerMargin { std::chrono::milliseconds(20) };
     /// Kept back from an attempt's time, so that the home's own word comes before the attempt counts as lost.
     Duration replyMargin { std::chrono::milliseconds(20) };
+    /// Retries of requests that were refused before they ran, for each database.
+    Limit::RetryBudgetSettings retries { 0.1, 5, 50 };
+    Limit::OrganisationLimitsSettings organisations;
     Limit::BackoffSettings backoff { std::chrono::milliseconds(10), std::chrono::milliseconds(300) };
 };
 
@@ -125,6 +130,7 @@
     void settled(Instant now, Request&, const WorkDone&);
     void resolved(Instant now, Request&, WorkDone);
     void resolveOrGiveUp(Instant now, Request&, const Error&);
+    Limit::RetryBudget& retryBudget(const DatabaseName&);
     void retryLater(Instant now, Request&, std::optional<Duration> atLeast);
     [[nodiscard]] bool mayRetry(const Request&, ErrorCode) const;
 
@@ -148,6 +154,8 @@
     DeadlineSet<RequestId> m_deadlines;
     DeadlineSet<AttemptNumber> m_attemptDeadlines;
     DeadlineSet<RequestId> m_retries;
+    std::map<DatabaseName, Limit::RetryBudget> m_retryBudgets;
+    Limit::OrganisationLimits m_organisations;
     std::uint64_t m_lastAttempt { 0 };
     std::uint64_t m_lastKey { 0 };
     RequestCounters m_counters;
--- a/tests/engine/SiteSimulation.cpp
+++ b/tests/engine/SiteSimulation.cpp
@@ -86,6 +86,9 @@
     settings.limits.stopTimeout = 30s;
     settings.group.probeInterval = 100ms;
     settings.group.suspectAfter = 600ms;
+    settings.group.operationTimeout = 2s;
+    settings.group.rankSpacing = 300ms;
+    settings.member = { 100ms, 400ms, 1500ms };
     return settings;
 }
 
--- a/tests/engine/SiteSimulation.h
+++ b/tests/engine/SiteSimulation.h
@@ -124,6 +124,7 @@
     void perform(std::size_t host, const PlatformCall&);
     void perform(std::size_t host, const AnswerOperator&) { (void)host; }
     void perform(std::size_t host, const LogRecord&) { (void)host; }
+    void perform(std::size_t host, const DrainCallers&) { (void)host; }
     void perform(std::size_t host, const StopNow&);
     void deliverToTarget(std::size_t host, const TargetCommand&, std::uint64_t hostLife);
     void deliverToHost(std::size_t host, ConnectionId, Event, std::uint64_t hostLife);
