--- a/src/wire/HttpServer.cpp
+++ b/src/wire/HttpServer.cpp
@@ -41,6 +41,8 @@
     evhttp_request* request { nullptr };
     SocketAddress peer;
     bool replied { false };
+    /// Whether the connection ends with the reply.
+    bool last { false };
     EventPointer closeEvent;
 };
 
@@ -154,6 +156,8 @@
     auto& exchange = beginExchange(request);
     const auto id = exchange.id;
     auto message = read(exchange);
+    // What follows a request that was not understood may not be the start of another.
+    exchange.last = !message;
     if (message)
         m_arrived.emit(*message);
     else
@@ -209,7 +213,7 @@
     auto* const headers = evhttp_request_get_output_headers(exchange.request);
     for (const auto& header : reply.headers)
         evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
-    if (m_draining)
+    if (m_draining || exchange.last)
         evhttp_add_header(headers, "Connection", "close");
     const BufferPointer body(evbuffer_new());
     evbuffer_add(body.get(), reply.body.data(), reply.body.size());
--- a/tests/wire/CallerServerTests.cpp
+++ b/tests/wire/CallerServerTests.cpp
@@ -235,6 +235,25 @@
     }
 }
 
+TEST_CASE("A request whose length is ambiguous is refused and ends its connection", "[wire][caller]")
+{
+    Fixture test;
+    const auto client = test.client();
+    SECTION("two lengths")
+    {
+        client->post(statements, "", "Content-Length: 5\r\n");
+        CHECK_THAT(test.errorOf(*client).at("message").get<std::string>(), Catch::Contains("more than once"));
+    }
+    SECTION("a length and chunks, which evhttp itself refuses")
+    {
+        client->post(statements, "", "Transfer-Encoding: chunked\r\n");
+        client->send("0\r\n\r\n");
+    }
+    REQUIRE(test.loop.runUntil([&] { return client->closed(); }));
+    CHECK(client->status() == 400);
+    CHECK(test.arrived.empty());
+}
+
 TEST_CASE("Half a request is given up after the idle time", "[wire][caller]")
 {
     Fixture test;
