Keep the effect of a check out of its condition

Cause: the invariant on a connection's id did the insertion within its own condition, which a reader of the check does not expect. Now the insertion stands before it, as in PlatformClient; no behaviour changes.

--- a/src/wire/TargetLinks.cpp
+++ b/src/wire/TargetLinks.cpp
@@ -64,7 +64,8 @@
         TargetLinkSettings {
             id, target, address, database, m_self.value(), m_self.value() + "/" + m_dataCentre.value() });
     auto& added = *entry;
-    AUBURNPOST_INVARIANT(m_links.emplace(id, std::move(entry)).second, "a connection's id is used once");
+    const bool isNew = m_links.emplace(id, std::move(entry)).second;
+    AUBURNPOST_INVARIANT(isNew, "a connection's id is used once");
     added.timer.reset(evtimer_new(m_base, &Callbacks::timer, &added));
     const auto timeout = toTimeval(m_connectTimeout);
     evtimer_add(added.timer.get(), &timeout);
