--- /dev/null
+++ b/tests/group/MeasureTests.cpp
@@ -0,0 +1,111 @@
+#include "group/GroupSimulation.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <iostream>
+
+using namespace Auburnpost;
+using namespace Auburnpost::Group;
+using namespace std::chrono_literals;
+
+// Hidden from the ordinary run: group_tests "[measure]" prints the figures of docs/GROUPS.md.
+
+namespace {
+
+constexpr int failovers = 100;
+
+struct Gap {
+    Duration detect {};
+    Duration promote {};
+    Duration learn {};
+    Duration write {};
+};
+
+std::optional<Instant> firstEvent(const GroupSimulation& simulation, LogEvent event, Instant after)
+{
+    for (const auto& [at, each] : simulation.events()) {
+        if (each == event && at >= after)
+            return at;
+    }
+    return std::nullopt;
+}
+
+template <typename Fault> Gap measureGap(std::uint64_t seed, Fault fault)
+{
+    GroupSimulation simulation({ .seed = seed, .writeInterval = 2ms });
+    simulation.run(3s + Duration(seed * 1711));
+    const auto failed = *simulation.primaryIndex();
+    const auto at = simulation.now();
+    const auto acknowledged = simulation.checker().acknowledgements();
+    fault(simulation, failed);
+    while (simulation.now() < at + 9s && !firstEvent(simulation, LogEvent::PrimaryPromoted, at))
+        simulation.run(1ms);
+    while (simulation.now() < at + 9s && !simulation.isSettled())
+        simulation.run(1ms);
+    const auto settled = simulation.now();
+    while (simulation.now() < at + 9s && simulation.checker().lastAcknowledgedAt() < settled - 20ms)
+        simulation.run(1ms);
+    REQUIRE(simulation.violation().empty());
+    REQUIRE(simulation.checker().acknowledgements() > acknowledged);
+    const auto started = firstEvent(simulation, LogEvent::TakeoverStarted, at).value();
+    const auto promoted = firstEvent(simulation, LogEvent::PrimaryPromoted, at).value();
+    return { started - at, promoted - started, settled - promoted, simulation.now() - at };
+}
+
+void print(const std::string& name, std::vector<Duration> times)
+{
+    std::sort(times.begin(), times.end());
+    const auto at
+        = [&](double share) { return toMilliseconds(times[static_cast<std::size_t>(share * (times.size() - 1))]); };
+    std::cout << name << ": median " << at(0.5) << " ms, 95 % " << at(0.95) << " ms, highest " << at(1) << " ms\n";
+}
+
+template <typename Fault> void measureGaps(const std::string& name, Fault fault)
+{
+    std::vector<Duration> detect;
+    std::vector<Duration> promote;
+    std::vector<Duration> learn;
+    std::vector<Duration> whole;
+    for (int run = 1; run <= failovers; ++run) {
+        const auto gap = measureGap(static_cast<std::uint64_t>(run), fault);
+        detect.push_back(gap.detect);
+        promote.push_back(gap.promote);
+        learn.push_back(gap.learn);
+        whole.push_back(gap.write);
+    }
+    print(name + " detect and vote", detect);
+    print(name + " fence and promote", promote);
+    print(name + " learn and open", learn);
+    print(name + " until a write is acknowledged", whole);
+}
+
+} // namespace
+
+TEST_CASE("Parts of the failover gap", "[.][measure]")
+{
+    measureGaps("killed", [](GroupSimulation& simulation, std::size_t primary) { simulation.killTarget(primary); });
+    measureGaps(
+        "frozen", [](GroupSimulation& simulation, std::size_t primary) { simulation.freezeTarget(primary, 30s); });
+    measureGaps(
+        "cut off", [](GroupSimulation& simulation, std::size_t primary) { simulation.cutTarget(primary, true); });
+}
+
+TEST_CASE("Promotions over an hour without a failed primary", "[.][measure]")
+{
+    GroupSimulation simulation({ .seed = 7, .writeInterval = 500ms });
+    simulation.run(5s);
+    const auto before = simulation.checker().promotions().size();
+    for (int minute = 0; minute < 60; ++minute) {
+        simulation.setLag(static_cast<std::size_t>(minute % 3), std::chrono::seconds(minute % 30));
+        simulation.setSlow(static_cast<std::size_t>((minute + 1) % 3), 300ms);
+        for (int part = 0; part < 6; ++part) {
+            simulation.freezeWatcher(simulation.random()() % 3, simulation.network().between(1s, 2s));
+            simulation.run(10s);
+        }
+        simulation.setSlow(static_cast<std::size_t>((minute + 1) % 3), 0ms);
+        simulation.setLag(static_cast<std::size_t>(minute % 3), 0ms);
+    }
+    std::cout << "promotions in an hour without a failed primary: " << simulation.checker().promotions().size() - before
+              << "\n";
+    CHECK(simulation.violation().empty());
+}
