--- a/tests/group/GroupSimulation.h
+++ b/tests/group/GroupSimulation.h
@@ -42,6 +42,7 @@
     void freezeWatcher(std::size_t, Duration);
     void cutTarget(std::size_t, bool fromWatchers);
     void setLag(std::size_t target, Duration lag) { m_targets[target]->lag = lag; }
+    /// Makes each answer of a target come later by @p delay.
     void setSlow(std::size_t target, Duration delay);
     void requestSwitch(std::size_t target);
     void lagAll(Duration lag);
--- a/tests/group/GroupSimulationFaults.cpp
+++ b/tests/group/GroupSimulationFaults.cpp
@@ -33,7 +33,8 @@
 
 void GroupSimulation::setSlow(std::size_t index, Duration delay)
 {
-    m_network.extraDelay[m_targets[index]->target.name().value()] = delay;
+    // Half on the way there, half on the way back.
+    m_network.extraDelay[m_targets[index]->target.name().value()] = delay / 2;
 }
 
 void GroupSimulation::cutTarget(std::size_t index, bool fromWatchers)
@@ -124,7 +125,7 @@
         setLag(any, m_network.between(0ms, 1s));
         break;
     case 7:
-        setSlow(any, m_network.between(0ms, 300ms));
+        setSlow(any, m_network.between(0ms, 600ms));
         break;
     case 8:
         requestSwitch(any);
--- a/tests/group/MeasureTests.cpp
+++ b/tests/group/MeasureTests.cpp
@@ -55,9 +55,8 @@
 void print(const std::string& name, std::vector<Duration> times)
 {
     std::sort(times.begin(), times.end());
-    const auto at
-        = [&](double share) { return toMilliseconds(times[static_cast<std::size_t>(share * (times.size() - 1))]); };
-    std::cout << name << ": median " << at(0.5) << " ms, 95 % " << at(0.95) << " ms, highest " << at(1) << " ms\n";
+    const auto at = [&](std::size_t percent) { return toMilliseconds(times[(times.size() - 1) * percent / 100]); };
+    std::cout << name << ": median " << at(50) << " ms, 95 % " << at(95) << " ms, highest " << at(100) << " ms\n";
 }
 
 template <typename Fault> void measureGaps(const std::string& name, Fault fault)
