--- a/src/limit/Cooldown.h
+++ b/src/limit/Cooldown.h
@@ -9,7 +9,8 @@
 namespace Auburnpost::Limit {
 
 /// A pause shared by all requests to one target after it refused one: each of them, fresh ones too, waits until it
-/// ends. It grows with refusals in a row; the target's own Retry-After is its least length.
+/// ends. It grows with refusals in a row; the target's own Retry-After is its least length. Meant for a target that
+/// takes nothing, not for one that refuses what is above its capacity: docs/LIMITS.md has the measurement.
 class Cooldown {
 public:
     explicit Cooldown(BackoffSettings settings = {})
--- a/tests/limit/AdmissionQueueTests.cpp
+++ b/tests/limit/AdmissionQueueTests.cpp
@@ -50,6 +50,7 @@
 TEST_CASE("One organisation's flood leaves the others near their unloaded figures", "[limit][fairness]")
 {
     std::vector<Load> calm;
+    calm.reserve(9);
     for (int organisation = 0; organisation < 9; ++organisation)
         calm.push_back({ "district-" + std::to_string(organisation), 15 });
     const auto unloaded = runLoads(calm);
@@ -101,6 +102,25 @@
     CHECK_FALSE(queue.next({}));
 }
 
+TEST_CASE("An organisation that was idle saves up no service", "[limit][fairness]")
+{
+    AdmissionQueue queue;
+    const auto deadline = Instant {} + 1s;
+    for (std::uint64_t id = 1; id <= 50; ++id) {
+        queue.enqueue({}, ticketOf(id, "steady", Priority::Browsing, deadline));
+        REQUIRE(queue.next({}));
+    }
+    for (std::uint64_t id = 101; id <= 120; ++id) {
+        queue.enqueue({}, ticketOf(id, "late", Priority::Browsing, deadline));
+        queue.enqueue({}, ticketOf(id + 100, "steady", Priority::Browsing, deadline));
+    }
+    std::size_t late = 0;
+    for (int pick = 0; pick < 20; ++pick)
+        late += queue.next({})->organisation == OrganisationName("late") ? 1 : 0;
+    CHECK(late >= 9);
+    CHECK(late <= 11);
+}
+
 TEST_CASE("A full queue makes room for the organisation that holds less", "[limit][fairness]")
 {
     AdmissionQueueSettings settings;
--- a/tests/limit/ConcurrencyTests.cpp
+++ b/tests/limit/ConcurrencyTests.cpp
@@ -35,7 +35,7 @@
         limit.release(now, service, Completion::Lost);
         inFlight.pop_front();
     }
-    return sum / (steps / 2);
+    return sum / (steps / 2.0);
 }
 
 } // namespace
--- a/tests/limit/QueueingTarget.h
+++ b/tests/limit/QueueingTarget.h
@@ -3,6 +3,7 @@
 #include "base/Random.h"
 #include "limit/AdmissionQueue.h"
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -28,7 +29,10 @@
     Duration latencySum {};
 
     [[nodiscard]] double usefulShare() const { return static_cast<double>(useful) / static_cast<double>(arrived); }
-    [[nodiscard]] Duration meanLatency() const { return latencySum / static_cast<Duration::rep>(useful + late); }
+    [[nodiscard]] Duration meanLatency() const
+    {
+        return latencySum / static_cast<Duration::rep>(std::max<std::size_t>(1, useful + late));
+    }
 };
 
 struct QueueingResult {
@@ -66,6 +70,7 @@
     QueueingResult run(Limit::AdmissionQueue& queue, const std::vector<Load>& loads, Duration length)
     {
         std::vector<Instant> nextArrival;
+        nextArrival.reserve(loads.size());
         for (const auto& load : loads)
             nextArrival.push_back(Instant {} + gap(load));
         constexpr Duration step = 1ms;
