Add a load tool, a history checker and a fault tool for a running site

Cause: nothing drove the whole path with many sessions, nothing held answers against the log, and nothing measured the failover gap on real processes. Not run yet: the fault tool, and the script that repeats it.

--- /dev/null
+++ b/bench/load/Endpoints.cpp
@@ -0,0 +1,94 @@
+#include "load/Endpoints.h"
+
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <sstream>
+
+namespace Auburnpost::Load {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    SocketAddress addressOf(const Json& entry, const char* name)
+    {
+        const auto address = SocketAddress::parse(entry.at(name).get<std::string>());
+        if (!address)
+            throw std::invalid_argument(address.error().message);
+        return *address;
+    }
+
+    OrganisationAccess organisationOf(const Json& entry)
+    {
+        OrganisationAccess organisation { OrganisationName(entry.at("name").get<std::string>()),
+            entry.at("key").get<std::string>(), {} };
+        for (const auto& database : entry.at("databases"))
+            organisation.databases.emplace_back(database.get<std::string>());
+        return organisation;
+    }
+
+    Endpoints endpointsOf(const Json& json)
+    {
+        Endpoints endpoints;
+        for (const auto& host : json.at("hosts"))
+            endpoints.hosts.push_back({ HostName(host.at("name").get<std::string>()), host.at("pid").get<pid_t>(),
+                addressOf(host, "callers"), addressOf(host, "operators") });
+        for (const auto& target : json.at("targets"))
+            endpoints.targets.push_back(
+                { TargetName(target.at("name").get<std::string>()), DatabaseName(target.value("database", "")),
+                    target.at("pid").get<pid_t>(), addressOf(target, "control") });
+        const auto& platform = json.at("platform");
+        endpoints.platform = { platform.at("pid").get<pid_t>(), addressOf(platform, "control") };
+        for (const auto& organisation : json.value("organisations", Json::array()))
+            endpoints.organisations.push_back(organisationOf(organisation));
+        return endpoints;
+    }
+
+    std::vector<std::string> split(std::string_view text, char separator)
+    {
+        std::vector<std::string> parts;
+        std::istringstream stream { std::string(text) };
+        for (std::string part; std::getline(stream, part, separator);)
+            parts.push_back(part);
+        return parts;
+    }
+
+} // namespace
+
+Expected<Endpoints> Endpoints::parse(std::string_view text)
+{
+    try {
+        return endpointsOf(Json::parse(text));
+    } catch (const std::exception& problem) {
+        return fail(ErrorCode::BadSettings, "read endpoints", "", problem.what());
+    }
+}
+
+Expected<Endpoints> Endpoints::read(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file)
+        return fail(ErrorCode::BadSettings, "read endpoints", path, "the file can't be opened");
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parse(text.str());
+}
+
+Expected<std::vector<OrganisationAccess>> parseOrganisations(std::string_view text)
+{
+    constexpr std::size_t fieldCount = 3;
+    std::vector<OrganisationAccess> organisations;
+    for (const auto& item : split(text, ',')) {
+        const auto fields = split(item, ':');
+        if (fields.size() != fieldCount)
+            return fail(ErrorCode::BadSettings, "read organisations", item, "the form is NAME:KEY:DATABASE[+DATABASE]");
+        OrganisationAccess organisation { OrganisationName(fields[0]), fields[1], {} };
+        for (const auto& database : split(fields[2], '+'))
+            organisation.databases.emplace_back(database);
+        organisations.push_back(std::move(organisation));
+    }
+    return organisations;
+}
+
+} // namespace Auburnpost::Load
--- /dev/null
+++ b/bench/load/Violation.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace Auburnpost::Load {
+
+/// The rules that docs/LOAD.md states.
+enum class Rule {
+    LostWrite,
+    DoubledWrite,
+    RanDespiteNotRun,
+    ReadYourWrites,
+    StaleRead,
+    AgeExceeded,
+    ReadBeforeWrite,
+    ReadOfNotRun,
+    MixedAnswer,
+};
+
+/// @return the rule's name in lower case with underscores, such as "lost_write".
+std::string_view toString(Rule);
+
+/// One breach of a rule.
+struct Violation {
+    Rule rule;
+    /// What was seen, in one sentence.
+    std::string message;
+
+    bool operator==(const Violation&) const = default;
+};
+
+} // namespace Auburnpost::Load
