--- a/tests/history/HistoryCheckerTests.cpp
+++ b/tests/history/HistoryCheckerTests.cpp
@@ -10,9 +10,9 @@
 
 const DatabaseName database("sizing-core-1");
 
-Instant at(int milliseconds_)
+Instant at(int count)
 {
-    return Instant(milliseconds(milliseconds_));
+    return Instant(milliseconds(count));
 }
 
 HistoryEvent event(std::uint64_t session, bool isWrite, int invoked, int completed)
