--- a/bench/run_failover.sh
+++ b/bench/run_failover.sh
@@ -21,7 +21,9 @@
     local name=$1
     shift
     "$@" >> "$out/$name.log" 2>&1 &
-    python3 - "$endpoints" "$name" $! <<'PY'
+    local pid=$!
+    disown "$pid"
+    python3 - "$endpoints" "$name" "$pid" <<'PY'
 import json, sys
 path, name, pid = sys.argv[1], sys.argv[2], int(sys.argv[3])
 endpoints = json.load(open(path))
