--- a/bench/load/Endpoints.cpp
+++ b/bench/load/Endpoints.cpp
@@ -54,6 +54,24 @@
         return parts;
     }
 
+    Expected<OrganisationAccess> chooseOrganisation(
+        const std::string& item, const std::vector<OrganisationAccess>& known)
+    {
+        constexpr std::size_t fieldCount = 3;
+        const auto fields = split(item, ':');
+        for (const auto& organisation : known) {
+            if (fields.size() == 1 && organisation.name.value() == item)
+                return organisation;
+        }
+        if (fields.size() != fieldCount)
+            return fail(ErrorCode::BadSettings, "choose organisations", item,
+                "neither a name in the endpoints nor NAME:KEY:DATABASE[+DATABASE]");
+        OrganisationAccess organisation { OrganisationName(fields[0]), fields[1], {} };
+        for (const auto& database : split(fields[2], '+'))
+            organisation.databases.emplace_back(database);
+        return organisation;
+    }
+
 } // namespace
 
 Expected<Endpoints> Endpoints::parse(std::string_view text)
@@ -75,18 +93,15 @@
     return parse(text.str());
 }
 
-Expected<std::vector<OrganisationAccess>> parseOrganisations(std::string_view text)
+Expected<std::vector<OrganisationAccess>> chooseOrganisations(
+    std::string_view text, const std::vector<OrganisationAccess>& known)
 {
-    constexpr std::size_t fieldCount = 3;
     std::vector<OrganisationAccess> organisations;
     for (const auto& item : split(text, ',')) {
-        const auto fields = split(item, ':');
-        if (fields.size() != fieldCount)
-            return fail(ErrorCode::BadSettings, "read organisations", item, "the form is NAME:KEY:DATABASE[+DATABASE]");
-        OrganisationAccess organisation { OrganisationName(fields[0]), fields[1], {} };
-        for (const auto& database : split(fields[2], '+'))
-            organisation.databases.emplace_back(database);
-        organisations.push_back(std::move(organisation));
+        auto organisation = chooseOrganisation(item, known);
+        if (!organisation)
+            return tl::unexpected(organisation.error());
+        organisations.push_back(std::move(*organisation));
     }
     return organisations;
 }
--- a/bench/load/Endpoints.h
+++ b/bench/load/Endpoints.h
@@ -50,8 +50,9 @@
     static Expected<Endpoints> read(const std::string& path);
 };
 
-/// Reads organisations in the form NAME:KEY:DATABASE[+DATABASE…][,NAME:…].
+/// Chooses organisations. Each item is the name of one in @p known, or NAME:KEY:DATABASE[+DATABASE…].
 /// @return the organisations, or ErrorCode::BadSettings with the reason.
-Expected<std::vector<OrganisationAccess>> parseOrganisations(std::string_view text);
+Expected<std::vector<OrganisationAccess>> chooseOrganisations(
+    std::string_view text, const std::vector<OrganisationAccess>& known);
 
 } // namespace Auburnpost::Load
--- a/bench/load/FaultsMain.cpp
+++ b/bench/load/FaultsMain.cpp
@@ -14,7 +14,8 @@
 ABSL_FLAG(std::string, database, "", "database whose writes are measured");
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of the hosts that are used and struck");
 ABSL_FLAG(std::string, history, "", "file for the history of the probe's writes");
-ABSL_FLAG(std::string, organisations, "", "NAME:KEY:DATABASE[+DATABASE][,...]; default: those of the endpoints");
+ABSL_FLAG(
+    std::string, organisations, "", "NAME or NAME:KEY:DATABASE[+DATABASE], with commas; default: all of the endpoints");
 ABSL_FLAG(bool, store_down, false, "the platform's store has an outage from before the fault until it is healed");
 
 namespace {
@@ -38,7 +39,7 @@
     if (!endpoints)
         return tl::unexpected(endpoints.error());
     if (const auto text = absl::GetFlag(FLAGS_organisations); !text.empty()) {
-        auto organisations = parseOrganisations(text);
+        auto organisations = chooseOrganisations(text, endpoints->organisations);
         if (!organisations)
             return tl::unexpected(organisations.error());
         endpoints->organisations = std::move(*organisations);
--- a/bench/load/LoadMain.cpp
+++ b/bench/load/LoadMain.cpp
@@ -18,7 +18,8 @@
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of arrivals, kinds, sessions, items and hosts");
 ABSL_FLAG(std::string, history, "", "file for the history, one JSON object per line");
 ABSL_FLAG(std::string, table, "", "file for the table, besides the output");
-ABSL_FLAG(std::string, organisations, "", "NAME:KEY:DATABASE[+DATABASE][,...]; default: those of the endpoints");
+ABSL_FLAG(
+    std::string, organisations, "", "NAME or NAME:KEY:DATABASE[+DATABASE], with commas; default: all of the endpoints");
 ABSL_FLAG(std::int64_t, items, 500, "items that are read and written, per database");
 ABSL_FLAG(std::uint32_t, sessions, 200, "sessions at a time");
 ABSL_FLAG(std::uint32_t, timeout_ms, 2000, "time limit that each attempt states");
@@ -102,7 +103,7 @@
     if (!endpoints)
         return failWith(endpoints.error().describe());
     if (const auto text = absl::GetFlag(FLAGS_organisations); !text.empty()) {
-        auto organisations = parseOrganisations(text);
+        auto organisations = chooseOrganisations(text, endpoints->organisations);
         if (!organisations)
             return failWith(organisations.error().describe());
         endpoints->organisations = std::move(*organisations);
--- a/bench/run_failover.sh
+++ b/bench/run_failover.sh
@@ -23,6 +23,8 @@
     "$@" >> "$out/$name.log" 2>&1 &
     local pid=$!
     disown "$pid"
+    # scripts/down.sh ends what is listed here.
+    echo "$pid $name" >> "$(dirname "$endpoints")/pids"
     python3 - "$endpoints" "$name" "$pid" <<'PY'
 import json, sys
 path, name, pid = sys.argv[1], sys.argv[2], int(sys.argv[3])
