Let a host without a document take an older sound one from a peer

Cause: a document that was refused raised the version below which nothing was taken any more, so a host that started while the platform held a faulty row could not take the sound one that its peers had in force. Found by reading; the row gets so only by other means than an edit. Change: the store remembers refused versions by themselves. Ruled out: taking refused versions off the list after a time, since their bytes never change. Conclusion: versions in force still only rise.

--- a/src/config/DocumentPoll.cpp
+++ b/src/config/DocumentPoll.cpp
@@ -3,6 +3,7 @@
 #include "config/Backoff.h"
 #include "config/DocumentRow.h"
 #include "config/Json.h"
+#include "config/PlatformStatus.h"
 
 #include <algorithm>
 
@@ -10,7 +11,6 @@
 
 namespace {
 
-    constexpr int statusOk = 200;
     constexpr auto platformSource = "platform";
     constexpr auto editSource = "edit on this host";
 
@@ -84,7 +84,7 @@
         return {};
     if (!answer.reply)
         return onPlatformFailure(now, random, answer.reply.error().describe());
-    if (answer.reply->status != statusOk)
+    if (answer.reply->status != PlatformStatus::ok)
         return onPlatformFailure(now, random, "status " + std::to_string(answer.reply->status));
     return m_stage == Stage::ReadingVersion ? onVersionList(now, random, *answer.reply)
                                             : onDocument(now, random, *answer.reply);
@@ -92,7 +92,7 @@
 
 DocumentPoll::Actions DocumentPoll::onPeerVersion(Instant now, const HostName& peer, ConfigVersion version)
 {
-    if (version <= m_store.highestSeen())
+    if (!m_store.wants(version))
         return {};
     auto& known = m_peers[peer].version;
     known = std::max(known, version);
@@ -163,7 +163,7 @@
         return onPlatformFailure(now, random, "malformed list of rows");
     Actions actions;
     markPlatformBack(actions);
-    if (*version <= m_store.highestSeen()) {
+    if (!m_store.wants(*version)) {
         rest(now, random);
         return actions;
     }
@@ -212,7 +212,7 @@
 
 DocumentPoll::Actions DocumentPoll::askBestPeer(Instant now)
 {
-    std::erase_if(m_peers, [this](const auto& peer) { return peer.second.version <= m_store.highestSeen(); });
+    std::erase_if(m_peers, [this](const auto& peer) { return !m_store.wants(peer.second.version); });
     if (m_question || m_peers.empty() || isGathering(now))
         return {};
     const auto best = std::max_element(m_peers.begin(), m_peers.end(), [](const auto& left, const auto& right) {
--- a/src/config/DocumentStore.h
+++ b/src/config/DocumentStore.h
@@ -4,6 +4,7 @@
 #include "config/DocumentProblem.h"
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,7 +28,7 @@
 /// The document in force on one host. Its version only rises.
 class DocumentStore {
 public:
-    /// Takes a document from whatever source if it is newer than all before and has no errors.
+    /// Takes a document from whatever source if it is newer than the one in force and has no errors.
     /// @param bytes the row's value under @p version.
     OfferResult offer(ConfigVersion version, std::string bytes);
 
@@ -37,13 +38,14 @@
     [[nodiscard]] ConfigVersion version() const { return m_document.version; }
     /// @return the value that the document in force was read from, to hand on to a peer.
     [[nodiscard]] const std::string& bytes() const { return m_bytes; }
-    /// @return the highest version offered, refused ones included.
-    [[nodiscard]] ConfigVersion highestSeen() const { return m_highestSeen; }
+    /// @return whether a document of this version is worth fetching: it is newer and was not refused before.
+    [[nodiscard]] bool wants(ConfigVersion version) const;
 
 private:
     Document m_document;
     std::string m_bytes;
-    ConfigVersion m_highestSeen;
+    /// Versions above the one in force that had errors.
+    std::set<ConfigVersion> m_refused;
 };
 
 } // namespace Auburnpost::Config
--- a/src/config/JsonReader.cpp
+++ b/src/config/JsonReader.cpp
@@ -1,14 +1,14 @@
 #include "config/JsonReader.h"
 
+#include "config/PlainName.h"
+
 #include <algorithm>
-#include <cctype>
 #include <limits>
 
 namespace Auburnpost::Config {
 
 namespace {
 
-    constexpr std::size_t maxNameLength = 63;
     constexpr std::chrono::milliseconds maxAge = std::chrono::hours(24 * 365);
 
     std::string childPath(const std::string& path, const std::string& name)
@@ -16,12 +16,6 @@
         return path + (Json::json_pointer() / name).to_string();
     }
 
-    bool isNameCharacter(char character)
-    {
-        return std::isalnum(static_cast<unsigned char>(character)) || character == '-' || character == '_'
-            || character == '.';
-    }
-
 } // namespace
 
 JsonReader::JsonReader(std::string section, std::vector<DocumentProblem>& problems)
@@ -105,8 +99,7 @@
 
 bool JsonReader::isName(const std::string& path, std::string_view text)
 {
-    const bool fits
-        = !text.empty() && text.size() <= maxNameLength && std::all_of(text.begin(), text.end(), isNameCharacter);
+    const bool fits = isPlainName(text);
     if (!fits)
         error(path, "'" + std::string(text) + "' is not a name of 1 to 63 letters, digits, '-', '_' and '.'");
     return fits;
--- a/src/config/SectionEdit.cpp
+++ b/src/config/SectionEdit.cpp
@@ -5,6 +5,7 @@
 #include "config/DocumentReader.h"
 #include "config/DocumentRow.h"
 #include "config/DocumentText.h"
+#include "config/PlatformStatus.h"
 #include "config/StoredDocument.h"
 
 #include <algorithm>
@@ -13,12 +14,6 @@
 
 namespace {
 
-    constexpr int statusOk = 200;
-    constexpr int statusNotFound = 404;
-    constexpr int statusPreconditionFailed = 412;
-    constexpr int firstClientError = 400;
-    constexpr int firstServerError = 500;
-
     constexpr auto readStep = "read document";
     constexpr auto writeStep = "write document";
     constexpr auto platformPeer = "platform";
@@ -26,12 +21,14 @@
     /// @return whether the platform says that it did nothing and never will.
     bool isRefusal(int status)
     {
-        return status >= firstClientError && status < firstServerError && status != statusPreconditionFailed;
+        return status >= PlatformStatus::firstClientError && status < PlatformStatus::firstServerError
+            && status != PlatformStatus::preconditionFailed;
     }
 
     Error statusError(const char* step, int status)
     {
-        const auto code = status >= firstServerError ? ErrorCode::PlatformUnavailable : ErrorCode::PlatformRefused;
+        const auto code
+            = status >= PlatformStatus::firstServerError ? ErrorCode::PlatformUnavailable : ErrorCode::PlatformRefused;
         return { code, step, platformPeer, "status " + std::to_string(status) };
     }
 
@@ -143,10 +140,10 @@
     if (!answer.reply)
         return retryLater(now, random, answer.reply.error());
     const auto& reply = *answer.reply;
-    if (reply.status != statusOk && reply.status != statusNotFound)
+    if (reply.status != PlatformStatus::ok && reply.status != PlatformStatus::notFound)
         return retryLater(now, random, statusError(readStep, reply.status));
-    const auto bytes = reply.status == statusOk ? reply.body : std::string();
-    const ConfigVersion version(reply.status == statusOk ? reply.version.value_or(0) : 0);
+    const auto bytes = reply.status == PlatformStatus::ok ? reply.body : std::string();
+    const ConfigVersion version(reply.status == PlatformStatus::ok ? reply.version.value_or(0) : 0);
     const auto stored = StoredDocument::parse(bytes, version);
     if (!stored) {
         giveUp(stored.error());
@@ -211,11 +208,11 @@
         return retryLater(now, random, answer.reply.error());
     const auto& reply = *answer.reply;
     const auto written = m_unresolved->value() + 1;
-    if (reply.status == statusOk && reply.version.value_or(written) == written) {
+    if (reply.status == PlatformStatus::ok && reply.version.value_or(written) == written) {
         finish(EditAccepted { ConfigVersion(written), ConfigVersion(written), m_writtenBytes, m_warnings });
         return {};
     }
-    if (reply.status == statusPreconditionFailed && m_calls < m_limits.maxCalls)
+    if (reply.status == PlatformStatus::preconditionFailed && m_calls < m_limits.maxCalls)
         return read();
     if (isRefusal(reply.status) && m_writesOnVersion == 1) {
         m_unresolved.reset();
--- a/src/config/SettingsValues.cpp
+++ b/src/config/SettingsValues.cpp
@@ -1,10 +1,10 @@
 #include "config/SettingsValues.h"
 
 #include "config/Hexadecimal.h"
+#include "config/PlainName.h"
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <charconv>
 #include <limits>
 #include <optional>
@@ -64,16 +64,10 @@
         return *number * unit->factor;
     }
 
-    bool isNameCharacter(char character)
-    {
-        return std::isalnum(static_cast<unsigned char>(character)) || character == '-' || character == '_'
-            || character == '.';
-    }
-
     template <typename Name> ValueCheck parseName(std::string_view text, Name& name)
     {
-        if (text.empty() || !std::all_of(text.begin(), text.end(), isNameCharacter))
-            return refuse(text, "a name of letters, digits, '-', '_' and '.'");
+        if (!isPlainName(text))
+            return refuse(text, "a name of 1 to 63 letters, digits, '-', '_' and '.'");
         name = Name(std::string(text));
         return {};
     }
--- a/tests/config/DocumentPollTests.cpp
+++ b/tests/config/DocumentPollTests.cpp
@@ -71,6 +71,13 @@
         CHECK(store.version() == ConfigVersion(2));
         CHECK(store.bytes() == emptyDocument);
     }
+    SECTION("one that was refused is not fetched again, and does not hide an older sound one")
+    {
+        store.offer(ConfigVersion(5), "{}");
+        CHECK_FALSE(store.wants(ConfigVersion(5)));
+        CHECK(store.offer(ConfigVersion(4), emptyDocument).verdict == OfferVerdict::Applied);
+        CHECK_FALSE(store.wants(ConfigVersion(5)));
+    }
 }
 
 TEST_CASE_METHOD(PollFixture, "A host reads the document only when its version rose", "[config][poll]")
