Write the time of a log line in one piece

Cause: log4cxx keeps the quotes around the T of a date pattern, so lines began 2026-12-04'T'11:37:59Z. Ruled out: a fault of the terminal (the log file held the quotes as well). Change: the pattern without quotes; lines now begin 2026-12-04T11:40:08.931Z.

--- a/src/app/Logging.cpp
+++ b/src/app/Logging.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-    constexpr auto linePattern = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSZ} %-5p %m%n";
+    constexpr auto linePattern = "%d{yyyy-MM-ddTHH:mm:ss.SSSZ} %-5p %m%n";
 
     log4cxx::LevelPtr toLog4cxx(LogLevel level)
     {
