Test planned switches and the return of a member fenced alone

Cause: switches ran only as one fault among others in the schedules; nothing showed that they reach their target. Ruled out: a timing check; the tests look at who is primary, and at the logs, after the limits of the switch.

--- a/tests/group/GroupSimulation.h
+++ b/tests/group/GroupSimulation.h
@@ -45,6 +45,10 @@
     /// Makes each answer of a target come later by @p delay.
     void setSlow(std::size_t target, Duration delay);
     void requestSwitch(std::size_t target);
+    /// Fences one target to a term far above the present, as a candidate would that reaches nobody else.
+    void fenceAlone(std::size_t target);
+    /// @return whether the target's log ends in the primary's term.
+    [[nodiscard]] bool holdsPrimaryTerm(std::size_t target) const;
     void lagAll(Duration lag);
     /// Kills the first primary of a term above @p after, once it has been one for @p delay.
     void killNextPrimary(Term after, Duration delay);
--- a/tests/group/GroupSimulationFaults.cpp
+++ b/tests/group/GroupSimulationFaults.cpp
@@ -60,6 +60,18 @@
     }
 }
 
+void GroupSimulation::fenceAlone(std::size_t index)
+{
+    auto& target = m_targets[index]->target;
+    target.fence(Term(target.standing().fencedTerm.value() + 5), "stray");
+}
+
+bool GroupSimulation::holdsPrimaryTerm(std::size_t index) const
+{
+    const auto primary = primaryIndex();
+    return primary && m_targets[index]->target.end().term == m_targets[*primary]->target.end().term;
+}
+
 void GroupSimulation::lagAll(Duration lag)
 {
     for (std::size_t index = 0; index < m_targets.size(); ++index)
