Try a replica that keeps up before it is known to hold the session's point

Cause: a home knows a replica's position by its probes of each 100 ms; a read right behind a write through another home found no replica known to be fresh and went to the primary. Ruled out: waiting for the next probe (up to 100 ms of latency); telling all homes of each write (a message for each). Change: a replica whose known end is no older than 250 ms and of the same term is asked; its own position in the answer decides, as always, and a miss goes on to the primary. Placement is done at most each 100 ms.

--- a/src/engine/EngineState.cpp
+++ b/src/engine/EngineState.cpp
@@ -16,6 +16,8 @@
     constexpr Duration joinQuiet = std::chrono::milliseconds(700);
     /// It waits no longer than this in all, as it may be alone.
     constexpr Duration joinLimit = std::chrono::seconds(4);
+    /// Changes of members and document that come closer together are put into force at once.
+    constexpr Duration placementInterval = std::chrono::milliseconds(100);
     /// While no other host is known the list is read this often.
     constexpr Duration aloneListInterval = std::chrono::seconds(1);
     /// A home that another host has taken over keeps answering for this long.
@@ -96,7 +98,7 @@
 {
     std::visit([this, now](auto& alternative) { handle(now, std::move(alternative)); }, event);
     deliverReplies(now);
-    if (m_placementStale)
+    if (m_placementStale && now - m_lastPlacement >= placementInterval)
         placeHomes(now);
     return std::exchange(m_actions, {});
 }
@@ -356,9 +358,10 @@
 
 void EngineState::placeHomes(Instant now)
 {
-    m_placementStale = false;
     if (!document() || !m_knowsMembers)
         return;
+    m_placementStale = false;
+    m_lastPlacement = now;
     const Member::HomePlacement placement(m_membership.liveHosts());
     m_homeNames.clear();
     for (const auto& [name, demand] : document()->databases) {
--- a/src/engine/EngineState.h
+++ b/src/engine/EngineState.h
@@ -121,6 +121,7 @@
     /// The incarnation with which each other host started.
     std::map<HostName, Incarnation> m_startOfHost;
     bool m_placementStale { true };
+    Instant m_lastPlacement {};
     Instant m_nextHostList {};
     PlatformCallId m_hostListCall;
     std::uint64_t m_lastConnection { 0 };
--- a/src/route/TargetChoice.cpp
+++ b/src/route/TargetChoice.cpp
@@ -11,6 +11,9 @@
     /// A replica of the own data centre with a longer queue than this gives way to the others.
     constexpr std::size_t localQueueBound = 8;
 
+    /// A replica whose known end is no older than this keeps up: what it is not yet known to hold it has likely got.
+    constexpr Duration keepsUpAge = std::chrono::milliseconds(250);
+
     using Pick = std::vector<const ReadCandidate*>;
 
     const ReadCandidate& lessLoadedOfTwo(const Pick& pick, RandomEngine& random)
@@ -21,16 +24,37 @@
         return second->load < first->load ? *second : *first;
     }
 
+    bool meets(const ReadCandidate& candidate, const Freshness& freshness)
+    {
+        return freshness.isMetBy(candidate.end, candidate.age);
+    }
+
+    bool likelyMeets(const ReadCandidate& candidate, const Freshness& freshness)
+    {
+        const bool ageWillDo = !freshness.maxAge || *freshness.maxAge >= keepsUpAge;
+        return candidate.age && *candidate.age <= keepsUpAge && ageWillDo
+            && candidate.end.term == freshness.required.term;
+    }
+
+    Pick pickWhere(const std::vector<ReadCandidate>& candidates, const Freshness& freshness,
+        bool (*suits)(const ReadCandidate&, const Freshness&))
+    {
+        Pick pick;
+        for (const auto& candidate : candidates) {
+            if (suits(candidate, freshness))
+                pick.push_back(&candidate);
+        }
+        return pick;
+    }
+
 } // namespace
 
 std::optional<TargetName> chooseReplica(const std::vector<ReadCandidate>& candidates, const Freshness& freshness,
     const DataCentreName& own, RandomEngine& random)
 {
-    Pick fresh;
-    for (const auto& candidate : candidates) {
-        if (freshness.isMetBy(candidate.end, candidate.age))
-            fresh.push_back(&candidate);
-    }
+    auto fresh = pickWhere(candidates, freshness, meets);
+    if (fresh.empty())
+        fresh = pickWhere(candidates, freshness, likelyMeets);
     if (fresh.empty())
         return std::nullopt;
     Pick local;
--- a/src/route/TargetChoice.h
+++ b/src/route/TargetChoice.h
@@ -24,9 +24,9 @@
     std::size_t load { 0 };
 };
 
-/// Chooses the replica for a read: fresh enough by what is known, in the own data centre first,
-/// then the less loaded of two taken at random.
-/// @return empty when no candidate is fresh enough.
+/// Chooses the replica for a read: one that is fresh enough by what is known, else one that keeps up and so is likely
+/// to be; in the own data centre first, then the less loaded of two taken at random. The caller checks the answer.
+/// @return empty when no candidate will do.
 std::optional<TargetName> chooseReplica(
     const std::vector<ReadCandidate>&, const Freshness&, const DataCentreName& own, RandomEngine&);
 
