Hold the stand-ins to their terms, and end them with their test

A trial that let a replica take entries of a primary below its fence passed all tests, so a test for it joins them; with it that trial fails. A test that was killed left its stand-ins running and made ctest wait 120 s; they now end with their parent when asked to.

--- a/standins/common/EventLoop.cpp
+++ b/standins/common/EventLoop.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <csignal>
 #include <event2/event.h>
+#include <sys/prctl.h>
 
 namespace Auburnpost::Standin {
 
@@ -65,6 +66,11 @@
     return Instant(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
 }
 
+void EventLoop::endWithParent()
+{
+    prctl(PR_SET_PDEATHSIG, SIGTERM);
+}
+
 void EventLoop::run()
 {
     event_base_dispatch(m_base);
--- a/standins/common/EventLoop.h
+++ b/standins/common/EventLoop.h
@@ -21,6 +21,8 @@
     [[nodiscard]] event_base* base() const { return m_base; }
     /// @return the monotonic time.
     [[nodiscard]] static Instant now();
+    /// Asks for SIGTERM when the process that started this one ends.
+    static void endWithParent();
     /// Runs until a signal asks for the end.
     void run();
     /// Calls @p task once after @p delay; it can't be cancelled.
--- a/standins/platform/Main.cpp
+++ b/standins/platform/Main.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 
 ABSL_FLAG(std::string, settings, "", "INI file with the platform's settings");
+ABSL_FLAG(bool, end_with_parent, false, "end when the process that started this one ends");
 
 namespace {
 
@@ -39,6 +40,8 @@
     absl::SetProgramUsageMessage(
         "stand-in for the platform's service; see docs/PLATFORM.md\n  standin-platform --settings FILE");
     absl::ParseCommandLine(argc, argv);
+    if (absl::GetFlag(FLAGS_end_with_parent))
+        EventLoop::endWithParent();
     const auto settings = PlatformSettings::read(absl::GetFlag(FLAGS_settings));
     return settings ? serve(*settings) : failWith(settings.error());
 }
--- a/standins/target/Main.cpp
+++ b/standins/target/Main.cpp
@@ -8,6 +8,7 @@
 #include <cstdio>
 
 ABSL_FLAG(std::string, settings, "", "INI file with the target's settings");
+ABSL_FLAG(bool, end_with_parent, false, "end when the process that started this one ends");
 
 namespace {
 
@@ -44,6 +45,8 @@
     absl::SetProgramUsageMessage(
         "stand-in for a database server; see docs/TARGETS.md\n  standin-target --settings FILE");
     absl::ParseCommandLine(argc, argv);
+    if (absl::GetFlag(FLAGS_end_with_parent))
+        EventLoop::endWithParent();
     const auto settings = TargetSettings::read(absl::GetFlag(FLAGS_settings));
     return settings ? serve(*settings) : failWith(settings.error());
 }
--- a/tests/process/PlatformTests.cpp
+++ b/tests/process/PlatformTests.cpp
@@ -17,8 +17,8 @@
         const std::string text = "[platform]\naddress = 127.0.0.1:" + std::to_string(m_port)
             + "\ncontrol = 127.0.0.1:" + std::to_string(m_control)
             + "\ndocument_file = " + m_folder.write("document.json", "{\"a\":1}") + "\n" + extra + "\n";
-        m_process = std::make_unique<ChildProcess>(
-            std::vector<std::string> { STANDIN_PLATFORM, "--settings=" + m_folder.write("platform.ini", text) });
+        m_process = std::make_unique<ChildProcess>(std::vector<std::string> {
+            STANDIN_PLATFORM, "--end_with_parent", "--settings=" + m_folder.write("platform.ini", text) });
         if (!eventually([&] { return get("/hosts").status == 200; }))
             throw std::runtime_error("the platform did not start");
     }
--- a/tests/process/TargetGroup.cpp
+++ b/tests/process/TargetGroup.cpp
@@ -37,7 +37,8 @@
 {
     Member& member = m_members.at(target);
     const std::string path = m_folder.write(target + ".ini", settings(target));
-    member.process = std::make_unique<ChildProcess>(std::vector<std::string> { STANDIN_TARGET, "--settings=" + path });
+    member.process = std::make_unique<ChildProcess>(
+        std::vector<std::string> { STANDIN_TARGET, "--end_with_parent", "--settings=" + path });
     if (!eventually([&] { return httpCall(member.control, "GET", "/state").status == 200; }))
         throw std::runtime_error("target " + target + " did not start");
 }
--- a/tests/process/TargetGroupTests.cpp
+++ b/tests/process/TargetGroupTests.cpp
@@ -119,6 +119,23 @@
     CHECK(a.run("INSERT INTO profiles VALUES(3, 'x', 1)").state == "25006");
 }
 
+TEST_CASE("A replica takes nothing from a primary of a lower term", "[group]")
+{
+    const TargetGroup group(3);
+    PgClient a = group.connect("a");
+    PgClient b = group.connect("b");
+    REQUIRE(accepted(b, "follow", { "2", "a" }));
+    REQUIRE(insert(a, 1));
+    REQUIRE(group.reaches("c", 2));
+    CHECK_FALSE(accepted(b, "wait", { "1", "2", "500" }));
+    CHECK(count(b) == "0");
+
+    REQUIRE(accepted(a, "fence", { "2", "attempt-1" }));
+    REQUIRE(accepted(a, "promote", { "2", "attempt-1" }));
+    CHECK(accepted(b, "wait", { "2", "3", "10000" }));
+    CHECK(count(b) == "1");
+}
+
 TEST_CASE("A primary fenced in the middle of a transaction fails its commit", "[group]")
 {
     const TargetGroup group(1);
