Let the stand-ins build and run under the sanitizers

Cause: with AUBURNPOST_SANITIZE g++ 12 takes members of a moved std::variant and of std::regex for uninitialised, and warnings are errors. Ruled out: a fault of ours, since the places are inside the library's own moves. Before: neither program built. Not run: standin_limits under the sanitizers, and a sanitized build of the test program.

--- a/standins/target/SqlCommand.cpp
+++ b/standins/target/SqlCommand.cpp
@@ -19,7 +19,7 @@
         const auto [rest, problem] = std::from_chars(text.data(), end, number);
         if (problem != std::errc {} || rest != end)
             return refuse(SqlState::badParameter, "'" + text + "' is no number of the declared type");
-        return SqlParameter(number);
+        return SqlExpected<SqlParameter>(tl::in_place, number);
     }
 
     // Length of the quoted text or comment that starts here; 0 when none does.
@@ -48,12 +48,12 @@
 SqlExpected<SqlParameter> bindText(const SqlValue& value, std::uint32_t oid)
 {
     if (!value)
-        return SqlParameter();
+        return SqlExpected<SqlParameter>(tl::in_place);
     if (std::find(integerTypes.begin(), integerTypes.end(), oid) != integerTypes.end())
         return bindNumber<std::int64_t>(*value);
     if (std::find(realTypes.begin(), realTypes.end(), oid) != realTypes.end())
         return bindNumber<double>(*value);
-    return SqlParameter(*value);
+    return SqlExpected<SqlParameter>(tl::in_place, *value);
 }
 
 std::vector<std::string> splitStatements(const std::string& text)
