Free what a frozen host holds; hold writes while the primary can't be reached; lose answers in the schedules

Ruled out: a shorter lock timeout, which refuses others but frees nothing. Change: connections ask for idle_in_transaction_session_timeout of 4 s and the stand-in honours it; a transaction may be idle for 3 s; writes wait as held, not queued, while the primary's pool has no connection. The simulation gets a balancer that follows readiness, lost answers, and tests of stop, switch, leaving and isolation.

--- a/src/config/SettingsKeys.cpp
+++ b/src/config/SettingsKeys.cpp
@@ -129,7 +129,7 @@
         keys.push_back(limits.key<&LimitSettings::queueLength>(
             "queue_length", "1024", "requests that may wait on this host, over all organisations"));
         keys.push_back(limits.key<&LimitSettings::transactionIdle>(
-            "transaction_idle", "10s", "longest time that a transaction may stay open without a statement"));
+            "transaction_idle", "3s", "longest time that a transaction may stay open without a statement"));
         keys.push_back(limits.key<&LimitSettings::transactionMax>(
             "transaction_max", "60s", "longest time that a transaction may stay open"));
         keys.push_back(limits.key<&LimitSettings::stopTimeout>(
--- a/src/engine/DatabaseHome.cpp
+++ b/src/engine/DatabaseHome.cpp
@@ -242,16 +242,21 @@
     apply(now, m_watch.drainRequested(now, from));
     m_drain = Drain { from, id, now + limit, false };
     // What has not been sent yet waits until the switch is over.
+    holdWaiting(std::nullopt);
+    checkDrain(now);
+}
+
+void DatabaseHome::holdWaiting(const std::optional<TargetName>& only)
+{
     for (const auto& [operation, target] : std::exchange(m_waiting, {})) {
         auto* waiting = find(operation);
-        if (!waiting || waiting->work().kind == WorkKind::Read) {
+        if (!waiting || waiting->work().kind == WorkKind::Read || (only && target != *only)) {
             m_waiting.emplace(operation, target);
             continue;
         }
         m_pools.at(target).cancel(operation, waiting->work().organisation);
         m_held.insert(operation);
     }
-    checkDrain(now);
 }
 
 void DatabaseHome::endDrain(Instant now, const HostName& from, Group::SwitchId id)
@@ -341,6 +346,8 @@
         if (operation)
             operation->connectionLost(now, loss.error);
         pool.pump(now);
+        if (pool.isUnreachable())
+            holdWaiting(name);
         break;
     }
     dropFinished(now);
@@ -375,6 +382,9 @@
     auto primary = m_watch.primary(now);
     if (!primary || primary->suspected || !m_pools.contains(primary->target))
         return std::nullopt;
+    // Waiting in the queue of a target that can't be reached would count as load.
+    if (m_pools.at(primary->target).isUnreachable())
+        return std::nullopt;
     return primary;
 }
 
--- a/src/engine/DatabaseHome.h
+++ b/src/engine/DatabaseHome.h
@@ -121,6 +121,8 @@
     void checkTransactions(Instant now);
     void checkDrain(Instant now);
     void beginDrain(Instant now, const HostName& from, Group::SwitchId, Duration limit);
+    /// Takes what waits to write out of the queues, of one target or of all, until there is a primary to write to.
+    void holdWaiting(const std::optional<TargetName>& only);
     void endDrain(Instant now, const HostName& from, Group::SwitchId);
 
     void apply(Instant now, const Group::GroupActions&);
--- a/src/engine/TargetPool.cpp
+++ b/src/engine/TargetPool.cpp
@@ -150,6 +150,7 @@
     const auto found = m_connections.find(connection);
     if (found == m_connections.end())
         return;
+    m_openFailed = false;
     m_budget.opened(now);
     found->second.state = State::Idle;
     m_idle.push_back(connection);
@@ -172,6 +173,7 @@
     m_connections.erase(found);
     switch (entry.state) {
     case State::Opening:
+        m_openFailed = true;
         m_budget.openFailed(now, random);
         return std::nullopt;
     case State::Idle:
--- a/src/engine/TargetPool.h
+++ b/src/engine/TargetPool.h
@@ -57,6 +57,8 @@
     [[nodiscard]] std::size_t load() const { return m_queue.size() + m_pinnedQueue.size() + m_budget.busy(); }
     [[nodiscard]] const Limit::ConnectionBudget& budget() const { return m_budget; }
     [[nodiscard]] std::size_t waiting() const { return m_queue.size() + m_pinnedQueue.size(); }
+    /// @return whether no connection is open and the last try to open one failed.
+    [[nodiscard]] bool isUnreachable() const { return m_openFailed && m_budget.total() == m_budget.opening(); }
     [[nodiscard]] bool isLeaving() const { return m_leaving; }
     [[nodiscard]] std::uint64_t granted() const { return m_granted; }
 
@@ -93,6 +95,7 @@
     std::map<ConnectionId, Connection> m_connections;
     std::vector<ConnectionId> m_idle;
     bool m_leaving { false };
+    bool m_openFailed { false };
     std::uint64_t m_granted { 0 };
 };
 
--- a/src/wire/TargetLink.cpp
+++ b/src/wire/TargetLink.cpp
@@ -75,10 +75,13 @@
     PGconn* startConnection(const TargetLinkSettings& settings)
     {
         const auto port = std::to_string(settings.address.port);
+        // A host that is frozen in the middle of a transaction must not keep its locks.
+        const auto options
+            = "-c idle_in_transaction_session_timeout=" + std::to_string(toMilliseconds(idleTransactionLimit));
         const std::array names { "hostaddr", "port", "dbname", "user", "application_name", "sslmode", "gssencmode",
-            "client_encoding", static_cast<const char*>(nullptr) };
+            "client_encoding", "options", static_cast<const char*>(nullptr) };
         const std::array values { settings.address.ip.c_str(), port.c_str(), settings.database.value().c_str(),
-            settings.user.c_str(), settings.applicationName.c_str(), "disable", "disable", "UTF8",
+            settings.user.c_str(), settings.applicationName.c_str(), "disable", "disable", "UTF8", options.c_str(),
             static_cast<const char*>(nullptr) };
         return PQconnectStartParams(names.data(), values.data(), 0);
     }
--- a/src/wire/TargetLink.h
+++ b/src/wire/TargetLink.h
@@ -2,6 +2,7 @@
 
 #include "base/Expected.h"
 #include "base/SocketAddress.h"
+#include "base/Time.h"
 #include "message/TargetCommand.h"
 
 #include <libpq-fe.h>
@@ -11,6 +12,9 @@
 
 namespace Auburnpost::Wire {
 
+/// A target ends a connection that leaves a transaction open for longer without a statement.
+inline constexpr Duration idleTransactionLimit = std::chrono::seconds(4);
+
 /// What a TargetLink asks its loop to wait for.
 struct LinkInterest {
     bool read { false };
--- a/standins/target/PgConnection.cpp
+++ b/standins/target/PgConnection.cpp
@@ -27,12 +27,23 @@
         return parameters;
     }
 
+    /// @return the limit that a client's start options ask for; zero for none.
+    Duration readIdleLimit(const std::string& options)
+    {
+        static const std::string name = "idle_in_transaction_session_timeout=";
+        const auto at = options.find(name);
+        if (at == std::string::npos)
+            return {};
+        return std::chrono::milliseconds(std::strtoll(options.c_str() + at + name.size(), nullptr, 10));
+    }
+
 } // namespace
 
 PgConnection::PgConnection(PgServer& server, std::uint64_t id, int descriptor)
     : m_server(server)
     , m_id(id)
     , m_stream(bufferevent_socket_new(server.loop().base(), descriptor, BEV_OPT_CLOSE_ON_FREE))
+    , m_idleInTransaction(server.loop(), [this] { close(); })
     , m_inbound(server.loop(), [this](const std::string& bytes) { receive(bytes); })
     , m_outbound(server.loop(), [this](const std::string& bytes) { writeOut(bytes); })
 {
@@ -63,6 +74,7 @@
     if (m_closed)
         return;
     m_closed = true;
+    m_idleInTransaction.stop();
     m_inbound.setHeld(true);
     m_outbound.setHeld(true);
     if (m_session)
@@ -122,6 +134,7 @@
     }
     if (m_input.size() < 1 + length)
         return false;
+    m_idleInTransaction.stop();
     const std::string message = m_input.substr(0, 1 + length);
     m_input.erase(0, 1 + length);
     m_session->handle(message.front(), std::string_view(message).substr(1 + lengthSize));
@@ -171,6 +184,7 @@
     const std::string application = value("application_name");
     const auto slash = application.find('/');
     m_peer = application.substr(0, slash);
+    m_idleLimit = readIdleLimit(value("options"));
     const DataCentreName dataCentre(slash == std::string::npos ? "" : application.substr(slash + 1));
     const Duration delay = m_server.target().settings().delayTo(dataCentre);
     m_inbound.setDelay(delay);
@@ -209,8 +223,18 @@
     pump();
 }
 
+void PgConnection::watchIdle(const std::string& answer)
+{
+    // An answer ends with the state of the transaction: idle, in one, or in a failed one.
+    const bool inTransaction = !answer.empty() && (answer.back() == 'T' || answer.back() == 'E');
+    if (inTransaction && m_idleLimit > Duration::zero())
+        m_idleInTransaction.start(m_idleLimit);
+}
+
 void PgConnection::send(std::string bytes, bool isWholeAnswer)
 {
+    if (isWholeAnswer)
+        watchIdle(bytes);
     if (m_closed)
         return;
     if (isWholeAnswer && m_server.losesAnswer()) {
--- a/standins/target/PgConnection.h
+++ b/standins/target/PgConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/DelayLine.h"
+#include "common/EventLoop.h"
 #include "target/PgSession.h"
 
 #include <memory>
@@ -45,11 +46,15 @@
     void greet();
     void send(std::string bytes, bool isWholeAnswer);
     void writeOut(const std::string& bytes);
+    void watchIdle(const std::string& answer);
 
     PgServer& m_server;
     std::uint64_t m_id;
     bufferevent* m_stream;
     std::shared_ptr<PgSession> m_session;
+    /// Ends a connection that leaves a transaction open without a word.
+    Timer m_idleInTransaction;
+    Duration m_idleLimit {};
     DelayLine m_inbound;
     DelayLine m_outbound;
     std::string m_input;
--- a/tests/engine/SiteCallers.cpp
+++ b/tests/engine/SiteCallers.cpp
@@ -8,9 +8,29 @@
 namespace {
 
     constexpr int maxTries = 4;
+    constexpr Duration balancerInterval = 1s;
 
 } // namespace
 
+void SiteSimulation::checkReadiness()
+{
+    // A host that was killed stays listed: callers meet its refusals.
+    m_ready.clear();
+    for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+        const auto& node = m_hosts[host];
+        if (!node.exitStatus && (!node.engine || node.engine->isReady()))
+            m_ready.push_back(host);
+    }
+    m_queue.after(balancerInterval, [this] { checkReadiness(); });
+}
+
+std::size_t SiteSimulation::chooseHost()
+{
+    const auto count = m_ready.empty() ? m_hosts.size() : m_ready.size();
+    const auto index = std::uniform_int_distribution<std::size_t>(0, count - 1)(m_random);
+    return m_ready.empty() ? index : m_ready[index];
+}
+
 void SiteSimulation::nextJob(std::size_t caller)
 {
     m_queue.after(m_network.between(10ms, 120ms), [this, caller] {
@@ -50,7 +70,7 @@
 
 void SiteSimulation::sendJob(const JobPointer& job)
 {
-    job->host = std::uniform_int_distribution<std::size_t>(0, m_hosts.size() - 1)(m_random);
+    job->host = m_onlyHost.value_or(chooseHost());
     --job->triesLeft;
     const auto& node = m_hosts[job->host];
     if (!node.engine || node.exitStatus) {
--- a/tests/engine/SiteFaults.cpp
+++ b/tests/engine/SiteFaults.cpp
@@ -45,6 +45,24 @@
     }
 }
 
+void SiteSimulation::isolate(std::size_t host, std::size_t target)
+{
+    for (std::size_t other = 0; other < m_hosts.size(); ++other) {
+        if (other == host)
+            continue;
+        m_hostTargetCuts.insert({ other, target });
+        m_network.cut(m_hosts[host].name, m_hosts[other].name);
+        m_network.cut(m_hosts[other].name, m_hosts[host].name);
+    }
+    for (std::size_t other = 0; other < targetCount; ++other) {
+        if (other == target)
+            continue;
+        m_hostTargetCuts.insert({ host, other });
+        m_targetCuts.insert({ target, other });
+        m_targetCuts.insert({ other, target });
+    }
+}
+
 void SiteSimulation::killHost(std::size_t index)
 {
     auto& node = m_hosts[index];
@@ -89,7 +107,7 @@
     const auto target = std::uniform_int_distribution<std::size_t>(0, targetCount - 1)(m_random);
     const auto host = std::uniform_int_distribution<std::size_t>(0, m_hosts.size() - 1)(m_random);
     const auto victim = m_network.chance(0.6) ? primaryIndex().value_or(target) : target;
-    switch (std::uniform_int_distribution<int>(0, 9)(m_random)) {
+    switch (std::uniform_int_distribution<int>(0, 11)(m_random)) {
     case 0:
     case 1:
         killTarget(victim);
@@ -117,6 +135,10 @@
         m_network.cut(m_hosts[host].name, m_hosts[(host + 1) % m_hosts.size()].name);
         m_network.cut(m_hosts[(host + 1) % m_hosts.size()].name, m_hosts[host].name);
         break;
+    case 9:
+    case 10:
+        loseAnswers(0.2, m_network.between(200ms, 2s));
+        break;
     case 8:
         m_targets[target]->lag = m_network.between(0ms, 800ms);
         break;
@@ -127,8 +149,15 @@
     }
 }
 
+void SiteSimulation::loseAnswers(double share, Duration duration)
+{
+    m_lostAnswers = share;
+    m_lostAnswersEnd = m_queue.now() + duration;
+}
+
 void SiteSimulation::healAll()
 {
+    m_lostAnswers = 0;
     m_network.heal();
     m_network.lossShare = 0;
     m_hostTargetCuts.clear();
--- a/tests/engine/SiteScheduleTests.cpp
+++ b/tests/engine/SiteScheduleTests.cpp
@@ -75,3 +75,97 @@
     site.finish();
     CHECK(site.checker().violation() == "");
 }
+
+TEST_CASE("Callers who are left alone with a replaced primary get neither acknowledgements nor stale answers",
+    "[engine][site]")
+{
+    // Each host in turn is the one on the replaced primary's side.
+    for (std::size_t host = 0; host < 4; ++host) {
+        SiteSimulation site({ 21 + host });
+        site.run(4s);
+        site.isolate(host, 0);
+        site.run(5s);
+        REQUIRE(site.primaryIndex() != std::optional<std::size_t>(0));
+        const auto acknowledged = site.checker().count(SiteChecker::Told::Acknowledged);
+        const auto reads = site.checker().reads();
+        site.directCallers(host);
+        // Answers under way from the others come in before.
+        site.run(3s);
+        const auto lateReads = site.checker().reads() - reads;
+        const auto late = site.checker().count(SiteChecker::Told::Acknowledged) - acknowledged;
+        INFO("host " << host << ": " << late << " acknowledgements, " << lateReads << " reads");
+        site.run(3s);
+        CHECK(site.checker().count(SiteChecker::Told::Acknowledged) == acknowledged + late);
+        site.directCallers(std::nullopt);
+        site.healAll();
+        site.run(6s);
+        CHECK(site.checker().count(SiteChecker::Told::Acknowledged) > acknowledged + late);
+        site.finish();
+        CHECK(site.checker().violation() == "");
+    }
+}
+
+TEST_CASE("A planned stop of a host under load fails no request", "[engine][site][stop]")
+{
+    for (std::size_t host = 0; host < 4; ++host) {
+        SiteSimulation site({ 31 + host });
+        site.run(4s);
+        site.stopHost(host);
+        site.run(10s);
+        REQUIRE(site.exitStatus(host) == std::optional<int>(0));
+        site.restartHost(host);
+        site.run(4s);
+        site.finish();
+        CHECK(site.checker().violation() == "");
+        CHECK(site.checker().count(SiteChecker::Told::Unknown) == 0);
+        CHECK(site.checker().count(SiteChecker::Told::NotRun) == 0);
+    }
+}
+
+TEST_CASE("A planned switch and a leaving target fail no request", "[engine][site][switch]")
+{
+    for (std::uint64_t seed = 41; seed < 45; ++seed) {
+        SiteSimulation site({ seed });
+        site.run(4s);
+        SECTION("a switch to a named target")
+        {
+            site.setMaintenance(R"({"switches":[{"database":"sizing-core-1","to":"target-b"}]})");
+            site.run(6s);
+            CHECK(site.primaryIndex() == std::optional<std::size_t>(1));
+        }
+        SECTION("a primary that leaves")
+        {
+            site.setMaintenance(R"({"leaving_targets":["target-a"]})");
+            site.run(6s);
+            CHECK(site.primaryIndex() != std::optional<std::size_t>(0));
+        }
+        SECTION("a replica that leaves")
+        {
+            site.setMaintenance(R"({"leaving_targets":["target-c"]})");
+            site.run(6s);
+            CHECK(site.primaryIndex() == std::optional<std::size_t>(0));
+        }
+        site.finish();
+        CHECK(site.checker().violation() == "");
+        CHECK(site.checker().count(SiteChecker::Told::Unknown) == 0);
+        CHECK(site.checker().count(SiteChecker::Told::NotRun) == 0);
+    }
+}
+
+TEST_CASE("With the platform out for the whole time a primary is replaced and writes go on", "[engine][site]")
+{
+    SiteSimulation site({ 51 });
+    site.run(4s);
+    site.setPlatformOut(true);
+    site.run(3s);
+    site.killPrimary();
+    const auto before = site.checker().count(SiteChecker::Told::Acknowledged);
+    site.run(5s);
+    CHECK(site.checker().count(SiteChecker::Told::Acknowledged) > before + 20);
+    site.killHost(0);
+    site.run(2s);
+    site.restartHost(0);
+    site.run(5s);
+    site.finish();
+    CHECK(site.checker().violation() == "");
+}
--- a/tests/engine/SiteSimulation.cpp
+++ b/tests/engine/SiteSimulation.cpp
@@ -60,6 +60,7 @@
         startHost(index);
     }
     shipLogs();
+    checkReadiness();
     m_queue.after(2s, [this] {
         for (std::size_t caller = 0; caller < m_callers.size(); ++caller)
             startJob(caller);
@@ -248,6 +249,10 @@
         const auto link = m_hosts[host].links.find(own);
         if (m_hosts[host].life != hostLife || link == m_hosts[host].links.end())
             return;
+        if (m_queue.now() < m_lostAnswersEnd && m_network.chance(m_lostAnswers)) {
+            loseLink(host, own);
+            return;
+        }
         auto& last = link->second.lastToHost;
         last = std::max(last, m_queue.now() + m_network.between(300us, 1500us));
         m_queue.after(
@@ -276,17 +281,24 @@
             if (link.target == target && link.open)
                 lost.push_back(connection);
         }
-        for (const auto connection : lost) {
-            onHost(host, 1ms, [this, host, connection] {
-                if (m_hosts[host].links.erase(connection))
-                    post(host,
-                        TargetConnectionLost {
-                            connection, { ErrorCode::ConnectionLost, "connection", "target", "reset" } });
-            });
-        }
+        for (const auto connection : lost)
+            loseLink(host, connection);
     }
 }
 
+void SiteSimulation::loseLink(std::size_t host, ConnectionId connection)
+{
+    const auto target = m_hosts[host].links[connection].target;
+    m_queue.after(0us, [this, target, id = ConnectionId(host * 1000000 + connection.value())] {
+        m_targets[target]->target.disconnect(id);
+    });
+    onHost(host, 1ms, [this, host, connection] {
+        if (m_hosts[host].links.erase(connection))
+            post(host,
+                TargetConnectionLost { connection, { ErrorCode::ConnectionLost, "connection", "target", "reset" } });
+    });
+}
+
 void SiteSimulation::shipLogs()
 {
     for (std::size_t to = 0; to < targetCount; ++to) {
--- a/tests/engine/SiteSimulation.h
+++ b/tests/engine/SiteSimulation.h
@@ -41,9 +41,15 @@
     void restartTarget(std::size_t);
     void freezeTarget(std::size_t, Duration);
     void cutTarget(std::size_t, bool fromHosts, bool fromTargets);
+    /// Leaves a host alone with one target: neither sees anybody else.
+    void isolate(std::size_t host, std::size_t target);
+    /// Sends callers' requests to this host only; empty for all.
+    void directCallers(std::optional<std::size_t> host) { m_onlyHost = host; }
     void killHost(std::size_t);
     void restartHost(std::size_t);
     void freezeHost(std::size_t, Duration);
+    /// For this long each answer of a target is lost with the given share, after it took effect, with its connection.
+    void loseAnswers(double share, Duration duration);
     void setPlatformOut(bool out) { m_platformOut = out; }
     void setLag(std::size_t target, Duration lag) { m_targets[target]->lag = lag; }
     void stopHost(std::size_t);
@@ -129,10 +135,13 @@
     void deliverToTarget(std::size_t host, const TargetCommand&, std::uint64_t hostLife);
     void deliverToHost(std::size_t host, ConnectionId, Event, std::uint64_t hostLife);
     void loseLinks(std::size_t target);
+    void loseLink(std::size_t host, ConnectionId);
     [[nodiscard]] bool isCut(std::size_t host, std::size_t target) const;
     [[nodiscard]] std::optional<std::size_t> hostByPort(std::uint16_t port) const;
     [[nodiscard]] std::optional<std::size_t> targetByName(const TargetName&) const;
     void shipLogs();
+    void checkReadiness();
+    std::size_t chooseHost();
     void startJob(std::size_t caller);
     void sendJob(const JobPointer&);
     void jobAnswered(const JobPointer&, const CallerAnswer&);
@@ -150,12 +159,17 @@
     std::set<std::pair<std::size_t, std::size_t>> m_targetCuts;
     std::set<std::pair<std::size_t, std::size_t>> m_hostTargetCuts;
     SiteChecker m_checker;
+    double m_lostAnswers { 0 };
+    Instant m_lostAnswersEnd {};
     bool m_platformOut { false };
     std::uint64_t m_documentVersion { 1 };
     std::string m_maintenance { "{}" };
     std::uint64_t m_lastRequest { 0 };
     std::uint64_t m_lastFact { 0 };
     bool m_callersActive { true };
+    std::optional<std::size_t> m_onlyHost;
+    /// The hosts that the balancer took for ready at its last check.
+    std::vector<std::size_t> m_ready;
     std::string m_dump;
 };
 
