Leave a takeover alone that another watcher's vote tells of; log a told member once in each term

Ruled out: rank spacing (it counts suspecting watchers ahead, and the first had stopped suspecting); the votes' lifetime. Change: a higher term told by a vote starts the same grace as one seen on a member. E0407 is written once for each member and term; records of a group name their database.

--- a/src/engine/DatabaseHomeGroup.cpp
+++ b/src/engine/DatabaseHomeGroup.cpp
@@ -3,6 +3,8 @@
 #include "engine/HomeOperation.h"
 #include "engine/WatcherNotes.h"
 
+#include <algorithm>
+
 namespace Auburnpost {
 
 void DatabaseHome::apply(Instant now, const Group::GroupActions& actions)
@@ -80,7 +82,12 @@
 
 void DatabaseHome::apply(Instant, const LogRecord& record)
 {
-    m_owner.actions().emplace_back(record);
+    auto named = record;
+    const bool namesDatabase = std::any_of(
+        record.fields.begin(), record.fields.end(), [](const auto& field) { return field.name == "database"; });
+    if (!namesDatabase)
+        named.fields.insert(named.fields.begin(), { "database", m_database.value() });
+    m_owner.actions().emplace_back(std::move(named));
 }
 
 } // namespace Auburnpost
--- a/src/group/AttemptTrigger.cpp
+++ b/src/group/AttemptTrigger.cpp
@@ -23,7 +23,7 @@
 bool AttemptTrigger::due(
     Instant now, RandomEngine& random, const VoteTable& votes, const MemberTable& members, const Takeover& takeover)
 {
-    noteOtherAttempt(now, members, takeover);
+    noteOtherAttempt(now, std::max(members.highestTerm(), votes.highestTerm()), members.primaryTerm(), takeover);
     noteFailure(now, random, takeover.failuresInRow());
     if (!votes.isWatcher() || !votes.majoritySuspects(now)) {
         m_suspectedSince.reset();
@@ -38,12 +38,12 @@
     return takeover.isIdle() && now >= *m_suspectedSince + wait && now >= m_graceUntil && now >= m_backoffUntil;
 }
 
-void AttemptTrigger::noteOtherAttempt(Instant now, const MemberTable& members, const Takeover& takeover)
+void AttemptTrigger::noteOtherAttempt(Instant now, Term highest, Term ofPrimary, const Takeover& takeover)
 {
-    if (members.highestTerm() <= m_highestTerm)
+    if (highest <= m_highestTerm)
         return;
-    m_highestTerm = members.highestTerm();
-    if (m_highestTerm > takeover.attemptTerm() && m_highestTerm > members.primaryTerm())
+    m_highestTerm = highest;
+    if (m_highestTerm > takeover.attemptTerm() && m_highestTerm > ofPrimary)
         m_graceUntil = now + m_settings->attemptGrace;
 }
 
--- a/src/group/AttemptTrigger.h
+++ b/src/group/AttemptTrigger.h
@@ -17,7 +17,9 @@
     bool due(Instant now, RandomEngine&, const VoteTable&, const MemberTable&, const Takeover&);
 
 private:
-    void noteOtherAttempt(Instant now, const MemberTable&, const Takeover&);
+    /// @param highest the highest term that a member or another watcher told of.
+    /// @param ofPrimary the term of the primary that this watcher sees.
+    void noteOtherAttempt(Instant now, Term highest, Term ofPrimary, const Takeover&);
     void noteFailure(Instant now, RandomEngine&, unsigned failuresInRow);
 
     const GroupSettings* m_settings;
--- a/src/group/FollowKeeper.cpp
+++ b/src/group/FollowKeeper.cpp
@@ -54,6 +54,11 @@
     command.term = primary.term;
     command.primary = primary.target;
     outbox.send(now, target, command, CommandPurpose::Follow);
+    // A member that is down is told again and again; once in each term is enough for the log.
+    auto& logged = m_loggedTerm[target];
+    if (logged == primary.term)
+        return;
+    logged = primary.term;
     outbox.log(LogEvent::TargetFollows,
         { { "target", target.value() }, { "primary", primary.target.value() },
             { "term", std::to_string(primary.term.value()) } });
--- a/src/group/FollowKeeper.h
+++ b/src/group/FollowKeeper.h
@@ -25,6 +25,8 @@
     const GroupSettings* m_settings;
     /// When each astray member may be told next.
     std::map<TargetName, Instant> m_nextAt;
+    /// The last term in which the log said that a member was told.
+    std::map<TargetName, Term> m_loggedTerm;
 };
 
 } // namespace Auburnpost::Group
