--- a/tests/process/TargetLimitTests.cpp
+++ b/tests/process/TargetLimitTests.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <cstdlib>
+
 using namespace Auburnpost::Test;
 
 TEST_CASE("A target refuses connections above its cap", "[limits]")
@@ -68,3 +70,19 @@
     CHECK_FALSE(busy.answered());
     CHECK_FALSE(waiting.answered());
 }
+
+TEST_CASE("A target ends a client that leaves a transaction open, and frees its lock", "[limits]")
+{
+    const TargetGroup group(1, "lock_timeout_ms = 30000");
+    // libpq takes start options from the environment.
+    ::setenv("PGOPTIONS", "-c idle_in_transaction_session_timeout=300", 1);
+    PgClient silent = group.connect("a");
+    ::unsetenv("PGOPTIONS");
+    PgClient other = group.connect("a", "host-2/west-colombo");
+    REQUIRE(other.run("CREATE TABLE facts(id INTEGER PRIMARY KEY)").succeeded);
+    REQUIRE(silent.run("BEGIN").succeeded);
+    REQUIRE(silent.run("INSERT INTO facts VALUES (1)").succeeded);
+    CHECK(other.run("INSERT INTO facts VALUES (2)").succeeded);
+    CHECK_FALSE(silent.run("COMMIT").succeeded);
+    CHECK(other.run("SELECT group_concat(id) FROM facts").single() == "2");
+}
