Put the queue length into force, name the host to the platform, drop a setting without effect

Cause: limits.queue_length did not reach the queues; docs/PLATFORM.md has hosts name themselves by User-Agent and none did; limits.answer_bytes was read and had no effect. Ruled out: refusing an answer above a size after the write behind it is done. Change: as said; the key is gone from settings and page, nothing else read it. Before: the settings promised what did not happen. After: engine, wire, app and config tests pass.

--- a/src/app/HostAssembly.cpp
+++ b/src/app/HostAssembly.cpp
@@ -34,6 +34,13 @@
         return limits;
     }
 
+    Wire::PlatformClientLimits platformLimits(const Config::Settings& settings)
+    {
+        Wire::PlatformClientLimits limits;
+        limits.userAgent = settings.host.name.value() + "/" + settings.host.dataCentre.value();
+        return limits;
+    }
+
     timeval tickTime()
     {
         return { 0, static_cast<suseconds_t>(Engine::tickInterval.count()) };
@@ -49,7 +56,7 @@
     , m_targets(base, settings.host.name, settings.host.dataCentre)
     , m_peers(base, settings.listen.peers)
     , m_gossip(base, settings.listen.gossip)
-    , m_platform(base, settings.platform.address)
+    , m_platform(base, settings.platform.address, platformLimits(settings))
     , m_operators(base, settings.listen.operators)
 {
     connectSignals();
--- a/src/config/Settings.h
+++ b/src/config/Settings.h
@@ -70,8 +70,6 @@
     ByteCount bodyBytes;
     /// Largest request head.
     ByteCount headerBytes;
-    /// Largest answer.
-    ByteCount answerBytes;
     /// Timeout of a request that names none.
     Duration defaultTimeout {};
     /// Longest timeout that a caller may name.
--- a/src/config/SettingsKeys.cpp
+++ b/src/config/SettingsKeys.cpp
@@ -121,7 +121,6 @@
             limits.key<&LimitSettings::maxCallers>("max_callers", "4096", "callers' connections open at once"));
         keys.push_back(limits.key<&LimitSettings::bodyBytes>("body_bytes", "1MB", "largest request body"));
         keys.push_back(limits.key<&LimitSettings::headerBytes>("header_bytes", "32KB", "largest request head"));
-        keys.push_back(limits.key<&LimitSettings::answerBytes>("answer_bytes", "32MB", "largest answer"));
         keys.push_back(limits.key<&LimitSettings::defaultTimeout>(
             "default_timeout", "5s", "timeout of a request that names none"));
         keys.push_back(
--- a/src/engine/DatabaseHome.cpp
+++ b/src/engine/DatabaseHome.cpp
@@ -58,7 +58,8 @@
     , m_links(*this)
 {
     for (const auto& target : placement.targets)
-        m_pools.try_emplace(target.name, target.name, budgetOf(placement), inFlightLimit(placement, settings), *this);
+        m_pools.try_emplace(target.name, target.name, budgetOf(placement), inFlightLimit(placement, settings),
+            settings.queueLength, *this);
 }
 
 DatabaseHome::~DatabaseHome() = default;
--- a/src/engine/HomeOperation.h
+++ b/src/engine/HomeOperation.h
@@ -51,7 +51,6 @@
 
 protected:
     HomeServices& services() { return m_services; }
-    Work& mutableWork() { return m_work; }
     void replyDone(Instant now, struct WorkDone);
     void replyNotRun(Instant now, Error, std::optional<Duration> retryAfter = std::nullopt);
     void replyUnknown(Instant now, Error);
--- a/src/engine/TargetPool.cpp
+++ b/src/engine/TargetPool.cpp
@@ -6,10 +6,22 @@
 
 namespace Auburnpost {
 
+namespace {
+
+    Limit::AdmissionQueueSettings queueOf(std::size_t length)
+    {
+        Limit::AdmissionQueueSettings settings;
+        settings.capacity = length;
+        return settings;
+    }
+
+} // namespace
+
 TargetPool::TargetPool(TargetName target, const Limit::ConnectionBudgetSettings& settings, std::size_t inFlightLimit,
-    TargetPoolOwner& owner)
+    std::size_t queueLength, TargetPoolOwner& owner)
     : m_target(std::move(target))
     , m_budget(settings)
+    , m_queue(queueOf(queueLength))
     , m_inFlightLimit(inFlightLimit)
     , m_owner(owner)
 {
--- a/src/engine/TargetPool.h
+++ b/src/engine/TargetPool.h
@@ -30,7 +30,9 @@
 class TargetPool {
 public:
     /// @param inFlightLimit operations without a transaction that run on the target at a time.
-    TargetPool(TargetName, const Limit::ConnectionBudgetSettings&, std::size_t inFlightLimit, TargetPoolOwner&);
+    /// @param queueLength operations that may wait for it.
+    TargetPool(TargetName, const Limit::ConnectionBudgetSettings&, std::size_t inFlightLimit, std::size_t queueLength,
+        TargetPoolOwner&);
 
     /// Queues an operation for a connection.
     void request(Instant now, const Limit::Ticket&, bool pinned);
--- a/src/wire/PlatformClient.cpp
+++ b/src/wire/PlatformClient.cpp
@@ -135,6 +135,8 @@
     pending.request = evhttp_request_new(&Callbacks::reply, &pending);
     auto* const headers = evhttp_request_get_output_headers(pending.request);
     evhttp_add_header(headers, "Host", m_address.toString().c_str());
+    if (!m_limits.userAgent.empty())
+        evhttp_add_header(headers, "User-Agent", m_limits.userAgent.c_str());
     const bool isPut = pending.call.method == PlatformMethod::Put;
     if (isPut) {
         evhttp_add_header(headers, "Content-Type", "application/json");
--- a/src/wire/PlatformClient.h
+++ b/src/wire/PlatformClient.h
@@ -8,6 +8,7 @@
 
 #include <deque>
 #include <memory>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -15,6 +16,8 @@
 
 /// How much a PlatformClient has under way at once.
 struct PlatformClientLimits {
+    /// Names this host to the platform, as "HOST/DATA-CENTRE"; empty sends none.
+    std::string userAgent;
     std::size_t connections { 8 };
     /// Calls that wait for a connection; further ones fail at once.
     std::size_t waiting { 4096 };
