Keep the outcome keys of organisations apart whatever their names hold

Cause: organisation 'a' with key 'b:c' and organisation 'a:b' with key 'c' had one outcome key; read on a newcomer's pass. Ruled out: refusing colons in names, which operators may use. Change: OutcomeKeys makes and tells all keys; a caller's carries the length of the organisation's name. Before: the two keys were equal.

--- a/src/engine/RequestChecks.cpp
+++ b/src/engine/RequestChecks.cpp
@@ -1,5 +1,5 @@
 // What the coordinator does with a request before its first attempt and after its last.
-#include "base/Invariant.h"
+#include "engine/OutcomeKeys.h"
 #include "engine/RequestCoordinator.h"
 #include "route/SessionCodec.h"
 #include "route/StatementGuard.h"
@@ -124,7 +124,7 @@
     }
     work.requestHash = hashOf(caller.statement);
     if (!caller.idempotencyKey.empty())
-        work.outcomeKey = OutcomeKey("k:" + caller.organisation.value() + ":" + caller.idempotencyKey);
+        work.outcomeKey = OutcomeKeys::ofCaller(caller.organisation, caller.idempotencyKey);
     return work;
 }
 
--- a/src/engine/RequestCoordinator.cpp
+++ b/src/engine/RequestCoordinator.cpp
@@ -1,6 +1,7 @@
 #include "engine/RequestCoordinator.h"
 
 #include "base/Invariant.h"
+#include "engine/OutcomeKeys.h"
 
 #include <algorithm>
 
@@ -52,7 +53,7 @@
     /// A key that a host made is never used again, so its write can be cancelled. A caller may come back with its own.
     WorkKind settleKind(const OutcomeKey& key)
     {
-        return key.value().starts_with("k:") ? WorkKind::Lookup : WorkKind::Cancel;
+        return OutcomeKeys::isCallers(key) ? WorkKind::Lookup : WorkKind::Cancel;
     }
 
 } // namespace
@@ -114,8 +115,7 @@
 
 OutcomeKey RequestCoordinator::freshKey()
 {
-    return OutcomeKey(
-        "a:" + m_self.value() + "#" + std::to_string(m_incarnation.value()) + ":" + std::to_string(++m_lastKey));
+    return OutcomeKeys::ofHost(m_self, m_incarnation, ++m_lastKey);
 }
 
 void RequestCoordinator::attempt(Instant now, Request& request, Work work)
