--- a/cmake/Library.cmake
+++ b/cmake/Library.cmake
@@ -19,7 +19,7 @@
     target_link_libraries(${TARGET} ${SCOPE} ${ARG_LINKS})
 
     file(GLOB TEST_SOURCES CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/${NAME}/*.cpp)
-    if(TEST_SOURCES)
+    if(TEST_SOURCES AND AUBURNPOST_TESTS)
         add_executable(${NAME}_tests ${TEST_SOURCES})
         target_compile_options(${NAME}_tests PRIVATE -Wall -Wextra -Werror)
         target_include_directories(${NAME}_tests PRIVATE ${CMAKE_SOURCE_DIR}/tests)
--- a/src/app/Commands.cpp
+++ b/src/app/Commands.cpp
@@ -10,6 +10,7 @@
 
 #include <absl/flags/flag.h>
 #include <cstdio>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace Auburnpost {
@@ -53,6 +54,16 @@
         return runHost(*settings);
     }
 
+    int proxy(const Arguments&)
+    {
+        const auto port = absl::GetFlag(FLAGS_metrics_port);
+        if (port == 0 || port > std::numeric_limits<std::uint16_t>::max()) {
+            complain("--metrics-port must be 1 to 65535");
+            return UsageError;
+        }
+        return runProxy(static_cast<std::uint16_t>(port));
+    }
+
     /// Fills in address and timeout from the flags and makes the call.
     Expected<OperatorResponse> call(OperatorCall operatorCall)
     {
@@ -163,6 +174,8 @@
 {
     static const std::vector<Command> list {
         { "serve", "--settings FILE", "run a host until SIGTERM", { "settings" }, 1, 0, 0, serve },
+        { "proxy", "[--metrics-port PORT]", "run a host on a platform whose environment names the settings file",
+            { "metrics_port" }, 0, 0, 0, proxy },
         { "config get", "[SECTION] --operators IP:PORT", "print the document in force on a host, or one section of it",
             { "operators", "timeout" }, 1, 0, 1, configGet },
         { "config check", "FILE", "check a whole document without a host; '-' reads standard input", {}, 0, 1, 1,
--- a/src/app/Flags.cpp
+++ b/src/app/Flags.cpp
@@ -9,6 +9,7 @@
 
 ABSL_FLAG(std::string, settings, "", "the settings file (INI)");
 ABSL_FLAG(std::string, operators, "", "IP:PORT of a host's operators' interface");
+ABSL_FLAG(std::uint32_t, metrics_port, 9464, "port of the metrics on the host's own address");
 ABSL_FLAG(std::string, if_match, "", "version of the document that the edit started from");
 ABSL_FLAG(absl::Duration, timeout, absl::Seconds(15), "time limit of the whole call");
 
--- a/src/app/Flags.h
+++ b/src/app/Flags.h
@@ -10,6 +10,7 @@
 
 ABSL_DECLARE_FLAG(std::string, settings);
 ABSL_DECLARE_FLAG(std::string, operators);
+ABSL_DECLARE_FLAG(std::uint32_t, metrics_port);
 ABSL_DECLARE_FLAG(std::string, if_match);
 ABSL_DECLARE_FLAG(absl::Duration, timeout);
 
--- /dev/null
+++ b/src/app/ProxyAssembly.cpp
@@ -0,0 +1,406 @@
+#include "app/ProxyAssembly.h"
+
+#include "app/Logging.h"
+#include "platform/CallerCodec.h"
+#include "platform/StoreCalls.h"
+#include "proxy/PeerSnapshot.h"
+
+#include <event2/event.h>
+
+#include <csignal>
+#include <ctime>
+#include <random>
+
+namespace Auburnpost {
+
+namespace {
+
+    /// Descriptors that callers may take; the rest is for targets, the platform and peers.
+    constexpr std::size_t callerLimit = 2400;
+    /// From the request to stop, callers are still taken for this long, until the balancer has noticed.
+    constexpr Duration leaveNotice = std::chrono::milliseconds(2300);
+    /// Before the process is killed it ends by itself.
+    constexpr Duration stopMargin = std::chrono::milliseconds(600);
+    /// An unfinished line may stay so long.
+    constexpr Duration stalledLimit = std::chrono::seconds(10);
+    constexpr Duration stalledInterval = std::chrono::seconds(1);
+    constexpr Duration peerTimeout = std::chrono::milliseconds(600);
+    constexpr auto snapshotPath = "/v1/snapshot";
+    constexpr int statusOk = 200;
+    constexpr int statusNotFound = 404;
+    constexpr int statusUnavailable = 503;
+
+    ShutdownTimes shutdownTimes(const Proxy::ProxySettings& settings)
+    {
+        ShutdownTimes times;
+        times.limit = settings.stopTimeout - stopMargin;
+        times.notice = std::min(leaveNotice, times.limit / 2);
+        return times;
+    }
+
+    Wire::PlatformClientLimits clientLimits(const Proxy::ProxySettings& settings, std::size_t connections)
+    {
+        Wire::PlatformClientLimits limits;
+        limits.userAgent = settings.host.value() + "/" + settings.dataCentre.value();
+        limits.connections = connections;
+        return limits;
+    }
+
+    Proxy::SessionId sessionOf(Wire::LineClientId id)
+    {
+        return Proxy::SessionId(id.value());
+    }
+
+    Wire::LineClientId clientOf(Proxy::SessionId id)
+    {
+        return Wire::LineClientId(id.value());
+    }
+
+    constexpr std::size_t storeConnections = 6;
+    constexpr std::size_t promotionConnections = 2;
+
+} // namespace
+
+ProxyAssembly::ProxyAssembly(event_base* base, const Proxy::ProxySettings& settings, SettingsLoader load)
+    : m_base(base)
+    , m_settings(settings)
+    , m_load(std::move(load))
+    , m_callers(base, settings.callers, callerLimit)
+    , m_targets(base)
+    , m_readiness(base, settings.readiness, {})
+    , m_peers(base, settings.peers, {})
+    , m_metricsServer(base, settings.metrics, {})
+    , m_store(base, settings.store, clientLimits(settings, storeConnections))
+    , m_promotions(base, settings.promotions, clientLimits(settings, promotionConnections))
+    , m_proxy(now(), settings, m_decoder, *this, std::random_device {}())
+    , m_shutdown(shutdownTimes(settings), *this)
+{
+    connectSignals();
+    watchProcess();
+}
+
+ProxyAssembly::~ProxyAssembly() = default;
+
+Instant ProxyAssembly::now()
+{
+    // The monotonic clock stands still while a host is suspended, and every age would be wrong by that time.
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return Instant(std::chrono::duration_cast<Duration>(
+        std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+}
+
+Expected<void> ProxyAssembly::listen()
+{
+    for (const auto& outcome :
+        { m_readiness.listen(), m_peers.listen(), m_metricsServer.listen(), m_callers.listen() }) {
+        if (!outcome)
+            return outcome;
+    }
+    log({ LogEvent::Started,
+        { { "host", m_settings.host.value() }, { "data_centre", m_settings.dataCentre.value() } } });
+    onTick();
+    return {};
+}
+
+void ProxyAssembly::connectSignals()
+{
+    m_callers.arrived().connect([this](Wire::LineClientId id, std::string_view line) { onCallerLine(id, line); });
+    m_callers.ended().connect([this](Wire::LineClientId id, Wire::LineEnd end) { onCallerEnded(id, end); });
+    m_targets.connected().connect(
+        [this](ConnectionId id) { m_targets.send(id, Platform::TargetCodec::writeOpening(m_opening.at(id))); });
+    m_targets.arrived().connect([this](ConnectionId id, std::string_view line) { onTargetLine(id, line); });
+    m_targets.ended().connect([this](ConnectionId id, Wire::LineEnd end) { onTargetEnded(id, end); });
+    m_readiness.arrived().connect([this](const Wire::HttpRequest& request) {
+        const bool isReady = m_proxy.isReady() && !m_leavingSince;
+        m_readiness.reply(request.id, { isReady ? statusOk : statusUnavailable, {}, {} });
+    });
+    m_peers.arrived().connect([this](const Wire::HttpRequest& request) { servePeer(request); });
+    m_metricsServer.arrived().connect([this](const Wire::HttpRequest& request) {
+        m_metricsServer.reply(request.id, { statusOk, { { "Content-Type", "text/plain" } }, m_metrics.dump() });
+    });
+    for (auto* const server : { &m_readiness, &m_peers, &m_metricsServer })
+        server->refused().connect([server](RequestId id, const Error&) {
+            server->reply(id, { statusNotFound, {}, {} });
+        });
+    const auto answered = [this](const PlatformAnswer& answer) {
+        const auto handler = m_calls.extract(answer.id);
+        if (handler)
+            handler.mapped()(answer.reply);
+    };
+    m_store.answered().connect(answered);
+    m_promotions.answered().connect(answered);
+}
+
+void ProxyAssembly::watchProcess()
+{
+    const auto add = [this](event* created, const timeval* timeout) {
+        m_events.emplace_back(created, event_free);
+        event_add(created, timeout);
+    };
+    const auto stop
+        = [](evutil_socket_t, short, void* self) { static_cast<ProxyAssembly*>(self)->m_shutdown.signal(now()); };
+    const auto reload = [](evutil_socket_t, short, void* self) { static_cast<ProxyAssembly*>(self)->reload(); };
+    const auto dump = [](evutil_socket_t, short, void* self) { static_cast<ProxyAssembly*>(self)->dumpState(); };
+    const auto tick = [](evutil_socket_t, short, void* self) { static_cast<ProxyAssembly*>(self)->onTick(); };
+    add(evsignal_new(m_base, SIGTERM, stop, this), nullptr);
+    add(evsignal_new(m_base, SIGINT, stop, this), nullptr);
+    add(evsignal_new(m_base, SIGHUP, reload, this), nullptr);
+    add(evsignal_new(m_base, SIGUSR1, dump, this), nullptr);
+    const timeval interval { 0, static_cast<suseconds_t>(Proxy::Proxy::tickInterval.count()) };
+    add(event_new(m_base, -1, EV_PERSIST, tick, this), &interval);
+}
+
+void ProxyAssembly::onTick()
+{
+    const auto moment = now();
+    m_proxy.tick(moment);
+    m_shutdown.tick(moment);
+    if (m_leavingSince && moment - *m_leavingSince >= m_settings.stopTimeout / 2)
+        m_proxy.endTransactions(moment);
+    if (moment - m_stalledCheckedAt < stalledInterval)
+        return;
+    m_stalledCheckedAt = moment;
+    m_callers.closeStalled(moment, stalledLimit);
+}
+
+void ProxyAssembly::reload()
+{
+    const auto settings = m_load();
+    if (!settings) {
+        log({ LogEvent::SettingsRefused, { { "reason", settings.error().describe() } } });
+        return;
+    }
+    m_proxy.setSeeds(settings->seeds);
+    log({ LogEvent::SettingsReloaded, { { "seeds", std::to_string(settings->seeds.size()) } } });
+}
+
+void ProxyAssembly::dumpState()
+{
+    log({ LogEvent::StateDumped, { { "state", m_proxy.dump(now()) } } });
+}
+
+void ProxyAssembly::onCallerLine(Wire::LineClientId id, std::string_view text)
+{
+    const auto line = Platform::readCallerLine(text);
+    const auto session = sessionOf(id);
+    const bool isOpen = m_proxy.hasSession(session);
+    if (const auto* const open = std::get_if<Platform::OpenSession>(&line); open && !isOpen) {
+        m_proxy.sessionOpened(now(), session, open->database);
+        return;
+    }
+    if (const auto* const sent = std::get_if<Platform::SendStatement>(&line); sent && isOpen) {
+        m_proxy.statementArrived(now(), session, sent->id, sent->statement);
+        return;
+    }
+    if (std::holds_alternative<Platform::EndSession>(line)) {
+        m_proxy.sessionClosed(now(), session);
+        m_callers.close(id);
+        return;
+    }
+    const auto* const bad = std::get_if<Platform::BadLine>(&line);
+    const auto failure
+        = bad ? bad->failure : Session::Failure { Session::FailureCode::Malformed, "not at this point of a session" };
+    if (isOpen)
+        m_proxy.malformedArrived(now(), session, failure);
+    else
+        refuseSession(session, failure);
+}
+
+void ProxyAssembly::onCallerEnded(Wire::LineClientId id, Wire::LineEnd end)
+{
+    m_proxy.sessionClosed(now(), sessionOf(id));
+    if (end == Wire::LineEnd::TooLong)
+        refuseSession(sessionOf(id), { Session::FailureCode::TooLarge, "the message is too long" });
+}
+
+void ProxyAssembly::acceptSession(Proxy::SessionId id)
+{
+    m_callers.send(clientOf(id), Platform::writeSessionOpen());
+    m_callers.resume(clientOf(id));
+}
+
+void ProxyAssembly::refuseSession(Proxy::SessionId id, const Session::Failure& failure)
+{
+    m_callers.send(clientOf(id), Platform::writeFailure(failure));
+    m_callers.close(clientOf(id));
+}
+
+void ProxyAssembly::answer(Proxy::SessionId id, const Session::Answer& answer)
+{
+    m_callers.send(clientOf(id), Platform::writeAnswer(answer));
+    m_callers.resume(clientOf(id));
+}
+
+void ProxyAssembly::closeSession(Proxy::SessionId id)
+{
+    m_callers.close(clientOf(id));
+}
+
+void ProxyAssembly::onTargetLine(ConnectionId id, std::string_view text)
+{
+    const auto codec = m_codecs.find(id);
+    if (codec == m_codecs.end())
+        return;
+    auto line = codec->second.read(text);
+    if (const auto* const reply = std::get_if<Proxy::TargetReply>(&line)) {
+        m_proxy.replied(now(), id, *reply);
+    } else if (const auto* const accepted = std::get_if<Platform::ConnectionAccepted>(&line)) {
+        m_opening.erase(id);
+        m_proxy.connectionOpened(now(), id, accepted->position);
+    } else if (const auto* const refusal = std::get_if<Platform::ConnectionRefusal>(&line)) {
+        m_proxy.connectionRefused(now(), id, refusal->code);
+    } else if (std::holds_alternative<Platform::ProtocolBroken>(line)) {
+        log({ LogEvent::TargetConnectionLost,
+            { { "id", std::to_string(id.value()) }, { "error", "a line out of order" } } });
+        m_proxy.connectionLost(now(), id);
+    }
+}
+
+void ProxyAssembly::onTargetEnded(ConnectionId id, Wire::LineEnd end)
+{
+    const bool wasOpening = m_opening.contains(id);
+    m_codecs.erase(id);
+    m_opening.erase(id);
+    if (wasOpening && end == Wire::LineEnd::Refused)
+        m_proxy.connectionRefused(now(), id, Session::FailureCode::Failed);
+    else
+        m_proxy.connectionLost(now(), id);
+}
+
+void ProxyAssembly::openConnection(ConnectionId id, const Proxy::TargetRecord& target)
+{
+    m_opening.emplace(id, target);
+    m_codecs.emplace(id, Platform::TargetCodec());
+    m_targets.open(id, target.address);
+}
+
+void ProxyAssembly::closeConnection(ConnectionId id)
+{
+    m_opening.erase(id);
+    m_codecs.erase(id);
+    m_targets.close(id);
+}
+
+void ProxyAssembly::send(ConnectionId id, const std::vector<Proxy::TargetRequest>& requests)
+{
+    const auto codec = m_codecs.find(id);
+    if (codec != m_codecs.end())
+        m_targets.send(id, codec->second.write(requests));
+}
+
+void ProxyAssembly::call(Wire::PlatformClient& client, PlatformCall call, ReplyHandler handler)
+{
+    call.id = PlatformCallId(++m_lastCall);
+    m_calls.emplace(call.id, std::move(handler));
+    client.call(call);
+}
+
+void ProxyAssembly::readTable(Proxy::StoreTable table, const std::string& fromKey)
+{
+    call(m_store, Platform::tableCall(table, fromKey), [this, table](const Expected<PlatformReply>& reply) {
+        m_proxy.tableRead(now(), table, Platform::readPage(reply));
+    });
+}
+
+void ProxyAssembly::followTable(Proxy::StoreTable table, Proxy::RowVersion after, Duration wait)
+{
+    const auto timeout = wait + Proxy::StoreFollower::answerLimit;
+    call(m_store, Platform::followCall(table, after, wait, timeout),
+        [this, table](
+            const Expected<PlatformReply>& reply) { m_proxy.tableFollowed(now(), table, Platform::readPage(reply)); });
+}
+
+void ProxyAssembly::readClaim(const Proxy::GroupName& group)
+{
+    call(m_store, Platform::claimCall(group), [this, group](const Expected<PlatformReply>& reply) {
+        m_proxy.claimRead(now(), group, Platform::readClaimRow(group, reply));
+    });
+}
+
+void ProxyAssembly::writeClaim(const Proxy::GroupName& group, const Proxy::Claim& claim, Proxy::RowVersion expected)
+{
+    call(m_store, Platform::claimWrite(group, claim, expected), [this, group](const Expected<PlatformReply>& reply) {
+        m_proxy.claimWritten(now(), group, Platform::readClaimWrite(reply));
+    });
+}
+
+void ProxyAssembly::promote(const Proxy::GroupName& group, const TargetName& target, Proxy::RowVersion token)
+{
+    const auto timeout = Proxy::Promotion::callTimeout;
+    call(m_promotions, Platform::promotionCall(group, target, m_settings.host, token, timeout),
+        [this, group](const Expected<PlatformReply>& reply) {
+            m_proxy.promoteAnswered(now(), group, Platform::readPromotion(reply));
+        });
+}
+
+void ProxyAssembly::askPeer(const SocketAddress& peer)
+{
+    auto& client = m_peerClients[peer];
+    if (!client) {
+        client = std::make_unique<Wire::PlatformClient>(m_base, peer, clientLimits(m_settings, 1));
+        client->answered().connect([this, peer](const PlatformAnswer& answer) {
+            if (!answer.reply)
+                m_proxy.peerAnswered(now(), peer, tl::unexpected(answer.reply.error()));
+            else
+                m_proxy.peerAnswered(now(), peer, Proxy::decodeSnapshot(answer.reply->body));
+        });
+    }
+    PlatformCall ask;
+    ask.id = PlatformCallId(++m_lastCall);
+    ask.path = snapshotPath;
+    ask.timeout = peerTimeout;
+    client->call(ask);
+}
+
+void ProxyAssembly::servePeer(const Wire::HttpRequest& request)
+{
+    const bool asksState = !request.path.empty() && request.path.back() == "state";
+    if (asksState)
+        m_peers.reply(request.id, { statusOk, { { "Content-Type", "application/json" } }, m_proxy.dump(now()) });
+    else
+        m_peers.reply(request.id,
+            { statusOk, { { "Content-Type", "application/msgpack" } }, Proxy::encodeSnapshot(m_proxy.tables()) });
+}
+
+void ProxyAssembly::log(const LogRecord& record)
+{
+    Logging::write(record);
+}
+
+void ProxyAssembly::measure(std::string_view series, double sample)
+{
+    m_metrics.record(series, sample);
+}
+
+void ProxyAssembly::announceLeave(Instant now)
+{
+    m_leavingSince = now;
+    log({ LogEvent::Stopping, { { "requests", std::to_string(m_proxy.statements()) } } });
+}
+
+void ProxyAssembly::stopAccepting()
+{
+    m_proxy.closeIdleSessions();
+}
+
+void ProxyAssembly::reportCut()
+{
+    log({ LogEvent::StopForced,
+        { { "requests", std::to_string(m_proxy.statements()) },
+            { "operations", std::to_string(m_proxy.sessions()) } } });
+}
+
+void ProxyAssembly::stop(bool cutsNothing)
+{
+    m_exitStatus = cutsNothing ? 0 : 1;
+    log({ LogEvent::Stopped, {} });
+    event_base_loopexit(m_base, nullptr);
+}
+
+bool ProxyAssembly::nothingInFlight() const
+{
+    return m_proxy.sessions() == 0 && m_callers.isFlushed();
+}
+
+} // namespace Auburnpost
--- /dev/null
+++ b/src/app/ProxyAssembly.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "engine/Shutdown.h"
+#include "platform/RowDecoder.h"
+#include "platform/TargetCodec.h"
+#include "proxy/Proxy.h"
+#include "wire/HttpServer.h"
+#include "wire/LineLinks.h"
+#include "wire/LineServer.h"
+#include "wire/Metrics.h"
+#include "wire/PlatformClient.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+struct event;
+
+namespace Auburnpost {
+
+/// The proxy and its sockets on one loop.
+class ProxyAssembly final : private Proxy::ProxyActions, private ShutdownOwner {
+public:
+    using SettingsLoader = std::function<Expected<Proxy::ProxySettings>()>;
+
+    ProxyAssembly(event_base*, const Proxy::ProxySettings&, SettingsLoader);
+    ~ProxyAssembly() override;
+    ProxyAssembly(const ProxyAssembly&) = delete;
+    ProxyAssembly& operator=(const ProxyAssembly&) = delete;
+
+    /// Opens every address of the settings.
+    /// @return nothing, or the first failure.
+    Expected<void> listen();
+    [[nodiscard]] int exitStatus() const { return m_exitStatus; }
+
+private:
+    using EventHandle = std::unique_ptr<event, void (*)(event*)>;
+    using ReplyHandler = std::function<void(const Expected<PlatformReply>&)>;
+
+    static Instant now();
+    void connectSignals();
+    void watchProcess();
+    void onTick();
+    void reload();
+    void dumpState();
+
+    // Callers.
+    void onCallerLine(Wire::LineClientId, std::string_view line);
+    void onCallerEnded(Wire::LineClientId, Wire::LineEnd);
+    void acceptSession(Proxy::SessionId) override;
+    void refuseSession(Proxy::SessionId, const Session::Failure&) override;
+    void answer(Proxy::SessionId, const Session::Answer&) override;
+    void closeSession(Proxy::SessionId) override;
+
+    // Targets.
+    void onTargetLine(ConnectionId, std::string_view line);
+    void onTargetEnded(ConnectionId, Wire::LineEnd);
+    void openConnection(ConnectionId, const Proxy::TargetRecord&) override;
+    void closeConnection(ConnectionId) override;
+    void send(ConnectionId, const std::vector<Proxy::TargetRequest>&) override;
+
+    // The platform and peers.
+    void call(Wire::PlatformClient&, PlatformCall, ReplyHandler);
+    void readTable(Proxy::StoreTable, const std::string& fromKey) override;
+    void followTable(Proxy::StoreTable, Proxy::RowVersion after, Duration wait) override;
+    void readClaim(const Proxy::GroupName&) override;
+    void writeClaim(const Proxy::GroupName&, const Proxy::Claim&, Proxy::RowVersion expected) override;
+    void promote(const Proxy::GroupName&, const TargetName&, Proxy::RowVersion token) override;
+    void askPeer(const SocketAddress&) override;
+    void servePeer(const Wire::HttpRequest&);
+
+    void log(const LogRecord&) override;
+    void measure(std::string_view series, double sample) override;
+
+    // ShutdownOwner.
+    void announceLeave(Instant now) override;
+    void stopAccepting() override;
+    void reportCut() override;
+    void stop(bool cutsNothing) override;
+    [[nodiscard]] bool nothingInFlight() const override;
+
+    event_base* m_base;
+    Proxy::ProxySettings m_settings;
+    SettingsLoader m_load;
+    Platform::RowDecoder m_decoder;
+    Wire::LineServer m_callers;
+    Wire::LineLinks m_targets;
+    Wire::HttpServer m_readiness;
+    Wire::HttpServer m_peers;
+    Wire::HttpServer m_metricsServer;
+    Wire::PlatformClient m_store;
+    Wire::PlatformClient m_promotions;
+    std::map<SocketAddress, std::unique_ptr<Wire::PlatformClient>> m_peerClients;
+    Wire::Metrics m_metrics;
+    Proxy::Proxy m_proxy;
+    Shutdown m_shutdown;
+    std::unordered_map<ConnectionId, Platform::TargetCodec> m_codecs;
+    std::unordered_map<ConnectionId, Proxy::TargetRecord> m_opening;
+    std::map<PlatformCallId, ReplyHandler> m_calls;
+    std::uint64_t m_lastCall { 0 };
+    std::vector<EventHandle> m_events;
+    Instant m_stalledCheckedAt {};
+    std::optional<Instant> m_leavingSince;
+    int m_exitStatus { 0 };
+};
+
+} // namespace Auburnpost
--- a/src/base/LogEvent.cpp
+++ b/src/base/LogEvent.cpp
@@ -33,6 +33,12 @@
             return { LogLevel::Error, "settings refused" };
         case LogEvent::ListenFailed:
             return { LogLevel::Error, "cannot listen" };
+        case LogEvent::SettingsReloaded:
+            return { LogLevel::Info, "settings reloaded" };
+        case LogEvent::LogLinesDropped:
+            return { LogLevel::Warn, "log lines dropped" };
+        case LogEvent::HostPaused:
+            return { LogLevel::Warn, "this host did not run for a while" };
         case LogEvent::ConfigurationApplied:
             return { LogLevel::Info, "configuration applied" };
         case LogEvent::ConfigurationRefused:
@@ -41,6 +47,10 @@
             return { LogLevel::Warn, "platform does not answer" };
         case LogEvent::PlatformBack:
             return { LogLevel::Info, "platform answers again" };
+        case LogEvent::PeerStateTaken:
+            return { LogLevel::Info, "state taken from a peer" };
+        case LogEvent::RecordUnreadable:
+            return { LogLevel::Warn, "record can't be read" };
         case LogEvent::HostJoined:
             return { LogLevel::Info, "host joined" };
         case LogEvent::HostSuspected:
@@ -65,18 +75,44 @@
             return { LogLevel::Info, "planned switch done" };
         case LogEvent::TargetFollows:
             return { LogLevel::Info, "target told to follow" };
+        case LogEvent::PromotionCalled:
+            return { LogLevel::Warn, "promotion called" };
+        case LogEvent::PromotionAnswered:
+            return { LogLevel::Warn, "promotion answered" };
+        case LogEvent::ClaimHeld:
+            return { LogLevel::Info, "another host may replace the primary" };
+        case LogEvent::OrderSent:
+            return { LogLevel::Info, "order sent to target" };
         case LogEvent::TargetConnectFailed:
             return { LogLevel::Warn, "no connection to a target can be opened" };
         case LogEvent::TargetConnectionLost:
             return { LogLevel::Warn, "connection to target lost in the middle of a request" };
         case LogEvent::TargetLeaving:
             return { LogLevel::Info, "target leaving" };
+        case LogEvent::TargetListed:
+            return { LogLevel::Info, "target listed" };
+        case LogEvent::TargetGone:
+            return { LogLevel::Info, "target gone" };
+        case LogEvent::TargetDoubtful:
+            return { LogLevel::Warn, "target does not answer" };
+        case LogEvent::TargetAnswering:
+            return { LogLevel::Info, "target answers again" };
         case LogEvent::RequestRefused:
             return { LogLevel::Debug, "request refused" };
         case LogEvent::OutcomeUnknown:
             return { LogLevel::Warn, "outcome unknown" };
         case LogEvent::OutcomeResolved:
             return { LogLevel::Debug, "outcome resolved" };
+        case LogEvent::StatementServed:
+            return { LogLevel::Info, "statement served" };
+        case LogEvent::StatementFailed:
+            return { LogLevel::Info, "statement failed" };
+        case LogEvent::StatementMoved:
+            return { LogLevel::Info, "statement tried elsewhere" };
+        case LogEvent::SessionRefused:
+            return { LogLevel::Info, "session refused" };
+        case LogEvent::SessionEnded:
+            return { LogLevel::Info, "session ended" };
         case LogEvent::PeerMessageRefused:
             return { LogLevel::Warn, "message of a peer refused" };
         case LogEvent::PeerSendFailed:
--- a/src/chart/EmbeddedCharts.cpp
+++ b/src/chart/EmbeddedCharts.cpp
@@ -5,6 +5,64 @@
 
 namespace {
 
+constexpr std::string_view promotionText = R"scxml(<scxml xmlns="http://www.w3.org/2005/07/scxml" version="1.0" initial="Idle">
+  <state id="Idle">
+    <transition event="start" target="Delaying"/>
+  </state>
+  <state id="Delaying">
+    <transition event="progress" cond="reasonGone" target="Idle"/>
+    <transition event="progress" cond="delayPassed" target="Reading"/>
+  </state>
+  <state id="Claiming" initial="Reading">
+    <transition event="claimHeld" target="Delaying"><action name="waitForHolder"/></transition>
+    <transition event="claimRefused" target="Delaying"><action name="delayRetry"/></transition>
+    <transition event="progress" cond="claimLate" target="Delaying"><action name="delayRetry"/></transition>
+    <state id="Reading">
+      <onentry><action name="readClaim"/></onentry>
+      <transition event="claimFree" target="Writing"/>
+    </state>
+    <state id="Writing">
+      <onentry><action name="writeClaim"/></onentry>
+      <transition event="claimTaken" cond="repairsOnly" target="Finishing"/>
+      <transition event="claimTaken" target="Fencing"/>
+    </state>
+  </state>
+  <state id="Attempt" initial="Fencing">
+    <transition event="progress" cond="superseded" target="Finishing"/>
+    <transition event="progress" cond="claimEnds" target="Delaying"><action name="giveUp"/></transition>
+    <state id="Fencing">
+      <onentry><action name="fenceMembers"/></onentry>
+      <transition event="progress" cond="enoughFenced" target="Settling"/>
+      <transition event="progress" cond="retryDue"><action name="fenceMembers"/></transition>
+    </state>
+    <state id="Settling">
+      <transition event="progress" cond="proofsLapsed" target="Verifying"/>
+    </state>
+    <state id="Verifying">
+      <onentry><action name="askFenced"/></onentry>
+      <transition event="progress" cond="fencesHold" target="Calling"/>
+      <transition event="progress" cond="retryDue" target="Fencing"/>
+    </state>
+  </state>
+  <state id="Calling">
+    <onentry><action name="callPromotion"/></onentry>
+    <transition event="accepted" target="Awaiting"/>
+    <transition event="unanswered" target="Awaiting"/>
+    <transition event="notRunning" target="Delaying"><action name="giveUp"/></transition>
+  </state>
+  <state id="Awaiting">
+    <transition event="progress" cond="promotedSeen" target="Finishing"/>
+    <transition event="progress" cond="awaitLimitPassed" target="Delaying"><action name="delayRetry"/></transition>
+  </state>
+  <state id="Finishing">
+    <onentry><action name="joinMembers"/></onentry>
+    <transition event="progress" cond="allJoined" target="Idle"/>
+    <transition event="progress" cond="finishLimitPassed" target="Idle"/>
+    <transition event="progress" cond="retryDue"><action name="joinMembers"/></transition>
+  </state>
+</scxml>
+)scxml";
+
 constexpr std::string_view shutdownText = R"scxml(<scxml xmlns="http://www.w3.org/2005/07/scxml" version="1.0" initial="Serving">
   <state id="Serving">
     <transition event="signal" target="AnnouncingLeave"/>
@@ -101,6 +159,7 @@
 const std::vector<EmbeddedChart>& embeddedCharts()
 {
     static const std::vector<EmbeddedChart> charts {
+        { "promotion", promotionText },
         { "shutdown", shutdownText },
         { "takeover", takeoverText },
         { "transaction", transactionText },
--- a/src/message/PlatformCall.h
+++ b/src/message/PlatformCall.h
@@ -7,12 +7,19 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Auburnpost {
 
 enum class PlatformMethod : std::uint8_t {
     Get,
     Put,
+    Post,
+};
+
+struct CallHeader {
+    std::string name;
+    std::string value;
 };
 
 /// One call to the platform's service, as docs/PLATFORM.md states it.
@@ -21,11 +28,13 @@
     PlatformMethod method { PlatformMethod::Get };
     /// Path with its leading slash, such as "/table/config/document".
     std::string path;
-    /// Put: the row's new value.
+    /// Put: the row's new value. Post: what is sent.
     std::string body;
     /// Put: the version that the row must have; 0 creates it.
     std::optional<std::uint64_t> expectedVersion;
     Duration timeout {};
+    /// Sent besides those that every call has.
+    std::vector<CallHeader> headers {};
 };
 
 /// A whole answer of the platform.
--- /dev/null
+++ b/src/platform/CallerCodec.cpp
@@ -0,0 +1,169 @@
+#include "platform/CallerCodec.h"
+
+#include "platform/FailureWords.h"
+#include "platform/Fields.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <optional>
+
+namespace Auburnpost::Platform {
+
+using Session::Access;
+using Session::Statement;
+using Session::StatementKind;
+
+namespace {
+
+    constexpr std::string_view lineEnd = "\r\n";
+    /// The id that stands for the proxy's own statements.
+    constexpr std::string_view ownId = "-";
+
+    using Reader = bool (*)(std::string_view rest, Statement&);
+
+    bool readNothing(std::string_view rest, Statement&)
+    {
+        return rest.empty();
+    }
+
+    bool readBegin(std::string_view rest, Statement& statement)
+    {
+        if (rest == "READ")
+            statement.kind = StatementKind::BeginReadOnly;
+        return rest.empty() || rest == "READ";
+    }
+
+    bool readItem(std::string_view rest, Statement&)
+    {
+        return !rest.empty() && rest.find(' ') == std::string_view::npos;
+    }
+
+    bool readItemAndData(std::string_view rest, Statement&)
+    {
+        const auto item = takeField(rest);
+        return !item.empty() && !rest.empty();
+    }
+
+    bool readName(std::string_view rest, Statement& statement)
+    {
+        statement.name = rest;
+        return readItem(rest, statement);
+    }
+
+    bool readNameAndArgument(std::string_view rest, Statement& statement)
+    {
+        statement.name = takeField(rest);
+        statement.argument = rest;
+        return !statement.name.empty() && !rest.empty();
+    }
+
+    bool readPrepare(std::string_view rest, Statement& statement)
+    {
+        statement.name = takeField(rest);
+        const auto access = takeField(rest);
+        statement.prepared = { access == "WRITE" ? Access::Write : Access::Read, std::string(rest) };
+        return !statement.name.empty() && (access == "READ" || access == "WRITE") && !rest.empty();
+    }
+
+    struct Verb {
+        std::string_view word;
+        StatementKind kind;
+        Reader read;
+    };
+
+    constexpr std::array<Verb, 9> verbs { {
+        { "BEGIN", StatementKind::Begin, readBegin },
+        { "COMMIT", StatementKind::Commit, readNothing },
+        { "ROLLBACK", StatementKind::Rollback, readNothing },
+        { "READ", StatementKind::Read, readItem },
+        { "WRITE", StatementKind::Write, readItemAndData },
+        { "SET", StatementKind::SetValue, readNameAndArgument },
+        { "PREPARE", StatementKind::Prepare, readPrepare },
+        { "EXECUTE", StatementKind::Execute, readNameAndArgument },
+        { "FORGET", StatementKind::Forget, readName },
+    } };
+
+    std::optional<Statement> readStatement(std::string_view text)
+    {
+        auto rest = text;
+        const auto word = takeField(rest);
+        for (const auto& verb : verbs) {
+            if (verb.word != word)
+                continue;
+            Statement statement;
+            statement.kind = verb.kind;
+            statement.text = text;
+            if (!verb.read(rest, statement))
+                return {};
+            return statement;
+        }
+        return {};
+    }
+
+    BadLine bad(const char* text)
+    {
+        return { { Session::FailureCode::Malformed, text } };
+    }
+
+    bool hasControlCharacter(std::string_view line)
+    {
+        return std::any_of(line.begin(), line.end(), [](unsigned char letter) { return std::iscntrl(letter) != 0; });
+    }
+
+    char letterOf(Session::TransactionState state)
+    {
+        constexpr std::string_view letters = "ITE";
+        return letters[static_cast<std::size_t>(state)];
+    }
+
+} // namespace
+
+CallerLine readCallerLine(std::string_view line)
+{
+    if (hasControlCharacter(line))
+        return bad("control characters in the line");
+    const auto word = takeField(line);
+    if (word == "BYE")
+        return EndSession {};
+    if (word == "START") {
+        const auto database = takeField(line);
+        if (database.empty())
+            return bad("the database is missing");
+        return OpenSession { DatabaseName(std::string(database)) };
+    }
+    if (word != "QUERY")
+        return bad("unknown message");
+    const auto id = takeField(line);
+    const auto statement = readStatement(line);
+    if (id.empty() || id == ownId || !statement)
+        return bad("the statement can't be read");
+    return SendStatement { Session::StatementId(std::string(id)), *statement };
+}
+
+std::string writeFailure(const Session::Failure& failure)
+{
+    return "ERROR " + std::string(wordOf(failure.code)) + " " + failure.text + std::string(lineEnd);
+}
+
+std::string writeSessionOpen()
+{
+    return "READY I -" + std::string(lineEnd);
+}
+
+std::string writeAnswer(const Session::Answer& answer)
+{
+    std::string text;
+    if (const auto* const failure = std::get_if<Session::Failure>(&answer.body)) {
+        text = writeFailure(*failure);
+    } else {
+        const auto& success = std::get<Session::Success>(answer.body);
+        for (const auto& row : success.rows)
+            text.append("ROW ").append(row).append(lineEnd);
+        text.append("DONE ").append(success.signature.empty() ? "-" : success.signature).append(lineEnd);
+    }
+    text.append("READY ").append(1, letterOf(answer.state)).append(" ");
+    return text.append(writePosition(answer.position)).append(lineEnd);
+}
+
+} // namespace Auburnpost::Platform
--- /dev/null
+++ b/src/platform/FailureWords.cpp
@@ -0,0 +1,52 @@
+#include "platform/FailureWords.h"
+
+#include <array>
+
+namespace Auburnpost::Platform {
+
+using Session::FailureCode;
+
+namespace {
+
+    struct Entry {
+        FailureCode code;
+        std::string_view word;
+    };
+
+    constexpr std::array<Entry, 13> entries { {
+        { FailureCode::Busy, "BUSY" },
+        { FailureCode::Aborted, "ABORTED" },
+        { FailureCode::Lagging, "LAGGING" },
+        { FailureCode::ReadOnly, "READONLY" },
+        { FailureCode::Misrouted, "MISROUTED" },
+        { FailureCode::TooManyConnections, "TOOMANY" },
+        { FailureCode::Failed, "FAILED" },
+        { FailureCode::UnknownPreparedName, "NOSUCHNAME" },
+        { FailureCode::Timeout, "TIMEOUT" },
+        { FailureCode::UnknownDatabase, "NODATABASE" },
+        { FailureCode::TooLarge, "TOOLARGE" },
+        { FailureCode::Malformed, "MALFORMED" },
+        { FailureCode::InDoubt, "INDOUBT" },
+    } };
+
+} // namespace
+
+std::string_view wordOf(FailureCode code)
+{
+    for (const auto& entry : entries) {
+        if (entry.code == code)
+            return entry.word;
+    }
+    return "FAILED";
+}
+
+FailureCode failureCodeOf(std::string_view word)
+{
+    for (const auto& entry : entries) {
+        if (entry.word == word)
+            return entry.code;
+    }
+    return FailureCode::Failed;
+}
+
+} // namespace Auburnpost::Platform
--- /dev/null
+++ b/src/platform/Fields.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "base/LogPoint.h"
+#include "session/Answer.h"
+
+#include <charconv>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Auburnpost::Platform {
+
+/// Takes the next field off a line; fields are separated by one blank.
+inline std::string_view takeField(std::string_view& line)
+{
+    const auto blank = line.find(' ');
+    const auto field = line.substr(0, blank);
+    line = blank == std::string_view::npos ? std::string_view() : line.substr(blank + 1);
+    return field;
+}
+
+/// @return the number, or nothing for text that is not one.
+inline std::optional<std::uint64_t> readNumber(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto* const end = text.data() + text.size();
+    const auto [rest, problem] = std::from_chars(text.data(), end, number);
+    if (problem != std::errc {} || rest != end)
+        return {};
+    return number;
+}
+
+/// @return the position behind "TERM.NUMBER"; nothing for "-" or other text.
+inline std::optional<LogPoint> readPosition(std::string_view text)
+{
+    const auto dot = text.find('.');
+    if (dot == std::string_view::npos)
+        return {};
+    const auto term = readNumber(text.substr(0, dot));
+    const auto number = readNumber(text.substr(dot + 1));
+    if (!term || !number)
+        return {};
+    return LogPoint { Term(*term), Position(*number) };
+}
+
+inline std::string writePosition(const std::optional<LogPoint>& point)
+{
+    if (!point)
+        return "-";
+    return std::to_string(point->term.value()) + "." + std::to_string(point->position.value());
+}
+
+} // namespace Auburnpost::Platform
--- /dev/null
+++ b/src/platform/RowDecoder.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "proxy/RowReader.h"
+
+namespace Auburnpost::Platform {
+
+/// Decodes the operators' manifest and the targets' registry entries.
+class RowDecoder final : public Proxy::RowReader {
+public:
+    [[nodiscard]] Expected<std::optional<Proxy::Catalog>> readCatalog(const Proxy::StoreRow&) const override;
+    [[nodiscard]] Expected<Proxy::TargetRecord> readTarget(const Proxy::StoreRow&) const override;
+};
+
+} // namespace Auburnpost::Platform
--- /dev/null
+++ b/src/platform/SettingsReader.cpp
@@ -0,0 +1,59 @@
+#include "platform/SettingsReader.h"
+
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+
+namespace Auburnpost::Platform {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr auto pathVariable = "AUBURNPOST_SETTINGS";
+
+    /// @throws Json::exception when the field is missing; std::invalid_argument when it holds no address.
+    SocketAddress readAddress(const Json& value)
+    {
+        const auto address = SocketAddress::parse(value.get<std::string>());
+        if (!address)
+            throw std::invalid_argument(address.error().message);
+        return *address;
+    }
+
+    Proxy::ProxySettings read(const Json& json, std::uint16_t metricsPort)
+    {
+        Proxy::ProxySettings settings;
+        settings.host = HostName(json.at("Node").get<std::string>());
+        settings.dataCentre = DataCentreName(json.at("Zone").get<std::string>());
+        const auto& listen = json.at("Listen");
+        settings.callers = readAddress(listen.at("Front"));
+        settings.readiness = readAddress(listen.at("Ready"));
+        settings.peers = readAddress(listen.at("Control"));
+        settings.metrics = { json.at("Ip").get<std::string>(), metricsPort };
+        settings.store = readAddress(json.at("platform").at("Address"));
+        settings.promotions = readAddress(json.at("Cloud").at("Address"));
+        for (const auto& seed : json.value("Seeds", Json::array()))
+            settings.seeds.push_back(readAddress(seed));
+        const std::chrono::duration<double> grace(json.at("Bounds").at("GraceS").get<double>());
+        settings.stopTimeout = std::chrono::duration_cast<Duration>(grace);
+        return settings;
+    }
+
+} // namespace
+
+std::string settingsPath()
+{
+    const auto* const path = std::getenv(pathVariable);
+    return path ? path : "";
+}
+
+Expected<Proxy::ProxySettings> readSettings(std::string_view text, std::uint16_t metricsPort)
+{
+    try {
+        return read(Json::parse(text), metricsPort);
+    } catch (const std::exception& problem) {
+        return fail(ErrorCode::BadSettings, "read settings", "", problem.what());
+    }
+}
+
+} // namespace Auburnpost::Platform
--- /dev/null
+++ b/src/platform/StoreCalls.cpp
@@ -0,0 +1,223 @@
+#include "platform/StoreCalls.h"
+
+#include "proxy/ClaimCodec.h"
+
+#include <array>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace Auburnpost::Platform {
+
+using Proxy::RowVersion;
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr auto claimTable = "claims";
+    /// The store takes milliseconds when it is well, and up to about a quarter of a second on its slow days.
+    constexpr Duration callTimeout = std::chrono::milliseconds(900);
+
+    constexpr int statusOk = 200;
+    constexpr int statusConflict = 409;
+    constexpr int statusGone = 410;
+    constexpr int statusPreconditionFailed = 412;
+
+    const char* nameOf(Proxy::StoreTable table)
+    {
+        return table == Proxy::StoreTable::Configuration ? "op" : "servers";
+    }
+
+    std::string escape(const std::string& text)
+    {
+        constexpr std::string_view digits = "0123456789ABCDEF";
+        constexpr unsigned base = 16;
+        std::string escaped;
+        for (const unsigned char letter : text) {
+            if (std::isalnum(letter) || letter == '-' || letter == '.' || letter == '_')
+                escaped += static_cast<char>(letter);
+            else
+                escaped.append({ '%', digits[letter / base], digits[letter % base] });
+        }
+        return escaped;
+    }
+
+    /// @throws std::invalid_argument for text that is not base64.
+    std::string decodeBase64(const std::string& text)
+    {
+        constexpr std::size_t groupText = 4;
+        constexpr std::size_t groupBytes = 3;
+        std::string bytes(text.size() / groupText * groupBytes, '\0');
+        const auto length = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+            reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
+        if (length < 0)
+            throw std::invalid_argument("not base64");
+        // The block's length counts the padding as bytes.
+        const auto padding = text.ends_with("==") ? 2U : text.ends_with("=") ? 1U : 0U;
+        bytes.resize(static_cast<std::size_t>(length) - padding);
+        return bytes;
+    }
+
+    std::string encodeBase64(const std::string& bytes)
+    {
+        constexpr std::size_t groupText = 4;
+        constexpr std::size_t groupBytes = 3;
+        std::string text((bytes.size() + groupBytes - 1) / groupBytes * groupText + 1, '\0');
+        const auto length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+            reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
+        text.resize(static_cast<std::size_t>(length));
+        return text;
+    }
+
+    Proxy::StoreRow readRow(const Json& json)
+    {
+        Proxy::StoreRow row;
+        row.key = json.at("Key").get<std::string>();
+        row.version = RowVersion(json.at("RecordVersion").get<std::uint64_t>());
+        row.isDeleted = json.value("Deleted", false);
+        // A value that is not base64 is left empty: whoever decodes the row reports it with its key.
+        if (!row.isDeleted) {
+            try {
+                row.value = decodeBase64(json.at("Value").get<std::string>());
+            } catch (const std::exception&) {
+                row.value.clear();
+            }
+        }
+        return row;
+    }
+
+    tl::unexpected<Error> refused(const PlatformReply& reply, const char* step)
+    {
+        return fail(ErrorCode::PlatformRefused, step, "store", "status " + std::to_string(reply.status));
+    }
+
+    /// Turns the answer of a call into a value; what the reader throws becomes an error.
+    template <typename Value, typename Reader>
+    Expected<Value> readReply(const Expected<PlatformReply>& reply, const char* step, Reader read)
+    {
+        if (!reply)
+            return tl::unexpected(reply.error());
+        if (reply->status != statusOk)
+            return refused(*reply, step);
+        try {
+            return read(Json::parse(reply->body));
+        } catch (const std::exception& problem) {
+            return fail(ErrorCode::BadMessage, step, "store", problem.what());
+        }
+    }
+
+    Json rowName(const Proxy::GroupName& group)
+    {
+        return { { "Table", claimTable }, { "part", "" }, { "Key", group.value() } };
+    }
+
+} // namespace
+
+PlatformCall tableCall(Proxy::StoreTable table, const std::string& fromKey)
+{
+    PlatformCall call;
+    call.path = std::string("/auburnpost/rows-get?Table=") + nameOf(table) + "&part=";
+    if (!fromKey.empty())
+        call.path += "&From=" + escape(fromKey);
+    call.timeout = callTimeout;
+    return call;
+}
+
+PlatformCall followCall(Proxy::StoreTable table, RowVersion after, Duration wait, Duration timeout)
+{
+    PlatformCall call;
+    call.path = std::string("/auburnpost/rows-feed?Table=") + nameOf(table) + "&after=" + std::to_string(after.value())
+        + "&WaitMs=" + std::to_string(toMilliseconds(wait));
+    call.timeout = timeout;
+    return call;
+}
+
+PlatformCall claimCall(const Proxy::GroupName& group)
+{
+    PlatformCall call;
+    call.path
+        = std::string("/auburnpost/rows-get?Table=") + claimTable + "&part=&From=" + escape(group.value()) + "&Limit=1";
+    call.timeout = callTimeout;
+    return call;
+}
+
+PlatformCall claimWrite(const Proxy::GroupName& group, const Proxy::Claim& claim, RowVersion expected)
+{
+    auto condition = rowName(group);
+    condition["RecordVersion"] = expected.value();
+    auto row = rowName(group);
+    row["Value"] = encodeBase64(encodeClaim(claim));
+    const Json body { { "Precondition", Json::array({ condition }) }, { "Upserts", Json::array({ row }) } };
+    PlatformCall call;
+    call.method = PlatformMethod::Post;
+    call.path = "/auburnpost/rows-tx";
+    call.body = body.dump();
+    call.timeout = callTimeout;
+    return call;
+}
+
+PlatformCall promotionCall(
+    const Proxy::GroupName& group, const TargetName& target, const HostName& holder, RowVersion token, Duration timeout)
+{
+    PlatformCall call;
+    call.method = PlatformMethod::Post;
+    call.path = "/promotion";
+    call.body = Json { { "Service", group.value() }, { "Id", target.value() } }.dump();
+    call.timeout = timeout;
+    call.headers = { { "X-Lease-Holder", holder.value() }, { "X-Fencing-Token", std::to_string(token.value()) } };
+    return call;
+}
+
+Expected<Proxy::StorePage> readPage(const Expected<PlatformReply>& reply)
+{
+    if (reply && reply->status == statusGone) {
+        Proxy::StorePage gone;
+        gone.isHistoryGone = true;
+        return gone;
+    }
+    return readReply<Proxy::StorePage>(reply, "read rows", [](const Json& json) {
+        Proxy::StorePage page;
+        for (const auto& row : json.at("rows"))
+            page.rows.push_back(readRow(row));
+        page.asOf = RowVersion(json.at("RecordVersion").get<std::uint64_t>());
+        page.hasMore = json.value("HasMore", false);
+        return page;
+    });
+}
+
+Expected<Proxy::ClaimRow> readClaimRow(const Proxy::GroupName& group, const Expected<PlatformReply>& reply)
+{
+    return readReply<Proxy::ClaimRow>(reply, "read claim", [&group](const Json& json) {
+        Proxy::ClaimRow claim;
+        claim.storeNowMs = json.at("NowMs").get<std::uint64_t>();
+        for (const auto& encoded : json.at("rows")) {
+            const auto row = readRow(encoded);
+            if (row.key != group.value())
+                continue;
+            claim.version = row.version;
+            // A claim that can't be read can't be waited for; it is replaced.
+            if (const auto decoded = Proxy::decodeClaim(row.value))
+                claim.claim = *decoded;
+        }
+        return claim;
+    });
+}
+
+Expected<std::optional<RowVersion>> readClaimWrite(const Expected<PlatformReply>& reply)
+{
+    if (reply && reply->status == statusPreconditionFailed)
+        return std::nullopt;
+    return readReply<std::optional<RowVersion>>(reply, "write claim",
+        [](const Json& json) { return RowVersion(json.at("RecordVersion").get<std::uint64_t>()); });
+}
+
+Proxy::PromotionOutcome readPromotion(const Expected<PlatformReply>& reply)
+{
+    if (reply && reply->status == statusOk)
+        return Proxy::PromotionOutcome::Accepted;
+    if (reply && reply->status == statusConflict)
+        return Proxy::PromotionOutcome::NotRunning;
+    return Proxy::PromotionOutcome::Unanswered;
+}
+
+} // namespace Auburnpost::Platform
--- /dev/null
+++ b/src/proxy/GroupService.cpp
@@ -0,0 +1,298 @@
+#include "proxy/GroupService.h"
+
+#include <algorithm>
+
+namespace Auburnpost::Proxy {
+
+namespace {
+
+    /// Statement reads may be repeated up to this share of the fresh ones.
+    constexpr Limit::RetryBudgetSettings retrySettings { 0.3, 5, 50 };
+
+    std::string nameOfOrder(const TargetRequest& request)
+    {
+        if (std::holds_alternative<FenceReplica>(request))
+            return "fence";
+        if (std::holds_alternative<ResumeReplica>(request))
+            return "resume";
+        return std::holds_alternative<DemotePrimary>(request) ? "demote" : "status";
+    }
+
+} // namespace
+
+GroupService::GroupService(HostName self, GroupName name, GroupActions& actions)
+    : m_self(std::move(self))
+    , m_name(std::move(name))
+    , m_actions(actions)
+    , m_promotion(m_self, m_name, *this)
+    , m_retries(retrySettings)
+{
+}
+
+void GroupService::setRules(const GroupRules& rules)
+{
+    m_rules = rules;
+    m_watcher.setRules(rules);
+    for (auto& [name, pool] : m_pools)
+        pool.setLimit(rules.connectionLimit);
+}
+
+void GroupService::setMembers(Instant now, const std::vector<TargetRecord>& records)
+{
+    std::vector<ConnectionId> stale;
+    for (const auto& [name, pool] : m_pools) {
+        const auto listed = std::find_if(
+            records.begin(), records.end(), [&name = name](const TargetRecord& record) { return record.name == name; });
+        const auto* const known = m_watcher.find(name);
+        const bool isSame = listed != records.end() && known && known->record.incarnation == listed->incarnation;
+        for (const auto& [id, connection] : pool.connections()) {
+            if (!isSame && connection.expected.empty())
+                stale.push_back(id);
+        }
+    }
+    m_watcher.setMembers(now, records);
+    for (const auto id : stale)
+        drop(id);
+    std::erase_if(m_pools,
+        [this](const auto& entry) { return !m_watcher.find(entry.first) && entry.second.connections().empty(); });
+    for (const auto& record : records) {
+        m_pools[record.name].setLimit(m_rules.connectionLimit);
+        if (m_pools[record.name].connections().empty())
+            open(now, record.name);
+    }
+    placeWaiting(now);
+}
+
+void GroupService::tick(Instant now)
+{
+    expire(now);
+    checkConnections(now);
+    poll(now);
+    watchPrimary(now);
+    sendOrders(now);
+    placeWaiting(now);
+    logHealth(now);
+}
+
+void GroupService::watchPrimary(Instant now)
+{
+    const auto trouble = m_watcher.trouble(now);
+    if (trouble == PrimaryTrouble::Leaving) {
+        if (!m_primaryLeavingSince)
+            m_primaryLeavingSince = now;
+    } else {
+        m_primaryLeavingSince.reset();
+    }
+    if (m_promotion.isIdle()) {
+        if (trouble != PrimaryTrouble::None)
+            m_promotion.start(now, m_watcher, m_actions.random(), PromotionReason::ReplacePrimary, trouble);
+        else if (m_watcher.isFencedSince(now, abandonedFenceLimit))
+            m_promotion.start(now, m_watcher, m_actions.random(), PromotionReason::ResumeMembers, trouble);
+    }
+    m_promotion.tick(now, m_watcher, trouble);
+}
+
+void GroupService::poll(Instant now)
+{
+    const bool isUrgent = !m_promotion.isIdle() || !m_watcher.primary();
+    for (const auto& [name, member] : m_watcher.members()) {
+        const auto interval = isUrgent || member.health.isDoubtful(now) ? urgentPollInterval : pollInterval;
+        const auto polled = m_polledAt.find(name);
+        if (polled == m_polledAt.end() || now - polled->second >= interval)
+            ask(now, name);
+    }
+}
+
+void GroupService::ask(Instant now, const TargetName& name)
+{
+    auto& pool = m_pools[name];
+    auto* const connection = pool.findIdle({});
+    auto* const health = m_watcher.health(name);
+    if (!connection) {
+        const bool isHeldByOthers = pool.count(ConnectionStage::Pinned) == pool.connections().size();
+        if (isHeldByOthers || (health && health->needsFreshConnect(now)))
+            open(now, name);
+        return;
+    }
+    if (health && health->needsFreshConnect(now))
+        open(now, name);
+    m_polledAt[name] = now;
+    if (health)
+        health->asked(now);
+    connection->stage = ConnectionStage::Busy;
+    connection->since = now;
+    connection->expected.push_back({ ReplyPurpose::Standing, {}, now });
+    m_actions.send(connection->id, { AskStanding {} });
+}
+
+void GroupService::wantProof(Instant now)
+{
+    for (const auto& [name, member] : m_watcher.members()) {
+        const auto polled = m_polledAt.find(name);
+        // One round under way serves every read that arrived before it.
+        if (polled == m_polledAt.end() || now - polled->second >= urgentPollInterval)
+            ask(now, name);
+    }
+}
+
+void GroupService::expire(Instant now)
+{
+    std::vector<WorkId> late;
+    std::vector<WorkId> unanswered;
+    for (const auto& [id, work] : m_works) {
+        if (now >= work.deadline)
+            late.push_back(id);
+        else if (!work.sentOn.empty() && work.isRepeatable())
+            unanswered.push_back(id);
+    }
+    for (const auto id : late) {
+        if (auto* const work = findWork(id))
+            expireSent(now, *work);
+    }
+    for (const auto id : unanswered) {
+        if (auto* const work = findWork(id))
+            hedge(now, *work);
+    }
+}
+
+void GroupService::expireSent(Instant now, Work& late)
+{
+    const auto work = late;
+    if (work.sentOn.empty()) {
+        m_queue.remove(work);
+        finishUnsent(work, Session::FailureCode::Busy, "no target could serve in time");
+        return;
+    }
+    // What runs there is in an unknown state, so the connections can't be used again.
+    for (const auto id : work.sentOn) {
+        auto* const connection = findConnection(id);
+        if (!connection)
+            continue;
+        const auto purpose
+            = connection->expected.empty() ? ReplyPurpose::Statement : connection->expected.back().purpose;
+        connection->expected.clear();
+        if (findWork(work.id)) {
+            auto again = work;
+            again.sentOn.clear();
+            again.deadline = now;
+            lose(now, again, purpose);
+        }
+        drop(id);
+    }
+}
+
+void GroupService::hedge(Instant now, Work& work)
+{
+    // A second attempt goes out only once every target that has the first is in doubt.
+    for (const auto id : work.sentOn) {
+        const auto target = m_targetOf.find(id);
+        const auto* const member = target == m_targetOf.end() ? nullptr : m_watcher.find(target->second);
+        if (member && !member->health.isDoubtful(now))
+            return;
+        if (target != m_targetOf.end())
+            work.avoided.insert(target->second);
+    }
+    constexpr std::size_t mostAttempts = 3;
+    if (work.attempts >= mostAttempts || !m_retries.tryRetry(now))
+        return;
+    place(now, work);
+}
+
+void GroupService::checkConnections(Instant now)
+{
+    std::vector<ConnectionId> silent;
+    std::vector<ConnectionId> surplus;
+    for (auto& [name, pool] : m_pools) {
+        for (const auto& [id, connection] : pool.connections()) {
+            const bool isOpening = connection.stage == ConnectionStage::Opening;
+            if (isOpening && now - connection.since >= ConnectionPool::openTimeout)
+                silent.push_back(id);
+            if (!connection.expected.empty() && isOverdue(now, connection.expected.front()))
+                silent.push_back(id);
+        }
+        for (const auto id : pool.surplus(now))
+            surplus.push_back(id);
+    }
+    for (const auto id : silent)
+        connectionLost(now, id);
+    for (const auto id : surplus)
+        drop(id);
+}
+
+bool GroupService::isOverdue(Instant now, const ExpectedReply& expected) const
+{
+    if (expected.purpose != ReplyPurpose::Statement)
+        return now - expected.askedAt >= replyLimit;
+    // A statement that somebody waits for ends by its own deadline.
+    return !m_works.contains(expected.work) && now - expected.askedAt >= orphanLimit;
+}
+
+void GroupService::logHealth(Instant now)
+{
+    for (const auto& [name, member] : m_watcher.members()) {
+        const bool isDoubtful = member.health.isDoubtful(now);
+        if (isDoubtful == m_doubtful.contains(name))
+            continue;
+        if (isDoubtful)
+            m_doubtful.insert(name);
+        else
+            m_doubtful.erase(name);
+        const auto heard = member.health.lastHeard();
+        log({ isDoubtful ? LogEvent::TargetDoubtful : LogEvent::TargetAnswering,
+            { { "group", m_name.value() }, { "target", name.value() },
+                { "last_heard_ms", heard ? std::to_string(toMilliseconds(now - *heard)) : "-" } } });
+    }
+}
+
+void GroupService::readClaim(const GroupName& group)
+{
+    m_actions.readClaim(group);
+}
+
+void GroupService::writeClaim(const GroupName& group, const Claim& claim, RowVersion expected)
+{
+    m_actions.writeClaim(group, claim, expected);
+}
+
+void GroupService::promote(const GroupName& group, const TargetName& target, RowVersion token)
+{
+    m_actions.promote(group, target, token);
+}
+
+void GroupService::log(const LogRecord& record)
+{
+    m_actions.log(record);
+}
+
+void GroupService::order(const TargetName& target, const TargetRequest& request)
+{
+    m_orders.insert_or_assign(target, request);
+}
+
+void GroupService::sendOrders(Instant now)
+{
+    for (auto next = m_orders.begin(); next != m_orders.end();) {
+        const auto [target, request] = *next;
+        auto& pool = m_pools[target];
+        auto* const connection = pool.findIdle({});
+        if (!connection) {
+            if (pool.count(ConnectionStage::Opening) == 0)
+                open(now, target);
+            ++next;
+            continue;
+        }
+        next = m_orders.erase(next);
+        connection->stage = ConnectionStage::Busy;
+        connection->since = now;
+        connection->expected.push_back({ ReplyPurpose::Standing, {}, now });
+        m_polledAt[target] = now;
+        if (auto* const health = m_watcher.health(target))
+            health->asked(now);
+        if (!std::holds_alternative<AskStanding>(request))
+            log({ LogEvent::OrderSent,
+                { { "group", m_name.value() }, { "target", target.value() }, { "order", nameOfOrder(request) } } });
+        m_actions.send(connection->id, { request });
+    }
+}
+
+} // namespace Auburnpost::Proxy
--- /dev/null
+++ b/src/proxy/GroupService.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include "limit/RetryBudget.h"
+#include "proxy/GroupActions.h"
+#include "proxy/ReadPlacement.h"
+#include "proxy/WorkQueue.h"
+
+#include <map>
+#include <unordered_map>
+
+namespace Auburnpost::Proxy {
+
+/// Serves the statements of one database group: queues them, places each on a fresh enough target, holds the
+/// connections, watches the members and replaces the primary when it has to be.
+class GroupService final : private PromotionActions {
+public:
+    /// Between two status questions to one target on a calm day: within ReadProofs::proofLifetime together with a
+    /// round trip between regions, so that most reads of the current state wait for none.
+    static constexpr Duration pollInterval = std::chrono::milliseconds(330);
+    /// While the primary is in doubt or being replaced.
+    static constexpr Duration urgentPollInterval = std::chrono::milliseconds(100);
+    /// A connection on which a question is unanswered for so long is closed.
+    static constexpr Duration replyLimit = std::chrono::milliseconds(1200);
+    /// The same for a statement that nobody waits for any more; above what a target's queue takes.
+    static constexpr Duration orphanLimit = std::chrono::seconds(3);
+    /// How long a statement waits after a refusal for lack of capacity.
+    static constexpr Duration busyDelay = std::chrono::milliseconds(25);
+    /// Fences are left to whoever set them for this long, above the life of a claim.
+    static constexpr Duration abandonedFenceLimit = std::chrono::milliseconds(4000);
+    /// A better candidate whose connection opens is worth waiting for when others cost this much more.
+    static constexpr Duration openingPatience = std::chrono::milliseconds(20);
+    /// A leaving primary takes writes for so long at most; then it is about to stop.
+    static constexpr Duration leavingPrimaryLimit = std::chrono::milliseconds(5500);
+
+    GroupService(HostName self, GroupName, GroupActions&);
+
+    void setRules(const GroupRules&);
+    void setMembers(Instant now, const std::vector<TargetRecord>&);
+    void tick(Instant now);
+    /// This host itself did not run for a while.
+    void resumedAfterPause(Instant now) { m_watcher.forgiveSilence(now); }
+
+    /// Serves a statement that is bound to no connection.
+    void submit(Instant now, Work);
+    /// Serves a further statement of a transaction.
+    /// @return whether its connection is still there; if not nothing was done.
+    bool submitPinned(Instant now, Work, ConnectionId);
+    /// Ends a transaction whose session needs no answer.
+    /// @param commits whether its commit is under way, which is left to finish.
+    void release(Instant now, ConnectionId, bool commits);
+    /// The caller left before its answer came.
+    void abandon(Instant now, WorkId);
+
+    void connectionOpened(Instant now, ConnectionId, const std::optional<LogPoint>& position);
+    /// The target refused the connection, by its answer or by the network.
+    void connectionRefused(Instant now, ConnectionId, Session::FailureCode);
+    void connectionLost(Instant now, ConnectionId);
+    void replied(Instant now, ConnectionId, const TargetReply&);
+
+    void claimRead(Instant now, const Expected<ClaimRow>& row) { m_promotion.claimRead(now, m_watcher, row); }
+    void claimWritten(Instant now, const Expected<std::optional<RowVersion>>& version)
+    {
+        m_promotion.claimWritten(now, m_watcher, version);
+    }
+    void promoteAnswered(Instant now, PromotionOutcome outcome)
+    {
+        m_promotion.promoteAnswered(now, m_watcher, outcome);
+    }
+
+    [[nodiscard]] const GroupWatcher& watcher() const { return m_watcher; }
+    [[nodiscard]] const Promotion& promotion() const { return m_promotion; }
+    [[nodiscard]] const ReadPlacement::Pools& pools() const { return m_pools; }
+    [[nodiscard]] std::size_t waiting() const { return m_queue.size(); }
+    [[nodiscard]] bool owns(ConnectionId id) const { return m_targetOf.contains(id); }
+
+private:
+    // Placing.
+    void placeWaiting(Instant now);
+    bool place(Instant now, Work&);
+    bool placeOnPrimary(Instant now, Work&);
+    bool placeOnAny(Instant now, Work&);
+    /// @return whether the position that the work has to see is known; it is set then.
+    bool findPosition(Instant now, Work&);
+    void wantProof(Instant now);
+    void sendWork(Instant now, TargetConnection&, Work&);
+    void sendStatement(Instant now, TargetConnection&, const Work&);
+    void open(Instant now, const TargetName&);
+    TargetConnection* idleOrOpen(Instant now, const TargetName&, const Work&);
+
+    // Replies.
+    void takeStanding(Instant now, TargetConnection&, const ExpectedReply&, const TargetReply&);
+    void takeBegin(Instant now, TargetConnection&, const ExpectedReply&, const TargetReply&);
+    void takeStatement(Instant now, TargetConnection&, const ExpectedReply&, const TargetReply&);
+    void takeFailure(Instant now, TargetConnection&, Work&, const TargetReply&);
+    bool retryElsewhere(Instant now, Work&, const TargetName&, Session::FailureCode);
+    void finish(const Work&, Session::Answer, const TargetConnection*);
+    void finishUnsent(const Work&, Session::FailureCode, const std::string& text);
+    void becomeIdle(Instant now, TargetConnection&);
+    void lose(Instant now, const Work&, ReplyPurpose);
+    void drop(ConnectionId);
+    [[nodiscard]] Work* findWork(WorkId);
+    [[nodiscard]] TargetConnection* findConnection(ConnectionId);
+
+    // Watching.
+    void poll(Instant now);
+    void ask(Instant now, const TargetName&);
+    void expire(Instant now);
+    void expireSent(Instant now, Work&);
+    void hedge(Instant now, Work&);
+    void checkConnections(Instant now);
+    [[nodiscard]] bool isOverdue(Instant now, const ExpectedReply&) const;
+    void watchPrimary(Instant now);
+    void logHealth(Instant now);
+
+    // Orders of the promotion.
+    void readClaim(const GroupName&) override;
+    void writeClaim(const GroupName&, const Claim&, RowVersion expected) override;
+    void promote(const GroupName&, const TargetName&, RowVersion token) override;
+    void order(const TargetName&, const TargetRequest&) override;
+    void log(const LogRecord&) override;
+    void sendOrders(Instant now);
+
+    HostName m_self;
+    GroupName m_name;
+    GroupActions& m_actions;
+    GroupRules m_rules;
+    GroupWatcher m_watcher;
+    Promotion m_promotion;
+    ReadPlacement::Pools m_pools;
+    std::unordered_map<ConnectionId, TargetName> m_targetOf;
+    std::map<WorkId, Work> m_works;
+    WorkQueue m_queue;
+    Limit::RetryBudget m_retries;
+    std::map<TargetName, Instant> m_polledAt;
+    std::map<TargetName, TargetRequest> m_orders;
+    std::set<TargetName> m_doubtful;
+    std::optional<Instant> m_primaryLeavingSince;
+    bool m_isPlacing { false };
+};
+
+} // namespace Auburnpost::Proxy
--- /dev/null
+++ b/src/proxy/GroupWatcher.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "proxy/Catalog.h"
+#include "proxy/ReadProofs.h"
+#include "proxy/TargetHealth.h"
+#include "proxy/TargetRecord.h"
+#include "proxy/TargetStanding.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <vector>
+
+namespace Auburnpost::Proxy {
+
+/// Why the primary should be replaced.
+enum class PrimaryTrouble : std::uint8_t {
+    None,
+    /// No target says that it is the primary.
+    Missing,
+    /// It refuses connections or does not answer.
+    Down,
+    /// No replica receives its commits.
+    Blocked,
+    /// It announced its shutdown.
+    Leaving,
+};
+
+/// @return the text for logs, such as "down".
+std::string_view toString(PrimaryTrouble);
+
+/// What this host knows of one database group: its members, who is primary, and the proofs for its reads.
+class GroupWatcher {
+public:
+    /// A replica that should receive but is behind the primary, without progress for so long, is cut off from it.
+    static constexpr Duration blockedLimit = std::chrono::milliseconds(1500);
+    /// A member that isn't listed any more counts as part of the group for so long.
+    static constexpr Duration membershipMemory = std::chrono::seconds(8);
+    /// How long no target may be seen as primary before that counts as trouble; at a cold start the targets register
+    /// within about two seconds of each other.
+    static constexpr Duration missingLimit = std::chrono::milliseconds(2500);
+
+    struct Member {
+        TargetRecord record;
+        std::optional<TargetStanding> standing;
+        /// When the question was sent that brought the standing.
+        Instant askedAt {};
+        TargetHealth health;
+        /// Since when its received position has not moved.
+        Instant stalledSince {};
+    };
+    using Members = std::map<TargetName, Member>;
+
+    /// Replaces the members; what is known of those that stay, in the same incarnation, is kept.
+    void setMembers(Instant now, const std::vector<TargetRecord>&);
+    void setRules(const GroupRules& rules) { m_rules = rules; }
+
+    /// Takes a standing and derives the next proof from it.
+    /// @return whether another target became primary by it.
+    bool record(Instant now, const TargetName&, Instant askedAt, const TargetStanding&);
+    /// A target refused a write as it isn't the primary.
+    void refusedAsReplica(const TargetName&);
+    [[nodiscard]] TargetHealth* health(const TargetName&);
+
+    [[nodiscard]] const Members& members() const { return m_members; }
+    [[nodiscard]] const Member* find(const TargetName&) const;
+    /// @return the primary of the highest term seen; empty when none is known.
+    [[nodiscard]] const std::optional<TargetName>& primary() const { return m_primary; }
+    [[nodiscard]] Term primaryTerm() const { return m_primaryTerm; }
+    /// @return the highest term seen, also as a fence.
+    [[nodiscard]] Term highestTerm() const { return m_highestTerm; }
+    [[nodiscard]] const ReadProofs& proofs() const { return m_proofs; }
+    [[nodiscard]] PrimaryTrouble trouble(Instant now) const;
+    /// @return how many members have to be fenced before a promotion, so that every acknowledged commit is on one of
+    /// them and no further commit can be acknowledged.
+    [[nodiscard]] std::size_t fencesNeeded() const;
+    /// @return whether a member has been fenced since before @p now - @p limit.
+    [[nodiscard]] bool isFencedSince(Instant now, Duration limit) const;
+    /// This host itself did not run for a while.
+    void forgiveSilence(Instant now);
+
+private:
+    void prove();
+    [[nodiscard]] std::size_t groupSize() const;
+    [[nodiscard]] bool isBlocked(Instant now, const Member& primary) const;
+    void noteFences(Instant now);
+    void noteAddresses(Instant now);
+
+    GroupRules m_rules;
+    Members m_members;
+    std::optional<TargetName> m_primary;
+    Term m_primaryTerm;
+    Term m_highestTerm;
+    ReadProofs m_proofs;
+    std::optional<Instant> m_primaryMissingSince;
+    std::optional<Instant> m_fencedSince;
+    /// Addresses of the group's members, with the time at which each was last listed. A member that left as planned
+    /// is forgotten at once, as its log went over before.
+    std::map<SocketAddress, Instant> m_addresses;
+};
+
+} // namespace Auburnpost::Proxy
--- /dev/null
+++ b/src/proxy/PeerSnapshot.cpp
@@ -0,0 +1,56 @@
+#include "proxy/PeerSnapshot.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Auburnpost::Proxy {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    Json encodeTable(const TableState& table)
+    {
+        Json rows = Json::array();
+        for (const auto& [key, row] : table.rows)
+            rows.push_back({ key, row.version.value(), Json::binary({ row.value.begin(), row.value.end() }) });
+        return { { "as_of", table.asOf.value() }, { "rows", std::move(rows) } };
+    }
+
+    TableState decodeTable(const Json& encoded)
+    {
+        TableState table;
+        table.asOf = RowVersion(encoded.at("as_of").get<std::uint64_t>());
+        for (const auto& row : encoded.at("rows")) {
+            const auto& bytes = row.at(2).get_binary();
+            const auto key = row.at(0).get<std::string>();
+            table.rows[key]
+                = { key, RowVersion(row.at(1).get<std::uint64_t>()), std::string(bytes.begin(), bytes.end()), false };
+        }
+        return table;
+    }
+
+} // namespace
+
+std::string encodeSnapshot(const TableStates& tables)
+{
+    Json encoded = Json::object();
+    for (const auto& [table, state] : tables)
+        encoded[std::string(toString(table))] = encodeTable(state);
+    const auto bytes = Json::to_msgpack(encoded);
+    return { bytes.begin(), bytes.end() };
+}
+
+Expected<TableStates> decodeSnapshot(std::string_view bytes)
+{
+    TableStates tables;
+    try {
+        const auto encoded = Json::from_msgpack(bytes.begin(), bytes.end());
+        for (const auto table : storeTables)
+            tables[table] = decodeTable(encoded.at(std::string(toString(table))));
+    } catch (const Json::exception& problem) {
+        return fail(ErrorCode::BadMessage, "read peer snapshot", "", problem.what());
+    }
+    return tables;
+}
+
+} // namespace Auburnpost::Proxy
--- /dev/null
+++ b/src/proxy/PeerSnapshot.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "base/Expected.h"
+#include "proxy/StoreTable.h"
+
+#include <string>
+#include <string_view>
+
+namespace Auburnpost::Proxy {
+
+/// What a host hands to a peer that can't reach the store: the tables as it holds them.
+/// @return the tables as MessagePack.
+std::string encodeSnapshot(const TableStates&);
+
+/// @return the tables, or ErrorCode::BadMessage.
+Expected<TableStates> decodeSnapshot(std::string_view bytes);
+
+} // namespace Auburnpost::Proxy
--- /dev/null
+++ b/src/proxy/Proxy.cpp
@@ -0,0 +1,164 @@
+#include "proxy/Proxy.h"
+
+#include <algorithm>
+
+namespace Auburnpost::Proxy {
+
+Proxy::Proxy(
+    Instant now, ProxySettings settings, const RowReader& reader, ProxyActions& actions, RandomEngine::result_type seed)
+    : m_settings(std::move(settings))
+    , m_reader(reader)
+    , m_actions(actions)
+    , m_random(seed)
+    , m_now(now)
+    , m_tickedAt(now)
+    , m_followers { StoreFollower(StoreTable::Configuration, actions), StoreFollower(StoreTable::Targets, actions) }
+    , m_peerAskedAt(now)
+{
+}
+
+void Proxy::tick(Instant now)
+{
+    m_now = now;
+    const auto gap = now - m_tickedAt;
+    m_tickedAt = now;
+    if (gap >= pauseLimit) {
+        log({ LogEvent::HostPaused, { { "gap_ms", std::to_string(toMilliseconds(gap)) } } });
+        for (auto& [name, group] : m_groups)
+            group->resumedAfterPause(now);
+    }
+    for (auto& follower : m_followers)
+        follower.tick(now);
+    askPeers(now);
+    const auto gone = m_directory.expire(now);
+    if (!gone.isEmpty()) {
+        logChanges(gone);
+        applyMembers(now);
+    }
+    for (auto& [name, group] : m_groups)
+        group->tick(now);
+    const auto idleLimit = m_catalog ? m_catalog->transactionIdleLimit : Duration {};
+    std::vector<SessionId> late;
+    for (auto& [id, session] : m_sessions) {
+        if (!session.isAccepted && now - session.openedAt >= acceptLimit)
+            late.push_back(id);
+        else if (session.pinned && !session.work && idleLimit > Duration {} && now - session.quietSince >= idleLimit)
+            endTransaction(now, session);
+    }
+    for (const auto id : late) {
+        m_sessions.erase(id);
+        m_actions.refuseSession(
+            id, { Session::FailureCode::Busy, "no configuration is known yet; retry after 500 ms" });
+    }
+}
+
+bool Proxy::isReady() const
+{
+    return m_catalog && m_directory.size() > 0;
+}
+
+GroupService* Proxy::findGroup(const GroupName& name)
+{
+    const auto found = m_groups.find(name);
+    return found == m_groups.end() ? nullptr : found->second.get();
+}
+
+GroupService* Proxy::ownerOf(ConnectionId id)
+{
+    for (auto& [name, group] : m_groups) {
+        if (group->owns(id))
+            return group.get();
+    }
+    return nullptr;
+}
+
+void Proxy::connectionOpened(Instant now, ConnectionId id, const std::optional<LogPoint>& position)
+{
+    m_now = now;
+    if (auto* const group = ownerOf(id))
+        group->connectionOpened(now, id, position);
+}
+
+void Proxy::connectionRefused(Instant now, ConnectionId id, Session::FailureCode code)
+{
+    m_now = now;
+    if (auto* const group = ownerOf(id))
+        group->connectionRefused(now, id, code);
+}
+
+void Proxy::connectionLost(Instant now, ConnectionId id)
+{
+    m_now = now;
+    if (auto* const group = ownerOf(id))
+        group->connectionLost(now, id);
+}
+
+void Proxy::replied(Instant now, ConnectionId id, const TargetReply& reply)
+{
+    m_now = now;
+    if (auto* const group = ownerOf(id))
+        group->replied(now, id, reply);
+}
+
+void Proxy::claimRead(Instant now, const GroupName& name, const Expected<ClaimRow>& row)
+{
+    m_now = now;
+    if (auto* const group = findGroup(name))
+        group->claimRead(now, row);
+}
+
+void Proxy::claimWritten(Instant now, const GroupName& name, const Expected<std::optional<RowVersion>>& version)
+{
+    m_now = now;
+    if (auto* const group = findGroup(name))
+        group->claimWritten(now, version);
+}
+
+void Proxy::promoteAnswered(Instant now, const GroupName& name, PromotionOutcome outcome)
+{
+    m_now = now;
+    if (auto* const group = findGroup(name))
+        group->promoteAnswered(now, outcome);
+}
+
+void Proxy::openConnection(ConnectionId id, const TargetRecord& target)
+{
+    m_actions.openConnection(id, target);
+}
+
+void Proxy::closeConnection(ConnectionId id)
+{
+    m_actions.closeConnection(id);
+}
+
+void Proxy::send(ConnectionId id, const std::vector<TargetRequest>& requests)
+{
+    m_actions.send(id, requests);
+}
+
+void Proxy::readClaim(const GroupName& group)
+{
+    m_actions.readClaim(group);
+}
+
+void Proxy::writeClaim(const GroupName& group, const Claim& claim, RowVersion expected)
+{
+    m_actions.writeClaim(group, claim, expected);
+}
+
+void Proxy::promote(const GroupName& group, const TargetName& target, RowVersion token)
+{
+    m_actions.promote(group, target, token);
+}
+
+void Proxy::log(const LogRecord& record)
+{
+    m_actions.log(record);
+}
+
+ConnectionId Proxy::nextConnectionId()
+{
+    return ConnectionId(++m_lastConnection);
+}
+
+} // namespace Auburnpost::Proxy
--- /dev/null
+++ b/src/proxy/Proxy.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "proxy/CallerSession.h"
+#include "proxy/GroupService.h"
+#include "proxy/ProxyActions.h"
+#include "proxy/ProxySettings.h"
+#include "proxy/RowReader.h"
+#include "proxy/TargetDirectory.h"
+
+#include <memory>
+#include <unordered_map>
+
+namespace Auburnpost::Proxy {
+
+/// The proxy of one host: callers' sessions on pooled connections to targets. It has no clock and no socket; every
+/// event comes with the present time, and what is to be done goes to the ProxyActions.
+class Proxy final : private GroupActions {
+public:
+    static constexpr Duration tickInterval = std::chrono::milliseconds(30);
+    /// A gap between two ticks from which on this host counts as having been paused.
+    static constexpr Duration pauseLimit = std::chrono::milliseconds(300);
+    /// A session that opens before any configuration is known waits for so long; callers give up after 2 s.
+    static constexpr Duration acceptLimit = std::chrono::milliseconds(1500);
+    /// Peers are asked once the store has not answered for so long, and again at this interval.
+    static constexpr Duration peerDelay = std::chrono::milliseconds(400);
+    static constexpr Duration peerInterval = std::chrono::milliseconds(700);
+
+    Proxy(Instant now, ProxySettings, const RowReader&, ProxyActions&, RandomEngine::result_type seed);
+
+    void tick(Instant now);
+
+    // Callers.
+    void sessionOpened(Instant now, SessionId, const DatabaseName&);
+    void statementArrived(Instant now, SessionId, const Session::StatementId&, const Session::Statement&);
+    /// A statement arrived that can't be read.
+    void malformedArrived(Instant now, SessionId, const Session::Failure&);
+    void sessionClosed(Instant now, SessionId);
+
+    // Targets.
+    void connectionOpened(Instant now, ConnectionId, const std::optional<LogPoint>& position);
+    void connectionRefused(Instant now, ConnectionId, Session::FailureCode);
+    void connectionLost(Instant now, ConnectionId);
+    void replied(Instant now, ConnectionId, const TargetReply&);
+
+    // The platform.
+    void tableRead(Instant now, StoreTable, const Expected<StorePage>&);
+    void tableFollowed(Instant now, StoreTable, const Expected<StorePage>&);
+    void claimRead(Instant now, const GroupName&, const Expected<ClaimRow>&);
+    void claimWritten(Instant now, const GroupName&, const Expected<std::optional<RowVersion>>&);
+    void promoteAnswered(Instant now, const GroupName&, PromotionOutcome);
+
+    // Peers.
+    void peerAnswered(Instant now, const SocketAddress&, const Expected<TableStates>&);
+    [[nodiscard]] TableStates tables() const;
+
+    void setSeeds(std::vector<SocketAddress> seeds) { m_settings.seeds = std::move(seeds); }
+
+    // Leaving.
+    /// Closes each session as soon as it is idle, now and from here on.
+    void closeIdleSessions();
+    /// Rolls back open transactions between two statements.
+    void endTransactions(Instant now);
+    [[nodiscard]] bool hasSession(SessionId id) const { return m_sessions.contains(id); }
+    [[nodiscard]] std::size_t sessions() const { return m_sessions.size(); }
+    /// @return how many statements are being served.
+    [[nodiscard]] std::size_t statements() const;
+
+    /// @return whether callers can be served.
+    [[nodiscard]] bool isReady() const;
+    /// @return the whole state, for people.
+    [[nodiscard]] std::string dump(Instant now) const;
+
+private:
+    // GroupActions.
+    void openConnection(ConnectionId, const TargetRecord&) override;
+    void closeConnection(ConnectionId) override;
+    void send(ConnectionId, const std::vector<TargetRequest>&) override;
+    void readClaim(const GroupName&) override;
+    void writeClaim(const GroupName&, const Claim&, RowVersion expected) override;
+    void promote(const GroupName&, const TargetName&, RowVersion token) override;
+    void finished(const WorkResult&) override;
+    void transactionLost(SessionId) override;
+    void log(const LogRecord&) override;
+    ConnectionId nextConnectionId() override;
+    RandomEngine& random() override { return m_random; }
+
+    // Sessions.
+    void decideOpening(CallerSession&);
+    void serve(Instant now, CallerSession&, const Session::Statement&);
+    [[nodiscard]] Work makeWork(Instant now, const CallerSession&, const Session::Statement&, const Route&);
+    void answerNow(CallerSession&, const Session::Answer&);
+    void endTransaction(Instant now, CallerSession&);
+    void closeIfIdle(SessionId);
+    [[nodiscard]] CallerSession* findSession(SessionId);
+    [[nodiscard]] const Route* findRoute(const DatabaseName&) const;
+    [[nodiscard]] GroupService* findGroup(const GroupName&);
+    [[nodiscard]] GroupService* ownerOf(ConnectionId);
+    void logServed(const CallerSession&, const WorkResult&, Duration taken);
+
+    // Configuration and targets.
+    void tableChanged(Instant now, StoreTable);
+    void applyCatalog(Instant now);
+    void applyTargets(Instant now);
+    void applyMembers(Instant now);
+    void logChanges(const TargetDirectory::Changes&);
+    void noteStore(Instant now, StoreTable, bool wasConnected, const Expected<StorePage>&);
+    void askPeers(Instant now);
+    [[nodiscard]] StoreFollower& follower(StoreTable table) { return m_followers[static_cast<std::size_t>(table)]; }
+
+    ProxySettings m_settings;
+    const RowReader& m_reader;
+    ProxyActions& m_actions;
+    RandomEngine m_random;
+    /// The time of the event that is being handled.
+    Instant m_now;
+    Instant m_tickedAt;
+    std::array<StoreFollower, storeTables.size()> m_followers;
+    std::optional<Catalog> m_catalog;
+    TargetDirectory m_directory;
+    std::map<GroupName, std::unique_ptr<GroupService>> m_groups;
+    std::unordered_map<SessionId, CallerSession> m_sessions;
+    std::uint64_t m_lastConnection { 0 };
+    std::uint64_t m_lastWork { 0 };
+    std::size_t m_lastSeed { 0 };
+    Instant m_peerAskedAt {};
+    bool m_isClosingIdle { false };
+};
+
+} // namespace Auburnpost::Proxy
--- /dev/null
+++ b/src/proxy/ProxySessions.cpp
@@ -0,0 +1,309 @@
+#include "proxy/Proxy.h"
+
+#include <algorithm>
+
+namespace Auburnpost::Proxy {
+
+using Session::FailureCode;
+using Session::StatementKind;
+using Session::TransactionState;
+
+namespace {
+
+    std::string positionText(const std::optional<LogPoint>& point)
+    {
+        if (!point)
+            return "-";
+        return std::to_string(point->term.value()) + "." + std::to_string(point->position.value());
+    }
+
+    bool startsUnit(StatementKind kind)
+    {
+        switch (kind) {
+        case StatementKind::Begin:
+        case StatementKind::BeginReadOnly:
+        case StatementKind::Read:
+        case StatementKind::Write:
+        case StatementKind::Execute:
+            return true;
+        default:
+            return false;
+        }
+    }
+
+} // namespace
+
+CallerSession* Proxy::findSession(SessionId id)
+{
+    const auto found = m_sessions.find(id);
+    return found == m_sessions.end() ? nullptr : &found->second;
+}
+
+const Route* Proxy::findRoute(const DatabaseName& database) const
+{
+    if (!m_catalog)
+        return nullptr;
+    const auto found = m_catalog->routes.find(database);
+    return found == m_catalog->routes.end() ? nullptr : &found->second;
+}
+
+void Proxy::sessionOpened(Instant now, SessionId id, const DatabaseName& database)
+{
+    m_now = now;
+    auto& session = m_sessions[id];
+    session.id = id;
+    session.database = database;
+    session.openedAt = now;
+    session.quietSince = now;
+    decideOpening(session);
+}
+
+void Proxy::decideOpening(CallerSession& session)
+{
+    if (session.isAccepted || !m_catalog)
+        return;
+    if (findRoute(session.database)) {
+        session.isAccepted = true;
+        m_actions.acceptSession(session.id);
+        return;
+    }
+    log({ LogEvent::SessionRefused,
+        { { "database", session.database.value() }, { "reason", "unknown_database" },
+            { "version", std::to_string(m_catalog->version.value()) } } });
+    const auto id = session.id;
+    m_sessions.erase(id);
+    m_actions.refuseSession(id, { FailureCode::UnknownDatabase, "no such database" });
+}
+
+void Proxy::statementArrived(
+    Instant now, SessionId id, const Session::StatementId& statementId, const Session::Statement& statement)
+{
+    m_now = now;
+    auto* const session = findSession(id);
+    if (!session || session->work)
+        return;
+    session->statementId = statementId;
+    session->statementKind = statement.kind;
+    session->statementAt = now;
+    const bool isIdle = session->state.transaction() == TransactionState::Idle;
+    const auto* const route = findRoute(session->database);
+    if (isIdle && startsUnit(statement.kind) && !route) {
+        answerNow(*session,
+            { Session::Failure { FailureCode::UnknownDatabase, "no such database" }, TransactionState::Idle, {} });
+        return;
+    }
+    if (isIdle && (statement.kind == StatementKind::Begin || statement.kind == StatementKind::BeginReadOnly)) {
+        session->transactionRoute = *route;
+        session->transactionBegunAt = now;
+    }
+    if (const auto local = session->state.answerLocally(statement, session->pinned.has_value())) {
+        if (session->pinned && session->state.transaction() == TransactionState::Idle)
+            endTransaction(now, *session);
+        answerNow(*session, *local);
+        return;
+    }
+    serve(now, *session, statement);
+}
+
+void Proxy::malformedArrived(Instant now, SessionId id, const Session::Failure& failure)
+{
+    m_now = now;
+    if (auto* const session = findSession(id))
+        answerNow(*session, { failure, session->state.transaction(), {} });
+}
+
+void Proxy::serve(Instant now, CallerSession& session, const Session::Statement& statement)
+{
+    if (statement.kind == StatementKind::Rollback) {
+        endTransaction(now, session);
+        session.state.setTransaction(TransactionState::Idle);
+        answerNow(session, { Session::Success {}, TransactionState::Idle, {} });
+        return;
+    }
+    const bool isOpen = session.state.transaction() == TransactionState::Open;
+    const auto route = isOpen ? *session.transactionRoute : *findRoute(session.database);
+    auto* const group = findGroup(route.group);
+    if (!group) {
+        const auto state = isOpen ? TransactionState::Failed : TransactionState::Idle;
+        session.state.setTransaction(state);
+        answerNow(session,
+            { Session::Failure { FailureCode::Busy, "the group is not known yet; retry after 500 ms" }, state, {} });
+        return;
+    }
+    auto work = makeWork(now, session, statement, route);
+    session.work = work.id;
+    session.group = route.group;
+    if (!session.pinned) {
+        group->submit(now, std::move(work));
+        return;
+    }
+    if (group->submitPinned(now, std::move(work), *session.pinned))
+        return;
+    session.work.reset();
+    session.pinned.reset();
+    session.state.setTransaction(TransactionState::Failed);
+    answerNow(session,
+        { Session::Failure { FailureCode::Aborted, "the transaction's connection was lost" }, TransactionState::Failed,
+            {} });
+}
+
+Work Proxy::makeWork(Instant now, const CallerSession& session, const Session::Statement& statement, const Route& route)
+{
+    const bool isOpen = session.state.transaction() == TransactionState::Open;
+    Work work;
+    work.id = WorkId(++m_lastWork);
+    work.session = session.id;
+    work.statementId = session.statementId;
+    work.statement = statement;
+    if (statement.kind == StatementKind::Execute)
+        work.prepared = *session.state.findPrepared(statement.name);
+    work.values = session.state.values();
+    work.route = route;
+    work.arrivedAt = now;
+    work.freshAsOf = isOpen ? session.transactionBegunAt : now;
+    work.deadline = now + route.statementTimeout;
+    work.ownPosition = session.state.ownPosition();
+    work.startsTransaction = isOpen && !session.pinned;
+    work.isInTransaction = isOpen && session.pinned;
+    work.isReadOnlyTransaction = isOpen && session.state.isReadOnly();
+    const bool writes = statement.kind == StatementKind::Write || statement.kind == StatementKind::Commit
+        || (work.prepared && work.prepared->access == Session::Access::Write);
+    work.access = writes ? Session::Access::Write : Session::Access::Read;
+    if (work.isReadOnlyTransaction)
+        work.access = Session::Access::Read;
+    return work;
+}
+
+void Proxy::finished(const WorkResult& result)
+{
+    auto* const session = findSession(result.session);
+    if (!session || session->work != result.work)
+        return;
+    session->work.reset();
+    session->pinned = result.pinned;
+    auto answer = result.answer;
+    const bool isFailure = std::holds_alternative<Session::Failure>(answer.body);
+    const bool wasOpen = session->state.transaction() == TransactionState::Open;
+    if (session->statementKind == StatementKind::Commit && wasOpen && answer.state == TransactionState::Failed)
+        answer.state = TransactionState::Idle;
+    session->state.setTransaction(answer.state);
+    const bool commits = session->statementKind == StatementKind::Commit ? !session->state.isReadOnly() : !wasOpen;
+    if (!isFailure && commits && answer.position && answer.state == TransactionState::Idle)
+        session->state.wrote(*answer.position);
+    logServed(*session, result, m_now - session->statementAt);
+    answerNow(*session, answer);
+}
+
+void Proxy::logServed(const CallerSession& session, const WorkResult& result, Duration taken)
+{
+    const auto* const failure = std::get_if<Session::Failure>(&result.answer.body);
+    const std::chrono::duration<double, std::milli> milliseconds = taken;
+    const auto outcome = failure ? std::string(Session::toString(failure->code)) : "done";
+    m_actions.measure("statement_" + outcome + "_ms", milliseconds.count());
+    std::vector<LogField> fields { { "id", session.statementId.value() },
+        { "session", std::to_string(session.id.value()) }, { "database", session.database.value() },
+        { "group", session.group.value() }, { "outcome", outcome },
+        { "target", result.target.value().empty() ? "-" : result.target.value() },
+        { "after", positionText(result.after) }, { "attempts", std::to_string(result.attempts) },
+        { "ms", std::to_string(toMilliseconds(taken)) } };
+    if (const auto* const group = findGroup(session.group)) {
+        const auto proof = group->watcher().proofs().newest();
+        fields.push_back({ "term", std::to_string(group->watcher().primaryTerm().value()) });
+        fields.push_back({ "proof_age_ms", proof ? std::to_string(toMilliseconds(m_now - *proof)) : "-" });
+    }
+    if (failure)
+        fields.push_back({ "reason", failure->text });
+    const bool isUnknown = failure && failure->code == FailureCode::InDoubt;
+    log({ isUnknown   ? LogEvent::OutcomeUnknown
+            : failure ? LogEvent::StatementFailed
+                      : LogEvent::StatementServed,
+        std::move(fields) });
+}
+
+void Proxy::transactionLost(SessionId id)
+{
+    auto* const session = findSession(id);
+    if (!session)
+        return;
+    session->pinned.reset();
+    session->state.setTransaction(TransactionState::Failed);
+}
+
+void Proxy::endTransaction(Instant now, CallerSession& session)
+{
+    if (!session.pinned)
+        return;
+    if (auto* const group = findGroup(session.group))
+        group->release(now, *session.pinned, false);
+    session.pinned.reset();
+    if (session.state.transaction() == TransactionState::Open)
+        session.state.setTransaction(TransactionState::Failed);
+}
+
+void Proxy::answerNow(CallerSession& session, const Session::Answer& answer)
+{
+    session.quietSince = m_now;
+    const auto id = session.id;
+    // The next statement of the session may arrive from within the answer.
+    m_actions.answer(id, answer);
+    if (m_isClosingIdle)
+        closeIfIdle(id);
+}
+
+void Proxy::sessionClosed(Instant now, SessionId id)
+{
+    m_now = now;
+    auto* const session = findSession(id);
+    if (!session)
+        return;
+    auto* const group = findGroup(session->group);
+    const bool commits = session->work && session->statementKind == StatementKind::Commit;
+    if (group && session->work)
+        group->abandon(now, *session->work);
+    if (group && session->pinned)
+        group->release(now, *session->pinned, commits);
+    m_sessions.erase(id);
+}
+
+void Proxy::closeIdleSessions()
+{
+    m_isClosingIdle = true;
+    std::vector<SessionId> ids;
+    for (const auto& [id, session] : m_sessions)
+        ids.push_back(id);
+    for (const auto id : ids)
+        closeIfIdle(id);
+}
+
+void Proxy::closeIfIdle(SessionId id)
+{
+    const auto* const session = findSession(id);
+    if (!session || !session->isIdle() || !session->isAccepted)
+        return;
+    m_sessions.erase(id);
+    m_actions.closeSession(id);
+}
+
+void Proxy::endTransactions(Instant now)
+{
+    m_now = now;
+    std::vector<SessionId> ended;
+    for (auto& [id, session] : m_sessions) {
+        if (session.work || session.state.transaction() == TransactionState::Idle)
+            continue;
+        endTransaction(now, session);
+        ended.push_back(id);
+    }
+    for (const auto id : ended) {
+        m_sessions.erase(id);
+        m_actions.closeSession(id);
+    }
+}
+
+std::size_t Proxy::statements() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_sessions.begin(), m_sessions.end(), [](const auto& entry) { return entry.second.work.has_value(); }));
+}
+
+} // namespace Auburnpost::Proxy
--- /dev/null
+++ b/src/proxy/ProxySettings.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "base/SocketAddress.h"
+#include "base/Time.h"
+#include "proxy/Ids.h"
+
+#include <vector>
+
+namespace Auburnpost::Proxy {
+
+/// What a host is told at its start.
+struct ProxySettings {
+    HostName host;
+    DataCentreName dataCentre;
+    SocketAddress callers;
+    SocketAddress readiness;
+    SocketAddress peers;
+    SocketAddress metrics;
+    SocketAddress store;
+    SocketAddress promotions;
+    /// Hosts that may hand over what the store holds; they may be out of date or down.
+    std::vector<SocketAddress> seeds;
+    /// From the request to stop until the process is killed.
+    Duration stopTimeout {};
+};
+
+} // namespace Auburnpost::Proxy
--- /dev/null
+++ b/src/proxy/ProxyTables.cpp
@@ -0,0 +1,188 @@
+#include "proxy/Proxy.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace Auburnpost::Proxy {
+
+void Proxy::tableRead(Instant now, StoreTable table, const Expected<StorePage>& page)
+{
+    m_now = now;
+    const bool wasConnected = follower(table).isConnected();
+    const bool hasChanged = follower(table).tableRead(now, m_random, page);
+    noteStore(now, table, wasConnected, page);
+    if (hasChanged)
+        tableChanged(now, table);
+    follower(table).tick(now);
+}
+
+void Proxy::tableFollowed(Instant now, StoreTable table, const Expected<StorePage>& page)
+{
+    m_now = now;
+    const bool wasConnected = follower(table).isConnected();
+    const bool hasChanged = follower(table).tableFollowed(now, m_random, page);
+    noteStore(now, table, wasConnected, page);
+    if (hasChanged)
+        tableChanged(now, table);
+    follower(table).tick(now);
+}
+
+void Proxy::noteStore(Instant, StoreTable table, bool wasConnected, const Expected<StorePage>& page)
+{
+    const bool isConnected = follower(table).isConnected();
+    if (wasConnected == isConnected && page)
+        return;
+    if (!page && !wasConnected && follower(table).lostSince())
+        return;
+    std::vector<LogField> fields { { "table", std::string(toString(table)) } };
+    if (!page)
+        fields.push_back({ "reason", page.error().describe() });
+    log({ page ? LogEvent::PlatformBack : LogEvent::PlatformLost, std::move(fields) });
+}
+
+void Proxy::tableChanged(Instant now, StoreTable table)
+{
+    if (table == StoreTable::Configuration)
+        applyCatalog(now);
+    else
+        applyTargets(now);
+}
+
+void Proxy::applyCatalog(Instant now)
+{
+    for (const auto& [key, row] : follower(StoreTable::Configuration).state().rows) {
+        auto catalog = m_reader.readCatalog(row);
+        if (!catalog) {
+            log({ LogEvent::ConfigurationRefused,
+                { { "row", key }, { "version", std::to_string(row.version.value()) },
+                    { "problem", catalog.error().describe() } } });
+            continue;
+        }
+        if (!*catalog || (m_catalog && (*catalog)->version <= m_catalog->version))
+            continue;
+        m_catalog = std::move(**catalog);
+        log({ LogEvent::ConfigurationApplied,
+            { { "version", std::to_string(m_catalog->version.value()) },
+                { "routes", std::to_string(m_catalog->routes.size()) },
+                { "row_version", std::to_string(row.version.value()) } } });
+    }
+    if (!m_catalog)
+        return;
+    for (const auto& [name, rules] : m_catalog->groups) {
+        auto& group = m_groups[name];
+        GroupActions& actions = *this;
+        if (!group)
+            group = std::make_unique<GroupService>(m_settings.host, name, actions);
+        group->setRules(rules);
+    }
+    applyMembers(now);
+    std::vector<SessionId> waiting;
+    for (const auto& [id, session] : m_sessions) {
+        if (!session.isAccepted)
+            waiting.push_back(id);
+    }
+    for (const auto id : waiting)
+        decideOpening(m_sessions.at(id));
+}
+
+void Proxy::applyTargets(Instant now)
+{
+    std::vector<TargetRecord> listed;
+    for (const auto& [key, row] : follower(StoreTable::Targets).state().rows) {
+        auto record = m_reader.readTarget(row);
+        if (record)
+            listed.push_back(std::move(*record));
+        else
+            log({ LogEvent::RecordUnreadable,
+                { { "row", key }, { "version", std::to_string(row.version.value()) },
+                    { "problem", record.error().describe() } } });
+    }
+    logChanges(m_directory.update(now, listed));
+    applyMembers(now);
+}
+
+void Proxy::applyMembers(Instant now)
+{
+    for (auto& [name, group] : m_groups)
+        group->setMembers(now, m_directory.members(name));
+}
+
+void Proxy::logChanges(const TargetDirectory::Changes& changes)
+{
+    for (const auto& record : changes.listed)
+        log({ record.isLeaving ? LogEvent::TargetLeaving : LogEvent::TargetListed,
+            { { "group", record.group.value() }, { "target", record.name.value() },
+                { "address", record.address.toString() }, { "data_centre", record.dataCentre.value() },
+                { "primary", record.claimsPrimary ? "yes" : "no" },
+                { "incarnation", std::to_string(record.incarnation.value()) } } });
+    for (const auto& record : changes.gone)
+        log({ LogEvent::TargetGone, { { "group", record.group.value() }, { "target", record.name.value() } } });
+}
+
+void Proxy::askPeers(Instant now)
+{
+    if (m_settings.seeds.empty() || now - m_peerAskedAt < peerInterval)
+        return;
+    const bool isLost = std::any_of(m_followers.begin(), m_followers.end(), [now](const StoreFollower& follower) {
+        return (!follower.isKnown()) || (follower.lostSince() && now - *follower.lostSince() >= peerDelay);
+    });
+    if (!isLost)
+        return;
+    m_peerAskedAt = now;
+    m_lastSeed = (m_lastSeed + 1) % m_settings.seeds.size();
+    if (m_settings.seeds[m_lastSeed] == m_settings.peers)
+        m_lastSeed = (m_lastSeed + 1) % m_settings.seeds.size();
+    if (m_settings.seeds[m_lastSeed] != m_settings.peers)
+        m_actions.askPeer(m_settings.seeds[m_lastSeed]);
+}
+
+void Proxy::peerAnswered(Instant now, const SocketAddress& peer, const Expected<TableStates>& tables)
+{
+    m_now = now;
+    if (!tables) {
+        log({ LogEvent::PeerMessageRefused, { { "peer", peer.toString() }, { "reason", tables.error().describe() } } });
+        return;
+    }
+    for (const auto& [table, state] : *tables) {
+        if (!follower(table).takeOver(state))
+            continue;
+        log({ LogEvent::PeerStateTaken,
+            { { "peer", peer.toString() }, { "table", std::string(toString(table)) },
+                { "as_of", std::to_string(state.asOf.value()) } } });
+        tableChanged(now, table);
+    }
+}
+
+TableStates Proxy::tables() const
+{
+    TableStates tables;
+    for (const auto table : storeTables)
+        tables[table] = m_followers[static_cast<std::size_t>(table)].state();
+    return tables;
+}
+
+std::string Proxy::dump(Instant now) const
+{
+    using Json = nlohmann::json;
+    Json groups = Json::object();
+    for (const auto& [name, group] : m_groups) {
+        Json members = Json::object();
+        for (const auto& [target, member] : group->watcher().members()) {
+            const auto pool = group->pools().find(target);
+            members[target.value()] = { { "data_centre", member.record.dataCentre.value() },
+                { "leaving", member.record.isLeaving }, { "doubtful", member.health.isDoubtful(now) },
+                { "round_trip_ms", toMilliseconds(member.health.roundTrip()) },
+                { "connections", pool == group->pools().end() ? 0 : pool->second.connections().size() } };
+        }
+        groups[name.value()] = { { "primary", group->watcher().primary() ? group->watcher().primary()->value() : "" },
+            { "term", group->watcher().primaryTerm().value() }, { "waiting", group->waiting() },
+            { "promotion", group->promotion().state() }, { "members", std::move(members) } };
+    }
+    const Json state { { "host", m_settings.host.value() }, { "ready", isReady() },
+        { "configuration", m_catalog ? m_catalog->version.value() : 0 }, { "sessions", m_sessions.size() },
+        { "statements", statements() }, { "groups", std::move(groups) } };
+    return state.dump(2);
+}
+
+} // namespace Auburnpost::Proxy
--- /dev/null
+++ b/src/proxy/ReadPlacement.cpp
@@ -0,0 +1,38 @@
+#include "proxy/ReadPlacement.h"
+
+#include <algorithm>
+
+namespace Auburnpost::Proxy {
+
+std::vector<ReadCandidate> ReadPlacement::order(
+    Instant now, const GroupWatcher& watcher, const Pools& pools, const std::set<TargetName>& avoided)
+{
+    std::vector<ReadCandidate> candidates;
+    for (const auto& [name, member] : watcher.members()) {
+        if (avoided.contains(name) || member.record.isLeaving || !member.standing || member.health.isDoubtful(now))
+            continue;
+        candidates.push_back({ name, costOf(watcher, member, pools) });
+    }
+    std::sort(candidates.begin(), candidates.end(),
+        [](const ReadCandidate& left, const ReadCandidate& right) { return left.cost < right.cost; });
+    return candidates;
+}
+
+Duration ReadPlacement::costOf(const GroupWatcher& watcher, const GroupWatcher::Member& member, const Pools& pools)
+{
+    auto cost = member.health.roundTrip();
+    std::size_t load = member.standing->busy;
+    if (const auto pool = pools.find(member.record.name); pool != pools.end())
+        load = std::max(load, pool->second.count(ConnectionStage::Busy));
+    if (load >= member.record.slots) {
+        const auto ahead = static_cast<Duration::rep>(load + 1 - member.record.slots);
+        cost += serviceTime * ahead / static_cast<Duration::rep>(member.record.slots);
+    }
+    if (watcher.primary() == member.record.name)
+        cost += primaryPenalty;
+    if (member.standing->lag >= lagPenaltyLimit)
+        cost += member.standing->lag;
+    return cost;
+}
+
+} // namespace Auburnpost::Proxy
--- /dev/null
+++ b/src/proxy/ReadPlacement.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "proxy/ConnectionPool.h"
+#include "proxy/GroupWatcher.h"
+
+#include <vector>
+
+namespace Auburnpost::Proxy {
+
+/// A target that may serve a read, and how long its answer is expected to take beyond the service itself.
+struct ReadCandidate {
+    TargetName target;
+    Duration cost {};
+};
+
+/// Orders the targets of a group for a read that any fresh enough member may serve. Answers a load of many short reads
+/// from all data centres: the nearest target serves, until its queue costs more than the way to another one.
+class ReadPlacement {
+public:
+    /// Mean service time of a statement, for the cost of a queue.
+    static constexpr Duration serviceTime = std::chrono::milliseconds(20);
+    /// Keeps reads off the primary, which alone takes the writes, while a replica is about as near.
+    static constexpr Duration primaryPenalty = std::chrono::milliseconds(10);
+    /// A replica whose applied log is behind by more is likely to refuse.
+    static constexpr Duration lagPenaltyLimit = std::chrono::milliseconds(1000);
+
+    using Pools = std::map<TargetName, ConnectionPool>;
+
+    /// @param avoided targets that failed to serve the read.
+    /// @return the candidates, the cheapest first.
+    [[nodiscard]] static std::vector<ReadCandidate> order(
+        Instant now, const GroupWatcher&, const Pools&, const std::set<TargetName>& avoided);
+
+private:
+    static Duration costOf(const GroupWatcher&, const GroupWatcher::Member&, const Pools&);
+};
+
+} // namespace Auburnpost::Proxy
--- /dev/null
+++ b/src/proxy/TargetConnection.cpp
@@ -0,0 +1,39 @@
+#include "proxy/TargetConnection.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace Auburnpost::Proxy {
+
+std::string preparedNameOf(const Session::PreparedShape& prepared)
+{
+    constexpr XXH64_hash_t readSeed = 1;
+    constexpr XXH64_hash_t writeSeed = 2;
+    const auto seed = prepared.access == Session::Access::Read ? readSeed : writeSeed;
+    return "p" + std::to_string(XXH64(prepared.shape.data(), prepared.shape.size(), seed));
+}
+
+std::vector<TargetRequest> setUp(
+    TargetConnection& connection, const Session::SessionValues& values, const Session::PreparedShape* prepared)
+{
+    std::vector<TargetRequest> requests;
+    // A single value can't be unset.
+    const bool hasForeign = std::any_of(connection.values.begin(), connection.values.end(),
+        [&values](const auto& value) { return !values.contains(value.first); });
+    if (hasForeign) {
+        requests.emplace_back(ResetConnection {});
+        connection.values.clear();
+        connection.prepared.clear();
+    }
+    for (const auto& [name, value] : values) {
+        const auto known = connection.values.find(name);
+        if (known == connection.values.end() || known->second != value)
+            requests.emplace_back(SetValue { name, value });
+    }
+    connection.values = values;
+    if (prepared && connection.prepared.insert(preparedNameOf(*prepared)).second)
+        requests.emplace_back(PrepareStatement { preparedNameOf(*prepared), *prepared });
+    return requests;
+}
+
+} // namespace Auburnpost::Proxy
--- /dev/null
+++ b/src/session/SessionState.cpp
@@ -0,0 +1,80 @@
+#include "session/SessionState.h"
+
+#include <algorithm>
+
+namespace Auburnpost::Session {
+
+std::optional<Answer> SessionState::answerLocally(const Statement& statement, bool hasTarget)
+{
+    switch (statement.kind) {
+    case StatementKind::Begin:
+    case StatementKind::BeginReadOnly:
+    case StatementKind::Commit:
+    case StatementKind::Rollback:
+        return answerTransactionWord(statement, hasTarget);
+    default:
+        break;
+    }
+    if (m_transaction == TransactionState::Failed)
+        return refuse(FailureCode::Malformed, "the transaction has failed: roll it back first");
+    switch (statement.kind) {
+    case StatementKind::SetValue:
+        m_values[statement.name] = statement.argument;
+        return done();
+    case StatementKind::Prepare:
+        m_prepared[statement.name] = statement.prepared;
+        return done();
+    case StatementKind::Forget:
+        m_prepared.erase(statement.name);
+        return done();
+    case StatementKind::Execute:
+        if (!findPrepared(statement.name))
+            return refuse(FailureCode::UnknownPreparedName, "no such prepared statement");
+        return {};
+    default:
+        return {};
+    }
+}
+
+std::optional<Answer> SessionState::answerTransactionWord(const Statement& statement, bool hasTarget)
+{
+    const bool begins = statement.kind == StatementKind::Begin || statement.kind == StatementKind::BeginReadOnly;
+    if (begins) {
+        if (m_transaction != TransactionState::Idle)
+            return refuse(FailureCode::Malformed, "a transaction is open");
+        m_transaction = TransactionState::Open;
+        m_isReadOnly = statement.kind == StatementKind::BeginReadOnly;
+        return done();
+    }
+    if (m_transaction == TransactionState::Idle)
+        return refuse(FailureCode::Malformed, "no transaction is open");
+    if (statement.kind == StatementKind::Commit) {
+        if (m_transaction == TransactionState::Open)
+            return {};
+        // The end of a failed transaction rolls back, and a commit must not look like a success.
+        m_transaction = TransactionState::Idle;
+        return refuse(FailureCode::Aborted, "the transaction had failed and was rolled back");
+    }
+    if (hasTarget)
+        return {};
+    m_transaction = TransactionState::Idle;
+    return done();
+}
+
+const PreparedShape* SessionState::findPrepared(const std::string& name) const
+{
+    const auto found = m_prepared.find(name);
+    return found == m_prepared.end() ? nullptr : &found->second;
+}
+
+void SessionState::wrote(const LogPoint& position)
+{
+    m_ownPosition = m_ownPosition ? std::max(*m_ownPosition, position) : position;
+}
+
+Answer SessionState::refuse(FailureCode code, std::string text)
+{
+    return { Failure { code, std::move(text) }, m_transaction, {} };
+}
+
+} // namespace Auburnpost::Session
--- /dev/null
+++ b/src/wire/LineServer.cpp
@@ -0,0 +1,162 @@
+#include "wire/LineServer.h"
+
+#include "wire/SocketOptions.h"
+
+#include <event2/listener.h>
+#include <unistd.h>
+
+#include <optional>
+#include <vector>
+
+namespace Auburnpost::Wire {
+
+namespace {
+
+    /// Connections that the kernel may hold before they are accepted; a full queue delays them by seconds.
+    constexpr int acceptQueue = 1024;
+
+} // namespace
+
+struct LineServer::Client {
+    std::unique_ptr<LineConnection> connection;
+    /// Closed by the owner; only its output is awaited.
+    bool isClosing { false };
+    /// Since when an unfinished line has been held.
+    std::optional<Instant> stalledSince;
+    std::size_t stalledBytes { 0 };
+};
+
+struct LineServer::Callbacks {
+    static void accept(evconnlistener*, evutil_socket_t descriptor, sockaddr*, int, void* self)
+    {
+        static_cast<LineServer*>(self)->accept(descriptor);
+    }
+};
+
+LineServer::LineServer(event_base* base, SocketAddress address, std::size_t connectionLimit)
+    : m_base(base)
+    , m_address(std::move(address))
+    , m_connectionLimit(connectionLimit)
+{
+    ignoreBrokenPipe();
+}
+
+LineServer::~LineServer()
+{
+    stopListening();
+}
+
+Expected<void> LineServer::listen()
+{
+    const auto address = toSockaddr(m_address);
+    m_listener = evconnlistener_new_bind(m_base, &Callbacks::accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+        acceptQueue, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    if (!m_listener)
+        return fail(ErrorCode::BadSettings, "listen", m_address.toString(), "the address can't be bound");
+    return {};
+}
+
+void LineServer::stopListening()
+{
+    if (m_listener)
+        evconnlistener_free(std::exchange(m_listener, nullptr));
+}
+
+void LineServer::accept(int descriptor)
+{
+    sweep();
+    if (m_clients.size() >= m_connectionLimit) {
+        ::close(descriptor);
+        return;
+    }
+    const LineClientId id(++m_lastId);
+    auto& client = m_clients[id];
+    client = std::make_unique<Client>();
+    LineConnection::Handlers handlers;
+    handlers.connected = [] {};
+    handlers.line = [this, id](std::string_view line) {
+        const auto source = id;
+        onLine(source, line);
+    };
+    handlers.ended = [this, id](LineEnd reason) { onEnded(id, reason); };
+    client->connection = std::make_unique<LineConnection>(m_base, descriptor, std::move(handlers));
+}
+
+void LineServer::onLine(LineClientId id, std::string_view line)
+{
+    const auto found = m_clients.find(id);
+    if (found == m_clients.end() || found->second->isClosing)
+        return;
+    found->second->connection->pause();
+    m_arrived.emit(id, line);
+}
+
+void LineServer::onEnded(LineClientId id, LineEnd reason)
+{
+    const auto found = m_clients.find(id);
+    if (found == m_clients.end())
+        return;
+    const bool isClosing = found->second->isClosing;
+    if (!isClosing)
+        m_ended.emit(id, reason);
+    // The owner may have closed it with a last message.
+    if (isClosing || reason != LineEnd::TooLong || !found->second->isClosing)
+        m_clients.erase(id);
+}
+
+void LineServer::send(LineClientId id, std::string_view text)
+{
+    const auto found = m_clients.find(id);
+    if (found != m_clients.end())
+        found->second->connection->send(text);
+}
+
+void LineServer::resume(LineClientId id)
+{
+    const auto found = m_clients.find(id);
+    if (found != m_clients.end())
+        found->second->connection->resume();
+}
+
+void LineServer::close(LineClientId id)
+{
+    const auto found = m_clients.find(id);
+    if (found != m_clients.end())
+        found->second->isClosing = true;
+}
+
+void LineServer::sweep()
+{
+    std::erase_if(
+        m_clients, [](const auto& entry) { return entry.second->isClosing && entry.second->connection->isFlushed(); });
+}
+
+std::size_t LineServer::closeStalled(Instant now, Duration limit)
+{
+    sweep();
+    std::vector<LineClientId> stalled;
+    for (auto& [id, client] : m_clients) {
+        const auto bytes = client->connection->unreadBytes();
+        if (bytes == 0 || bytes != client->stalledBytes)
+            client->stalledSince.reset();
+        client->stalledBytes = bytes;
+        if (bytes > 0 && !client->stalledSince)
+            client->stalledSince = now;
+        if (client->stalledSince && now - *client->stalledSince >= limit)
+            stalled.push_back(id);
+    }
+    for (const auto id : stalled)
+        onEnded(id, LineEnd::Closed);
+    return stalled.size();
+}
+
+bool LineServer::isFlushed() const
+{
+    for (const auto& [id, client] : m_clients) {
+        if (!client->connection->isFlushed())
+            return false;
+    }
+    return true;
+}
+
+} // namespace Auburnpost::Wire
--- /dev/null
+++ b/src/wire/LineServer.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "base/Expected.h"
+#include "base/StrongId.h"
+#include "wire/LineConnection.h"
+
+#include <sigc++/signal.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+struct evconnlistener;
+
+namespace Auburnpost::Wire {
+
+/// Names one accepted connection, for as long as the server lives.
+using LineClientId = StrongId<std::uint64_t, struct LineClientIdTag>;
+
+/// Lines of text on one address. Each connection hands out one line at a time: the next after resume().
+class LineServer {
+public:
+    LineServer(event_base*, SocketAddress, std::size_t connectionLimit);
+    ~LineServer();
+    LineServer(const LineServer&) = delete;
+    LineServer& operator=(const LineServer&) = delete;
+
+    /// Starts to listen.
+    /// @return nothing, or an error with step "listen".
+    Expected<void> listen();
+    void stopListening();
+
+    void send(LineClientId, std::string_view text);
+    void resume(LineClientId);
+    /// Closes a connection once what was sent to it has gone out.
+    void close(LineClientId);
+    /// Closes connections that have held an unfinished line since before @p now - @p limit.
+    /// @return how many.
+    std::size_t closeStalled(Instant now, Duration limit);
+    /// @return whether closed connections still have something to send.
+    [[nodiscard]] bool isFlushed() const;
+
+    sigc::signal<void(LineClientId, std::string_view line)>& arrived() { return m_arrived; }
+    /// The connection ended, or sent a line above the limit. It is forgotten after the call unless it was closed.
+    sigc::signal<void(LineClientId, LineEnd)>& ended() { return m_ended; }
+
+private:
+    struct Client;
+    struct Callbacks;
+
+    void accept(int descriptor);
+    void onLine(LineClientId, std::string_view line);
+    void onEnded(LineClientId, LineEnd);
+    void sweep();
+
+    event_base* m_base;
+    SocketAddress m_address;
+    std::size_t m_connectionLimit;
+    evconnlistener* m_listener { nullptr };
+    std::uint64_t m_lastId { 0 };
+    std::unordered_map<LineClientId, std::unique_ptr<Client>> m_clients;
+    sigc::signal<void(LineClientId, std::string_view)> m_arrived;
+    sigc::signal<void(LineClientId, LineEnd)> m_ended;
+};
+
+} // namespace Auburnpost::Wire
