--- a/src/wire/LineConnection.cpp
+++ b/src/wire/LineConnection.cpp
@@ -30,6 +30,7 @@
 
 struct LineConnection::Callbacks {
     static void read(bufferevent*, void* self) { static_cast<LineConnection*>(self)->onReadable(); }
+    static void written(bufferevent*, void* self) { static_cast<LineConnection*>(self)->onFlushed(); }
     static void event(bufferevent*, short what, void* self) { static_cast<LineConnection*>(self)->onEvent(what); }
 };
 
@@ -71,6 +72,21 @@
     bufferevent_write(m_event, text.data(), text.size());
 }
 
+void LineConnection::whenFlushed(std::function<void()> flushed)
+{
+    m_flushed = std::move(flushed);
+    bufferevent_setcb(m_event, &Callbacks::read, &Callbacks::written, &Callbacks::event, this);
+    if (isFlushed())
+        bufferevent_trigger(m_event, EV_WRITE, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+}
+
+void LineConnection::onFlushed()
+{
+    // The function may destroy this.
+    const auto flushed = m_flushed;
+    flushed();
+}
+
 void LineConnection::pause()
 {
     m_isPaused = true;
--- a/src/wire/LineConnection.h
+++ b/src/wire/LineConnection.h
@@ -45,6 +45,8 @@
     LineConnection& operator=(const LineConnection&) = delete;
 
     void send(std::string_view text);
+    /// Calls @p flushed from the loop once all that was sent has gone to the kernel.
+    void whenFlushed(std::function<void()> flushed);
     /// Hands out no more lines until resume(); what arrives is kept up to the limit.
     void pause();
     void resume();
@@ -60,10 +62,12 @@
 
     void start();
     void onReadable();
+    void onFlushed();
     void onEvent(short what);
     void end(LineEnd);
 
     Handlers m_handlers;
+    std::function<void()> m_flushed;
     bufferevent* m_event { nullptr };
     bool m_isConnected { false };
     bool m_isPaused { false };
--- a/src/wire/LineServer.cpp
+++ b/src/wire/LineServer.cpp
@@ -64,7 +64,6 @@
 
 void LineServer::accept(int descriptor)
 {
-    sweep();
     if (m_clients.size() >= m_connectionLimit) {
         ::close(descriptor);
         return;
@@ -121,19 +120,17 @@
 void LineServer::close(LineClientId id)
 {
     const auto found = m_clients.find(id);
-    if (found != m_clients.end())
-        found->second->isClosing = true;
-}
-
-void LineServer::sweep()
-{
-    std::erase_if(
-        m_clients, [](const auto& entry) { return entry.second->isClosing && entry.second->connection->isFlushed(); });
+    if (found == m_clients.end() || found->second->isClosing)
+        return;
+    found->second->isClosing = true;
+    found->second->connection->whenFlushed([this, id] {
+        const auto source = id;
+        m_clients.erase(source);
+    });
 }
 
 std::size_t LineServer::closeStalled(Instant now, Duration limit)
 {
-    sweep();
     std::vector<LineClientId> stalled;
     for (auto& [id, client] : m_clients) {
         const auto bytes = client->connection->unreadBytes();
--- a/src/wire/LineServer.h
+++ b/src/wire/LineServer.h
@@ -52,7 +52,6 @@
     void accept(int descriptor);
     void onLine(LineClientId, std::string_view line);
     void onEnded(LineClientId, LineEnd);
-    void sweep();
 
     event_base* m_base;
     SocketAddress m_address;
