Take a primary for blocked or missing only on evidence that can't be stale

What: a replica counts as behind only when it lacks what the primary had before the replica was asked; a listed primary that refuses connections for lack of room is not missing; spare connections are given up early while a target is full; a leaving target's time is counted per target. Ruled out: slow polls (round trips were 40 ms).

--- a/src/proxy/ConnectionPool.cpp
+++ b/src/proxy/ConnectionPool.cpp
@@ -54,8 +54,9 @@
     std::vector<ConnectionId> ids;
     if (m_connections.size() <= 1)
         return ids;
+    const auto timeout = m_count + headroom < m_limit ? idleTimeout : crowdedIdleTimeout;
     for (const auto& [id, connection] : m_connections) {
-        if (connection.stage == ConnectionStage::Idle && now - connection.since >= idleTimeout)
+        if (connection.stage == ConnectionStage::Idle && now - connection.since >= timeout)
             ids.push_back(id);
     }
     // One connection stays for the next request and for status questions.
--- a/src/proxy/ConnectionPool.h
+++ b/src/proxy/ConnectionPool.h
@@ -16,13 +16,15 @@
     /// Connections that a host may open whatever the target's count says.
     static constexpr std::size_t floorConnections = 2;
     /// Part of the limit that one host may hold, as its divisor.
-    static constexpr std::size_t shareDivisor = 4;
+    static constexpr std::size_t shareDivisor = 8;
     /// Connections left free for other hosts, such as those that have just started.
     static constexpr std::size_t headroom = 6;
     /// Connects under way at a time.
     static constexpr std::size_t openingLimit = 3;
     /// Spare connections are closed after so long without use.
     static constexpr Duration idleTimeout = std::chrono::seconds(4);
+    /// The same while the target has no room left for others.
+    static constexpr Duration crowdedIdleTimeout = std::chrono::milliseconds(300);
     /// A connect that takes longer is given up; across regions one takes about 0.1 s.
     static constexpr Duration openTimeout = std::chrono::milliseconds(900);
 
--- a/src/proxy/GroupPlacement.cpp
+++ b/src/proxy/GroupPlacement.cpp
@@ -68,7 +68,8 @@
     if (!primary)
         return false;
     const auto& member = *m_watcher.find(*primary);
-    if (member.health.isDoubtful(now) || (m_primaryLeavingSince && now - *m_primaryLeavingSince >= leavingPrimaryLimit))
+    const bool isAboutToStop = member.leavingSince && now - *member.leavingSince >= leavingPrimaryLimit;
+    if (member.health.isDoubtful(now) || isAboutToStop)
         return false;
     const bool writes
         = work.access == Session::Access::Write || (work.startsTransaction && !work.isReadOnlyTransaction);
--- a/src/proxy/GroupService.cpp
+++ b/src/proxy/GroupService.cpp
@@ -77,12 +77,6 @@
 void GroupService::watchPrimary(Instant now)
 {
     const auto trouble = m_watcher.trouble(now);
-    if (trouble == PrimaryTrouble::Leaving) {
-        if (!m_primaryLeavingSince)
-            m_primaryLeavingSince = now;
-    } else {
-        m_primaryLeavingSince.reset();
-    }
     if (m_promotion.isIdle()) {
         if (trouble != PrimaryTrouble::None)
             m_promotion.start(now, m_watcher, m_actions.random(), PromotionReason::ReplacePrimary, trouble);
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -134,7 +134,6 @@
     std::map<TargetName, Instant> m_polledAt;
     std::map<TargetName, TargetRequest> m_orders;
     std::set<TargetName> m_doubtful;
-    std::optional<Instant> m_primaryLeavingSince;
     bool m_isPlacing { false };
 };
 
--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -19,11 +19,14 @@
     Members next;
     for (const auto& record : records) {
         const auto known = m_members.find(record.name);
+        auto& member = next[record.name];
         if (known != m_members.end() && known->second.record.incarnation == record.incarnation)
-            next[record.name] = known->second;
-        else
-            next[record.name].stalledSince = now;
-        next[record.name].record = record;
+            member = known->second;
+        member.record = record;
+        if (!record.isLeaving)
+            member.leavingSince.reset();
+        else if (!member.leavingSince)
+            member.leavingSince = now;
     }
     m_members = std::move(next);
     if (m_primary && !m_members.contains(*m_primary))
@@ -53,8 +56,7 @@
     auto& member = found->second;
     if (member.standing && askedAt < member.askedAt)
         return false;
-    if (!member.standing || member.standing->received != standing.received)
-        member.stalledSince = now;
+    noteProgress(now, member, askedAt, standing);
     member.standing = standing;
     member.askedAt = askedAt;
     m_highestTerm = std::max({ m_highestTerm, standing.term, standing.fencedTerm });
@@ -73,6 +75,18 @@
     return isNew;
 }
 
+void GroupWatcher::noteProgress(Instant now, Member& member, Instant askedAt, const TargetStanding& standing)
+{
+    const auto* const primary = m_primary ? find(*m_primary) : nullptr;
+    if (!primary || primary == &member || !primary->standing || primary->askedAt >= askedAt)
+        return;
+    const bool hasMoved = !member.standing || member.standing->received != standing.received;
+    if (standing.received >= primary->standing->received)
+        member.behindSince.reset();
+    else if (hasMoved || !member.behindSince)
+        member.behindSince = now;
+}
+
 void GroupWatcher::refusedAsReplica(const TargetName& name)
 {
     if (m_primary != name)
@@ -138,7 +152,7 @@
 {
     if (!m_primary) {
         const bool isLong = m_primaryMissingSince && now - *m_primaryMissingSince >= missingLimit;
-        return isLong && !m_members.empty() ? PrimaryTrouble::Missing : PrimaryTrouble::None;
+        return isLong && !m_members.empty() && !hasLivingClaimant(now) ? PrimaryTrouble::Missing : PrimaryTrouble::None;
     }
     const auto& primary = m_members.at(*m_primary);
     if (primary.health.isDown(now))
@@ -148,6 +162,15 @@
     return isBlocked(now, primary) ? PrimaryTrouble::Blocked : PrimaryTrouble::None;
 }
 
+bool GroupWatcher::hasLivingClaimant(Instant now) const
+{
+    // A primary may refuse this host's connections for lack of room, and still serve all others.
+    return std::any_of(m_members.begin(), m_members.end(), [now](const auto& entry) {
+        const auto& member = entry.second;
+        return member.record.claimsPrimary && !member.standing && member.health.lastHeard() && !member.health.isDown(now);
+    });
+}
+
 bool GroupWatcher::isBlocked(Instant now, const Member& primary) const
 {
     if (!primary.standing || m_rules.syncReplicas == 0)
@@ -158,8 +181,8 @@
         if (name == *m_primary || !member.standing || member.health.isDown(now))
             continue;
         ++answering;
-        const bool isStalled = now - member.stalledSince >= blockedLimit;
-        if (isStalled && !member.standing->isFenced() && member.standing->received < primary.standing->received)
+        const bool isStalled = member.behindSince && now - *member.behindSince >= blockedLimit;
+        if (isStalled && !member.standing->isFenced())
             ++behind;
     }
     return answering >= fencesNeeded() && behind == answering;
@@ -184,7 +207,7 @@
 {
     for (auto& [name, member] : m_members) {
         member.health.forgiveSilence(now);
-        member.stalledSince = now;
+        member.behindSince.reset();
     }
     if (m_primaryMissingSince)
         m_primaryMissingSince = now;
--- a/src/proxy/GroupWatcher.h
+++ b/src/proxy/GroupWatcher.h
@@ -47,8 +47,10 @@
         /// When the question was sent that brought the standing.
         Instant askedAt {};
         TargetHealth health;
-        /// Since when its received position has not moved.
-        Instant stalledSince {};
+        /// Since when it lacks a commit that the primary had when it was asked, without progress.
+        std::optional<Instant> behindSince;
+        /// When it was first seen to leave.
+        std::optional<Instant> leavingSince;
     };
     using Members = std::map<TargetName, Member>;
 
@@ -82,10 +84,12 @@
 
 private:
     void prove();
+    void noteProgress(Instant now, Member&, Instant askedAt, const TargetStanding&);
     [[nodiscard]] std::size_t groupSize() const;
     [[nodiscard]] bool isBlocked(Instant now, const Member& primary) const;
     void noteFences(Instant now);
     void noteAddresses(Instant now);
+    [[nodiscard]] bool hasLivingClaimant(Instant now) const;
 
     GroupRules m_rules;
     Members m_members;
