Let a read proof hold on only within a dense chain of proofs

Ruled out: a late fence (the log shows both replicas fenced 0.5 s before the call). Conclusion: kept for now; proofs without any hold-on would spare this and the promotion's wait.

--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -71,6 +71,8 @@
         m_primaryMissingSince = now;
     }
     noteFences(now);
+    if (m_fencedSince || m_highestTerm > m_primaryTerm)
+        m_proofs.breakChain();
     prove();
     return isNew;
 }
