Ask for read proofs after the read; take commits as proofs; promote without a wait

What: a read of the current state waits for a proof asked for after it arrived; one round serves all that wait; an acknowledged commit is a proof by itself in groups below 2(s+1); enough witnesses are asked that a member resumed after a promotion can't pass for one (witnessesNeeded). Promotion has no settling step. Ruled out: fewer polls with the hold-on kept, as its chain needs a proof each 0.6 s.

--- a/src/chart/EmbeddedCharts.cpp
+++ b/src/chart/EmbeddedCharts.cpp
@@ -32,12 +32,9 @@
     <transition event="progress" cond="claimEnds" target="Delaying"><action name="giveUp"/></transition>
     <state id="Fencing">
       <onentry><action name="fenceMembers"/></onentry>
-      <transition event="progress" cond="enoughFenced" target="Settling"/>
+      <transition event="progress" cond="enoughFenced" target="Verifying"/>
       <transition event="progress" cond="retryDue"><action name="fenceMembers"/></transition>
     </state>
-    <state id="Settling">
-      <transition event="progress" cond="proofsLapsed" target="Verifying"/>
-    </state>
     <state id="Verifying">
       <onentry><action name="askFenced"/></onentry>
       <transition event="progress" cond="fencesHold" target="Calling"/>
--- a/src/proxy/ConnectionPool.cpp
+++ b/src/proxy/ConnectionPool.cpp
@@ -43,6 +43,17 @@
     return found;
 }
 
+TargetConnection* ConnectionPool::findForQuestion()
+{
+    TargetConnection* best = nullptr;
+    for (auto& [id, connection] : m_connections) {
+        const bool isFree = connection.stage == ConnectionStage::Idle || connection.stage == ConnectionStage::Busy;
+        if (isFree && (!best || connection.expected.size() < best->expected.size()))
+            best = &connection;
+    }
+    return best;
+}
+
 TargetConnection* ConnectionPool::find(ConnectionId id)
 {
     const auto found = m_connections.find(id);
--- a/src/proxy/GroupPlacement.cpp
+++ b/src/proxy/GroupPlacement.cpp
@@ -91,13 +91,13 @@
     if (work.route.consistency == Consistency::Current) {
         if (m_watcher.primary() && m_watcher.proofs().covers(work.freshAsOf, *m_watcher.primary()))
             return true;
-        wantProof(now);
+        wantProof(now, work.freshAsOf);
         return false;
     }
     const auto oldest = work.freshAsOf - std::max(Duration {}, work.route.maxStaleness - stalenessMargin);
     const auto point = m_watcher.proofs().pointAt(oldest);
     if (!point) {
-        wantProof(now);
+        wantProof(now, oldest);
         return false;
     }
     work.after = work.route.consistency == Consistency::ReadYourWrites ? later(point, work.ownPosition) : point;
--- a/src/proxy/GroupReplies.cpp
+++ b/src/proxy/GroupReplies.cpp
@@ -263,6 +263,7 @@
         return;
     }
     work->sentOn.erase(connection.id);
+    noteCommit(connection, *work, expected, reply);
     if (reply.failure()) {
         takeFailure(now, connection, *work, reply);
         return;
@@ -277,6 +278,23 @@
     finish(served, { std::get<Session::Success>(reply.body), reply.state, reply.position }, &connection);
 }
 
+void GroupService::noteCommit(
+    TargetConnection& connection, const Work& work, const ExpectedReply& expected, const TargetReply& reply)
+{
+    const bool isDone = !reply.failure() && reply.position;
+    if (work.statement.kind == StatementKind::Commit) {
+        if (isDone && connection.hasWritten)
+            m_watcher.committed(connection.target, expected.askedAt, *reply.position);
+        return;
+    }
+    if (!isDone || work.access != Session::Access::Write)
+        return;
+    if (connection.stage == ConnectionStage::Pinned)
+        connection.hasWritten = true;
+    else
+        m_watcher.committed(connection.target, expected.askedAt, *reply.position);
+}
+
 void GroupService::takeFailure(Instant now, TargetConnection& connection, Work& work, const TargetReply& reply)
 {
     const auto& failure = *reply.failure();
@@ -334,6 +352,7 @@
     connection.stage = ConnectionStage::Idle;
     connection.since = now;
     connection.session.reset();
+    connection.hasWritten = false;
 }
 
 void GroupService::finish(const Work& work, Session::Answer answer, const TargetConnection* connection)
--- a/src/proxy/GroupService.cpp
+++ b/src/proxy/GroupService.cpp
@@ -88,47 +88,73 @@
 
 void GroupService::poll(Instant now)
 {
-    const bool isUrgent = !m_promotion.isIdle() || !m_watcher.primary();
     for (const auto& [name, member] : m_watcher.members()) {
-        const auto interval = isUrgent || member.health.isDoubtful(now) ? urgentPollInterval : pollInterval;
         const auto polled = m_polledAt.find(name);
-        if (polled == m_polledAt.end() || now - polled->second >= interval)
+        if (polled == m_polledAt.end() || now - polled->second >= pollIntervalOf(now, member))
             ask(now, name);
     }
+    const auto newest = m_watcher.proofs().newest();
+    const bool isOld = !newest || now - *newest >= proofInterval;
+    if (isOld && m_watcher.primary() && now - m_proofAskedAt >= proofInterval)
+        askForProof(now);
+}
+
+Duration GroupService::pollIntervalOf(Instant now, const GroupWatcher::Member& member) const
+{
+    const bool isUrgent = !m_promotion.isIdle() || !m_watcher.primary();
+    if (isUrgent || member.health.isDoubtful(now) || !member.standing)
+        return urgentPollInterval;
+    const auto heard = member.health.lastHeard();
+    return heard && now - *heard < silentInterval ? standingInterval : silentInterval;
+}
+
+void GroupService::wantProof(Instant now, Instant arrival)
+{
+    // One round under way serves every read that arrived before it.
+    const bool isUnderWay = m_proofAskedAt >= arrival && now - m_proofAskedAt < proofRoundLimit;
+    if (!isUnderWay && m_watcher.primary())
+        askForProof(now);
+}
+
+void GroupService::askForProof(Instant now)
+{
+    m_proofAskedAt = now;
+    std::vector<const GroupWatcher::Member*> witnesses;
+    for (const auto& [name, member] : m_watcher.members()) {
+        if (name != m_watcher.primary() && !member.health.isDoubtful(now))
+            witnesses.push_back(&member);
+    }
+    const auto needed = std::min(m_watcher.witnessesNeeded(), witnesses.size());
+    std::sort(witnesses.begin(), witnesses.end(),
+        [](const auto* left, const auto* right) { return left->health.roundTrip() < right->health.roundTrip(); });
+    ask(now, *m_watcher.primary());
+    for (std::size_t index = 0; index < needed; ++index)
+        ask(now, witnesses[index]->record.name);
 }
 
 void GroupService::ask(Instant now, const TargetName& name)
 {
     auto& pool = m_pools[name];
-    auto* const connection = pool.findIdle({});
     auto* const health = m_watcher.health(name);
+    if (health && health->needsFreshConnect(now))
+        open(now, name);
+    auto* const connection = pool.findForQuestion();
     if (!connection) {
-        const bool isHeldByOthers = pool.count(ConnectionStage::Pinned) == pool.connections().size();
-        if (isHeldByOthers || (health && health->needsFreshConnect(now)))
+        if (pool.count(ConnectionStage::Opening) == 0)
             open(now, name);
         return;
     }
-    if (health && health->needsFreshConnect(now))
-        open(now, name);
     m_polledAt[name] = now;
     if (health)
         health->asked(now);
-    connection->stage = ConnectionStage::Busy;
-    connection->since = now;
+    if (connection->stage == ConnectionStage::Idle) {
+        connection->stage = ConnectionStage::Busy;
+        connection->since = now;
+    }
     connection->expected.push_back({ ReplyPurpose::Standing, {}, now });
     m_actions.send(connection->id, { AskStanding {} });
 }
 
-void GroupService::wantProof(Instant now)
-{
-    for (const auto& [name, member] : m_watcher.members()) {
-        const auto polled = m_polledAt.find(name);
-        // One round under way serves every read that arrived before it.
-        if (polled == m_polledAt.end() || now - polled->second >= urgentPollInterval)
-            ask(now, name);
-    }
-}
-
 void GroupService::expire(Instant now)
 {
     std::vector<WorkId> late;
@@ -162,8 +188,9 @@
         auto* const connection = findConnection(id);
         if (!connection)
             continue;
-        const auto purpose
-            = connection->expected.empty() ? ReplyPurpose::Statement : connection->expected.back().purpose;
+        const auto sent = std::find_if(connection->expected.begin(), connection->expected.end(),
+            [&work](const ExpectedReply& expected) { return expected.work == work.id; });
+        const auto purpose = sent == connection->expected.end() ? ReplyPurpose::Statement : sent->purpose;
         connection->expected.clear();
         if (findWork(work.id)) {
             auto again = work;
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -14,9 +14,15 @@
 /// connections, watches the members and replaces the primary when it has to be.
 class GroupService final : private PromotionActions {
 public:
-    /// Between two status questions to one target on a calm day: within ReadProofs::proofLifetime together with a
-    /// round trip between regions, so that most reads of the current state wait for none.
-    static constexpr Duration pollInterval = std::chrono::milliseconds(330);
+    /// The newest proof gets no older than this while nothing else renews it; below the smallest useful staleness
+    /// allowance.
+    static constexpr Duration proofInterval = std::chrono::milliseconds(900);
+    /// A target that nothing was heard of for so long is asked.
+    static constexpr Duration silentInterval = std::chrono::milliseconds(1000);
+    /// A standing is renewed after this, also while the target answers statements.
+    static constexpr Duration standingInterval = std::chrono::milliseconds(2500);
+    /// A round of questions for a proof is left to finish for so long before the next one.
+    static constexpr Duration proofRoundLimit = std::chrono::milliseconds(250);
     /// While the primary is in doubt or being replaced.
     static constexpr Duration urgentPollInterval = std::chrono::milliseconds(100);
     /// A connection on which a question is unanswered for so long is closed.
@@ -81,7 +87,8 @@
     bool placeOnAny(Instant now, Work&);
     /// @return whether the position that the work has to see is known; it is set then.
     bool findPosition(Instant now, Work&);
-    void wantProof(Instant now);
+    void wantProof(Instant now, Instant arrival);
+    void askForProof(Instant now);
     void sendWork(Instant now, TargetConnection&, Work&);
     void sendStatement(Instant now, TargetConnection&, const Work&);
     void open(Instant now, const TargetName&);
@@ -91,6 +98,7 @@
     void takeStanding(Instant now, TargetConnection&, const ExpectedReply&, const TargetReply&);
     void takeBegin(Instant now, TargetConnection&, const ExpectedReply&, const TargetReply&);
     void takeStatement(Instant now, TargetConnection&, const ExpectedReply&, const TargetReply&);
+    void noteCommit(TargetConnection&, const Work&, const ExpectedReply&, const TargetReply&);
     void takeFailure(Instant now, TargetConnection&, Work&, const TargetReply&);
     bool retryElsewhere(Instant now, Work&, const TargetName&, Session::FailureCode);
     void finish(const Work&, Session::Answer, const TargetConnection*);
@@ -103,6 +111,7 @@
 
     // Watching.
     void poll(Instant now);
+    [[nodiscard]] Duration pollIntervalOf(Instant now, const GroupWatcher::Member&) const;
     void ask(Instant now, const TargetName&);
     void expire(Instant now);
     void expireSent(Instant now, Work&);
@@ -132,6 +141,8 @@
     WorkQueue m_queue;
     Limit::RetryBudget m_retries;
     std::map<TargetName, Instant> m_polledAt;
+    /// When the last round of questions for a proof began.
+    Instant m_proofAskedAt {};
     std::map<TargetName, TargetRequest> m_orders;
     std::set<TargetName> m_doubtful;
     bool m_isPlacing { false };
--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -71,8 +71,6 @@
         m_primaryMissingSince = now;
     }
     noteFences(now);
-    if (m_fencedSince || m_highestTerm > m_primaryTerm)
-        m_proofs.breakChain();
     prove();
     return isNew;
 }
@@ -123,8 +121,7 @@
         if (member.standing->term <= m_primaryTerm && !member.standing->isPrimary)
             witnesses.push_back(member.askedAt);
     }
-    // The witnesses and the primary together meet every set of members that a promotion must fence.
-    const auto needed = groupSize() - fencesNeeded();
+    const auto needed = witnessesNeeded();
     if (witnesses.size() < needed)
         return;
     auto provenAt = primary.askedAt;
@@ -135,6 +132,23 @@
     m_proofs.add(provenAt, *m_primary, primary.standing->received);
 }
 
+std::size_t GroupWatcher::witnessesNeeded() const
+{
+    // Together with the primary they meet every set that a promotion must fence, and every set that a new primary needs
+    // to acknowledge a commit: a member that was resumed after a promotion looks like a witness until it joins.
+    const auto size = groupSize();
+    const auto quorum = m_rules.syncReplicas + 1;
+    return std::max(size - std::min(size, fencesNeeded()), size > quorum ? size - quorum : 0);
+}
+
+void GroupWatcher::committed(const TargetName& name, Instant askedAt, const LogPoint& end)
+{
+    // The commit's replicas had not joined another primary; in a larger group that would leave it enough others.
+    const bool provesAll = m_rules.syncReplicas > 0 && groupSize() < 2 * (m_rules.syncReplicas + 1);
+    if (provesAll && m_primary == name && end.term == m_primaryTerm)
+        m_proofs.add(askedAt, name, end);
+}
+
 std::size_t GroupWatcher::groupSize() const
 {
     return std::max(m_addresses.size(), m_members.size());
--- a/src/proxy/GroupWatcher.h
+++ b/src/proxy/GroupWatcher.h
@@ -61,6 +61,9 @@
     /// Takes a standing and derives the next proof from it.
     /// @return whether another target became primary by it.
     bool record(Instant now, const TargetName&, Instant askedAt, const TargetStanding&);
+    /// The primary acknowledged a commit that wrote something, which proves as much as the members' standings.
+    /// @param askedAt when the commit was sent; @param end the end of its log after it.
+    void committed(const TargetName&, Instant askedAt, const LogPoint& end);
     /// A target refused a write as it isn't the primary.
     void refusedAsReplica(const TargetName&);
     [[nodiscard]] TargetHealth* health(const TargetName&);
@@ -77,6 +80,8 @@
     /// @return how many members have to be fenced before a promotion, so that every acknowledged commit is on one of
     /// them and no further commit can be acknowledged.
     [[nodiscard]] std::size_t fencesNeeded() const;
+    /// @return how many members besides the primary have to answer unfenced for a proof.
+    [[nodiscard]] std::size_t witnessesNeeded() const;
     /// @return whether a member has been fenced since before @p now - @p limit.
     [[nodiscard]] bool isFencedSince(Instant now, Duration limit) const;
     /// This host itself did not run for a while.
--- a/src/proxy/Promotion.cpp
+++ b/src/proxy/Promotion.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-    /// A read's proof may have been asked for at the moment of the last fence, on a clock that runs this much slower.
-    constexpr Duration proofMargin = std::chrono::milliseconds(30);
-
     std::uint64_t milliseconds(Duration duration)
     {
         return static_cast<std::uint64_t>(toMilliseconds(duration));
@@ -25,7 +22,7 @@
         { "claimLate", &Promotion::claimLate }, { "repairsOnly", &Promotion::repairsOnly },
         { "superseded", &Promotion::superseded }, { "claimEnds", &Promotion::claimEnds },
         { "enoughFenced", &Promotion::enoughFenced }, { "retryDue", &Promotion::retryDue },
-        { "proofsLapsed", &Promotion::proofsLapsed }, { "fencesHold", &Promotion::fencesHold },
+        { "fencesHold", &Promotion::fencesHold },
         { "promotedSeen", &Promotion::promotedSeen }, { "awaitLimitPassed", &Promotion::awaitLimitPassed },
         { "allJoined", &Promotion::allJoined }, { "finishLimitPassed", &Promotion::finishLimitPassed } };
     bindings.actions = { { "waitForHolder", &Promotion::waitForHolder }, { "delayRetry", &Promotion::delayRetry },
@@ -189,11 +186,6 @@
     return context.now - m_orderedAt >= orderRetry;
 }
 
-bool Promotion::proofsLapsed(const Context& context) const
-{
-    return m_enoughSince && context.now - *m_enoughSince >= ReadProofs::proofLifetime + proofMargin;
-}
-
 bool Promotion::fencesHold(const Context& context) const
 {
     std::size_t holding = 0;
--- a/src/proxy/Promotion.h
+++ b/src/proxy/Promotion.h
@@ -35,8 +35,8 @@
 };
 
 /// Replaces the primary of one group, as the chart promotion.scxml orders it: claim the group's row in the store,
-/// fence enough members, let every host's read proofs lapse, check the fences, promote the member with the longest
-/// log, and let the others follow it.
+/// fence enough members, check that the fences hold, promote the member with the longest log, and let the others follow
+/// it.
 class Promotion {
 public:
     /// How long a claim lasts; above what an attempt takes up to its call.
@@ -94,7 +94,6 @@
     [[nodiscard]] bool claimEnds(const Context&) const;
     [[nodiscard]] bool enoughFenced(const Context&) const;
     [[nodiscard]] bool retryDue(const Context&) const;
-    [[nodiscard]] bool proofsLapsed(const Context&) const;
     [[nodiscard]] bool fencesHold(const Context&) const;
     [[nodiscard]] bool promotedSeen(const Context&) const;
     [[nodiscard]] bool awaitLimitPassed(const Context&) const;
--- a/src/proxy/ReadProofs.cpp
+++ b/src/proxy/ReadProofs.cpp
@@ -8,10 +8,6 @@
 {
     if (!m_samples.empty() && m_samples.back().askedAt >= askedAt)
         return;
-    const bool isLinked = m_chainStart && !m_samples.empty() && m_samples.back().primary == primary
-        && askedAt - m_samples.back().askedAt <= chainGap;
-    if (!isLinked)
-        m_chainStart = askedAt;
     m_samples.push_back({ askedAt, primary, primaryEnd });
     while (m_samples.front().askedAt + sampleLifetime < askedAt)
         m_samples.pop_front();
@@ -22,10 +18,7 @@
     if (m_samples.empty())
         return false;
     const auto& last = m_samples.back();
-    if (last.primary != primary)
-        return false;
-    const bool isVouchedFor = m_chainStart && last.askedAt - *m_chainStart >= chainLength;
-    return last.askedAt + (isVouchedFor ? proofLifetime : Duration {}) >= arrival;
+    return last.primary == primary && last.askedAt >= arrival;
 }
 
 std::optional<LogPoint> ReadProofs::pointAt(Instant moment) const
--- a/src/proxy/TargetConnection.h
+++ b/src/proxy/TargetConnection.h
@@ -55,6 +55,8 @@
     std::deque<ExpectedReply> expected;
     /// The transaction's session.
     std::optional<SessionId> session;
+    /// Whether the transaction has written something.
+    bool hasWritten { false };
 };
 
 /// @return the name under which the connections prepare a shape: the same for all sessions.
