--- a/src/app/ProxyAssembly.cpp
+++ b/src/app/ProxyAssembly.cpp
@@ -7,6 +7,7 @@
 
 #include <event2/event.h>
 
+#include <array>
 #include <csignal>
 #include <ctime>
 #include <random>
@@ -117,7 +118,7 @@
     });
     m_peers.arrived().connect([this](const Wire::HttpRequest& request) { servePeer(request); });
     m_metricsServer.arrived().connect([this](const Wire::HttpRequest& request) {
-        m_metricsServer.reply(request.id, { statusOk, { { "Content-Type", "text/plain" } }, m_metrics.dump() });
+        m_metricsServer.reply(request.id, { statusOk, { { "Content-Type", "text/plain" } }, m_metrics.dump() + requestCounts() });
     });
     for (auto* const server : { &m_readiness, &m_peers, &m_metricsServer })
         server->refused().connect([server](RequestId id, const Error&) {
@@ -285,8 +286,11 @@
 void ProxyAssembly::send(ConnectionId id, const std::vector<Proxy::TargetRequest>& requests)
 {
     const auto codec = m_codecs.find(id);
-    if (codec != m_codecs.end())
-        m_targets.send(id, codec->second.write(requests));
+    if (codec == m_codecs.end())
+        return;
+    for (const auto& request : requests)
+        ++m_requestCounts[request.index()];
+    m_targets.send(id, codec->second.write(requests));
 }
 
 void ProxyAssembly::call(Wire::PlatformClient& client, PlatformCall call, ReplyHandler handler)
@@ -368,6 +372,17 @@
     Logging::write(record);
 }
 
+std::string ProxyAssembly::requestCounts() const
+{
+    // In the order of TargetRequest.
+    constexpr std::array names { "reset", "set_value", "prepare", "begin", "rollback", "ask_standing", "fence", "resume",
+        "demote", "statement" };
+    std::string text;
+    for (std::size_t index = 0; index < names.size(); ++index)
+        text += std::string("target_requests_") + names[index] + " count=" + std::to_string(m_requestCounts[index]) + "\n";
+    return text;
+}
+
 void ProxyAssembly::measure(std::string_view series, double sample)
 {
     m_metrics.record(series, sample);
--- a/src/app/ProxyAssembly.h
+++ b/src/app/ProxyAssembly.h
@@ -72,6 +72,8 @@
 
     void log(const LogRecord&) override;
     void measure(std::string_view series, double sample) override;
+    /// @return one line for each kind of request to targets, with how many were sent.
+    [[nodiscard]] std::string requestCounts() const;
 
     // ShutdownOwner.
     void announceLeave(Instant now) override;
@@ -97,6 +99,7 @@
     Shutdown m_shutdown;
     std::unordered_map<ConnectionId, Platform::TargetCodec> m_codecs;
     std::unordered_map<ConnectionId, Proxy::TargetRecord> m_opening;
+    std::array<std::uint64_t, std::variant_size_v<Proxy::TargetRequest>> m_requestCounts {};
     std::map<PlatformCallId, ReplyHandler> m_calls;
     std::uint64_t m_lastCall { 0 };
     std::vector<EventHandle> m_events;
--- a/src/proxy/StoreFollower.h
+++ b/src/proxy/StoreFollower.h
@@ -23,9 +23,9 @@
 /// the history is gone. Rows only go forward.
 class StoreFollower {
 public:
-    /// A long poll lasts so long: below the time within which a change must be in force, as an open connection may go
-    /// silent without an error.
-    static constexpr Duration followWait = std::chrono::milliseconds(2000);
+    /// A long poll lasts so long: an open connection may go silent without an error, and is noticed only after this and
+    /// answerLimit.
+    static constexpr Duration followWait = std::chrono::milliseconds(5000);
     /// Beyond the wait, an answer is late after this; the store takes milliseconds when it is well.
     static constexpr Duration answerLimit = std::chrono::milliseconds(1000);
     static constexpr Duration retryMinimum = std::chrono::milliseconds(150);
