Count a target that starts again under a new name as the same member

What: a later start at an address replaces the earlier one in the directory; the group's size counts addresses; connections stay at the floor until the target has told its count.

--- a/src/proxy/ConnectionPool.cpp
+++ b/src/proxy/ConnectionPool.cpp
@@ -11,7 +11,12 @@
     const auto own = m_connections.size();
     if (own < floorConnections)
         return true;
-    return own < std::max(floorConnections, m_limit / shareDivisor) && m_count + headroom < m_limit;
+    return own < std::max(floorConnections, m_limit / shareDivisor) && hasRoom();
+}
+
+bool ConnectionPool::hasRoom() const
+{
+    return m_count && *m_count + headroom < m_limit;
 }
 
 TargetConnection& ConnectionPool::add(Instant now, ConnectionId id, const TargetName& target)
@@ -21,7 +26,8 @@
     connection.target = target;
     connection.since = now;
     // The target's next count will tell; until then this host's own connects must not run past the limit.
-    ++m_count;
+    if (m_count)
+        ++*m_count;
     return connection;
 }
 
@@ -65,7 +71,7 @@
     std::vector<ConnectionId> ids;
     if (m_connections.size() <= 1)
         return ids;
-    const auto timeout = m_count + headroom < m_limit ? idleTimeout : crowdedIdleTimeout;
+    const auto timeout = hasRoom() || !m_count ? idleTimeout : crowdedIdleTimeout;
     for (const auto& [id, connection] : m_connections) {
         if (connection.stage == ConnectionStage::Idle && now - connection.since >= timeout)
             ids.push_back(id);
--- a/src/proxy/ConnectionPool.h
+++ b/src/proxy/ConnectionPool.h
@@ -56,8 +56,11 @@
     [[nodiscard]] const Connections& connections() const { return m_connections; }
 
 private:
+    [[nodiscard]] bool hasRoom() const;
+
     std::size_t m_limit { 0 };
-    std::size_t m_count { 0 };
+    /// Empty until the target has told.
+    std::optional<std::size_t> m_count;
     Connections m_connections;
     Limit::Backoff m_backoff { { std::chrono::milliseconds(100), std::chrono::seconds(1) } };
     Instant m_openAfter {};
--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -151,7 +151,7 @@
 
 std::size_t GroupWatcher::groupSize() const
 {
-    return std::max(m_addresses.size(), m_members.size());
+    return m_addresses.size();
 }
 
 std::size_t GroupWatcher::fencesNeeded() const
--- a/src/proxy/TargetDirectory.cpp
+++ b/src/proxy/TargetDirectory.cpp
@@ -4,12 +4,36 @@
 
 namespace Auburnpost::Proxy {
 
-TargetDirectory::Changes TargetDirectory::update(Instant now, const std::vector<TargetRecord>& listed)
+namespace {
+
+    /// @return the records without those whose address a later start has taken over.
+    std::vector<TargetRecord> withoutSuperseded(const std::vector<TargetRecord>& listed)
+    {
+        std::map<SocketAddress, const TargetRecord*> latest;
+        for (const auto& record : listed) {
+            auto& known = latest[record.address];
+            if (!known || known->incarnation < record.incarnation)
+                known = &record;
+        }
+        std::vector<TargetRecord> records;
+        for (const auto& record : listed) {
+            if (latest.at(record.address) == &record)
+                records.push_back(record);
+        }
+        return records;
+    }
+
+} // namespace
+
+TargetDirectory::Changes TargetDirectory::update(Instant now, const std::vector<TargetRecord>& rows)
 {
     Changes changes;
+    const auto listed = withoutSuperseded(rows);
     std::set<TargetName> names;
+    std::set<SocketAddress> addresses;
     for (const auto& record : listed) {
         names.insert(record.name);
+        addresses.insert(record.address);
         auto& entry = m_targets[record.name];
         const bool hasChanged = entry.record != record;
         if (hasChanged)
@@ -18,7 +42,8 @@
     }
     for (auto next = m_targets.begin(); next != m_targets.end();) {
         auto& [name, entry] = *next;
-        if (!names.contains(name) && entry.record.isLeaving) {
+        const bool isSuperseded = addresses.contains(entry.record.address);
+        if (!names.contains(name) && (entry.record.isLeaving || isSuperseded)) {
             changes.gone.push_back(entry.record);
             next = m_targets.erase(next);
             continue;
--- a/src/proxy/TargetDirectory.h
+++ b/src/proxy/TargetDirectory.h
@@ -25,8 +25,9 @@
         [[nodiscard]] bool isEmpty() const { return listed.empty() && gone.empty(); }
     };
 
-    /// Replaces the listed targets.
-    Changes update(Instant now, const std::vector<TargetRecord>& listed);
+    /// Replaces the listed targets. Of several at one address the last start counts: a target that crashed starts again
+    /// under a new name.
+    Changes update(Instant now, const std::vector<TargetRecord>& rows);
     /// Forgets targets that have been missing for too long.
     Changes expire(Instant now);
 
