Refuse less for replicas that lag; prove freshness from fenced members; ask a silent target once

Cause: replicas' refusals for a position used up the retry budget, and 379 callers saw them; questions piled up on silent connections (12 on one); while a primary is being replaced no proof could be had. Ruled out: a larger retry budget, as these refusals cost the target nothing.

--- a/src/proxy/ConnectionPool.cpp
+++ b/src/proxy/ConnectionPool.cpp
@@ -53,8 +53,10 @@
 {
     TargetConnection* best = nullptr;
     for (auto& [id, connection] : m_connections) {
-        const bool isFree = connection.stage == ConnectionStage::Idle || connection.stage == ConnectionStage::Busy;
-        if (isFree && (!best || connection.expected.size() < best->expected.size()))
+        const bool isUnbound = connection.stage == ConnectionStage::Idle || connection.stage == ConnectionStage::Busy;
+        const bool isAsked = std::any_of(connection.expected.begin(), connection.expected.end(),
+            [](const ExpectedReply& reply) { return reply.purpose == ReplyPurpose::Standing; });
+        if (isUnbound && !isAsked && (!best || connection.expected.size() < best->expected.size()))
             best = &connection;
     }
     return best;
--- a/src/proxy/ConnectionPool.h
+++ b/src/proxy/ConnectionPool.h
@@ -44,7 +44,7 @@
     /// @return an idle connection, the one whose values fit best; null when there is none.
     [[nodiscard]] TargetConnection* findIdle(const Session::SessionValues&);
     /// @return a connection on which a question may be asked: an idle one, else the one with the fewest replies to come
-    /// that belongs to no transaction; null when there is none.
+    /// that belongs to no transaction and has no question open; null when there is none.
     [[nodiscard]] TargetConnection* findForQuestion();
     [[nodiscard]] TargetConnection* find(ConnectionId);
     void remove(ConnectionId id) { m_connections.erase(id); }
--- a/src/proxy/GroupReplies.cpp
+++ b/src/proxy/GroupReplies.cpp
@@ -329,7 +329,9 @@
 
 bool GroupService::retryElsewhere(Instant now, Work& work, const TargetName& target, FailureCode code)
 {
-    if (now + busyDelay >= work.deadline || !m_retries.tryRetry(now))
+    // A replica that lacks a position refuses at no cost, and each is asked once before all are asked again.
+    const bool isFree = code == FailureCode::Lagging || code == FailureCode::UnknownPreparedName;
+    if (now + busyDelay >= work.deadline || (!isFree && !m_retries.tryRetry(now)))
         return false;
     log({ LogEvent::StatementMoved,
         { { "id", work.statementId.value() }, { "target", target.value() },
--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -107,8 +107,28 @@
     return found == m_members.end() ? nullptr : &found->second;
 }
 
+void GroupWatcher::proveFenced()
+{
+    std::vector<const Member*> fenced;
+    for (const auto& [name, member] : m_members) {
+        const bool isFenced = member.standing && member.standing->isFenced() && !member.standing->isPrimary;
+        if (isFenced && member.standing->term <= m_primaryTerm)
+            fenced.push_back(&member);
+    }
+    const auto needed = fencesNeeded();
+    if (m_rules.syncReplicas == 0 || fenced.size() < needed)
+        return;
+    std::sort(fenced.begin(), fenced.end(),
+        [](const Member* left, const Member* right) { return left->askedAt > right->askedAt; });
+    LogPoint end;
+    for (std::size_t index = 0; index < needed; ++index)
+        end = std::max(end, fenced[index]->standing->received);
+    m_proofs.add(fenced[needed - 1]->askedAt, {}, end);
+}
+
 void GroupWatcher::prove()
 {
+    proveFenced();
     if (!m_primary)
         return;
     const auto& primary = m_members.at(*m_primary);
--- a/src/proxy/GroupWatcher.h
+++ b/src/proxy/GroupWatcher.h
@@ -89,6 +89,8 @@
 
 private:
     void prove();
+    /// While enough members are fenced nobody can acknowledge a commit, and every acknowledged one is on one of them.
+    void proveFenced();
     void noteProgress(Instant now, Member&, Instant askedAt, const TargetStanding&);
     [[nodiscard]] std::size_t groupSize() const;
     [[nodiscard]] bool isBlocked(Instant now, const Member& primary) const;
