--- a/src/proxy/Promotion.cpp
+++ b/src/proxy/Promotion.cpp
@@ -188,6 +188,9 @@
 
 bool Promotion::fencesHold(const Context& context) const
 {
+    // After a pause of this host everything may look well while another host holds the claim.
+    if (claimEnds(context))
+        return false;
     std::size_t holding = 0;
     for (const auto& name : fenced(context.watcher))
         holding += context.watcher.find(name)->askedAt >= m_verifyAskedAt ? 1 : 0;
--- a/src/wire/LineConnection.cpp
+++ b/src/wire/LineConnection.cpp
@@ -153,7 +153,9 @@
 
 void LineConnection::end(LineEnd reason)
 {
-    bufferevent_disable(m_event, EV_READ | EV_WRITE);
+    // After a line that is too long the owner may still send its refusal.
+    const short over = reason == LineEnd::TooLong ? EV_READ : EV_READ | EV_WRITE;
+    bufferevent_disable(m_event, over);
     // The handler may destroy this.
     const auto ended = m_handlers.ended;
     ended(reason);
--- a/src/wire/LineServer.cpp
+++ b/src/wire/LineServer.cpp
@@ -53,6 +53,7 @@
         acceptQueue, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
     if (!m_listener)
         return fail(ErrorCode::BadSettings, "listen", m_address.toString(), "the address can't be bound");
+    m_address = boundAddress(evconnlistener_get_fd(m_listener));
     return {};
 }
 
--- a/src/wire/LineServer.h
+++ b/src/wire/LineServer.h
@@ -38,6 +38,8 @@
     /// Closes connections that have held an unfinished line since before @p now - @p limit.
     /// @return how many.
     std::size_t closeStalled(Instant now, Duration limit);
+    /// @return the address listened on, with the port that the kernel chose when 0 was asked for.
+    [[nodiscard]] const SocketAddress& address() const { return m_address; }
     /// @return whether closed connections still have something to send.
     [[nodiscard]] bool isFlushed() const;
 
--- /dev/null
+++ b/tests/platform/RowDecoderTests.cpp
@@ -0,0 +1,133 @@
+#include "platform/RowDecoder.h"
+#include "platform/SettingsReader.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace Auburnpost;
+using namespace Auburnpost::Platform;
+using namespace Auburnpost::Proxy;
+using nlohmann::json;
+
+namespace {
+
+StoreRow row(std::string key, const json& value)
+{
+    return { std::move(key), RowVersion(7), value.dump(), false };
+}
+
+json entry()
+{
+    return { { "Service", "finy74a" }, { "Address", "10.3.64.36:8227" }, { "Zone", "south-galle" }, { "Version", "v1" },
+        { "Slots", 3 }, { "State", "ready" }, { "Sequence", 1 }, { "ColdRemainingMs", 0 }, { "born", 1788612291107 },
+        { "DatabaseRole", "primary" } };
+}
+
+json manifest()
+{
+    return { { "Version", 4 },
+        { "Routes",
+            { { { "Name", "r-1" }, { "Host", "noda340" }, { "Kind", "bounded_staleness" }, { "TimeoutMs", 2000 },
+                { "Priority", 2 }, { "Service", "finy74a" }, { "MaxStalenessMs", 1500 } } } },
+        { "Services", { { { "Name", "finy74a" }, { "ConnectionLimit", 48 }, { "SyncReplicas", 1 } } } },
+        { "Limits", { { "TxIdleMs", 3000 } } } };
+}
+
+} // namespace
+
+TEST_CASE("The operators' configuration is decoded into routes and groups", "[platform]")
+{
+    const RowDecoder decoder;
+    const auto catalog = decoder.readCatalog(row("config", manifest()));
+    REQUIRE(catalog);
+    REQUIRE(*catalog);
+    CHECK((*catalog)->version == ConfigVersion(4));
+    const auto& route = (*catalog)->routes.at(DatabaseName("noda340"));
+    CHECK(route.group == GroupName("finy74a"));
+    CHECK(route.consistency == Consistency::BoundedStaleness);
+    CHECK(route.statementTimeout == std::chrono::seconds(2));
+    CHECK(route.maxStaleness == std::chrono::milliseconds(1500));
+    CHECK((*catalog)->groups.at(GroupName("finy74a")).connectionLimit == 48);
+    CHECK((*catalog)->groups.at(GroupName("finy74a")).syncReplicas == 1);
+    CHECK((*catalog)->transactionIdleLimit == std::chrono::seconds(3));
+}
+
+TEST_CASE("Other rows of the operators hold no configuration, and a broken one is an error", "[platform]")
+{
+    const RowDecoder decoder;
+    const auto other = decoder.readCatalog(row("notes", manifest()));
+    REQUIRE(other);
+    CHECK_FALSE(*other);
+    CHECK_FALSE(decoder.readCatalog({ "config", RowVersion(1), "{", false }));
+    auto incomplete = manifest();
+    incomplete["Routes"][0].erase("Service");
+    CHECK_FALSE(decoder.readCatalog(row("config", incomplete)));
+}
+
+TEST_CASE("A kind of route that is not known gets the strictest freshness", "[platform]")
+{
+    auto strange = manifest();
+    strange["Routes"][0]["Kind"] = "eventual";
+    const auto catalog = RowDecoder().readCatalog(row("config", strange));
+    REQUIRE(catalog);
+    CHECK((*catalog)->routes.at(DatabaseName("noda340")).consistency == Consistency::Current);
+}
+
+TEST_CASE("A target's record is decoded, and one that can't be read names no target", "[platform]")
+{
+    const RowDecoder decoder;
+    const auto record = decoder.readTarget(row("i-1", entry()));
+    REQUIRE(record);
+    CHECK(record->name == TargetName("i-1"));
+    CHECK(record->address == SocketAddress { "10.3.64.36", 8227 });
+    CHECK(record->claimsPrimary);
+    CHECK(record->incarnation == TargetIncarnation(1788612291107));
+
+    for (const auto* const field : { "Service", "Address", "Zone", "Slots", "State", "born", "DatabaseRole" }) {
+        INFO(field);
+        auto without = entry();
+        without.erase(field);
+        CHECK_FALSE(decoder.readTarget(row("i-1", without)));
+        auto otherType = entry();
+        otherType[field] = json::array({ 1 });
+        CHECK_FALSE(decoder.readTarget(row("i-1", otherType)));
+    }
+    auto strange = entry();
+    strange["State"] = "sleeping";
+    CHECK_FALSE(decoder.readTarget(row("i-1", strange)));
+    CHECK_FALSE(decoder.readTarget({ "i-1", RowVersion(1), "\xff\xfe", false }));
+}
+
+TEST_CASE("No bytes of another writer make the decoder fail", "[platform]")
+{
+    rc::prop("any bytes are decoded or refused", [](const std::string& bytes) {
+        const RowDecoder decoder;
+        (void)decoder.readTarget({ "i-1", RowVersion(1), bytes, false });
+        (void)decoder.readCatalog({ "config", RowVersion(1), bytes, false });
+    });
+}
+
+TEST_CASE("Settings are read with what a host needs, and wrong ones name the fault", "[platform]")
+{
+    const json settings { { "Node", "front-1" }, { "Zone", "west" }, { "Ip", "10.1.0.8" },
+        { "Listen", { { "Front", "10.1.0.8:8784" }, { "Ready", "10.1.0.8:8785" }, { "Control", "10.1.0.8:8782" } } },
+        { "Seeds", { "10.1.0.8:8782", "10.2.0.6:8782" } }, { "Bounds", { { "GraceS", 6 } } },
+        { "platform", { { "Address", "10.200.1.7:8783" } } }, { "Cloud", { { "Address", "10.200.0.160:8783" } } },
+        { "Unknown", true } };
+    constexpr std::uint16_t metricsPort = 9464;
+    const auto read = readSettings(settings.dump(), metricsPort);
+    REQUIRE(read);
+    CHECK(read->host == HostName("front-1"));
+    CHECK(read->callers == SocketAddress { "10.1.0.8", 8784 });
+    CHECK(read->metrics == SocketAddress { "10.1.0.8", metricsPort });
+    CHECK(read->seeds.size() == 2);
+    CHECK(read->stopTimeout == std::chrono::seconds(6));
+
+    auto broken = settings;
+    broken["platform"].erase("Address");
+    const auto refused = readSettings(broken.dump(), metricsPort);
+    REQUIRE_FALSE(refused);
+    CHECK(refused.error().message.find("Address") != std::string::npos);
+    CHECK_FALSE(readSettings("nonsense", metricsPort));
+}
--- /dev/null
+++ b/tests/platform/StoreCallsTests.cpp
@@ -0,0 +1,104 @@
+#include "platform/StoreCalls.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace Auburnpost;
+using namespace Auburnpost::Platform;
+using namespace Auburnpost::Proxy;
+using nlohmann::json;
+
+namespace {
+
+Expected<PlatformReply> reply(int status, const std::string& body)
+{
+    return PlatformReply { status, body, {} };
+}
+
+Expected<PlatformReply> noAnswer()
+{
+    return fail(ErrorCode::PlatformUnavailable, "call", "store", "no answer");
+}
+
+} // namespace
+
+TEST_CASE("A page of rows is decoded with the version it holds at", "[platform]")
+{
+    const json body { { "rows",
+                          { { { "Table", "servers" }, { "part", "" }, { "Key", "i-1" }, { "RecordVersion", 12 },
+                                { "Value", "aGVsbG8=" } },
+                              { { "Key", "i-2" }, { "RecordVersion", 13 }, { "Deleted", true } },
+                              { { "Key", "i-3" }, { "RecordVersion", 14 }, { "Value", "***" } } } },
+        { "HasMore", true }, { "RecordVersion", 14 }, { "NowMs", 784 } };
+    const auto page = readPage(reply(200, body.dump()));
+    REQUIRE(page);
+    REQUIRE(page->rows.size() == 3);
+    CHECK(page->rows[0].value == "hello");
+    CHECK(page->rows[1].isDeleted);
+    CHECK(page->rows[2].value.empty());
+    CHECK(page->asOf == RowVersion(14));
+    CHECK(page->hasMore);
+}
+
+TEST_CASE("A history that is gone is no error, a refusal is one", "[platform]")
+{
+    const auto gone = readPage(reply(410, ""));
+    REQUIRE(gone);
+    CHECK(gone->isHistoryGone);
+    CHECK_FALSE(readPage(reply(503, "")));
+    CHECK_FALSE(readPage(reply(200, "not json")));
+    CHECK_FALSE(readPage(reply(200, "{}")));
+    CHECK_FALSE(readPage(noAnswer()));
+}
+
+TEST_CASE("A claim is written on one condition and read back with its version", "[platform]")
+{
+    const GroupName group("finy74a");
+    const auto call = claimWrite(group, { HostName("front-1"), 5000 }, RowVersion(18));
+    CHECK(call.method == PlatformMethod::Post);
+    const auto body = json::parse(call.body);
+    CHECK(body.at("Precondition").at(0).at("RecordVersion") == 18);
+    CHECK(body.at("Upserts").at(0).at("Key") == "finy74a");
+
+    auto row = body.at("Upserts").at(0);
+    row["RecordVersion"] = 19;
+    const json answer { { "rows", { row } }, { "RecordVersion", 19 }, { "NowMs", 3100 } };
+    const auto read = readClaimRow(group, reply(200, answer.dump()));
+    REQUIRE(read);
+    CHECK(read->version == RowVersion(19));
+    REQUIRE(read->claim);
+    CHECK(read->claim->holder == HostName("front-1"));
+    CHECK(read->claim->expiresAtMs == 5000);
+    CHECK(read->storeNowMs == 3100);
+
+    SECTION("a row of another group is none of this one")
+    {
+        const auto other = readClaimRow(GroupName("other"), reply(200, answer.dump()));
+        REQUIRE(other);
+        CHECK(other->version == RowVersion {});
+        CHECK_FALSE(other->claim);
+    }
+    SECTION("another version is a conflict, no answer an error")
+    {
+        const auto conflict = readClaimWrite(reply(412, "{}"));
+        REQUIRE(conflict);
+        CHECK_FALSE(*conflict);
+        CHECK_FALSE(readClaimWrite(noAnswer()));
+        const auto written = readClaimWrite(reply(200, R"({"RecordVersion": 20})"));
+        REQUIRE(written);
+        CHECK(*written == RowVersion(20));
+    }
+}
+
+TEST_CASE("A promotion carries its holder and token", "[platform]")
+{
+    const auto call = promotionCall(
+        GroupName("finy74a"), TargetName("i-1"), HostName("front-1"), RowVersion(19), std::chrono::milliseconds(600));
+    REQUIRE(call.headers.size() == 2);
+    CHECK(call.headers[0].value == "front-1");
+    CHECK(call.headers[1].value == "19");
+    CHECK(readPromotion(reply(200, "")) == PromotionOutcome::Accepted);
+    CHECK(readPromotion(reply(409, "")) == PromotionOutcome::NotRunning);
+    CHECK(readPromotion(reply(429, "")) == PromotionOutcome::Unanswered);
+    CHECK(readPromotion(noAnswer()) == PromotionOutcome::Unanswered);
+}
--- /dev/null
+++ b/tests/platform/TargetCodecTests.cpp
@@ -0,0 +1,116 @@
+#include "platform/TargetCodec.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Auburnpost;
+using namespace Auburnpost::Platform;
+using namespace Auburnpost::Proxy;
+
+namespace {
+
+/// A codec whose connection stands.
+TargetCodec openCodec()
+{
+    TargetCodec codec;
+    REQUIRE(std::holds_alternative<ConnectionAccepted>(codec.read("READY I 3.1207")));
+    return codec;
+}
+
+Session::Statement textStatement(std::string text)
+{
+    Session::Statement statement;
+    statement.text = std::move(text);
+    return statement;
+}
+
+} // namespace
+
+TEST_CASE("A connection names the one target that it is meant for", "[platform]")
+{
+    TargetRecord target;
+    target.name = TargetName("i-7f3a91c2");
+    target.group = GroupName("huvo11a");
+    CHECK(TargetCodec::writeOpening(target) == "START huvo11a auburnpost i-7f3a91c2\r\n");
+
+    TargetCodec codec;
+    const auto line = codec.read("ERROR TOOMANY i-7f3a91c2");
+    REQUIRE(std::holds_alternative<ConnectionRefusal>(line));
+    CHECK(std::get<ConnectionRefusal>(line).code == Session::FailureCode::TooManyConnections);
+}
+
+TEST_CASE("Requests are written with the caller's id, or without one when they are the proxy's own", "[platform]")
+{
+    auto codec = openCodec();
+    CHECK(codec.write({ ResetConnection {}, SetValue { "v1", "89f" } }) == "QUERY - RESET\r\nQUERY - SET v1 89f\r\n");
+    CHECK(codec.write({ PrepareStatement { "p7", { Session::Access::Read, "q33" } } })
+        == "QUERY - PREPARE p7 READ q33\r\n");
+    CHECK(codec.write({ BeginTransaction { true, LogPoint { Term(3), Position(7) } } })
+        == "QUERY - AFTER 3.7 BEGIN READ\r\n");
+    CHECK(codec.write({ RunStatement {
+              Session::StatementId("5c"), LogPoint { Term(3), Position(7) }, textStatement("READ 1a4"), "" } })
+        == "QUERY 5c AFTER 3.7 READ 1a4\r\n");
+    auto execute = textStatement("EXECUTE s1 1a4 x y");
+    execute.argument = "1a4 x y";
+    CHECK(codec.write({ RunStatement { Session::StatementId("5c"), {}, execute, "p7" } })
+        == "QUERY 5c EXECUTE p7 1a4 x y\r\n");
+    CHECK(codec.write({ FenceReplica { Term(4) }, ResumeReplica {}, DemotePrimary { Term(4) } })
+        == "QUERY - PAUSE 4\r\nQUERY - RESUME\r\nQUERY - DEMOTE 4\r\n");
+}
+
+TEST_CASE("A reply counts only once it is whole", "[platform]")
+{
+    auto codec = openCodec();
+    (void)codec.write({ RunStatement { Session::StatementId("5c"), {}, textStatement("READ 1a4"), "" } });
+    CHECK(std::holds_alternative<ReplyContinues>(codec.read("ROW qhzk")));
+    CHECK(std::holds_alternative<ReplyContinues>(codec.read("DONE 7.1f3")));
+    const auto line = codec.read("READY I 3.1209");
+    REQUIRE(std::holds_alternative<TargetReply>(line));
+    const auto& reply = std::get<TargetReply>(line);
+    CHECK(std::get<Session::Success>(reply.body).signature == "7.1f3");
+    CHECK(std::get<Session::Success>(reply.body).rows == std::vector<std::string> { "qhzk" });
+    CHECK(reply.position == LogPoint { Term(3), Position(1209) });
+}
+
+TEST_CASE("Each reply belongs to the oldest request", "[platform]")
+{
+    auto codec = openCodec();
+    (void)codec.write({ SetValue { "a", "b" }, AskStanding {} });
+    (void)codec.read("DONE -");
+    const auto first = codec.read("READY I -");
+    REQUIRE(std::holds_alternative<TargetReply>(first));
+    CHECK_FALSE(std::get<TargetReply>(first).standing);
+    (void)codec.read("ROW replica 3 3.1209 4 12 2 17");
+    (void)codec.read("DONE -");
+    const auto second = codec.read("READY I 3.1204");
+    REQUIRE(std::holds_alternative<TargetReply>(second));
+    const auto& standing = std::get<TargetReply>(second).standing;
+    REQUIRE(standing);
+    CHECK_FALSE(standing->isPrimary);
+    CHECK(standing->term == Term(3));
+    CHECK(standing->received == LogPoint { Term(3), Position(1209) });
+    CHECK(standing->fencedTerm == Term(4));
+    CHECK(standing->lag == std::chrono::milliseconds(12));
+    CHECK(standing->busy == 2);
+    CHECK(standing->connections == 17);
+}
+
+TEST_CASE("Lines out of order break the connection", "[platform]")
+{
+    auto codec = openCodec();
+    CHECK(std::holds_alternative<ProtocolBroken>(codec.read("READY I -")));
+    (void)codec.write({ AskStanding {} });
+    CHECK(std::holds_alternative<ProtocolBroken>(codec.read("READY I -")));
+    CHECK(std::holds_alternative<ProtocolBroken>(codec.read("WHAT")));
+    (void)codec.read("DONE -");
+    CHECK(std::holds_alternative<ProtocolBroken>(codec.read("ROW late")));
+}
+
+TEST_CASE("A word that is not known promises nothing", "[platform]")
+{
+    auto codec = openCodec();
+    (void)codec.write({ RunStatement { Session::StatementId("5c"), {}, textStatement("WRITE a b"), "" } });
+    (void)codec.read("ERROR STRANGE i-1");
+    const auto line = codec.read("READY I 1.0");
+    REQUIRE(std::holds_alternative<TargetReply>(line));
+    CHECK_FALSE(Session::promisesNotRun(std::get<TargetReply>(line).failure()->code));
+}
--- /dev/null
+++ b/tests/proxy/TablesTests.cpp
@@ -0,0 +1,187 @@
+#include "proxy/ClaimCodec.h"
+#include "proxy/PeerSnapshot.h"
+#include "proxy/StoreFollower.h"
+#include "proxy/TargetDirectory.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace Auburnpost;
+using namespace Auburnpost::Proxy;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant start { 100s };
+
+struct Calls final : StoreActions {
+    std::size_t reads { 0 };
+    std::vector<std::string> readFrom;
+    std::size_t follows { 0 };
+    RowVersion after;
+
+    void readTable(StoreTable, const std::string& fromKey) override
+    {
+        ++reads;
+        readFrom.push_back(fromKey);
+    }
+    void followTable(StoreTable, RowVersion version, Duration) override
+    {
+        ++follows;
+        after = version;
+    }
+};
+
+StoreRow row(const std::string& key, std::uint64_t version, bool isDeleted = false)
+{
+    return { key, RowVersion(version), "value", isDeleted };
+}
+
+StorePage page(std::vector<StoreRow> rows, std::uint64_t asOf, bool hasMore = false)
+{
+    return { std::move(rows), RowVersion(asOf), hasMore, false };
+}
+
+Expected<StorePage> noAnswer()
+{
+    return fail(ErrorCode::PlatformUnavailable, "call", "store", "no answer");
+}
+
+TargetRecord target(const std::string& name, std::uint16_t port, std::uint64_t incarnation)
+{
+    TargetRecord made;
+    made.name = TargetName(name);
+    made.group = GroupName("group");
+    made.address = { "10.0.0.1", port };
+    made.incarnation = TargetIncarnation(incarnation);
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("A table is read whole and then followed", "[proxy][store]")
+{
+    Calls calls;
+    RandomEngine random { 1 };
+    StoreFollower follower(StoreTable::Targets, calls);
+    follower.tick(start);
+    CHECK(calls.reads == 1);
+    CHECK_FALSE(follower.tableRead(start, random, page({ row("a", 3) }, 5, true)));
+    CHECK(calls.readFrom.back() == std::string("a\0", 2));
+    CHECK(follower.tableRead(start, random, page({ row("b", 4) }, 6)));
+    CHECK(follower.state().rows.size() == 2);
+    // The pages may be of different moments: what changed between them must come again.
+    CHECK(follower.state().asOf == RowVersion(5));
+
+    follower.tick(start);
+    CHECK(calls.follows == 1);
+    CHECK(calls.after == RowVersion(5));
+    CHECK(follower.tableFollowed(start, random, page({ row("a", 7, true), row("c", 8) }, 8)));
+    CHECK(follower.state().rows.count("a") == 0);
+    CHECK(follower.state().rows.count("c") == 1);
+
+    SECTION("a row never goes back")
+    {
+        CHECK_FALSE(follower.tableFollowed(start, random, page({ row("c", 6) }, 8)));
+        CHECK(follower.state().rows.at("c").version == RowVersion(8));
+    }
+    SECTION("the table is read anew when the history is gone")
+    {
+        StorePage gone;
+        gone.isHistoryGone = true;
+        CHECK_FALSE(follower.tableFollowed(start, random, gone));
+        follower.tick(start);
+        CHECK(calls.reads == 3);
+    }
+    SECTION("what is known stays while the store does not answer")
+    {
+        CHECK_FALSE(follower.tableFollowed(start, random, noAnswer()));
+        CHECK_FALSE(follower.isConnected());
+        CHECK(follower.state().rows.size() == 2);
+        follower.tick(start);
+        CHECK(calls.follows == 1);
+        follower.tick(start + StoreFollower::retryMaximum);
+        CHECK(calls.follows == 2);
+    }
+    SECTION("a peer's table counts only when it is newer")
+    {
+        CHECK_FALSE(follower.takeOver({ RowVersion(8), {} }));
+        CHECK(follower.takeOver({ RowVersion(9), { { "d", row("d", 9) } } }));
+        CHECK(follower.state().rows.count("d") == 1);
+    }
+}
+
+TEST_CASE("Snapshots and claims survive their codecs", "[proxy][store]")
+{
+    rc::prop("tables come back as they were", [](const std::map<std::string, std::string>& values, std::uint64_t asOf) {
+        TableStates tables;
+        for (const auto table : storeTables)
+            tables[table].asOf = RowVersion(asOf);
+        for (const auto& [key, value] : values) {
+            // Keys are text, values any bytes.
+            const auto name = std::to_string(std::hash<std::string> {}(key));
+            tables[StoreTable::Targets].rows[name] = { name, RowVersion(asOf), value, false };
+        }
+        const auto back = decodeSnapshot(encodeSnapshot(tables));
+        RC_ASSERT(back.has_value());
+        RC_ASSERT(back->at(StoreTable::Targets).asOf == RowVersion(asOf));
+        RC_ASSERT(back->at(StoreTable::Targets).rows.size() == tables[StoreTable::Targets].rows.size());
+        for (const auto& [key, row] : tables[StoreTable::Targets].rows)
+            RC_ASSERT(back->at(StoreTable::Targets).rows.at(key).value == row.value);
+    });
+    rc::prop("no bytes make the decoders fail", [](const std::string& bytes) {
+        (void)decodeSnapshot(bytes);
+        (void)decodeClaim(bytes);
+    });
+    const auto claim = decodeClaim(encodeClaim({ HostName("front-1"), 77 }));
+    REQUIRE(claim);
+    CHECK(claim->holder == HostName("front-1"));
+    CHECK(claim->expiresAtMs == 77);
+}
+
+TEST_CASE("A target whose record lapsed stays in use until living ones are registered again", "[proxy][directory]")
+{
+    TargetDirectory directory;
+    directory.update(start, { target("a", 1, 1), target("b", 2, 1) });
+    directory.update(start + 1s, { target("a", 1, 1) });
+    CHECK(directory.members(GroupName("group")).size() == 2);
+
+    SECTION("it is back in time")
+    {
+        CHECK(directory.update(start + 2s, { target("a", 1, 1), target("b", 2, 1) }).isEmpty());
+        CHECK(directory.expire(start + 10s).isEmpty());
+    }
+    SECTION("it is gone after that")
+    {
+        CHECK(directory.expire(start + 2s).isEmpty());
+        const auto changes = directory.expire(start + 1s + TargetDirectory::missingLimit);
+        REQUIRE(changes.gone.size() == 1);
+        CHECK(changes.gone.front().name == TargetName("b"));
+    }
+    SECTION("a later start at its address takes its place at once")
+    {
+        directory.update(start + 2s, { target("a", 1, 1), target("b-again", 2, 5) });
+        const auto members = directory.members(GroupName("group"));
+        REQUIRE(members.size() == 2);
+        CHECK(members[1].name == TargetName("b-again"));
+    }
+}
+
+TEST_CASE("A target that announced its shutdown is gone with its record", "[proxy][directory]")
+{
+    TargetDirectory directory;
+    auto leaving = target("b", 2, 1);
+    leaving.isLeaving = true;
+    directory.update(start, { target("a", 1, 1), leaving });
+    const auto changes = directory.update(start + 1s, { target("a", 1, 1) });
+    REQUIRE(changes.gone.size() == 1);
+    CHECK(directory.members(GroupName("group")).size() == 1);
+}
+
+TEST_CASE("Of two records at one address the later start counts, whatever their order", "[proxy][directory]")
+{
+    TargetDirectory directory;
+    directory.update(start, { target("z-old", 1, 1), target("a-new", 1, 2) });
+    REQUIRE(directory.members(GroupName("group")).size() == 1);
+    CHECK(directory.members(GroupName("group")).front().name == TargetName("a-new"));
+}
--- /dev/null
+++ b/tests/wire/LineTests.cpp
@@ -0,0 +1,173 @@
+#include "wire/LineLinks.h"
+#include "wire/LineServer.h"
+#include "wire/Loop.h"
+#include "wire/RawClient.h"
+#include "wire/RawServer.h"
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+using namespace Auburnpost;
+using namespace Auburnpost::Wire;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t connectionLimit = 3;
+
+/// A line server that keeps what arrives.
+struct Served {
+    Loop loop;
+    LineServer server { loop.base(), { "127.0.0.1", 0 }, connectionLimit };
+    std::vector<std::string> lines;
+    std::vector<LineEnd> ends;
+    LineClientId last;
+
+    Served()
+    {
+        REQUIRE(server.listen());
+        server.arrived().connect([this](LineClientId id, std::string_view line) {
+            last = id;
+            lines.emplace_back(line);
+        });
+        server.ended().connect([this](LineClientId, LineEnd end) { ends.push_back(end); });
+    }
+};
+
+} // namespace
+
+TEST_CASE("A connection hands out one line at a time", "[wire][lines]")
+{
+    Served served;
+    RawClient client(served.loop.base(), served.server.address());
+    client.send("one\r\ntwo\r\nthr");
+    REQUIRE(served.loop.runUntil([&] { return served.lines.size() == 1; }));
+    served.loop.runFor(20ms);
+    CHECK(served.lines == std::vector<std::string> { "one" });
+
+    served.server.send(served.last, "answer\r\n");
+    served.server.resume(served.last);
+    REQUIRE(served.loop.runUntil([&] { return served.lines.size() == 2; }));
+    served.server.resume(served.last);
+    client.send("ee\r\n");
+    REQUIRE(served.loop.runUntil([&] { return served.lines.size() == 3; }));
+    CHECK(served.lines.back() == "three");
+    CHECK(client.received() == "answer\r\n");
+}
+
+TEST_CASE("A closed connection ends as soon as its last message has gone out", "[wire][lines]")
+{
+    // While it stayed open it took requests that nobody answered.
+    Served served;
+    RawClient client(served.loop.base(), served.server.address());
+    client.send("one\r\n");
+    REQUIRE(served.loop.runUntil([&] { return served.lines.size() == 1; }));
+    served.server.send(served.last, "bye\r\n");
+    served.server.close(served.last);
+    REQUIRE(served.loop.runUntil([&] { return client.closed(); }));
+    CHECK(client.received() == "bye\r\n");
+    CHECK(served.ends.empty());
+
+    SECTION("also one that has nothing to send")
+    {
+        RawClient other(served.loop.base(), served.server.address());
+        other.send("two\r\n");
+        REQUIRE(served.loop.runUntil([&] { return served.lines.size() == 2; }));
+        served.server.close(served.last);
+        CHECK(served.loop.runUntil([&] { return other.closed(); }));
+    }
+}
+
+TEST_CASE("A line without an end is refused at the limit, and harms nobody else", "[wire][lines]")
+{
+    Served served;
+    served.server.ended().connect([&](LineClientId id, LineEnd end) {
+        if (end == LineEnd::TooLong) {
+            served.server.send(id, "too long\r\n");
+            served.server.close(id);
+        }
+    });
+    RawClient flood(served.loop.base(), served.server.address());
+    RawClient other(served.loop.base(), served.server.address());
+    flood.send(std::string(LineConnection::lineLimit + 1000, 'x'));
+    REQUIRE(served.loop.runUntil([&] { return !served.ends.empty(); }));
+    CHECK(served.ends.front() == LineEnd::TooLong);
+    CHECK(served.loop.runUntil([&] { return flood.closed(); }));
+    other.send("one\r\n");
+    CHECK(served.loop.runUntil([&] { return served.lines.size() == 1; }));
+}
+
+TEST_CASE("Half a line and silence is closed after the limit", "[wire][lines]")
+{
+    Served served;
+    RawClient client(served.loop.base(), served.server.address());
+    client.send("half");
+    served.loop.runFor(20ms);
+    constexpr Instant start { 100s };
+    CHECK(served.server.closeStalled(start, 10s) == 0);
+    CHECK(served.server.closeStalled(start + 9s, 10s) == 0);
+    CHECK(served.server.closeStalled(start + 10s, 10s) == 1);
+    CHECK(served.loop.runUntil([&] { return client.closed(); }));
+}
+
+TEST_CASE("Connections beyond the limit are closed at once", "[wire][lines]")
+{
+    Served served;
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (std::size_t count = 0; count <= connectionLimit; ++count) {
+        clients.push_back(std::make_unique<RawClient>(served.loop.base(), served.server.address()));
+        served.loop.runFor(10ms);
+    }
+    CHECK(served.loop.runUntil([&] { return clients.back()->closed(); }));
+    CHECK_FALSE(clients.front()->closed());
+}
+
+TEST_CASE("A link reports its connection, its lines and its end", "[wire][lines]")
+{
+    Loop loop;
+    RawServer server(loop.base(), [](RawServer::Session& session) {
+        session.input.clear();
+        RawServer::send(session, { "one\r\ntwo\r\n", true });
+    });
+    LineLinks links(loop.base());
+    std::vector<std::string> seen;
+    links.connected().connect([&](ConnectionId id) {
+        seen.emplace_back("connected");
+        links.send(id, "hello\r\n");
+    });
+    links.arrived().connect([&](ConnectionId, std::string_view line) { seen.emplace_back(line); });
+    links.ended().connect(
+        [&](ConnectionId, LineEnd end) { seen.emplace_back(end == LineEnd::Closed ? "closed" : "refused"); });
+    links.open(ConnectionId(1), server.address());
+    REQUIRE(loop.runUntil([&] { return seen.size() == 4; }));
+    CHECK(seen == std::vector<std::string> { "connected", "one", "two", "closed" });
+
+    SECTION("a port without a listener refuses")
+    {
+        server.stopListening();
+        seen.clear();
+        links.open(ConnectionId(2), server.address());
+        REQUIRE(loop.runUntil([&] { return seen.size() == 1; }));
+        CHECK(seen.front() == "refused");
+    }
+}
+
+TEST_CASE("A link may be closed while its line is handled", "[wire][lines]")
+{
+    Loop loop;
+    RawServer server(loop.base(), [](RawServer::Session& session) {
+        session.input.clear();
+        RawServer::send(session, { "one\r\ntwo\r\n", false });
+    });
+    LineLinks links(loop.base());
+    std::size_t lines = 0;
+    links.connected().connect([&](ConnectionId id) { links.send(id, "hello\r\n"); });
+    links.arrived().connect([&](ConnectionId id, std::string_view) {
+        ++lines;
+        links.close(id);
+    });
+    links.open(ConnectionId(1), server.address());
+    REQUIRE(loop.runUntil([&] { return lines == 1; }));
+    loop.runFor(20ms);
+    CHECK(lines == 1);
+}
