Log by a bounded buffer that never blocks

Cause: the console appender writes within the loop; a reader that stops would stop the host. What: lines go to a buffer of 256 KiB that each tick writes out without blocking; dropped ones are counted and logged (E0113). A route that is gone can't be followed to a group any more (linter).

--- a/src/app/HostProcess.cpp
+++ b/src/app/HostProcess.cpp
@@ -34,20 +34,22 @@
             return tl::unexpected(text.error());
         return Platform::readSettings(*text, metricsPort);
     };
-    if (const auto configured = Logging::configure({}); !configured)
-        return 1;
+    Logging::configureBuffered();
     const auto settings = load();
     if (!settings) {
         Logging::write({ LogEvent::SettingsRefused, { { "file", path }, { "reason", settings.error().describe() } } });
+        Logging::flush();
         return 1;
     }
     const std::unique_ptr<event_base, decltype(&event_base_free)> base(event_base_new(), event_base_free);
     ProxyAssembly assembly(base.get(), *settings, load);
     if (const auto listening = assembly.listen(); !listening) {
         Logging::write({ LogEvent::ListenFailed, { { "reason", listening.error().describe() } } });
+        Logging::flush();
         return 1;
     }
     event_base_dispatch(base.get());
+    Logging::flush();
     return assembly.exitStatus();
 }
 
--- a/src/app/Logging.cpp
+++ b/src/app/Logging.cpp
@@ -1,14 +1,20 @@
 #include "app/Logging.h"
 
+#include "app/LogBuffer.h"
+
 #include <algorithm>
 #include <cctype>
 #include <fstream>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
+#include <log4cxx/helpers/writer.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
+#include <log4cxx/writerappender.h>
 #include <nlohmann/json.hpp>
+#include <poll.h>
+#include <unistd.h>
 
 namespace Auburnpost {
 
@@ -45,6 +51,41 @@
         return nlohmann::json(value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     }
 
+    LogBuffer& buffer()
+    {
+        static LogBuffer instance;
+        return instance;
+    }
+
+    /// Takes the formatted lines of log4cxx into the buffer.
+    class BufferWriter final : public log4cxx::helpers::Writer {
+    public:
+        void close(log4cxx::helpers::Pool&) override { }
+        void flush(log4cxx::helpers::Pool&) override { }
+        void write(const log4cxx::LogString& text, log4cxx::helpers::Pool&) override { buffer().add(text); }
+    };
+
+    class BufferAppender final : public log4cxx::WriterAppender {
+    public:
+        explicit BufferAppender(const log4cxx::LayoutPtr& layout)
+            : log4cxx::WriterAppender(layout)
+        {
+            setWriter(std::make_shared<BufferWriter>());
+        }
+    };
+
+    /// @return how many bytes standard output took without blocking.
+    std::size_t writeOut(std::string_view text)
+    {
+        // A pipe that polls as writable takes this much at once.
+        constexpr std::size_t atomicBytes = 4096;
+        pollfd output { STDOUT_FILENO, POLLOUT, 0 };
+        if (poll(&output, 1, 0) <= 0 || !(output.revents & POLLOUT))
+            return 0;
+        const auto written = ::write(STDOUT_FILENO, text.data(), std::min(text.size(), atomicBytes));
+        return written > 0 ? static_cast<std::size_t>(written) : 0;
+    }
+
     log4cxx::AppenderPtr makeAppender(const Config::LogSettings& settings, const log4cxx::LayoutPtr& layout)
     {
         if (settings.file.empty())
@@ -66,6 +107,21 @@
     return {};
 }
 
+void Logging::configureBuffered()
+{
+    const auto root = log4cxx::Logger::getRootLogger();
+    root->removeAllAppenders();
+    root->addAppender(std::make_shared<BufferAppender>(std::make_shared<log4cxx::PatternLayout>(linePattern)));
+    root->setLevel(log4cxx::Level::getInfo());
+}
+
+void Logging::flush()
+{
+    buffer().flush(writeOut);
+    if (const auto dropped = buffer().takeDropped())
+        write({ LogEvent::LogLinesDropped, { { "lines", std::to_string(dropped) } } });
+}
+
 std::string Logging::formatLine(const LogRecord& record)
 {
     auto line = numberOf(record.event) + " " + std::string(describe(record.event));
--- a/src/app/ProxyAssembly.cpp
+++ b/src/app/ProxyAssembly.cpp
@@ -158,6 +158,7 @@
     const auto moment = now();
     m_proxy.tick(moment);
     m_shutdown.tick(moment);
+    Logging::flush();
     if (m_leavingSince && moment - *m_leavingSince >= m_settings.stopTimeout / 2)
         m_proxy.endTransactions(moment);
     if (moment - m_stalledCheckedAt < stalledInterval)
--- a/src/proxy/ProxySessions.cpp
+++ b/src/proxy/ProxySessions.cpp
@@ -121,8 +121,8 @@
         return;
     }
     const bool isOpen = session.state.transaction() == TransactionState::Open;
-    const auto route = isOpen ? *session.transactionRoute : *findRoute(session.database);
-    auto* const group = findGroup(route.group);
+    const auto* const current = findRoute(session.database);
+    auto* const group = isOpen ? findGroup(session.transactionRoute->group) : current ? findGroup(current->group) : nullptr;
     if (!group) {
         const auto state = isOpen ? TransactionState::Failed : TransactionState::Idle;
         session.state.setTransaction(state);
@@ -130,6 +130,7 @@
             { Session::Failure { FailureCode::Busy, "the group is not known yet; retry after 500 ms" }, state, {} });
         return;
     }
+    const auto route = isOpen ? *session.transactionRoute : *current;
     auto work = makeWork(now, session, statement, route);
     session.work = work.id;
     session.group = route.group;
