--- a/src/base/LogEvent.cpp
+++ b/src/base/LogEvent.cpp
@@ -97,6 +97,8 @@
             return { LogLevel::Warn, "target does not answer" };
         case LogEvent::TargetAnswering:
             return { LogLevel::Info, "target answers again" };
+        case LogEvent::TargetConnectionClosed:
+            return { LogLevel::Info, "connection to target ended between requests" };
         case LogEvent::RequestRefused:
             return { LogLevel::Debug, "request refused" };
         case LogEvent::OutcomeUnknown:
--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -53,6 +53,7 @@
     TargetGone = 504,
     TargetDoubtful = 505,
     TargetAnswering = 506,
+    TargetConnectionClosed = 507,
 
     RequestRefused = 600,
     OutcomeUnknown = 601,
--- a/src/proxy/GroupActions.h
+++ b/src/proxy/GroupActions.h
@@ -19,6 +19,8 @@
     std::size_t attempts { 0 };
     /// The position that the read asked for.
     std::optional<LogPoint> after;
+    /// What the statement waited for last.
+    Obstacle obstacle { Obstacle::None };
 };
 
 /// What the service of a group asks of its surroundings.
--- a/src/proxy/GroupPlacement.cpp
+++ b/src/proxy/GroupPlacement.cpp
@@ -62,26 +62,35 @@
     return work.needsPrimary() ? placeOnPrimary(now, work) : placeOnAny(now, work);
 }
 
-bool GroupService::placeOnPrimary(Instant now, Work& work)
+Obstacle GroupService::primaryObstacle(Instant now, const Work& work) const
 {
-    const auto primary = m_watcher.primary();
-    if (!primary)
-        return false;
-    const auto& member = *m_watcher.find(*primary);
-    const bool isAboutToStop = member.leavingSince && now - *member.leavingSince >= leavingPrimaryLimit;
-    if (member.health.isDoubtful(now) || isAboutToStop)
-        return false;
+    if (!m_watcher.primary())
+        return Obstacle::NoPrimary;
+    const auto& member = *m_watcher.find(*m_watcher.primary());
+    if (member.health.isDoubtful(now))
+        return Obstacle::PrimarySilent;
+    if (member.leavingSince && now - *member.leavingSince >= leavingPrimaryLimit)
+        return Obstacle::PrimaryLeaving;
+    // What starts now could not be committed any more.
     const bool writes
         = work.access == Session::Access::Write || (work.startsTransaction && !work.isReadOnlyTransaction);
-    // What starts now could not be committed any more.
-    if (writes && m_promotion.isFencing())
+    return writes && m_promotion.isFencing() ? Obstacle::PrimaryFenced : Obstacle::None;
+}
+
+bool GroupService::placeOnPrimary(Instant now, Work& work)
+{
+    work.obstacle = primaryObstacle(now, work);
+    if (work.obstacle != Obstacle::None)
         return false;
+    const auto primary = *m_watcher.primary();
     const bool reads = work.access == Session::Access::Read || work.startsTransaction;
     if (reads && !findPosition(now, work))
         return false;
-    auto* const connection = idleOrOpen(now, *primary, work);
-    if (!connection)
+    auto* const connection = idleOrOpen(now, primary, work);
+    if (!connection) {
+        work.obstacle = Obstacle::NoConnection;
         return false;
+    }
     sendWork(now, *connection, work);
     return true;
 }
@@ -91,12 +100,14 @@
     if (work.route.consistency == Consistency::Current) {
         if (m_watcher.primary() && m_watcher.proofs().covers(work.freshAsOf, *m_watcher.primary()))
             return true;
+        work.obstacle = Obstacle::NoProof;
         wantProof(now, work.freshAsOf);
         return false;
     }
     const auto oldest = work.freshAsOf - std::max(Duration {}, work.route.maxStaleness - stalenessMargin);
     const auto point = m_watcher.proofs().pointAt(oldest);
     if (!point) {
+        work.obstacle = Obstacle::NoProof;
         wantProof(now, oldest);
         return false;
     }
@@ -108,6 +119,7 @@
 {
     if (!findPosition(now, work))
         return false;
+    work.obstacle = Obstacle::NoConnection;
     const auto candidates = ReadPlacement::order(now, m_watcher, m_pools, work.avoided);
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const auto& candidate = candidates[index];
@@ -121,6 +133,8 @@
         if (isOpening && nextIsFar)
             return false;
     }
+    if (candidates.empty())
+        work.obstacle = Obstacle::NoMember;
     if (candidates.empty() && !work.avoided.empty()) {
         // Every member failed once; after a pause all are worth another try.
         work.avoided.clear();
--- a/src/proxy/GroupReplies.cpp
+++ b/src/proxy/GroupReplies.cpp
@@ -104,8 +104,8 @@
     }
     if (wasOpening)
         return;
-    log({ LogEvent::TargetConnectionLost,
-        { { "group", m_name.value() }, { "target", target.value() }, { "id", std::to_string(id.value()) },
+    log({ expected.empty() ? LogEvent::TargetConnectionClosed : LogEvent::TargetConnectionLost,
+        { { "group", m_name.value() }, { "target", target.value() }, { "connection", std::to_string(id.value()) },
             { "unanswered", std::to_string(expected.size()) } } });
     if (session && !hadStatement)
         m_actions.transactionLost(*session);
@@ -364,6 +364,7 @@
     result.session = work.session;
     result.attempts = work.attempts;
     result.after = work.after;
+    result.obstacle = work.obstacle;
     if (connection) {
         result.target = connection->target;
         if (connection->stage == ConnectionStage::Pinned)
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -83,6 +83,8 @@
     // Placing.
     void placeWaiting(Instant now);
     bool place(Instant now, Work&);
+    /// @return why the primary can't take the work now.
+    [[nodiscard]] Obstacle primaryObstacle(Instant now, const Work&) const;
     bool placeOnPrimary(Instant now, Work&);
     bool placeOnAny(Instant now, Work&);
     /// @return whether the position that the work has to see is known; it is set then.
--- a/src/proxy/ProxySessions.cpp
+++ b/src/proxy/ProxySessions.cpp
@@ -206,6 +206,7 @@
         { "group", session.group.value() }, { "outcome", outcome },
         { "target", result.target.value().empty() ? "-" : result.target.value() },
         { "after", positionText(result.after) }, { "attempts", std::to_string(result.attempts) },
+        { "waited_for", std::string(toString(result.obstacle)) },
         { "ms", std::to_string(toMilliseconds(taken)) } };
     if (const auto* const group = findGroup(session.group)) {
         const auto proof = group->watcher().proofs().newest();
--- a/src/proxy/Work.h
+++ b/src/proxy/Work.h
@@ -6,9 +6,34 @@
 
 #include <optional>
 #include <set>
+#include <string_view>
 
 namespace Auburnpost::Proxy {
 
+/// Why a statement could not be sent when it was last tried.
+enum class Obstacle : std::uint8_t {
+    None,
+    NoPrimary,
+    PrimarySilent,
+    /// It is about to stop.
+    PrimaryLeaving,
+    /// This host has fenced the group's members to replace it.
+    PrimaryFenced,
+    /// No proof yet that the data would be fresh.
+    NoProof,
+    NoConnection,
+    /// No member may serve the read.
+    NoMember,
+};
+
+/// @return the text for logs, such as "no_proof".
+constexpr std::string_view toString(Obstacle obstacle)
+{
+    constexpr std::string_view texts[] { "none", "no_primary", "primary_silent", "primary_leaving", "primary_fenced",
+        "no_proof", "no_connection", "no_member" };
+    return texts[static_cast<std::size_t>(obstacle)];
+}
+
 /// One statement of a caller on its way to a target.
 struct Work {
     WorkId id;
@@ -43,6 +68,7 @@
     std::set<ConnectionId> sentOn;
     /// The position asked for in the last attempt.
     std::optional<LogPoint> after;
+    Obstacle obstacle { Obstacle::None };
 
     /// @return whether only the primary may serve it.
     [[nodiscard]] bool needsPrimary() const
