--- a/src/proxy/GroupPlacement.cpp
+++ b/src/proxy/GroupPlacement.cpp
@@ -49,12 +49,34 @@
     if (m_isPlacing || m_queue.size() == 0)
         return;
     m_isPlacing = true;
+    std::vector<WorkId> hopeless;
     for (const auto id : m_queue.inOrder()) {
         auto* const work = findWork(id);
-        if (work && now >= work->notBefore && place(now, *work))
+        if (!work || now < work->notBefore)
+            continue;
+        if (place(now, *work))
             m_queue.remove(*work);
+        else if (isHopeless(now, *work))
+            hopeless.push_back(id);
     }
     m_isPlacing = false;
+    for (const auto id : hopeless) {
+        const auto work = *findWork(id);
+        finishUnsent(work, Session::FailureCode::Busy, "the primary is down and can't be replaced now");
+    }
+}
+
+bool GroupService::isHopeless(Instant now, const Work& work) const
+{
+    const bool waitsForPrimary = work.obstacle == Obstacle::PrimarySilent || work.obstacle == Obstacle::NoProof
+        || work.obstacle == Obstacle::NoPrimary;
+    if (!waitsForPrimary || m_watcher.trouble(now) != PrimaryTrouble::Down)
+        return false;
+    const auto& members = m_watcher.members();
+    const auto answering = std::count_if(members.begin(), members.end(), [this, now](const auto& entry) {
+        return entry.first != m_watcher.primary() && !entry.second.health.isDoubtful(now);
+    });
+    return static_cast<std::size_t>(answering) < m_watcher.fencesNeeded();
 }
 
 bool GroupService::place(Instant now, Work& work)
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -83,6 +83,8 @@
     // Placing.
     void placeWaiting(Instant now);
     bool place(Instant now, Work&);
+    /// @return whether the work waits for a primary that is down, with too few other members left to replace it.
+    [[nodiscard]] bool isHopeless(Instant now, const Work&) const;
     /// @return why the primary can't take the work now.
     [[nodiscard]] Obstacle primaryObstacle(Instant now, const Work&) const;
     bool placeOnPrimary(Instant now, Work&);
--- a/src/proxy/ProxySessions.cpp
+++ b/src/proxy/ProxySessions.cpp
@@ -122,7 +122,9 @@
     }
     const bool isOpen = session.state.transaction() == TransactionState::Open;
     const auto* const current = findRoute(session.database);
-    auto* const group = isOpen ? findGroup(session.transactionRoute->group) : current ? findGroup(current->group) : nullptr;
+    auto* const group = isOpen ? findGroup(session.transactionRoute->group)
+        : current              ? findGroup(current->group)
+                               : nullptr;
     if (!group) {
         const auto state = isOpen ? TransactionState::Failed : TransactionState::Idle;
         session.state.setTransaction(state);
@@ -206,8 +208,7 @@
         { "group", session.group.value() }, { "outcome", outcome },
         { "target", result.target.value().empty() ? "-" : result.target.value() },
         { "after", positionText(result.after) }, { "attempts", std::to_string(result.attempts) },
-        { "waited_for", std::string(toString(result.obstacle)) },
-        { "ms", std::to_string(toMilliseconds(taken)) } };
+        { "waited_for", std::string(toString(result.obstacle)) }, { "ms", std::to_string(toMilliseconds(taken)) } };
     if (const auto* const group = findGroup(session.group)) {
         const auto proof = group->watcher().proofs().newest();
         fields.push_back({ "term", std::to_string(group->watcher().primaryTerm().value()) });
