Let the fake target of the service tests answer in order

Traced: the test's fake answered a status question before the statement that it followed on the same connection, and the service took that reply for the statement's. Targets answer in order; the fake now does. The change of the test's waiting time before was not the cause.

--- a/tests/proxy/GroupServiceTests.cpp
+++ b/tests/proxy/GroupServiceTests.cpp
@@ -89,7 +89,13 @@
             const auto& target = actions.targets.at(sent.connection);
             if (silent.contains(target))
                 continue;
+            // A target answers in order: what follows a statement waits for its reply.
+            if (unanswered.contains(sent.connection)) {
+                behind.push_back(sent);
+                continue;
+            }
             if (std::holds_alternative<RunStatement>(sent.request)) {
+                unanswered.insert(sent.connection);
                 statements.push_back(sent);
                 continue;
             }
@@ -122,9 +128,17 @@
         return actions.results.empty() ? nullptr : std::get_if<Session::Failure>(&actions.results.back().answer.body);
     }
 
-    void reply(const Surroundings::Sent& sent, TargetReply answer) { service.replied(now, sent.connection, answer); }
+    void reply(const Surroundings::Sent& sent, const TargetReply& answer)
+    {
+        unanswered.erase(sent.connection);
+        service.replied(now, sent.connection, answer);
+        for (const auto& next : std::exchange(behind, {}))
+            actions.sent.push_back(next);
+    }
 
     std::vector<Surroundings::Sent> statements;
+    std::set<ConnectionId> unanswered;
+    std::vector<Surroundings::Sent> behind;
 };
 
 TargetReply failed(FailureCode code)
