--- a/src/message/PlatformCall.h
+++ b/src/message/PlatformCall.h
@@ -22,7 +22,7 @@
     std::string value;
 };
 
-/// One call to the platform's service, as docs/PLATFORM.md states it.
+/// One call to the platform's service, as docs/OWN-PLATFORM.md states it.
 struct PlatformCall {
     PlatformCallId id;
     PlatformMethod method { PlatformMethod::Get };
--- a/src/wire/PlatformClient.h
+++ b/src/wire/PlatformClient.h
@@ -24,7 +24,7 @@
     std::size_t bodyBytes { 64UL * 1024 * 1024 };
 };
 
-/// Calls to the platform's service over HTTP, as docs/PLATFORM.md states them.
+/// Calls to the platform's service over HTTP, as docs/OWN-PLATFORM.md states them.
 /// Each call gets one answer, within its own time limit, which covers the wait for a connection. No call is sent twice.
 class PlatformClient {
 public:
--- a/standins/platform/Main.cpp
+++ b/standins/platform/Main.cpp
@@ -38,7 +38,7 @@
 int main(int argc, char** argv)
 {
     absl::SetProgramUsageMessage(
-        "stand-in for the platform's service; see docs/PLATFORM.md\n  standin-platform --settings FILE");
+        "stand-in for the platform's service; see docs/OWN-PLATFORM.md\n  standin-platform --settings FILE");
     absl::ParseCommandLine(argc, argv);
     if (absl::GetFlag(FLAGS_end_with_parent))
         EventLoop::endWithParent();
