Reach targets through other hosts when the direct way is cut

What: hosts write their relay address to a table of the store; a host whose target does not answer asks others to connect, who refuse at once without a way of their own; the direct way is tried each second. Idle connections that may have gone silent are dropped when a fresh one answers. Ruled out: forwarding of statements, which would need a second owner of sessions and time limits; a relayed connection leaves both where they are.

--- a/src/app/ProxyAssembly.cpp
+++ b/src/app/ProxyAssembly.cpp
@@ -18,6 +18,8 @@
 
     /// Descriptors that callers may take; the rest is for targets, the platform and peers.
     constexpr std::size_t callerLimit = 2400;
+    /// Connections of peers that this host relays at a time.
+    constexpr std::size_t relayLimit = 200;
     /// From the request to stop, callers are still taken for this long, until the balancer has noticed.
     constexpr Duration leaveNotice = std::chrono::milliseconds(2300);
     /// Before the process is killed it ends by itself.
@@ -68,6 +70,8 @@
     , m_load(std::move(load))
     , m_callers(base, settings.callers, callerLimit)
     , m_targets(base)
+    , m_relay(base, settings.relay, relayLimit,
+          [this](const TargetName& target) { return !m_leavingSince && m_proxy.mayRelay(now(), target); })
     , m_readiness(base, settings.readiness, {})
     , m_peers(base, settings.peers, {})
     , m_metricsServer(base, settings.metrics, {})
@@ -94,7 +98,7 @@
 Expected<void> ProxyAssembly::listen()
 {
     for (const auto& outcome :
-        { m_readiness.listen(), m_peers.listen(), m_metricsServer.listen(), m_callers.listen() }) {
+        { m_readiness.listen(), m_peers.listen(), m_metricsServer.listen(), m_relay.listen(), m_callers.listen() }) {
         if (!outcome)
             return outcome;
     }
@@ -108,8 +112,12 @@
 {
     m_callers.arrived().connect([this](Wire::LineClientId id, std::string_view line) { onCallerLine(id, line); });
     m_callers.ended().connect([this](Wire::LineClientId id, Wire::LineEnd end) { onCallerEnded(id, end); });
-    m_targets.connected().connect(
-        [this](ConnectionId id) { m_targets.send(id, Platform::TargetCodec::writeOpening(m_opening.at(id))); });
+    m_targets.connected().connect([this](ConnectionId id) {
+        const auto& opening = m_opening.at(id);
+        m_targets.send(id,
+            opening.awaitsRelay ? Wire::RelayServer::request(opening.target.address, opening.target.name)
+                                : Platform::TargetCodec::writeOpening(opening.target));
+    });
     m_targets.arrived().connect([this](ConnectionId id, std::string_view line) { onTargetLine(id, line); });
     m_targets.ended().connect([this](ConnectionId id, Wire::LineEnd end) { onTargetEnded(id, end); });
     m_readiness.arrived().connect([this](const Wire::HttpRequest& request) {
@@ -245,6 +253,11 @@
     const auto codec = m_codecs.find(id);
     if (codec == m_codecs.end())
         return;
+    const auto opening = m_opening.find(id);
+    if (opening != m_opening.end() && opening->second.awaitsRelay) {
+        onRelayLine(id, opening->second, text);
+        return;
+    }
     auto line = codec->second.read(text);
     if (const auto* const reply = std::get_if<Proxy::TargetReply>(&line)) {
         m_proxy.replied(now(), id, *reply);
@@ -260,6 +273,16 @@
     }
 }
 
+void ProxyAssembly::onRelayLine(ConnectionId id, Opening& opening, std::string_view text)
+{
+    if (text != Wire::RelayServer::accepted) {
+        m_proxy.connectionRefused(now(), id, Session::FailureCode::Failed);
+        return;
+    }
+    opening.awaitsRelay = false;
+    m_targets.send(id, Platform::TargetCodec::writeOpening(opening.target));
+}
+
 void ProxyAssembly::onTargetEnded(ConnectionId id, Wire::LineEnd end)
 {
     const bool wasOpening = m_opening.contains(id);
@@ -271,11 +294,12 @@
         m_proxy.connectionLost(now(), id);
 }
 
-void ProxyAssembly::openConnection(ConnectionId id, const Proxy::TargetRecord& target)
+void ProxyAssembly::openConnection(
+    ConnectionId id, const Proxy::TargetRecord& target, const std::optional<SocketAddress>& relay)
 {
-    m_opening.emplace(id, target);
+    m_opening.emplace(id, Opening { target, relay.has_value() });
     m_codecs.emplace(id, Platform::TargetCodec());
-    m_targets.open(id, target.address);
+    m_targets.open(id, relay ? *relay : target.address);
 }
 
 void ProxyAssembly::closeConnection(ConnectionId id)
@@ -317,6 +341,14 @@
             const Expected<PlatformReply>& reply) { m_proxy.tableFollowed(now(), table, Platform::readPage(reply)); });
 }
 
+void ProxyAssembly::writeHost(const HostName& host, const std::string& value)
+{
+    call(m_store, Platform::hostWrite(host, value), [this](const Expected<PlatformReply>& reply) {
+        // Without an answer the record is written again; the tables that are followed report the store's loss.
+        m_proxy.hostWritten(reply && reply->status == statusOk);
+    });
+}
+
 void ProxyAssembly::readClaim(const Proxy::GroupName& group)
 {
     call(m_store, Platform::claimCall(group), [this, group](const Expected<PlatformReply>& reply) {
--- a/src/app/ProxyAssembly.h
+++ b/src/app/ProxyAssembly.h
@@ -9,6 +9,7 @@
 #include "wire/LineServer.h"
 #include "wire/Metrics.h"
 #include "wire/PlatformClient.h"
+#include "wire/RelayServer.h"
 
 #include <functional>
 #include <map>
@@ -36,6 +37,12 @@
 
 private:
     using EventHandle = std::unique_ptr<event, void (*)(event*)>;
+    /// A connection that the target has not accepted yet.
+    struct Opening {
+        Proxy::TargetRecord target;
+        /// The relay has not answered yet.
+        bool awaitsRelay { false };
+    };
     using ReplyHandler = std::function<void(const Expected<PlatformReply>&)>;
 
     static Instant now();
@@ -55,8 +62,9 @@
 
     // Targets.
     void onTargetLine(ConnectionId, std::string_view line);
+    void onRelayLine(ConnectionId, Opening&, std::string_view line);
     void onTargetEnded(ConnectionId, Wire::LineEnd);
-    void openConnection(ConnectionId, const Proxy::TargetRecord&) override;
+    void openConnection(ConnectionId, const Proxy::TargetRecord&, const std::optional<SocketAddress>& relay) override;
     void closeConnection(ConnectionId) override;
     void send(ConnectionId, const std::vector<Proxy::TargetRequest>&) override;
 
@@ -64,6 +72,7 @@
     void call(Wire::PlatformClient&, PlatformCall, ReplyHandler);
     void readTable(Proxy::StoreTable, const std::string& fromKey) override;
     void followTable(Proxy::StoreTable, Proxy::RowVersion after, Duration wait) override;
+    void writeHost(const HostName&, const std::string& value) override;
     void readClaim(const Proxy::GroupName&) override;
     void writeClaim(const Proxy::GroupName&, const Proxy::Claim&, Proxy::RowVersion expected) override;
     void promote(const Proxy::GroupName&, const TargetName&, Proxy::RowVersion token) override;
@@ -88,6 +97,7 @@
     Platform::RowDecoder m_decoder;
     Wire::LineServer m_callers;
     Wire::LineLinks m_targets;
+    Wire::RelayServer m_relay;
     Wire::HttpServer m_readiness;
     Wire::HttpServer m_peers;
     Wire::HttpServer m_metricsServer;
@@ -98,7 +108,7 @@
     Proxy::Proxy m_proxy;
     Shutdown m_shutdown;
     std::unordered_map<ConnectionId, Platform::TargetCodec> m_codecs;
-    std::unordered_map<ConnectionId, Proxy::TargetRecord> m_opening;
+    std::unordered_map<ConnectionId, Opening> m_opening;
     std::array<std::uint64_t, std::variant_size_v<Proxy::TargetRequest>> m_requestCounts {};
     std::map<PlatformCallId, ReplyHandler> m_calls;
     std::uint64_t m_lastCall { 0 };
--- a/src/base/LogEvent.cpp
+++ b/src/base/LogEvent.cpp
@@ -99,6 +99,8 @@
             return { LogLevel::Info, "target answers again" };
         case LogEvent::TargetConnectionClosed:
             return { LogLevel::Info, "connection to target ended between requests" };
+        case LogEvent::TargetPathChanged:
+            return { LogLevel::Info, "way to target changed" };
         case LogEvent::RequestRefused:
             return { LogLevel::Debug, "request refused" };
         case LogEvent::OutcomeUnknown:
--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -54,6 +54,7 @@
     TargetDoubtful = 505,
     TargetAnswering = 506,
     TargetConnectionClosed = 507,
+    TargetPathChanged = 508,
 
     RequestRefused = 600,
     OutcomeUnknown = 601,
--- a/src/platform/StoreCalls.cpp
+++ b/src/platform/StoreCalls.cpp
@@ -25,7 +25,8 @@
 
     const char* nameOf(Proxy::StoreTable table)
     {
-        return table == Proxy::StoreTable::Configuration ? "op" : "servers";
+        constexpr const char* names[] { "op", "servers", "hosts" };
+        return names[static_cast<std::size_t>(table)];
     }
 
     std::string escape(const std::string& text)
@@ -132,6 +133,18 @@
     return call;
 }
 
+PlatformCall hostWrite(const HostName& host, const std::string& value)
+{
+    const Json row { { "Table", nameOf(Proxy::StoreTable::Hosts) }, { "part", "" }, { "Key", host.value() },
+        { "Value", encodeBase64(value) } };
+    PlatformCall call;
+    call.method = PlatformMethod::Post;
+    call.path = "/auburnpost/rows-tx";
+    call.body = Json { { "Upserts", Json::array({ row }) } }.dump();
+    call.timeout = callTimeout;
+    return call;
+}
+
 PlatformCall claimCall(const Proxy::GroupName& group)
 {
     PlatformCall call;
--- a/src/platform/StoreCalls.h
+++ b/src/platform/StoreCalls.h
@@ -11,6 +11,7 @@
 /// The platform's calls: each function builds one, without its id, or reads the answer to one.
 PlatformCall tableCall(Proxy::StoreTable, const std::string& fromKey);
 PlatformCall followCall(Proxy::StoreTable, Proxy::RowVersion after, Duration wait, Duration timeout);
+PlatformCall hostWrite(const HostName&, const std::string& value);
 PlatformCall claimCall(const Proxy::GroupName&);
 PlatformCall claimWrite(const Proxy::GroupName&, const Proxy::Claim&, Proxy::RowVersion expected);
 PlatformCall promotionCall(
--- a/src/proxy/GroupActions.h
+++ b/src/proxy/GroupActions.h
@@ -27,7 +27,8 @@
 class GroupActions {
 public:
     virtual ~GroupActions() = default;
-    virtual void openConnection(ConnectionId, const TargetRecord&) = 0;
+    /// @param relay the host through which to connect; empty for the direct way.
+    virtual void openConnection(ConnectionId, const TargetRecord&, const std::optional<SocketAddress>& relay) = 0;
     virtual void closeConnection(ConnectionId) = 0;
     virtual void send(ConnectionId, const std::vector<TargetRequest>&) = 0;
     virtual void readClaim(const GroupName&) = 0;
@@ -40,6 +41,8 @@
     /// @return an id that no connection has had.
     virtual ConnectionId nextConnectionId() = 0;
     virtual RandomEngine& random() = 0;
+    /// @return where other hosts relay.
+    [[nodiscard]] virtual const std::vector<SocketAddress>& relays() const = 0;
 };
 
 } // namespace Auburnpost::Proxy
--- a/src/proxy/GroupPlacement.cpp
+++ b/src/proxy/GroupPlacement.cpp
@@ -180,13 +180,19 @@
     const auto* const member = m_watcher.find(target);
     if (!member)
         return;
-    const auto id = m_actions.nextConnectionId();
-    m_pools[target].add(now, id, target);
-    m_targetOf[id] = target;
+    const auto relay = m_paths[target].relay();
+    open(now, target, relay);
     auto* const health = m_watcher.health(target);
     health->asked(now);
     health->connecting(now);
-    m_actions.openConnection(id, member->record);
+}
+
+void GroupService::open(Instant now, const TargetName& target, const std::optional<SocketAddress>& relay)
+{
+    const auto id = m_actions.nextConnectionId();
+    m_pools[target].add(now, id, target).relay = relay;
+    m_targetOf[id] = target;
+    m_actions.openConnection(id, m_watcher.find(target)->record, relay);
 }
 
 void GroupService::sendWork(Instant now, TargetConnection& connection, Work& work)
--- a/src/proxy/GroupReplies.cpp
+++ b/src/proxy/GroupReplies.cpp
@@ -48,17 +48,39 @@
     auto* const connection = findConnection(id);
     if (!connection)
         return;
-    m_pools[connection->target].opened();
-    if (auto* const health = m_watcher.health(connection->target))
+    const auto target = connection->target;
+    m_pools[target].opened();
+    notePath(now, *connection);
+    if (auto* const health = m_watcher.health(target)) {
+        // What a fresh connection answers while the held ones don't, they may never answer.
+        if (health->isDoubtful(now))
+            dropIdle(target, id);
         health->heard(now, {});
+    }
     becomeIdle(now, *connection);
     sendOrders(now);
-    const auto* const member = m_watcher.find(connection->target);
+    const auto* const member = m_watcher.find(target);
     if (member && !member->standing)
-        ask(now, connection->target);
+        ask(now, target);
     placeWaiting(now);
 }
 
+void GroupService::notePath(Instant now, const TargetConnection& connection)
+{
+    auto& path = m_paths[connection.target];
+    const auto before = path.relay();
+    if (connection.relay)
+        path.reachedThrough(now, *connection.relay);
+    else
+        path.reachedDirectly();
+    if (path.relay() == before)
+        return;
+    dropIdle(connection.target, connection.id);
+    log({ LogEvent::TargetPathChanged,
+        { { "group", m_name.value() }, { "target", connection.target.value() },
+            { "relay", path.relay() ? path.relay()->toString() : "-" } } });
+}
+
 void GroupService::connectionRefused(Instant now, ConnectionId id, FailureCode code)
 {
     const auto* const connection = findConnection(id);
@@ -66,6 +88,13 @@
         return;
     const auto target = connection->target;
     auto* const health = m_watcher.health(target);
+    if (connection->relay && code != FailureCode::TooManyConnections) {
+        // The other host has no way either, or is gone itself, which says nothing of the target.
+        if (m_paths[target].relay() == connection->relay)
+            m_paths[target].lost();
+        drop(id);
+        return;
+    }
     if (code == FailureCode::TooManyConnections) {
         m_pools[target].setCount(m_rules.connectionLimit);
         if (health)
--- a/src/proxy/GroupService.cpp
+++ b/src/proxy/GroupService.cpp
@@ -67,6 +67,7 @@
 {
     expire(now);
     checkConnections(now);
+    findPaths(now);
     poll(now);
     watchPrimary(now);
     sendOrders(now);
@@ -86,6 +87,41 @@
     m_promotion.tick(now, m_watcher, trouble);
 }
 
+bool GroupService::reachesDirectly(Instant now, const TargetName& target) const
+{
+    const auto* const member = m_watcher.find(target);
+    const auto path = m_paths.find(target);
+    const bool isRelayed = path != m_paths.end() && path->second.relay();
+    return member && !isRelayed && member->health.lastHeard() && !member->health.isDoubtful(now);
+}
+
+void GroupService::findPaths(Instant now)
+{
+    for (const auto& [name, member] : m_watcher.members()) {
+        auto& path = m_paths[name];
+        if (path.shouldTryDirect(now))
+            open(now, name, std::nullopt);
+        // Refused connects mean that the target's process is down, for every host.
+        if (!member.health.isDoubtful(now) || member.health.isRefusing())
+            continue;
+        path.lost();
+        const auto start = std::hash<HostName> {}(m_self);
+        if (const auto relay = path.nextTry(now, m_actions.relays(), start))
+            open(now, name, relay);
+    }
+}
+
+void GroupService::dropIdle(const TargetName& target, ConnectionId except)
+{
+    std::vector<ConnectionId> idle;
+    for (const auto& [id, connection] : m_pools[target].connections()) {
+        if (connection.stage == ConnectionStage::Idle && id != except)
+            idle.push_back(id);
+    }
+    for (const auto id : idle)
+        drop(id);
+}
+
 void GroupService::poll(Instant now)
 {
     for (const auto& [name, member] : m_watcher.members()) {
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -3,6 +3,7 @@
 #include "limit/RetryBudget.h"
 #include "proxy/GroupActions.h"
 #include "proxy/ReadPlacement.h"
+#include "proxy/TargetPath.h"
 #include "proxy/WorkQueue.h"
 
 #include <map>
@@ -77,6 +78,8 @@
     [[nodiscard]] const Promotion& promotion() const { return m_promotion; }
     [[nodiscard]] const ReadPlacement::Pools& pools() const { return m_pools; }
     [[nodiscard]] std::size_t waiting() const { return m_queue.size(); }
+    /// @return whether this host reaches the target without another one.
+    [[nodiscard]] bool reachesDirectly(Instant now, const TargetName&) const;
     [[nodiscard]] bool owns(ConnectionId id) const { return m_targetOf.contains(id); }
 
 private:
@@ -96,6 +99,11 @@
     void sendWork(Instant now, TargetConnection&, Work&);
     void sendStatement(Instant now, TargetConnection&, const Work&);
     void open(Instant now, const TargetName&);
+    void open(Instant now, const TargetName&, const std::optional<SocketAddress>& relay);
+    /// Looks for a way through other hosts to targets that don't answer, and back to the direct one.
+    void findPaths(Instant now);
+    /// Drops idle connections that may have gone silent, or whose way is not used any more.
+    void dropIdle(const TargetName&, ConnectionId except);
     TargetConnection* idleOrOpen(Instant now, const TargetName&, const Work&);
 
     // Replies.
@@ -107,6 +115,7 @@
     bool retryElsewhere(Instant now, Work&, const TargetName&, Session::FailureCode);
     void finish(const Work&, Session::Answer, const TargetConnection*);
     void finishUnsent(const Work&, Session::FailureCode, const std::string& text);
+    void notePath(Instant now, const TargetConnection&);
     void becomeIdle(Instant now, TargetConnection&);
     void lose(Instant now, const Work&, ReplyPurpose);
     void drop(ConnectionId);
@@ -140,6 +149,7 @@
     GroupWatcher m_watcher;
     Promotion m_promotion;
     ReadPlacement::Pools m_pools;
+    std::map<TargetName, TargetPath> m_paths;
     std::unordered_map<ConnectionId, TargetName> m_targetOf;
     std::map<WorkId, Work> m_works;
     WorkQueue m_queue;
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -13,6 +13,7 @@
     , m_now(now)
     , m_tickedAt(now)
     , m_followers { StoreFollower(StoreTable::Configuration, actions), StoreFollower(StoreTable::Targets, actions) }
+    , m_hosts(m_settings.host, m_settings.relay, actions)
     , m_peerAskedAt(now)
 {
 }
@@ -29,6 +30,7 @@
     }
     for (auto& follower : m_followers)
         follower.tick(now);
+    m_hosts.tick(now);
     askPeers(now);
     const auto gone = m_directory.expire(now);
     if (!gone.isEmpty()) {
@@ -121,9 +123,15 @@
         group->promoteAnswered(now, outcome);
 }
 
-void Proxy::openConnection(ConnectionId id, const TargetRecord& target)
+void Proxy::openConnection(ConnectionId id, const TargetRecord& target, const std::optional<SocketAddress>& relay)
 {
-    m_actions.openConnection(id, target);
+    m_actions.openConnection(id, target, relay);
+}
+
+bool Proxy::mayRelay(Instant now, const TargetName& target) const
+{
+    return std::any_of(m_groups.begin(), m_groups.end(),
+        [now, &target](const auto& entry) { return entry.second->reachesDirectly(now, target); });
 }
 
 void Proxy::closeConnection(ConnectionId id)
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -2,6 +2,7 @@
 
 #include "proxy/CallerSession.h"
 #include "proxy/GroupService.h"
+#include "proxy/HostDirectory.h"
 #include "proxy/ProxyActions.h"
 #include "proxy/ProxySettings.h"
 #include "proxy/RowReader.h"
@@ -49,7 +50,11 @@
     void claimWritten(Instant now, const GroupName&, const Expected<std::optional<RowVersion>>&);
     void promoteAnswered(Instant now, const GroupName&, PromotionOutcome);
 
+    void hostWritten(bool isAcknowledged) { m_hosts.written(isAcknowledged); }
+
     // Peers.
+    /// @return whether this host reaches the target by itself, so that it can relay for a peer.
+    [[nodiscard]] bool mayRelay(Instant now, const TargetName&) const;
     void peerAnswered(Instant now, const SocketAddress&, const Expected<TableStates>&);
     [[nodiscard]] TableStates tables() const;
 
@@ -72,7 +77,7 @@
 
 private:
     // GroupActions.
-    void openConnection(ConnectionId, const TargetRecord&) override;
+    void openConnection(ConnectionId, const TargetRecord&, const std::optional<SocketAddress>& relay) override;
     void closeConnection(ConnectionId) override;
     void send(ConnectionId, const std::vector<TargetRequest>&) override;
     void readClaim(const GroupName&) override;
@@ -83,6 +88,7 @@
     void log(const LogRecord&) override;
     ConnectionId nextConnectionId() override;
     RandomEngine& random() override { return m_random; }
+    [[nodiscard]] const std::vector<SocketAddress>& relays() const override { return m_hosts.relays(); }
 
     // Sessions.
     void decideOpening(CallerSession&);
@@ -117,6 +123,7 @@
     std::array<StoreFollower, storeTables.size()> m_followers;
     std::optional<Catalog> m_catalog;
     TargetDirectory m_directory;
+    HostDirectory m_hosts;
     std::map<GroupName, std::unique_ptr<GroupService>> m_groups;
     std::unordered_map<SessionId, CallerSession> m_sessions;
     std::uint64_t m_lastConnection { 0 };
--- a/src/proxy/ProxyActions.h
+++ b/src/proxy/ProxyActions.h
@@ -16,7 +16,7 @@
     virtual void answer(SessionId, const Session::Answer&) = 0;
     /// Ends an idle session.
     virtual void closeSession(SessionId) = 0;
-    virtual void openConnection(ConnectionId, const TargetRecord&) = 0;
+    virtual void openConnection(ConnectionId, const TargetRecord&, const std::optional<SocketAddress>& relay) = 0;
     virtual void closeConnection(ConnectionId) = 0;
     virtual void send(ConnectionId, const std::vector<TargetRequest>&) = 0;
     virtual void readClaim(const GroupName&) = 0;
--- a/src/proxy/ProxySettings.h
+++ b/src/proxy/ProxySettings.h
@@ -16,6 +16,8 @@
     SocketAddress readiness;
     SocketAddress peers;
     SocketAddress metrics;
+    /// Where this host relays connections of its peers to targets.
+    SocketAddress relay;
     SocketAddress store;
     SocketAddress promotions;
     /// Hosts that may hand over what the store holds; they may be out of date or down.
--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -9,6 +9,12 @@
 void Proxy::tableRead(Instant now, StoreTable table, const Expected<StorePage>& page)
 {
     m_now = now;
+    if (table == StoreTable::Hosts) {
+        // Without an answer the hosts known before stay; the followed tables report the store's loss.
+        if (page)
+            m_hosts.read(*page);
+        return;
+    }
     const bool wasConnected = follower(table).isConnected();
     const bool hasChanged = follower(table).tableRead(now, m_random, page);
     noteStore(now, table, wasConnected, page);
--- a/src/proxy/StoreFollower.h
+++ b/src/proxy/StoreFollower.h
@@ -17,6 +17,8 @@
     virtual void readTable(StoreTable, const std::string& fromKey) = 0;
     /// Waits for changes after a version.
     virtual void followTable(StoreTable, RowVersion after, Duration wait) = 0;
+    /// Writes this host's own record.
+    virtual void writeHost(const HostName&, const std::string& value) = 0;
 };
 
 /// Keeps one table of the platform's store: reads it whole, then follows its changes by long polls; starts anew when
--- a/src/proxy/StoreTable.h
+++ b/src/proxy/StoreTable.h
@@ -5,24 +5,29 @@
 #include <array>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Auburnpost::Proxy {
 
-/// The tables of the platform's store that every host follows.
+/// The tables of the platform's store that hosts read.
 enum class StoreTable : std::uint8_t {
     /// The operators' configuration.
     Configuration,
     /// The targets' records of themselves.
     Targets,
+    /// The hosts' own records, which each host writes at its start.
+    Hosts,
 };
 
+/// The tables that are followed; that of the hosts is only read now and then.
 inline constexpr std::array storeTables { StoreTable::Configuration, StoreTable::Targets };
 
 /// @return the text for logs, such as "targets".
 constexpr std::string_view toString(StoreTable table)
 {
-    return table == StoreTable::Configuration ? "configuration" : "targets";
+    constexpr std::string_view texts[] { "configuration", "targets", "hosts" };
+    return texts[static_cast<std::size_t>(table)];
 }
 
 struct StoreRow {
--- a/src/proxy/TargetConnection.h
+++ b/src/proxy/TargetConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/SocketAddress.h"
 #include "proxy/Ids.h"
 #include "proxy/TargetRequest.h"
 #include "session/SessionState.h"
@@ -48,6 +49,8 @@
     ConnectionId id;
     TargetName target;
     ConnectionStage stage { ConnectionStage::Opening };
+    /// The host through which it goes; empty for the direct way.
+    std::optional<SocketAddress> relay;
     /// Since when it is in the stage.
     Instant since;
     Session::SessionValues values;
--- /dev/null
+++ b/src/wire/RelayServer.cpp
@@ -0,0 +1,208 @@
+#include "wire/RelayServer.h"
+
+#include "wire/SocketOptions.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace Auburnpost::Wire {
+
+namespace {
+
+    constexpr int acceptQueue = 128;
+    /// The first line is an address and a name.
+    constexpr std::size_t requestLimit = 512;
+    /// A side that does not read holds the other one up beyond this.
+    constexpr std::size_t passLimit = 256UL * 1024;
+
+    struct EventDeleter {
+        void operator()(bufferevent* event) const { bufferevent_free(event); }
+    };
+    using Side = std::unique_ptr<bufferevent, EventDeleter>;
+
+    void sendLine(bufferevent* side, std::string_view word)
+    {
+        const auto line = std::string(word) + "\r\n";
+        bufferevent_write(side, line.data(), line.size());
+    }
+
+    void setNoDelay(bufferevent* side)
+    {
+        const int on = 1;
+        // Without the option small messages are only later.
+        (void)setsockopt(bufferevent_getfd(side), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    }
+
+} // namespace
+
+struct RelayServer::Pair {
+    RelayServer* server { nullptr };
+    std::uint64_t id { 0 };
+    Side peer;
+    Side target;
+    bool isConnected { false };
+};
+
+struct RelayServer::Callbacks {
+    static void accept(evconnlistener*, evutil_socket_t descriptor, sockaddr*, int, void* self)
+    {
+        static_cast<RelayServer*>(self)->accept(descriptor);
+    }
+    static void peerRead(bufferevent*, void* argument)
+    {
+        auto& pair = *static_cast<Pair*>(argument);
+        pair.server->onPeerReadable(pair);
+    }
+    static void peerEvent(bufferevent*, short what, void* argument)
+    {
+        auto& pair = *static_cast<Pair*>(argument);
+        if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+            pair.server->end(pair);
+    }
+    static void targetRead(bufferevent*, void* argument)
+    {
+        const auto& pair = *static_cast<Pair*>(argument);
+        pass(pair.target.get(), pair.peer.get());
+    }
+    static void targetEvent(bufferevent*, short what, void* argument)
+    {
+        auto& pair = *static_cast<Pair*>(argument);
+        pair.server->onTargetEvent(pair, what);
+    }
+    /// A side took what it was sent: the other may read on.
+    static void peerWritten(bufferevent*, void* argument)
+    {
+        const auto& pair = *static_cast<Pair*>(argument);
+        if (pair.target)
+            bufferevent_enable(pair.target.get(), EV_READ);
+    }
+    static void targetWritten(bufferevent*, void* argument)
+    {
+        bufferevent_enable(static_cast<Pair*>(argument)->peer.get(), EV_READ);
+    }
+};
+
+RelayServer::RelayServer(event_base* base, SocketAddress address, std::size_t connectionLimit, Permission permission)
+    : m_base(base)
+    , m_address(std::move(address))
+    , m_connectionLimit(connectionLimit)
+    , m_permission(std::move(permission))
+{
+    ignoreBrokenPipe();
+}
+
+RelayServer::~RelayServer()
+{
+    if (m_listener)
+        evconnlistener_free(m_listener);
+}
+
+std::string RelayServer::request(const SocketAddress& target, const TargetName& name)
+{
+    return target.toString() + " " + name.value() + "\r\n";
+}
+
+Expected<void> RelayServer::listen()
+{
+    const auto address = toSockaddr(m_address);
+    m_listener = evconnlistener_new_bind(m_base, &Callbacks::accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+        acceptQueue, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    if (!m_listener)
+        return fail(ErrorCode::BadSettings, "listen", m_address.toString(), "the address can't be bound");
+    m_address = boundAddress(evconnlistener_get_fd(m_listener));
+    return {};
+}
+
+void RelayServer::accept(int descriptor)
+{
+    if (m_pairs.size() >= m_connectionLimit) {
+        ::close(descriptor);
+        return;
+    }
+    auto pair = std::make_unique<Pair>();
+    pair->server = this;
+    pair->id = ++m_lastPair;
+    pair->peer.reset(bufferevent_socket_new(m_base, descriptor, BEV_OPT_CLOSE_ON_FREE));
+    setNoDelay(pair->peer.get());
+    bufferevent_setcb(
+        pair->peer.get(), &Callbacks::peerRead, &Callbacks::peerWritten, &Callbacks::peerEvent, pair.get());
+    bufferevent_enable(pair->peer.get(), EV_READ | EV_WRITE);
+    m_pairs.emplace(pair->id, std::move(pair));
+}
+
+void RelayServer::onPeerReadable(Pair& pair)
+{
+    if (pair.isConnected) {
+        pass(pair.peer.get(), pair.target.get());
+        return;
+    }
+    auto* const input = bufferevent_get_input(pair.peer.get());
+    std::size_t length = 0;
+    const std::unique_ptr<char, decltype(&free)> line(evbuffer_readln(input, &length, EVBUFFER_EOL_CRLF), free);
+    if (line && !pair.target)
+        connect(pair, { line.get(), length });
+    else if (evbuffer_get_length(input) > requestLimit)
+        end(pair);
+}
+
+void RelayServer::connect(Pair& pair, std::string_view line)
+{
+    const auto blank = line.find(' ');
+    const auto address = SocketAddress::parse(line.substr(0, blank));
+    const auto name = blank == std::string_view::npos ? std::string_view() : line.substr(blank + 1);
+    if (!address || !m_permission(TargetName(std::string(name)))) {
+        sendLine(pair.peer.get(), refused);
+        return;
+    }
+    pair.target.reset(bufferevent_socket_new(m_base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
+    bufferevent_setcb(
+        pair.target.get(), &Callbacks::targetRead, &Callbacks::targetWritten, &Callbacks::targetEvent, &pair);
+    bufferevent_enable(pair.target.get(), EV_READ | EV_WRITE);
+    const auto target = toSockaddr(*address);
+    // A failure is reported by the event callback.
+    (void)bufferevent_socket_connect(pair.target.get(), reinterpret_cast<const sockaddr*>(&target), sizeof(target));
+}
+
+void RelayServer::onTargetEvent(Pair& pair, short what)
+{
+    if (what & BEV_EVENT_CONNECTED) {
+        pair.isConnected = true;
+        setNoDelay(pair.target.get());
+        sendLine(pair.peer.get(), accepted);
+        pass(pair.peer.get(), pair.target.get());
+        return;
+    }
+    if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
+        return;
+    if (!pair.isConnected) {
+        sendLine(pair.peer.get(), refused);
+        return;
+    }
+    pass(pair.target.get(), pair.peer.get());
+    end(pair);
+}
+
+void RelayServer::pass(bufferevent* from, bufferevent* to)
+{
+    bufferevent_write_buffer(to, bufferevent_get_input(from));
+    if (evbuffer_get_length(bufferevent_get_output(to)) > passLimit)
+        bufferevent_disable(from, EV_READ);
+}
+
+void RelayServer::end(Pair& pair)
+{
+    // What a target sent last goes out before its peer is told of the end.
+    evbuffer* const rest = bufferevent_get_output(pair.peer.get());
+    if (evbuffer_get_length(rest) > 0) {
+        const auto descriptor = bufferevent_getfd(pair.peer.get());
+        (void)evbuffer_write(rest, descriptor);
+    }
+    m_pairs.erase(pair.id);
+}
+
+} // namespace Auburnpost::Wire
--- a/tests/proxy/GroupServiceTests.cpp
+++ b/tests/proxy/GroupServiceTests.cpp
@@ -21,6 +21,8 @@
     };
 
     std::map<ConnectionId, TargetName> targets;
+    std::map<ConnectionId, std::optional<SocketAddress>> relayOf;
+    std::vector<SocketAddress> known;
     std::vector<ConnectionId> opened;
     std::vector<Sent> sent;
     std::vector<WorkResult> results;
@@ -28,9 +30,10 @@
     std::uint64_t lastConnection { 0 };
     RandomEngine engine { 1 };
 
-    void openConnection(ConnectionId id, const TargetRecord& target) override
+    void openConnection(ConnectionId id, const TargetRecord& target, const std::optional<SocketAddress>& relay) override
     {
         targets[id] = target.name;
+        relayOf[id] = relay;
         opened.push_back(id);
     }
     void closeConnection(ConnectionId id) override { closed.insert(id); }
@@ -47,6 +50,7 @@
     void log(const LogRecord&) override { }
     ConnectionId nextConnectionId() override { return ConnectionId(++lastConnection); }
     RandomEngine& random() override { return engine; }
+    [[nodiscard]] const std::vector<SocketAddress>& relays() const override { return known; }
 };
 
 /// A group of a primary and two replicas, served by one host.
@@ -55,6 +59,8 @@
     Surroundings actions;
     GroupService service { HostName("host"), GroupName("group"), actions };
     std::set<TargetName> silent;
+    /// Hosts that have no way to the silent targets either.
+    std::set<SocketAddress> refusing;
     std::uint64_t lastWork { 0 };
 
     Fixture()
@@ -82,12 +88,15 @@
     void answerOwnRequests()
     {
         for (const auto id : std::exchange(actions.opened, {})) {
-            if (!silent.contains(actions.targets.at(id)))
+            const auto& relay = actions.relayOf.at(id);
+            if (relay && refusing.contains(*relay))
+                service.connectionRefused(now, id, FailureCode::Failed);
+            else if (relay || !silent.contains(actions.targets.at(id)))
                 service.connectionOpened(now, id, {});
         }
         for (const auto& sent : std::exchange(actions.sent, {})) {
             const auto& target = actions.targets.at(sent.connection);
-            if (silent.contains(target))
+            if (silent.contains(target) && !actions.relayOf.at(sent.connection))
                 continue;
             // A target answers in order: what follows a statement waits for its reply.
             if (unanswered.contains(sent.connection)) {
@@ -290,3 +299,41 @@
     group.run(20ms);
     CHECK(group.statements.size() == 2);
 }
+
+// Answers writes from hosts that a partition cuts off from a primary which others still reach.
+TEST_CASE("A target that this host can't reach is reached through one that can", "[proxy][service][load]")
+{
+    Fixture group;
+    const SocketAddress cutOff { "10.9.0.1", 1 };
+    const SocketAddress reaching { "10.9.0.1", 2 };
+    group.actions.known = { cutOff, reaching };
+    group.refusing = { cutOff };
+    group.silent = { TargetName("p") };
+    // A quiet target is asked each second.
+    group.run(2s);
+    CHECK(group.service.watcher().trouble(group.now) == PrimaryTrouble::None);
+    CHECK_FALSE(group.service.reachesDirectly(group.now, TargetName("p")));
+
+    group.service.submit(group.now, group.work(StatementKind::Write, Consistency::Current));
+    group.run(100ms);
+    REQUIRE(group.statements.size() == 1);
+    CHECK(group.actions.relayOf.at(group.statements[0].connection) == reaching);
+    group.reply(group.statements[0], { Session::Success { "signed", {} }, TransactionState::Idle, {}, {} });
+
+    SECTION("and directly again once that answers")
+    {
+        group.silent.clear();
+        group.run(2s);
+        CHECK(group.service.reachesDirectly(group.now, TargetName("p")));
+    }
+    SECTION("nobody's way means that it is down")
+    {
+        group.refusing = { cutOff, reaching };
+        for (const auto& [id, relay] : group.actions.relayOf) {
+            if (relay && !group.actions.closed.contains(id))
+                group.service.connectionLost(group.now, id);
+        }
+        group.run(3s);
+        CHECK(group.service.watcher().trouble(group.now) == PrimaryTrouble::Down);
+    }
+}
--- a/tests/proxy/SimulatedHost.cpp
+++ b/tests/proxy/SimulatedHost.cpp
@@ -16,6 +16,12 @@
     constexpr Duration serviceTime = std::chrono::milliseconds(3);
     const GroupName groupName("group");
 
+    /// Hosts relay at one address, each at a port of its own.
+    SocketAddress relayOf(std::size_t index)
+    {
+        return { "10.9.0.1", static_cast<std::uint16_t>(index + 1) };
+    }
+
     tl::unexpected<Error> storeAway()
     {
         return fail(ErrorCode::PlatformUnavailable, "call", "store", "no answer");
@@ -39,6 +45,7 @@
 {
     ProxySettings settings;
     settings.host = HostName("host-" + std::to_string(index));
+    settings.relay = relayOf(index);
     const RowReader& reader = *this;
     m_proxy = std::make_unique<Proxy>(simulation.now(), settings, reader, *this, seed);
     simulation.after(Duration(1), [this] { tick(); });
@@ -80,27 +87,39 @@
     m_simulation.after(Duration(1), [this, id, answer] { m_simulation.caller(m_index, id).answered(answer); });
 }
 
-void SimulatedHost::openConnection(ConnectionId id, const TargetRecord& record)
+void SimulatedHost::openConnection(
+    ConnectionId id, const TargetRecord& record, const std::optional<SocketAddress>& relay)
 {
     auto& link = m_links[id];
     link.target = record.name;
     link.id = id.value() * ProxySimulation::hostCount + m_index;
-    m_simulation.after(ProxySimulation::hop, [this, id] {
-        const auto link = m_links.find(id);
-        if (link == m_links.end() || m_simulation.isCut(m_index, link->second.target))
+    link.via = relay ? relay->port - 1U : m_index;
+    m_simulation.after(ProxySimulation::hop, [this, id] { connect(id); });
+}
+
+void SimulatedHost::connect(ConnectionId id)
+{
+    const auto link = m_links.find(id);
+    if (link == m_links.end())
+        return;
+    const auto via = link->second.via;
+    const bool isRelayed = via != m_index;
+    if (isRelayed && m_simulation.isHostFrozen(via))
+        return;
+    const bool mayPass = !isRelayed || m_simulation.hostProxy(via).mayRelay(m_simulation.now(), link->second.target);
+    if (mayPass && m_simulation.isCut(via, link->second.target))
+        return;
+    auto& target = *m_simulation.target(link->second.target);
+    const bool stands = mayPass && target.isRunning;
+    if (stands)
+        target.connections[link->second.id] = {};
+    deliver([this, id, stands] {
+        if (!m_links.contains(id))
             return;
-        auto& target = *m_simulation.target(link->second.target);
-        if (target.isRunning)
-            target.connections[link->second.id] = {};
-        const bool isRunning = target.isRunning;
-        deliver([this, id, isRunning] {
-            if (!m_links.contains(id))
-                return;
-            if (isRunning)
-                m_proxy->connectionOpened(m_simulation.now(), id, {});
-            else
-                m_proxy->connectionRefused(m_simulation.now(), id, FailureCode::Failed);
-        });
+        if (stands)
+            m_proxy->connectionOpened(m_simulation.now(), id, {});
+        else
+            m_proxy->connectionRefused(m_simulation.now(), id, FailureCode::Failed);
     });
 }
 
@@ -129,7 +148,7 @@
 bool SimulatedHost::isSilent(Link& link) const
 {
     // What is lost in a cut holds up everything after it.
-    link.isStuck = link.isStuck || m_simulation.isCut(m_index, link.target);
+    link.isStuck = link.isStuck || m_simulation.isCut(link.via, link.target);
     return link.isStuck;
 }
 
@@ -292,6 +311,10 @@
     page.asOf = m_simulation.storeVersion();
     if (table == StoreTable::Targets)
         page.rows = m_simulation.targetRows();
+    else if (table == StoreTable::Hosts)
+        for (std::size_t host = 0; host < ProxySimulation::hostCount; ++host)
+            page.rows.push_back(
+                { "host-" + std::to_string(host), RowVersion(1), HostDirectory::encode(relayOf(host)), false });
     else
         page.rows = { { "catalog", RowVersion(1), "", false } };
     return page;
@@ -320,6 +343,11 @@
     });
 }
 
+void SimulatedHost::writeHost(const HostName&, const std::string&)
+{
+    deliver([this] { m_proxy->hostWritten(m_simulation.storeAnswers()); });
+}
+
 void SimulatedHost::readClaim(const GroupName& group)
 {
     deliver([this, group] {
--- a/tests/proxy/SimulatedHost.h
+++ b/tests/proxy/SimulatedHost.h
@@ -23,11 +23,12 @@
     void refuseSession(SessionId, const Session::Failure&) override;
     void answer(SessionId, const Session::Answer&) override;
     void closeSession(SessionId) override { }
-    void openConnection(ConnectionId, const TargetRecord&) override;
+    void openConnection(ConnectionId, const TargetRecord&, const std::optional<SocketAddress>& relay) override;
     void closeConnection(ConnectionId) override;
     void send(ConnectionId, const std::vector<TargetRequest>&) override;
     void readTable(StoreTable, const std::string& fromKey) override;
     void followTable(StoreTable, RowVersion after, Duration wait) override;
+    void writeHost(const HostName&, const std::string& value) override;
     void readClaim(const GroupName&) override;
     void writeClaim(const GroupName&, const Claim&, RowVersion expected) override;
     void promote(const GroupName&, const TargetName&, RowVersion token) override;
@@ -40,6 +41,8 @@
     struct Link {
         TargetName target;
         std::uint64_t id { 0 };
+        /// The host whose way to the target is used.
+        std::size_t via { 0 };
         /// Requests run one after another.
         Instant busyUntil;
         /// Nothing comes back any more: the answer to one request never did.
@@ -50,6 +53,7 @@
     };
 
     void tick();
+    void connect(ConnectionId);
     /// Runs a task on this host once a message has crossed the network, and the host runs.
     void deliver(std::function<void()> task);
     [[nodiscard]] bool isSilent(Link&) const;
--- a/tests/proxy/TablesTests.cpp
+++ b/tests/proxy/TablesTests.cpp
@@ -1,4 +1,5 @@
 #include "proxy/ClaimCodec.h"
+#include "proxy/HostDirectory.h"
 #include "proxy/PeerSnapshot.h"
 #include "proxy/StoreFollower.h"
 #include "proxy/TargetDirectory.h"
@@ -25,6 +26,9 @@
         ++reads;
         readFrom.push_back(fromKey);
     }
+    std::size_t hostWrites { 0 };
+
+    void writeHost(const HostName&, const std::string&) override { ++hostWrites; }
     void followTable(StoreTable, RowVersion version, Duration) override
     {
         ++follows;
@@ -185,3 +189,22 @@
     REQUIRE(directory.members(GroupName("group")).size() == 1);
     CHECK(directory.members(GroupName("group")).front().name == TargetName("a-new"));
 }
+
+TEST_CASE("A host writes its record until that is acknowledged, and knows the others by theirs", "[proxy][hosts]")
+{
+    Calls calls;
+    HostDirectory hosts(HostName("a"), { "10.0.0.1", 7 }, calls);
+    hosts.tick(start);
+    hosts.tick(start + HostDirectory::writeRetry);
+    CHECK(calls.hostWrites == 2);
+    hosts.written(true);
+    hosts.tick(start + 2 * HostDirectory::writeRetry);
+    CHECK(calls.hostWrites == 2);
+
+    const SocketAddress other { "10.0.0.2", 7 };
+    hosts.read(page({ { "a", RowVersion(1), HostDirectory::encode({ "10.0.0.1", 7 }), false },
+                        { "b", RowVersion(2), HostDirectory::encode(other), false },
+                        { "c", RowVersion(3), "\xff", false }, { "d", RowVersion(4), R"({"relay":3})", false } },
+        4));
+    CHECK(hosts.relays() == std::vector<SocketAddress> { other });
+}
