--- a/src/base/LogEvent.cpp
+++ b/src/base/LogEvent.cpp
@@ -1,6 +1,7 @@
 #include "base/LogEvent.h"
 
 #include <algorithm>
+#include <array>
 #include <vector>
 
 namespace Auburnpost {
@@ -8,131 +9,82 @@
 namespace {
 
     struct Definition {
+        LogEvent event;
         LogLevel level;
         std::string_view text;
     };
 
-    constexpr std::string_view unknownText = "unknown event";
-    constexpr int highestNumber = 9999;
     constexpr std::size_t numberDigits = 4;
 
-    Definition definitionOf(LogEvent event)
+    /// In the order of the numbers.
+    constexpr std::array<Definition, 51> definitions { {
+        { LogEvent::Started, LogLevel::Info, "host started" },
+        { LogEvent::Stopping, LogLevel::Info, "host stopping" },
+        { LogEvent::Stopped, LogLevel::Info, "host stopped" },
+        { LogEvent::StateDumped, LogLevel::Info, "state" },
+        { LogEvent::StopForced, LogLevel::Error, "stop forced; what is in flight is cut" },
+        { LogEvent::SettingsRefused, LogLevel::Error, "settings refused" },
+        { LogEvent::ListenFailed, LogLevel::Error, "cannot listen" },
+        { LogEvent::SettingsReloaded, LogLevel::Info, "settings reloaded" },
+        { LogEvent::LogLinesDropped, LogLevel::Warn, "log lines dropped" },
+        { LogEvent::HostPaused, LogLevel::Warn, "this host did not run for a while" },
+        { LogEvent::ConfigurationApplied, LogLevel::Info, "configuration applied" },
+        { LogEvent::ConfigurationRefused, LogLevel::Error, "configuration refused" },
+        { LogEvent::PlatformLost, LogLevel::Warn, "platform does not answer" },
+        { LogEvent::PlatformBack, LogLevel::Info, "platform answers again" },
+        { LogEvent::PeerStateTaken, LogLevel::Info, "state taken from a peer" },
+        { LogEvent::RecordUnreadable, LogLevel::Warn, "record can't be read" },
+        { LogEvent::HostJoined, LogLevel::Info, "host joined" },
+        { LogEvent::HostSuspected, LogLevel::Warn, "host suspected" },
+        { LogEvent::HostDead, LogLevel::Warn, "host dead" },
+        { LogEvent::HostLeaving, LogLevel::Info, "host leaving" },
+        { LogEvent::PrimarySuspected, LogLevel::Warn, "primary suspected" },
+        { LogEvent::TakeoverStarted, LogLevel::Warn, "takeover started" },
+        { LogEvent::TakeoverGivenUp, LogLevel::Warn, "takeover given up" },
+        { LogEvent::PrimaryPromoted, LogLevel::Warn, "primary promoted" },
+        { LogEvent::PrimaryLearned, LogLevel::Debug, "primary learned" },
+        { LogEvent::SwitchStarted, LogLevel::Info, "planned switch started" },
+        { LogEvent::SwitchDone, LogLevel::Info, "planned switch done" },
+        { LogEvent::TargetFollows, LogLevel::Info, "target told to follow" },
+        { LogEvent::PromotionCalled, LogLevel::Warn, "promotion called" },
+        { LogEvent::PromotionAnswered, LogLevel::Warn, "promotion answered" },
+        { LogEvent::ClaimHeld, LogLevel::Info, "another host may replace the primary" },
+        { LogEvent::OrderSent, LogLevel::Info, "order sent to target" },
+        { LogEvent::TargetConnectFailed, LogLevel::Warn, "no connection to a target can be opened" },
+        { LogEvent::TargetConnectionLost, LogLevel::Warn, "connection to target lost in the middle of a request" },
+        { LogEvent::TargetLeaving, LogLevel::Info, "target leaving" },
+        { LogEvent::TargetListed, LogLevel::Info, "target listed" },
+        { LogEvent::TargetGone, LogLevel::Info, "target gone" },
+        { LogEvent::TargetDoubtful, LogLevel::Warn, "target does not answer" },
+        { LogEvent::TargetAnswering, LogLevel::Info, "target answers again" },
+        { LogEvent::TargetConnectionClosed, LogLevel::Info, "connection to target ended between requests" },
+        { LogEvent::TargetPathChanged, LogLevel::Info, "way to target changed" },
+        { LogEvent::RequestRefused, LogLevel::Debug, "request refused" },
+        { LogEvent::OutcomeUnknown, LogLevel::Warn, "outcome unknown" },
+        { LogEvent::OutcomeResolved, LogLevel::Debug, "outcome resolved" },
+        { LogEvent::StatementServed, LogLevel::Info, "statement served" },
+        { LogEvent::StatementFailed, LogLevel::Info, "statement failed" },
+        { LogEvent::StatementMoved, LogLevel::Info, "statement tried elsewhere" },
+        { LogEvent::SessionRefused, LogLevel::Info, "session refused" },
+        { LogEvent::SessionEnded, LogLevel::Info, "session ended" },
+        { LogEvent::PeerMessageRefused, LogLevel::Warn, "message of a peer refused" },
+        { LogEvent::PeerSendFailed, LogLevel::Debug, "message to a peer not sent" },
+    } };
+
+    const Definition& definitionOf(LogEvent event)
     {
-        switch (event) {
-        case LogEvent::Started:
-            return { LogLevel::Info, "host started" };
-        case LogEvent::Stopping:
-            return { LogLevel::Info, "host stopping" };
-        case LogEvent::Stopped:
-            return { LogLevel::Info, "host stopped" };
-        case LogEvent::StateDumped:
-            return { LogLevel::Info, "state" };
-        case LogEvent::StopForced:
-            return { LogLevel::Error, "stop forced; what is in flight is cut" };
-        case LogEvent::SettingsRefused:
-            return { LogLevel::Error, "settings refused" };
-        case LogEvent::ListenFailed:
-            return { LogLevel::Error, "cannot listen" };
-        case LogEvent::SettingsReloaded:
-            return { LogLevel::Info, "settings reloaded" };
-        case LogEvent::LogLinesDropped:
-            return { LogLevel::Warn, "log lines dropped" };
-        case LogEvent::HostPaused:
-            return { LogLevel::Warn, "this host did not run for a while" };
-        case LogEvent::ConfigurationApplied:
-            return { LogLevel::Info, "configuration applied" };
-        case LogEvent::ConfigurationRefused:
-            return { LogLevel::Error, "configuration refused" };
-        case LogEvent::PlatformLost:
-            return { LogLevel::Warn, "platform does not answer" };
-        case LogEvent::PlatformBack:
-            return { LogLevel::Info, "platform answers again" };
-        case LogEvent::PeerStateTaken:
-            return { LogLevel::Info, "state taken from a peer" };
-        case LogEvent::RecordUnreadable:
-            return { LogLevel::Warn, "record can't be read" };
-        case LogEvent::HostJoined:
-            return { LogLevel::Info, "host joined" };
-        case LogEvent::HostSuspected:
-            return { LogLevel::Warn, "host suspected" };
-        case LogEvent::HostDead:
-            return { LogLevel::Warn, "host dead" };
-        case LogEvent::HostLeaving:
-            return { LogLevel::Info, "host leaving" };
-        case LogEvent::PrimarySuspected:
-            return { LogLevel::Warn, "primary suspected" };
-        case LogEvent::TakeoverStarted:
-            return { LogLevel::Warn, "takeover started" };
-        case LogEvent::TakeoverGivenUp:
-            return { LogLevel::Warn, "takeover given up" };
-        case LogEvent::PrimaryPromoted:
-            return { LogLevel::Warn, "primary promoted" };
-        case LogEvent::PrimaryLearned:
-            return { LogLevel::Debug, "primary learned" };
-        case LogEvent::SwitchStarted:
-            return { LogLevel::Info, "planned switch started" };
-        case LogEvent::SwitchDone:
-            return { LogLevel::Info, "planned switch done" };
-        case LogEvent::TargetFollows:
-            return { LogLevel::Info, "target told to follow" };
-        case LogEvent::PromotionCalled:
-            return { LogLevel::Warn, "promotion called" };
-        case LogEvent::PromotionAnswered:
-            return { LogLevel::Warn, "promotion answered" };
-        case LogEvent::ClaimHeld:
-            return { LogLevel::Info, "another host may replace the primary" };
-        case LogEvent::OrderSent:
-            return { LogLevel::Info, "order sent to target" };
-        case LogEvent::TargetConnectFailed:
-            return { LogLevel::Warn, "no connection to a target can be opened" };
-        case LogEvent::TargetConnectionLost:
-            return { LogLevel::Warn, "connection to target lost in the middle of a request" };
-        case LogEvent::TargetLeaving:
-            return { LogLevel::Info, "target leaving" };
-        case LogEvent::TargetListed:
-            return { LogLevel::Info, "target listed" };
-        case LogEvent::TargetGone:
-            return { LogLevel::Info, "target gone" };
-        case LogEvent::TargetDoubtful:
-            return { LogLevel::Warn, "target does not answer" };
-        case LogEvent::TargetAnswering:
-            return { LogLevel::Info, "target answers again" };
-        case LogEvent::TargetConnectionClosed:
-            return { LogLevel::Info, "connection to target ended between requests" };
-        case LogEvent::TargetPathChanged:
-            return { LogLevel::Info, "way to target changed" };
-        case LogEvent::RequestRefused:
-            return { LogLevel::Debug, "request refused" };
-        case LogEvent::OutcomeUnknown:
-            return { LogLevel::Warn, "outcome unknown" };
-        case LogEvent::OutcomeResolved:
-            return { LogLevel::Debug, "outcome resolved" };
-        case LogEvent::StatementServed:
-            return { LogLevel::Info, "statement served" };
-        case LogEvent::StatementFailed:
-            return { LogLevel::Info, "statement failed" };
-        case LogEvent::StatementMoved:
-            return { LogLevel::Info, "statement tried elsewhere" };
-        case LogEvent::SessionRefused:
-            return { LogLevel::Info, "session refused" };
-        case LogEvent::SessionEnded:
-            return { LogLevel::Info, "session ended" };
-        case LogEvent::PeerMessageRefused:
-            return { LogLevel::Warn, "message of a peer refused" };
-        case LogEvent::PeerSendFailed:
-            return { LogLevel::Debug, "message to a peer not sent" };
-        }
-        return { LogLevel::Error, unknownText };
+        static constexpr Definition unknown { LogEvent::Started, LogLevel::Error, "unknown event" };
+        const auto* const found = std::find_if(definitions.begin(), definitions.end(),
+            [event](const Definition& definition) { return definition.event == event; });
+        return found == definitions.end() ? unknown : *found;
     }
 
     std::vector<LogEvent> findEvents()
     {
         std::vector<LogEvent> events;
-        for (int number = 0; number <= highestNumber; ++number) {
-            const auto event = static_cast<LogEvent>(number);
-            if (definitionOf(event).text != unknownText)
-                events.push_back(event);
-        }
+        events.reserve(definitions.size());
+        for (const auto& definition : definitions)
+            events.push_back(definition.event);
         return events;
     }
 
--- a/tests/proxy/PlacementTests.cpp
+++ b/tests/proxy/PlacementTests.cpp
@@ -38,6 +38,7 @@
 std::vector<std::string> namesOf(const std::vector<ReadCandidate>& candidates)
 {
     std::vector<std::string> names;
+    names.reserve(candidates.size());
     for (const auto& candidate : candidates)
         names.push_back(candidate.target.value());
     return names;
--- a/tests/proxy/ProxyScheduleTests.cpp
+++ b/tests/proxy/ProxyScheduleTests.cpp
@@ -36,10 +36,11 @@
 
 } // namespace
 
-// See KNOWN-RED.txt: a failure here is printed and passed over.
-TEST_CASE("Promises hold in random schedules of faults [known red]", "[proxy][!mayfail]")
+// Seeds that failed once. 33, 39: faults of the fakes. 59, 85, 171: a member was resumed while the former primary,
+// which the promoting host could not reach, still led (docs/incidents/former-primary.md).
+TEST_CASE("Promises hold in the schedules that failed once", "[proxy][schedule]")
 {
-    for (const std::uint64_t seed : { 59, 85, 171 }) {
+    for (const std::uint64_t seed : { 33, 39, 59, 85, 171 }) {
         INFO("seed " << seed);
         CHECK(play(seed)->checker().violation() == "");
     }
--- a/tests/proxy/SimulatedCaller.cpp
+++ b/tests/proxy/SimulatedCaller.cpp
@@ -5,7 +5,6 @@
 namespace Auburnpost::Proxy {
 
 using Session::StatementKind;
-using Session::TransactionState;
 using namespace std::chrono_literals;
 
 const std::map<std::string, ProxyChecker::Unit>& SimulatedCaller::routes()
@@ -113,12 +112,12 @@
 {
     const auto* const failure = std::get_if<Session::Failure>(&answer.body);
     for (const auto& write : m_writes) {
-        if (failure && Session::promisesNotRun(failure->code))
+        // What was not decided was rolled back.
+        const bool isNotKept = failure ? Session::promisesNotRun(failure->code) : !isDecided;
+        if (isNotKept)
             m_simulation.checker().promisedNotRun(write);
-        else if (!failure && isDecided)
-            m_simulation.checker().acknowledged(m_simulation.now(), m_unit.session, write);
         else if (!failure)
-            m_simulation.checker().promisedNotRun(write);
+            m_simulation.checker().acknowledged(m_simulation.now(), m_unit.session, write);
     }
 }
 
@@ -126,18 +125,8 @@
 {
     const bool isFailure = std::holds_alternative<Session::Failure>(answer.body);
     const auto pause = m_simulation.between(1ms, 60ms);
-    if (!m_isInTransaction) {
-        settleWrites(answer, true);
-        endUnit(pause);
-        return;
-    }
-    if (m_kind == StatementKind::Commit) {
-        settleWrites(answer, true);
-        endUnit(pause);
-        return;
-    }
-    if (m_kind == StatementKind::Rollback) {
-        settleWrites(answer, false);
+    if (!m_isInTransaction || m_kind == StatementKind::Commit || m_kind == StatementKind::Rollback) {
+        settleWrites(answer, m_kind != StatementKind::Rollback);
         endUnit(pause);
         return;
     }
--- a/tests/proxy/SimulatedHost.cpp
+++ b/tests/proxy/SimulatedHost.cpp
@@ -128,7 +128,8 @@
     const auto link = m_links.extract(id);
     if (!link)
         return;
-    const auto [target, side] = std::pair(link.mapped().target, link.mapped().id);
+    const auto target = link.mapped().target;
+    const auto side = link.mapped().id;
     m_simulation.after(
         ProxySimulation::hop, [this, target, side] { m_simulation.target(target)->connections.erase(side); });
 }
