--- a/src/base/LogEvent.cpp
+++ b/src/base/LogEvent.cpp
@@ -17,7 +17,7 @@
     constexpr std::size_t numberDigits = 4;
 
     /// In the order of the numbers.
-    constexpr std::array<Definition, 51> definitions { {
+    constexpr std::array<Definition, 50> definitions { {
         { LogEvent::Started, LogLevel::Info, "host started" },
         { LogEvent::Stopping, LogLevel::Info, "host stopping" },
         { LogEvent::Stopped, LogLevel::Info, "host stopped" },
@@ -66,7 +66,6 @@
         { LogEvent::StatementFailed, LogLevel::Info, "statement failed" },
         { LogEvent::StatementMoved, LogLevel::Info, "statement tried elsewhere" },
         { LogEvent::SessionRefused, LogLevel::Info, "session refused" },
-        { LogEvent::SessionEnded, LogLevel::Info, "session ended" },
         { LogEvent::PeerMessageRefused, LogLevel::Warn, "message of a peer refused" },
         { LogEvent::PeerSendFailed, LogLevel::Debug, "message to a peer not sent" },
     } };
--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -63,7 +63,6 @@
     StatementFailed = 611,
     StatementMoved = 612,
     SessionRefused = 613,
-    SessionEnded = 614,
 
     PeerMessageRefused = 700,
     PeerSendFailed = 701,
--- a/src/proxy/CallerSession.h
+++ b/src/proxy/CallerSession.h
@@ -30,7 +30,7 @@
     Session::StatementKind statementKind { Session::StatementKind::Read };
     GroupName group;
     Instant statementAt;
-    /// Only the rest of a statement is still awaited: the caller has gone.
+    /// @return whether it may be closed: no statement and no transaction is open.
     [[nodiscard]] bool isIdle() const { return !work && state.transaction() == Session::TransactionState::Idle; }
 };
 
