--- a/src/app/LogBuffer.h
+++ b/src/app/LogBuffer.h
@@ -7,8 +7,8 @@
 
 namespace Auburnpost {
 
-/// Lines of the log on their way to a reader that may be slow: kept up to a bound, written without blocking, and counted
-/// when they are dropped.
+/// Lines of the log on their way to a reader that may be slow: kept up to a bound, written without blocking, and
+/// counted when they are dropped.
 class LogBuffer {
 public:
     /// At full load a host logs about 25 KiB in a second, so that a reader may stop for some seconds.
