Guard the refusal of hopeless work against work that is gone

Found by reading: a refusal answers its caller; were the next statement placed from within that answer, it could finish work that is still in the list. Today's loop defers reading, so it can't happen; nothing else changes.

--- a/src/proxy/GroupPlacement.cpp
+++ b/src/proxy/GroupPlacement.cpp
@@ -61,7 +61,11 @@
     }
     m_isPlacing = false;
     for (const auto id : hopeless) {
-        const auto work = *findWork(id);
+        // An answer may bring the caller's next statement, which is placed like any other.
+        const auto* const found = findWork(id);
+        if (!found)
+            continue;
+        const auto work = *found;
         finishUnsent(work, Session::FailureCode::Busy, "the primary is down and can't be replaced now");
     }
 }
