--- a/tests/proxy/ProxyScheduleTests.cpp
+++ b/tests/proxy/ProxyScheduleTests.cpp
@@ -36,8 +36,9 @@
 
 } // namespace
 
-// Seeds that failed once. 33, 39: faults of the fakes. 59, 85, 171: a member was resumed while the former primary,
-// which the promoting host could not reach, still led (docs/incidents/former-primary.md).
+// Seeds that failed once. 39: a fault of the fakes, traced. 33: passes since that was mended, not traced by itself. 59,
+// 85, 171: a member was resumed while the former primary, which the promoting host could not reach, still led
+// (docs/incidents/former-primary.md).
 TEST_CASE("Promises hold in the schedules that failed once", "[proxy][schedule]")
 {
     for (const std::uint64_t seed : { 33, 39, 59, 85, 171 }) {
