Resume members only under a claim, and no fence of a later one

Cause: a host went on taking off fences for 3 s after its promotion, without a claim and whoever had set them.

Ruled out: too few fences (2 of 3 in each logged call); late or unanswered calls (each was answered once); a target that lost its log.

The unit tests were written with the mend and fail with it taken out (3 checks in 2 test cases).

Conclusion: taking off a fence is part of what the claim protects.

--- a/src/base/LogEvent.cpp
+++ b/src/base/LogEvent.cpp
@@ -17,7 +17,7 @@
     constexpr std::size_t numberDigits = 4;
 
     /// In the order of the numbers.
-    constexpr std::array<Definition, 50> definitions { {
+    constexpr std::array<Definition, 51> definitions { {
         { LogEvent::Started, LogLevel::Info, "host started" },
         { LogEvent::Stopping, LogLevel::Info, "host stopping" },
         { LogEvent::Stopped, LogLevel::Info, "host stopped" },
@@ -50,6 +50,7 @@
         { LogEvent::PromotionAnswered, LogLevel::Warn, "promotion answered" },
         { LogEvent::ClaimHeld, LogLevel::Info, "another host may replace the primary" },
         { LogEvent::OrderSent, LogLevel::Info, "order sent to target" },
+        { LogEvent::OrderDropped, LogLevel::Info, "order to target dropped, its claim ended" },
         { LogEvent::TargetConnectFailed, LogLevel::Warn, "no connection to a target can be opened" },
         { LogEvent::TargetConnectionLost, LogLevel::Warn, "connection to target lost in the middle of a request" },
         { LogEvent::TargetLeaving, LogLevel::Info, "target leaving" },
--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -45,6 +45,7 @@
     PromotionAnswered = 409,
     ClaimHeld = 410,
     OrderSent = 411,
+    OrderDropped = 412,
 
     TargetConnectFailed = 500,
     TargetConnectionLost = 501,
--- a/src/chart/EmbeddedCharts.cpp
+++ b/src/chart/EmbeddedCharts.cpp
@@ -57,6 +57,8 @@
     <onentry><action name="joinMembers"/></onentry>
     <transition event="progress" cond="allJoined" target="Idle"/>
     <transition event="progress" cond="finishLimitPassed" target="Idle"/>
+    <transition event="progress" cond="renewalDue" target="Reading"><action name="renewForRepairs"/></transition>
+    <transition event="progress" cond="claimEnds" target="Idle"/>
     <transition event="progress" cond="retryDue"><action name="joinMembers"/></transition>
   </state>
 </scxml>
--- a/src/proxy/GroupService.cpp
+++ b/src/proxy/GroupService.cpp
@@ -322,15 +322,22 @@
     m_actions.log(record);
 }
 
-void GroupService::order(const TargetName& target, const TargetRequest& request)
+void GroupService::order(const TargetName& target, const TargetRequest& request, Instant sendBefore)
 {
-    m_orders.insert_or_assign(target, request);
+    m_orders.insert_or_assign(target, Order { request, sendBefore });
 }
 
 void GroupService::sendOrders(Instant now)
 {
     for (auto next = m_orders.begin(); next != m_orders.end();) {
-        const auto [target, request] = *next;
+        const auto target = next->first;
+        const auto request = next->second.request;
+        if (now >= next->second.sendBefore) {
+            log({ LogEvent::OrderDropped,
+                { { "group", m_name.value() }, { "target", target.value() }, { "order", nameOfOrder(request) } } });
+            next = m_orders.erase(next);
+            continue;
+        }
         auto& pool = m_pools[target];
         auto* const connection = pool.findIdle({});
         if (!connection) {
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -83,6 +83,12 @@
     [[nodiscard]] bool owns(ConnectionId id) const { return m_targetOf.contains(id); }
 
 private:
+    /// What the promotion wants sent to a target.
+    struct Order {
+        TargetRequest request;
+        Instant sendBefore;
+    };
+
     // Placing.
     void placeWaiting(Instant now);
     bool place(Instant now, Work&);
@@ -138,7 +144,7 @@
     void readClaim(const GroupName&) override;
     void writeClaim(const GroupName&, const Claim&, RowVersion expected) override;
     void promote(const GroupName&, const TargetName&, RowVersion token) override;
-    void order(const TargetName&, const TargetRequest&) override;
+    void order(const TargetName&, const TargetRequest&, Instant sendBefore) override;
     void log(const LogRecord&) override;
     void sendOrders(Instant now);
 
@@ -157,7 +163,7 @@
     std::map<TargetName, Instant> m_polledAt;
     /// When the last round of questions for a proof began.
     Instant m_proofAskedAt {};
-    std::map<TargetName, TargetRequest> m_orders;
+    std::map<TargetName, Order> m_orders;
     std::set<TargetName> m_doubtful;
     bool m_isPlacing { false };
 };
--- a/src/proxy/Promotion.cpp
+++ b/src/proxy/Promotion.cpp
@@ -21,15 +21,16 @@
     bindings.guards = { { "reasonGone", &Promotion::reasonGone }, { "delayPassed", &Promotion::delayPassed },
         { "claimLate", &Promotion::claimLate }, { "repairsOnly", &Promotion::repairsOnly },
         { "superseded", &Promotion::superseded }, { "claimEnds", &Promotion::claimEnds },
-        { "enoughFenced", &Promotion::enoughFenced }, { "retryDue", &Promotion::retryDue },
-        { "fencesHold", &Promotion::fencesHold }, { "promotedSeen", &Promotion::promotedSeen },
-        { "awaitLimitPassed", &Promotion::awaitLimitPassed }, { "allJoined", &Promotion::allJoined },
-        { "finishLimitPassed", &Promotion::finishLimitPassed } };
+        { "renewalDue", &Promotion::renewalDue }, { "enoughFenced", &Promotion::enoughFenced },
+        { "retryDue", &Promotion::retryDue }, { "fencesHold", &Promotion::fencesHold },
+        { "promotedSeen", &Promotion::promotedSeen }, { "awaitLimitPassed", &Promotion::awaitLimitPassed },
+        { "allJoined", &Promotion::allJoined }, { "finishLimitPassed", &Promotion::finishLimitPassed } };
     bindings.actions = { { "waitForHolder", &Promotion::waitForHolder }, { "delayRetry", &Promotion::delayRetry },
         { "readClaim", &Promotion::readClaim }, { "writeClaim", &Promotion::writeClaim },
         { "fenceMembers", &Promotion::fenceMembers }, { "askFenced", &Promotion::askFenced },
         { "callPromotion", &Promotion::callPromotion }, { "demoteFormer", &Promotion::demoteFormer },
-        { "joinMembers", &Promotion::joinMembers }, { "giveUp", &Promotion::giveUp } };
+        { "joinMembers", &Promotion::joinMembers }, { "renewForRepairs", &Promotion::renewForRepairs },
+        { "giveUp", &Promotion::giveUp } };
     const auto chart = Chart::StateChart::parse("promotion", Chart::embeddedChart("promotion"));
     AUBURNPOST_INVARIANT(chart, "promotion.scxml can't be read");
     auto runner = Runner::bind(*chart, std::move(bindings));
@@ -59,6 +60,7 @@
     if (!isIdle())
         return;
     m_reason = reason;
+    m_finishingSince.reset();
     std::uniform_int_distribution<Duration::rep> spread(0, startSpread.count());
     m_delayUntil = now + Duration(spread(random));
     log(LogEvent::PrimarySuspected,
@@ -158,7 +160,20 @@
 
 bool Promotion::claimEnds(const Context& context) const
 {
-    return context.now + callTimeout >= m_claimReadAt + claimLifetime;
+    return context.now + orderMargin >= claimUsableUntil();
+}
+
+bool Promotion::mayResume(const GroupWatcher::Member& member) const
+{
+    // A fence of a higher term belongs to a later claim, whose holder counts on it.
+    return member.standing && member.standing->isFenced() && member.standing->fencedTerm <= m_term;
+}
+
+bool Promotion::renewalDue(const Context& context) const
+{
+    const auto& members = context.watcher.members();
+    return claimEnds(context)
+        && std::any_of(members.begin(), members.end(), [this](const auto& entry) { return mayResume(entry.second); });
 }
 
 std::set<TargetName> Promotion::fenced(const GroupWatcher& watcher) const
@@ -220,7 +235,7 @@
 
 bool Promotion::finishLimitPassed(const Context& context) const
 {
-    return context.now - m_stepSince >= finishLimit;
+    return m_finishingSince && context.now - *m_finishingSince >= finishLimit;
 }
 
 void Promotion::waitForHolder(Context& context)
@@ -254,7 +269,7 @@
     for (const auto& [name, member] : context.watcher.members()) {
         const bool isFenced = member.standing && member.standing->fencedTerm == m_term;
         if (name != context.watcher.primary() && !isFenced)
-            m_actions.order(name, FenceReplica { m_term });
+            m_actions.order(name, FenceReplica { m_term }, claimUsableUntil());
     }
 }
 
@@ -263,7 +278,7 @@
     m_orderedAt = context.now;
     m_verifyAskedAt = context.now;
     for (const auto& name : fenced(context.watcher))
-        m_actions.order(name, AskStanding {});
+        m_actions.order(name, AskStanding {}, claimUsableUntil());
 }
 
 std::optional<TargetName> Promotion::longestLog(const GroupWatcher& watcher) const
@@ -299,13 +314,15 @@
     for (const auto& [name, member] : context.watcher.members()) {
         const bool leads = member.standing && member.standing->isPrimary && member.standing->term < m_term;
         if (leads && !member.health.isDoubtful(context.now))
-            m_actions.order(name, DemotePrimary { m_term });
+            m_actions.order(name, DemotePrimary { m_term }, Instant::max());
     }
 }
 
 void Promotion::joinMembers(Context& context)
 {
     m_orderedAt = context.now;
+    if (!m_finishingSince)
+        m_finishingSince = context.now;
     // A member that is resumed while the former primary leads could follow that one again and complete its commits.
     bool formerLeads = false;
     for (const auto& [name, member] : context.watcher.members()) {
@@ -313,11 +330,11 @@
         if (!leads || member.health.isDoubtful(context.now))
             continue;
         formerLeads = true;
-        m_actions.order(name, DemotePrimary { context.watcher.primaryTerm() });
+        m_actions.order(name, DemotePrimary { context.watcher.primaryTerm() }, Instant::max());
     }
     for (const auto& [name, member] : context.watcher.members()) {
-        if (!formerLeads && name != context.watcher.primary() && member.standing && member.standing->isFenced())
-            m_actions.order(name, ResumeReplica {});
+        if (!formerLeads && name != context.watcher.primary() && mayResume(member))
+            m_actions.order(name, ResumeReplica {}, claimUsableUntil());
     }
 }
 
@@ -327,10 +344,15 @@
         { { "term", std::to_string(m_term.value()) }, { "fenced", std::to_string(fenced(context.watcher).size()) },
             { "needed", std::to_string(context.watcher.fencesNeeded()) } });
     for (const auto& name : fenced(context.watcher))
-        m_actions.order(name, ResumeReplica {});
+        m_actions.order(name, ResumeReplica {}, claimUsableUntil());
     delayRetry(context);
 }
 
+void Promotion::renewForRepairs(Context&)
+{
+    m_reason = PromotionReason::ResumeMembers;
+}
+
 void Promotion::log(LogEvent event, std::vector<LogField> fields) const
 {
     fields.insert(fields.begin(), { "group", m_group.value() });
--- a/src/proxy/Promotion.h
+++ b/src/proxy/Promotion.h
@@ -23,7 +23,8 @@
     /// Asks the platform to make the target the primary.
     virtual void promote(const GroupName&, const TargetName&, RowVersion token) = 0;
     /// Sends one request to a target, whose reply comes back as a standing.
-    virtual void order(const TargetName&, const TargetRequest&) = 0;
+    /// @param sendBefore the request is dropped if it can't be sent until then.
+    virtual void order(const TargetName&, const TargetRequest&, Instant sendBefore) = 0;
     virtual void log(const LogRecord&) = 0;
 };
 
@@ -48,6 +49,8 @@
     static constexpr Duration retryDelay = std::chrono::milliseconds(250);
     /// Between two sendings of an unanswered order.
     static constexpr Duration orderRetry = std::chrono::milliseconds(120);
+    /// The last orders of an attempt are sent within this.
+    static constexpr Duration orderMargin = std::chrono::milliseconds(300);
     /// Extra time for members beyond the needed ones to be fenced, as they may hold a longer log.
     static constexpr Duration fenceGrace = std::chrono::milliseconds(120);
     static constexpr Duration claimStepLimit = std::chrono::milliseconds(1200);
@@ -92,6 +95,7 @@
     [[nodiscard]] bool repairsOnly(const Context&) const;
     [[nodiscard]] bool superseded(const Context&) const;
     [[nodiscard]] bool claimEnds(const Context&) const;
+    [[nodiscard]] bool renewalDue(const Context&) const;
     [[nodiscard]] bool enoughFenced(const Context&) const;
     [[nodiscard]] bool retryDue(const Context&) const;
     [[nodiscard]] bool fencesHold(const Context&) const;
@@ -109,9 +113,14 @@
     void callPromotion(Context&);
     void demoteFormer(Context&);
     void joinMembers(Context&);
+    void renewForRepairs(Context&);
     void giveUp(Context&);
 
     void noteFenced(const Context&);
+    /// @return until when what this host sends under its claim takes effect before another host can hold it.
+    [[nodiscard]] Instant claimUsableUntil() const { return m_claimReadAt + claimLifetime - callTimeout; }
+    /// @return whether the member is fenced by this attempt or by an earlier one.
+    [[nodiscard]] bool mayResume(const GroupWatcher::Member&) const;
     [[nodiscard]] std::set<TargetName> fenced(const GroupWatcher&) const;
     [[nodiscard]] std::optional<TargetName> longestLog(const GroupWatcher&) const;
     void log(LogEvent, std::vector<LogField>) const;
@@ -132,6 +141,8 @@
     /// When enough members were first fenced.
     std::optional<Instant> m_enoughSince;
     Instant m_verifyAskedAt {};
+    /// When the members were first told to follow the new primary; renewed claims don't move it.
+    std::optional<Instant> m_finishingSince;
     std::optional<TargetName> m_chosen;
 };
 
--- a/tests/proxy/PromotionTests.cpp
+++ b/tests/proxy/PromotionTests.cpp
@@ -14,6 +14,8 @@
     std::size_t reads { 0 };
     std::size_t writes { 0 };
     std::vector<std::string> orders;
+    /// When the last resume may be sent at the latest.
+    Instant resumeBefore {};
     std::optional<TargetName> promoted;
     std::uint64_t token { 0 };
 
@@ -24,8 +26,10 @@
         promoted = target;
         token = version.value();
     }
-    void order(const TargetName& target, const TargetRequest& request) override
+    void order(const TargetName& target, const TargetRequest& request, Instant sendBefore) override
     {
+        if (std::holds_alternative<ResumeReplica>(request))
+            resumeBefore = sendBefore;
         const auto name = std::holds_alternative<FenceReplica>(request) ? "fence "
             : std::holds_alternative<ResumeReplica>(request)            ? "resume "
             : std::holds_alternative<DemotePrimary>(request)            ? "demote "
@@ -86,6 +90,31 @@
         promotion.claimRead(now, watcher, ClaimRow { RowVersion(5), {}, 1000 });
         promotion.claimWritten(now, watcher, std::optional(RowVersion(6)));
     }
+    /// Goes on to the accepted call for s.
+    void call()
+    {
+        claim();
+        for (const auto step : { 30ms, 10ms }) {
+            hear("r", standing(false, 1, 7, 2));
+            hear("s", standing(false, 1, 8, 2));
+            tick(step);
+        }
+        hear("r", standing(false, 1, 7, 2));
+        hear("s", standing(false, 1, 8, 2));
+        tick(30ms);
+        REQUIRE(actions.promoted);
+        promotion.promoteAnswered(now, watcher, PromotionOutcome::Accepted);
+    }
+    /// Goes on to where s leads, p is demoted and r is to follow.
+    void finish()
+    {
+        call();
+        now += 300ms;
+        hear("s", standing(true, 2, 0));
+        hear("p", standing(false, 2, 0));
+        tick(30ms);
+        REQUIRE(promotion.state() == "Finishing");
+    }
 };
 
 } // namespace
@@ -213,3 +242,49 @@
     CHECK(group.promotion.isIdle());
     CHECK(group.actions.reads == 0);
 }
+
+// A later claimant counts on its fences: what is resumed under it follows the primary again, and commits of that
+// primary are missing on the target that is promoted next (docs/incidents/lost-after-return.md).
+TEST_CASE("A claimant resumes no fence of a later claim", "[proxy][promotion]")
+{
+    Fixture group;
+    group.finish();
+    REQUIRE(group.actions.has("resume r"));
+    group.actions.orders.clear();
+
+    SECTION("not while its own claim lasts")
+    {
+        group.hear("r", standing(false, 2, 0, 3));
+        group.tick(Promotion::orderRetry);
+        CHECK_FALSE(group.actions.has("resume r"));
+    }
+    SECTION("nor after it")
+    {
+        group.hear("r", standing(false, 2, 0, 2));
+        group.tick(Promotion::claimLifetime);
+        CHECK_FALSE(group.actions.has("resume r"));
+    }
+    SECTION("and what waits for a connection is not sent after it")
+    {
+        CHECK(group.actions.resumeBefore <= Instant(100s) + Promotion::startSpread + Promotion::claimLifetime);
+    }
+}
+
+TEST_CASE("Fences that are left when the claim ends are resumed under a new one", "[proxy][promotion]")
+{
+    Fixture group;
+    group.finish();
+    group.hear("r", standing(false, 2, 0, 2));
+    group.actions.orders.clear();
+    group.tick(Promotion::claimLifetime);
+    REQUIRE(group.actions.reads == 2);
+    group.promotion.claimRead(group.now, group.watcher, ClaimRow { RowVersion(6), {}, 5000 });
+    group.promotion.claimWritten(group.now, group.watcher, std::optional(RowVersion(7)));
+    CHECK(group.actions.has("resume r"));
+
+    SECTION("for a limited time")
+    {
+        group.tick(Promotion::finishLimit);
+        CHECK(group.promotion.isIdle());
+    }
+}
--- a/tests/proxy/ProxyScheduleTests.cpp
+++ b/tests/proxy/ProxyScheduleTests.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::uint64_t defaultSchedules = 40;
 constexpr std::uint64_t firstSeed = 1;
+/// As long as the slowest deployment takes, with what its platform adds.
+constexpr Duration slowPromotion = 1100ms;
 
 std::uint64_t numberFrom(const char* variable, std::uint64_t fallback)
 {
@@ -21,10 +23,10 @@
 
 /// Plays one schedule: faults in series and overlapping, then everything heals.
 /// @return the finished simulation.
-std::unique_ptr<ProxySimulation> play(std::uint64_t seed)
+std::unique_ptr<ProxySimulation> play(std::uint64_t seed, Duration promotionDelay = ProxySimulation::promotionDelay)
 {
     constexpr int strikes = 8;
-    auto simulation = std::make_unique<ProxySimulation>(seed);
+    auto simulation = std::make_unique<ProxySimulation>(seed, promotionDelay);
     simulation->run(3s);
     for (int strike = 0; strike < strikes; ++strike) {
         simulation->strike();
@@ -45,6 +47,19 @@
         INFO("seed " << seed);
         CHECK(play(seed)->checker().violation() == "");
     }
+    // A former claimant resumed a member that the next one had fenced (docs/incidents/lost-after-return.md).
+    constexpr std::uint64_t resumedFence = 86;
+    CHECK(play(resumedFence, slowPromotion)->checker().violation() == "");
+}
+
+TEST_CASE("Promises hold where a promotion takes its time", "[proxy][schedule]")
+{
+    const auto seed = numberFrom("PROXY_SEED", firstSeed);
+    const auto schedules = numberFrom("PROXY_SCHEDULES", defaultSchedules);
+    for (auto each = seed; each < seed + schedules; ++each) {
+        INFO("seed " << each);
+        CHECK(play(each, slowPromotion)->checker().violation() == "");
+    }
 }
 
 TEST_CASE("Promises hold in random schedules of faults", "[proxy][schedule]")
--- a/tests/proxy/ProxySimulation.cpp
+++ b/tests/proxy/ProxySimulation.cpp
@@ -16,8 +16,9 @@
 
 } // namespace
 
-ProxySimulation::ProxySimulation(std::uint64_t seed)
-    : m_random(seed)
+ProxySimulation::ProxySimulation(std::uint64_t seed, Duration promotionDelay)
+    : m_promotionDelay(promotionDelay)
+    , m_random(seed)
 {
     for (std::size_t index = 0; index < targetCount; ++index) {
         const TargetName name("t" + std::to_string(index));
@@ -92,7 +93,7 @@
 
 void ProxySimulation::promote(const TargetName& name, std::uint64_t token, const std::string& holder)
 {
-    after(promotionDelay, [this, name, token, holder] {
+    after(m_promotionDelay, [this, name, token, holder] {
         auto& chosen = m_targets.at(name);
         if (!chosen.isRunning || chosen.isPrimary)
             return;
--- a/tests/proxy/ProxySimulation.h
+++ b/tests/proxy/ProxySimulation.h
@@ -21,7 +21,8 @@
     static constexpr Duration hop = std::chrono::milliseconds(5);
     static constexpr Duration promotionDelay = std::chrono::milliseconds(300);
 
-    explicit ProxySimulation(std::uint64_t seed);
+    /// @param promotionDelay from the platform's acceptance of a promotion to its effect.
+    explicit ProxySimulation(std::uint64_t seed, Duration promotionDelay = ProxySimulation::promotionDelay);
     ~ProxySimulation();
 
     void run(Duration);
@@ -71,6 +72,7 @@
     [[nodiscard]] FakeTarget& anyTarget();
     [[nodiscard]] FakeTarget* leader();
 
+    Duration m_promotionDelay;
     Group::EventQueue m_queue;
     std::mt19937_64 m_random;
     ProxyChecker m_checker;
