End a takeover when another target leads since, and believe the list

Cause: a host that learns nothing of a promotion (no connection to the new primary) claims when the first claim ends, and went on when it learned of the new primary, since a primary ended an attempt only from the attempt's own term on, and the first attempt's fences had raised that. Besides, transitions of a state go before those around it: a call was possible on the tick that showed the new primary.

Ruled out: a false suspicion (the former primary was down); the claim (it had ended).

Both tests failed before the mend.

Conclusion: an attempt remembers the term of what it replaces; a listed primary that answers stands against a primary that is down until it denies it.

--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -23,6 +23,10 @@
         if (known != m_members.end() && known->second.record.incarnation == record.incarnation)
             member = known->second;
         member.record = record;
+        if (!record.claimsPrimary)
+            member.claimsSince.reset();
+        else if (!member.claimsSince)
+            member.claimsSince = now;
         if (!record.isLeaving)
             member.leavingSince.reset();
         else if (!member.leavingSince)
@@ -192,7 +196,7 @@
     }
     const auto& primary = m_members.at(*m_primary);
     if (primary.health.isDown(now))
-        return PrimaryTrouble::Down;
+        return hasLivingClaimant(now) ? PrimaryTrouble::None : PrimaryTrouble::Down;
     if (primary.record.isLeaving)
         return PrimaryTrouble::Leaving;
     return isBlocked(now, primary) ? PrimaryTrouble::Blocked : PrimaryTrouble::None;
@@ -203,8 +207,8 @@
     // A primary may refuse this host's connections for lack of room, and still serve all others.
     return std::any_of(m_members.begin(), m_members.end(), [now](const auto& entry) {
         const auto& member = entry.second;
-        return member.record.claimsPrimary && !member.standing && member.health.lastHeard()
-            && !member.health.isDown(now);
+        const bool isUndenied = member.claimsSince && (!member.standing || member.askedAt < *member.claimsSince);
+        return isUndenied && member.health.lastHeard() && !member.health.isDown(now);
     });
 }
 
--- a/src/proxy/GroupWatcher.h
+++ b/src/proxy/GroupWatcher.h
@@ -49,6 +49,8 @@
         TargetHealth health;
         /// Since when it lacks a commit that the primary had when it was asked, without progress.
         std::optional<Instant> behindSince;
+        /// Since when it is listed as primary.
+        std::optional<Instant> claimsSince;
         /// When it was first seen to leave.
         std::optional<Instant> leavingSince;
     };
@@ -96,6 +98,7 @@
     [[nodiscard]] bool isBlocked(Instant now, const Member& primary) const;
     void noteFences(Instant now);
     void noteAddresses(Instant now);
+    /// @return whether a member that answers is listed as primary and has not denied it since.
     [[nodiscard]] bool hasLivingClaimant(Instant now) const;
 
     GroupRules m_rules;
--- a/src/proxy/Promotion.cpp
+++ b/src/proxy/Promotion.cpp
@@ -60,6 +60,7 @@
     if (!isIdle())
         return;
     m_reason = reason;
+    m_replacedTerm = watcher.primaryTerm();
     m_finishingSince.reset();
     std::uniform_int_distribution<Duration::rep> spread(0, startSpread.count());
     m_delayUntil = now + Duration(spread(random));
@@ -155,7 +156,7 @@
 
 bool Promotion::superseded(const Context& context) const
 {
-    return context.watcher.primary() && context.watcher.primaryTerm() >= m_term;
+    return context.watcher.primary() && context.watcher.primaryTerm() > m_replacedTerm;
 }
 
 bool Promotion::claimEnds(const Context& context) const
@@ -204,7 +205,7 @@
 bool Promotion::fencesHold(const Context& context) const
 {
     // After a pause of this host everything may look well while another host holds the claim.
-    if (claimEnds(context))
+    if (claimEnds(context) || superseded(context))
         return false;
     std::size_t holding = 0;
     for (const auto& name : fenced(context.watcher))
--- a/src/proxy/Promotion.h
+++ b/src/proxy/Promotion.h
@@ -131,6 +131,8 @@
     Runner m_runner;
     PromotionReason m_reason { PromotionReason::ReplacePrimary };
     Instant m_stepSince {};
+    /// The term of the primary that is to be replaced.
+    Term m_replacedTerm;
     Instant m_delayUntil {};
     Instant m_orderedAt {};
     /// Before the claim's row was read, which bounds the start of its lifetime.
--- a/tests/proxy/GroupWatcherTests.cpp
+++ b/tests/proxy/GroupWatcherTests.cpp
@@ -161,6 +161,33 @@
     }
 }
 
+TEST_CASE("A primary that is down needs no replacement once another member is listed as primary", "[proxy][watcher]")
+{
+    auto watcher = threeMembers();
+    watcher.record(start, p, start, standing(true, 1, 7));
+    watcher.record(start, r, start, standing(false, 1, 7));
+    const auto heard = [&watcher](Instant now) { watcher.health(r)->heard(now, {}); };
+    heard(start + 1s);
+    for (std::size_t count = 0; count < TargetHealth::refusalLimit; ++count)
+        watcher.health(p)->refused(start + 1s);
+    REQUIRE(watcher.trouble(start + 1s) == PrimaryTrouble::Down);
+
+    watcher.setMembers(start + 2s, { record("p", 1, true), record("r", 2, true), record("s", 3) });
+    CHECK(watcher.trouble(start + 2s) == PrimaryTrouble::None);
+
+    SECTION("unless it answers since as a replica")
+    {
+        watcher.record(start + 3s, r, start + 3s, standing(false, 1, 7));
+        CHECK(watcher.trouble(start + 3s) == PrimaryTrouble::Down);
+    }
+    SECTION("unless it is down too")
+    {
+        for (std::size_t count = 0; count < TargetHealth::refusalLimit; ++count)
+            watcher.health(r)->refused(start + 3s);
+        CHECK(watcher.trouble(start + 3s) == PrimaryTrouble::Down);
+    }
+}
+
 TEST_CASE("The fences that a promotion needs meet every set that could acknowledge a commit", "[proxy][watcher]")
 {
     auto watcher = threeMembers();
--- a/tests/proxy/PromotionTests.cpp
+++ b/tests/proxy/PromotionTests.cpp
@@ -288,3 +288,20 @@
         CHECK(group.promotion.isIdle());
     }
 }
+
+TEST_CASE("An attempt ends when another target turns out to lead since", "[proxy][promotion]")
+{
+    Fixture group;
+    // The fences of another host's attempt, which succeeds unseen.
+    group.hear("r", standing(false, 1, 7, 2));
+    group.hear("s", standing(false, 1, 8, 2));
+    group.claim();
+    group.hear("s", standing(true, 2, 0));
+    for (const auto step : { 30ms, 10ms, 30ms }) {
+        group.hear("p", standing(false, 2, 0, 3));
+        group.hear("r", standing(false, 2, 0, 3));
+        group.tick(step);
+    }
+    CHECK_FALSE(group.actions.promoted);
+    CHECK(group.actions.has("resume r"));
+}
