Remember a member for 8 s from when it was last listed

Cause: the time of an address was taken when the list last changed, not when the member was last in it. After a calm of 8 s a member that is gone was forgotten at once, and the group's size with it, so that fewer fences and witnesses counted as enough.

Before: the new test fails (0 witnesses needed instead of 1).

Conclusion: the list before a change is as of that change.

--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -15,6 +15,8 @@
     for (const auto& [name, member] : m_members) {
         if (member.record.isLeaving)
             m_addresses.erase(member.record.address);
+        else
+            m_addresses[member.record.address] = now;
     }
     Members next;
     for (const auto& record : records) {
--- a/tests/proxy/GroupWatcherTests.cpp
+++ b/tests/proxy/GroupWatcherTests.cpp
@@ -188,6 +188,17 @@
     }
 }
 
+TEST_CASE("A member that is gone counts as part of the group for a while", "[proxy][watcher]")
+{
+    auto watcher = threeMembers();
+    // Nothing changes in the list for longer than a member that is gone is remembered.
+    const auto gone = start + 2 * GroupWatcher::membershipMemory;
+    watcher.setMembers(gone, { record("r", 2), record("s", 3) });
+    CHECK(watcher.witnessesNeeded() == 1);
+    watcher.setMembers(gone + GroupWatcher::membershipMemory + 1ms, { record("r", 2), record("s", 3) });
+    CHECK(watcher.witnessesNeeded() == 0);
+}
+
 TEST_CASE("The fences that a promotion needs meet every set that could acknowledge a commit", "[proxy][watcher]")
 {
     auto watcher = threeMembers();
