Send a promotion's call only while its claim lasts, through its effect

Besides, the claim ended before a late call took effect, so that another host could fence the target chosen, whose promotion takes the fence off.

Ruled out: a check that was passed after the thaw (the time of the check runs on in a suspension).

Now the call says until when it may be written; the client connects, asks, and writes at once. What was not sent (or refused for its rate, 429) is told apart from what was not answered. The claim lasts 3.7 s instead of 2.5 s. The fakes' checker takes tokens when a call arrives, not when it takes effect: stricter, and without it the new schedule passed with the mend taken out.

Before: the schedule of a caller frozen while it connects fails ("a lower fencing token after a higher one") with the guard taken out.

Conclusion: the time limit belongs to the writing.

--- a/src/app/ProxyAssembly.cpp
+++ b/src/app/ProxyAssembly.cpp
@@ -60,7 +60,8 @@
     }
 
     constexpr std::size_t storeConnections = 6;
-    constexpr std::size_t promotionConnections = 2;
+    /// Promotions are called on connections of their own.
+    constexpr std::size_t promotionConnections = 0;
 
 } // namespace
 
@@ -363,13 +364,14 @@
     });
 }
 
-void ProxyAssembly::promote(const Proxy::GroupName& group, const TargetName& target, Proxy::RowVersion token)
+void ProxyAssembly::promote(
+    const Proxy::GroupName& group, const TargetName& target, Proxy::RowVersion token, Instant sendBefore)
 {
-    const auto timeout = Proxy::Promotion::callTimeout;
-    call(m_promotions, Platform::promotionCall(group, target, m_settings.host, token, timeout),
-        [this, group](const Expected<PlatformReply>& reply) {
-            m_proxy.promoteAnswered(now(), group, Platform::readPromotion(reply));
-        });
+    auto promotion = Platform::promotionCall(group, target, m_settings.host, token, Proxy::Promotion::callTimeout);
+    promotion.maySend = [sendBefore] { return now() < sendBefore; };
+    call(m_promotions, std::move(promotion), [this, group](const Expected<PlatformReply>& reply) {
+        m_proxy.promoteAnswered(now(), group, Platform::readPromotion(reply));
+    });
 }
 
 void ProxyAssembly::askPeer(const SocketAddress& peer)
--- a/src/app/ProxyAssembly.h
+++ b/src/app/ProxyAssembly.h
@@ -75,7 +75,7 @@
     void writeHost(const HostName&, const std::string& value) override;
     void readClaim(const Proxy::GroupName&) override;
     void writeClaim(const Proxy::GroupName&, const Proxy::Claim&, Proxy::RowVersion expected) override;
-    void promote(const Proxy::GroupName&, const TargetName&, Proxy::RowVersion token) override;
+    void promote(const Proxy::GroupName&, const TargetName&, Proxy::RowVersion token, Instant sendBefore) override;
     void askPeer(const SocketAddress&) override;
     void servePeer(const Wire::HttpRequest&);
 
--- a/src/base/ErrorCode.cpp
+++ b/src/base/ErrorCode.cpp
@@ -63,6 +63,8 @@
         return "platform_unavailable";
     case ErrorCode::PlatformRefused:
         return "platform_refused";
+    case ErrorCode::NotSent:
+        return "not_sent";
     case ErrorCode::TransactionLost:
         return "transaction_lost";
     case ErrorCode::TransactionLimit:
--- a/src/base/ErrorCode.h
+++ b/src/base/ErrorCode.h
@@ -35,6 +35,7 @@
     PeerUnreachable,
     PlatformUnavailable,
     PlatformRefused,
+    NotSent,
     TransactionLost,
     TransactionLimit,
     Leaving,
--- a/src/chart/EmbeddedCharts.cpp
+++ b/src/chart/EmbeddedCharts.cpp
@@ -46,6 +46,7 @@
     <transition event="accepted" target="Awaiting"/>
     <transition event="unanswered" target="Awaiting"/>
     <transition event="notRunning" target="Delaying"><action name="giveUp"/></transition>
+    <transition event="notDone" target="Delaying"><action name="giveUp"/></transition>
   </state>
   <state id="Awaiting">
     <onentry><action name="demoteFormer"/></onentry>
--- a/src/message/PlatformCall.h
+++ b/src/message/PlatformCall.h
@@ -5,6 +5,7 @@
 #include "base/Time.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -35,6 +36,9 @@
     Duration timeout {};
     /// Sent besides those that every call has.
     std::vector<CallHeader> headers {};
+    /// Asked once a connection stands; the call is written at once if it says yes, and fails as NotSent otherwise.
+    /// Empty: the call may be written at any time within its timeout.
+    std::function<bool()> maySend {};
 };
 
 /// A whole answer of the platform.
@@ -45,7 +49,7 @@
     std::optional<std::uint64_t> version;
 };
 
-/// The answer to a call; an error means that a Put may have taken effect all the same.
+/// The answer to a call; an error other than NotSent means that a Put or Post may have taken effect all the same.
 struct PlatformAnswer {
     PlatformCallId id;
     Expected<PlatformReply> reply;
--- a/src/platform/StoreCalls.cpp
+++ b/src/platform/StoreCalls.cpp
@@ -22,6 +22,7 @@
     constexpr int statusConflict = 409;
     constexpr int statusGone = 410;
     constexpr int statusPreconditionFailed = 412;
+    constexpr int statusTooMany = 429;
 
     const char* nameOf(Proxy::StoreTable table)
     {
@@ -230,6 +231,9 @@
         return Proxy::PromotionOutcome::Accepted;
     if (reply && reply->status == statusConflict)
         return Proxy::PromotionOutcome::NotRunning;
+    const bool isRefused = reply && reply->status == statusTooMany;
+    if (isRefused || (!reply && reply.error().code == ErrorCode::NotSent))
+        return Proxy::PromotionOutcome::NotDone;
     return Proxy::PromotionOutcome::Unanswered;
 }
 
--- a/src/proxy/Claim.h
+++ b/src/proxy/Claim.h
@@ -28,6 +28,8 @@
     Accepted,
     /// The target does not run.
     NotRunning,
+    /// Not sent, or refused before anything happened.
+    NotDone,
     /// Refused for another reason, or no answer: the call may still take effect.
     Unanswered,
 };
--- a/src/proxy/GroupActions.h
+++ b/src/proxy/GroupActions.h
@@ -33,7 +33,7 @@
     virtual void send(ConnectionId, const std::vector<TargetRequest>&) = 0;
     virtual void readClaim(const GroupName&) = 0;
     virtual void writeClaim(const GroupName&, const Claim&, RowVersion expected) = 0;
-    virtual void promote(const GroupName&, const TargetName&, RowVersion token) = 0;
+    virtual void promote(const GroupName&, const TargetName&, RowVersion token, Instant sendBefore) = 0;
     virtual void finished(const WorkResult&) = 0;
     /// The connection of a session's transaction ended between two statements.
     virtual void transactionLost(SessionId) = 0;
--- a/src/proxy/GroupService.cpp
+++ b/src/proxy/GroupService.cpp
@@ -312,9 +312,9 @@
     m_actions.writeClaim(group, claim, expected);
 }
 
-void GroupService::promote(const GroupName& group, const TargetName& target, RowVersion token)
+void GroupService::promote(const GroupName& group, const TargetName& target, RowVersion token, Instant sendBefore)
 {
-    m_actions.promote(group, target, token);
+    m_actions.promote(group, target, token, sendBefore);
 }
 
 void GroupService::log(const LogRecord& record)
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -143,7 +143,7 @@
     // Orders of the promotion.
     void readClaim(const GroupName&) override;
     void writeClaim(const GroupName&, const Claim&, RowVersion expected) override;
-    void promote(const GroupName&, const TargetName&, RowVersion token) override;
+    void promote(const GroupName&, const TargetName&, RowVersion token, Instant sendBefore) override;
     void order(const TargetName&, const TargetRequest&, Instant sendBefore) override;
     void log(const LogRecord&) override;
     void sendOrders(Instant now);
--- a/src/proxy/Promotion.cpp
+++ b/src/proxy/Promotion.cpp
@@ -124,7 +124,7 @@
 
 void Promotion::promoteAnswered(Instant now, const GroupWatcher& watcher, PromotionOutcome outcome)
 {
-    constexpr std::string_view events[] { "accepted", "notRunning", "unanswered" };
+    constexpr std::string_view events[] { "accepted", "notRunning", "notDone", "unanswered" };
     Context context { now, watcher };
     log(LogEvent::PromotionAnswered,
         { { "target", m_chosen ? m_chosen->value() : "-" }, { "token", std::to_string(m_token.value()) },
@@ -161,7 +161,8 @@
 
 bool Promotion::claimEnds(const Context& context) const
 {
-    return context.now + orderMargin >= claimUsableUntil();
+    const auto usableUntil = m_runner.isIn("Attempt") ? callUntil() : claimUsableUntil();
+    return context.now + orderMargin >= usableUntil;
 }
 
 bool Promotion::mayResume(const GroupWatcher::Member& member) const
@@ -306,7 +307,7 @@
                 std::to_string(standing.received.term.value()) + "."
                     + std::to_string(standing.received.position.value()) },
             { "fenced", std::to_string(fenced(context.watcher).size()) } });
-    m_actions.promote(m_group, *m_chosen, m_token);
+    m_actions.promote(m_group, *m_chosen, m_token, callUntil());
 }
 
 void Promotion::demoteFormer(Context& context)
--- a/src/proxy/Promotion.h
+++ b/src/proxy/Promotion.h
@@ -21,7 +21,8 @@
     /// Writes the claim if the row still has the version.
     virtual void writeClaim(const GroupName&, const Claim&, RowVersion expected) = 0;
     /// Asks the platform to make the target the primary.
-    virtual void promote(const GroupName&, const TargetName&, RowVersion token) = 0;
+    /// @param sendBefore the call must not be written from then on.
+    virtual void promote(const GroupName&, const TargetName&, RowVersion token, Instant sendBefore) = 0;
     /// Sends one request to a target, whose reply comes back as a standing.
     /// @param sendBefore the request is dropped if it can't be sent until then.
     virtual void order(const TargetName&, const TargetRequest&, Instant sendBefore) = 0;
@@ -40,8 +41,11 @@
 /// it.
 class Promotion {
 public:
-    /// How long a claim lasts; above what an attempt takes up to its call.
-    static constexpr Duration claimLifetime = std::chrono::milliseconds(2500);
+    /// How long a claim lasts: fences and checks, the call, and its effect.
+    static constexpr Duration claimLifetime = std::chrono::milliseconds(3700);
+    /// From an accepted call to its effect; platforms take up to about a second. Another host that claimed in between
+    /// would fence the chosen target, whose promotion takes that fence off.
+    static constexpr Duration effectLimit = std::chrono::milliseconds(1200);
     /// The call has to be answered within this; the connection is reset after it, so that it can't arrive later.
     static constexpr Duration callTimeout = std::chrono::milliseconds(600);
     /// Hosts that see the same trouble start at most this far apart, so that most find the claim taken.
@@ -119,6 +123,8 @@
     void noteFenced(const Context&);
     /// @return until when what this host sends under its claim takes effect before another host can hold it.
     [[nodiscard]] Instant claimUsableUntil() const { return m_claimReadAt + claimLifetime - callTimeout; }
+    /// @return until when a call may be sent, so that it takes effect while the claim lasts.
+    [[nodiscard]] Instant callUntil() const { return claimUsableUntil() - effectLimit; }
     /// @return whether the member is fenced by this attempt or by an earlier one.
     [[nodiscard]] bool mayResume(const GroupWatcher::Member&) const;
     [[nodiscard]] std::set<TargetName> fenced(const GroupWatcher&) const;
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -154,9 +154,9 @@
     m_actions.writeClaim(group, claim, expected);
 }
 
-void Proxy::promote(const GroupName& group, const TargetName& target, RowVersion token)
+void Proxy::promote(const GroupName& group, const TargetName& target, RowVersion token, Instant sendBefore)
 {
-    m_actions.promote(group, target, token);
+    m_actions.promote(group, target, token, sendBefore);
 }
 
 void Proxy::log(const LogRecord& record)
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -82,7 +82,7 @@
     void send(ConnectionId, const std::vector<TargetRequest>&) override;
     void readClaim(const GroupName&) override;
     void writeClaim(const GroupName&, const Claim&, RowVersion expected) override;
-    void promote(const GroupName&, const TargetName&, RowVersion token) override;
+    void promote(const GroupName&, const TargetName&, RowVersion token, Instant sendBefore) override;
     void finished(const WorkResult&) override;
     void transactionLost(SessionId) override;
     void log(const LogRecord&) override;
--- a/src/proxy/ProxyActions.h
+++ b/src/proxy/ProxyActions.h
@@ -21,7 +21,7 @@
     virtual void send(ConnectionId, const std::vector<TargetRequest>&) = 0;
     virtual void readClaim(const GroupName&) = 0;
     virtual void writeClaim(const GroupName&, const Claim&, RowVersion expected) = 0;
-    virtual void promote(const GroupName&, const TargetName&, RowVersion token) = 0;
+    virtual void promote(const GroupName&, const TargetName&, RowVersion token, Instant sendBefore) = 0;
     /// Asks a peer for the tables that it holds.
     virtual void askPeer(const SocketAddress&) = 0;
     virtual void log(const LogRecord&) = 0;
--- a/src/wire/LineConnection.cpp
+++ b/src/wire/LineConnection.cpp
@@ -72,6 +72,15 @@
     bufferevent_write(m_event, text.data(), text.size());
 }
 
+void LineConnection::sendAtOnce(std::string_view text)
+{
+    // An error shows up again when the rest is sent.
+    const auto sent = ::send(bufferevent_getfd(m_event), text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    text.remove_prefix(sent > 0 ? static_cast<std::size_t>(sent) : 0);
+    if (!text.empty())
+        send(text);
+}
+
 void LineConnection::whenFlushed(std::function<void()> flushed)
 {
     m_flushed = std::move(flushed);
--- a/src/wire/LineConnection.h
+++ b/src/wire/LineConnection.h
@@ -45,6 +45,8 @@
     LineConnection& operator=(const LineConnection&) = delete;
 
     void send(std::string_view text);
+    /// Writes to the socket before it returns, as far as that takes it; the rest follows as with send().
+    void sendAtOnce(std::string_view text);
     /// Calls @p flushed from the loop once all that was sent has gone to the kernel.
     void whenFlushed(std::function<void()> flushed);
     /// Hands out no more lines until resume(); what arrives is kept up to the limit.
--- a/src/wire/PlatformClient.cpp
+++ b/src/wire/PlatformClient.cpp
@@ -70,6 +70,9 @@
     /// Set while the call is on a connection.
     evhttp_request* request { nullptr };
     evhttp_connection* connection { nullptr };
+    /// The connection of a guarded call.
+    std::unique_ptr<LineConnection> guarded;
+    bool isSent { false };
     /// Why it failed within call(), until that is reported from the loop.
     std::string refusal;
     EventPointer timer;
@@ -131,6 +134,10 @@
     AUBURNPOST_INVARIANT(isNew, "a platform call's id is used once");
     const auto timeout = toTimeval(call.timeout);
     evtimer_add(pending.timer.get(), &timeout);
+    if (call.maySend) {
+        startGuarded(pending);
+        return;
+    }
     if (m_waiting.size() >= m_limits.waiting) {
         pending.refusal = "too many calls wait for a connection";
         event_active(pending.timer.get(), EV_TIMEOUT, 0);
@@ -186,6 +193,57 @@
     event_active(pending.timer.get(), EV_TIMEOUT, 0);
 }
 
+void PlatformClient::startGuarded(Pending& pending)
+{
+    LineConnection::Handlers handlers;
+    handlers.connected = [this, &pending] { onGuardedConnected(pending); };
+    handlers.line = [this, &pending](std::string_view line) { finish(pending, readStatus(pending, line)); };
+    handlers.ended = [this, &pending](LineEnd) { onGuardedEnded(pending); };
+    pending.guarded = std::make_unique<LineConnection>(m_base, m_address, std::move(handlers));
+}
+
+void PlatformClient::onGuardedConnected(Pending& pending)
+{
+    if (!pending.call.maySend()) {
+        finish(pending, failure(pending, "its time was over when the connection stood", ErrorCode::NotSent));
+        return;
+    }
+    pending.isSent = true;
+    pending.guarded->sendAtOnce(writeRequest(pending.call));
+}
+
+void PlatformClient::onGuardedEnded(Pending& pending)
+{
+    const auto code = pending.isSent ? ErrorCode::PlatformUnavailable : ErrorCode::NotSent;
+    finish(pending, failure(pending, "the connection failed before the answer came", code));
+}
+
+std::string PlatformClient::writeRequest(const PlatformCall& call) const
+{
+    constexpr std::string_view end = "\r\n";
+    auto text = std::string(nameOf(call.method)) + call.path + " HTTP/1.1\r\nHost: " + m_address.toString()
+        + "\r\nConnection: close\r\nContent-Type: application/json\r\nContent-Length: "
+        + std::to_string(call.body.size()) + "\r\n";
+    if (!m_limits.userAgent.empty())
+        text.append("User-Agent: ").append(m_limits.userAgent).append(end);
+    for (const auto& header : call.headers)
+        text.append(header.name).append(": ").append(header.value).append(end);
+    return text.append(end).append(call.body);
+}
+
+Expected<PlatformReply> PlatformClient::readStatus(const Pending& pending, std::string_view line) const
+{
+    // A line such as "HTTP/1.1 200 OK"; what follows it is not needed.
+    const auto blank = line.find(' ');
+    const auto code = blank == std::string_view::npos ? std::string_view() : line.substr(blank + 1);
+    const auto status = readNumber(code.substr(0, code.find(' ')));
+    if (!line.starts_with("HTTP/") || !status)
+        return failure(pending, "the answer has no status");
+    PlatformReply reply;
+    reply.status = static_cast<int>(*status);
+    return reply;
+}
+
 void PlatformClient::onReply(Pending& pending, evhttp_request* request)
 {
     pending.request = nullptr;
@@ -198,10 +256,13 @@
         resetOnClose(pending.connection);
         evhttp_cancel_request(std::exchange(pending.request, nullptr));
     }
+    if (pending.guarded)
+        pending.guarded->setReset();
+    const auto code = pending.guarded && !pending.isSent ? ErrorCode::NotSent : ErrorCode::PlatformUnavailable;
     const auto message = pending.refusal.empty()
         ? "no answer within " + std::to_string(toMilliseconds(pending.call.timeout)) + " ms"
         : pending.refusal;
-    finish(pending, failure(pending, message));
+    finish(pending, failure(pending, message, code));
 }
 
 void PlatformClient::finish(Pending& pending, Expected<PlatformReply> reply)
@@ -231,10 +292,10 @@
     return reply;
 }
 
-tl::unexpected<Error> PlatformClient::failure(const Pending& pending, std::string message) const
+tl::unexpected<Error> PlatformClient::failure(const Pending& pending, std::string message, ErrorCode code) const
 {
-    return fail(ErrorCode::PlatformUnavailable, std::string(nameOf(pending.call.method)) + pending.call.path,
-        m_address.toString(), std::move(message));
+    return fail(
+        code, std::string(nameOf(pending.call.method)) + pending.call.path, m_address.toString(), std::move(message));
 }
 
 } // namespace Auburnpost::Wire
--- a/src/wire/PlatformClient.h
+++ b/src/wire/PlatformClient.h
@@ -3,6 +3,7 @@
 #include "base/SocketAddress.h"
 #include "message/PlatformCall.h"
 #include "wire/LibeventPointers.h"
+#include "wire/LineConnection.h"
 
 #include <sigc++/signal.h>
 
@@ -47,12 +48,20 @@
 
     void scheduleStart();
     void startWaiting();
+    /// Makes a call whose sending depends on the moment at which its connection stands.
+    void startGuarded(Pending&);
+    void onGuardedConnected(Pending&);
+    void onGuardedEnded(Pending&);
     void start(Pending&, evhttp_connection*);
     void onReply(Pending&, evhttp_request*);
     void onTimeout(Pending&);
     void finish(Pending&, Expected<PlatformReply>);
     [[nodiscard]] Expected<PlatformReply> readReply(const Pending&, evhttp_request*) const;
-    [[nodiscard]] tl::unexpected<Error> failure(const Pending&, std::string message) const;
+    [[nodiscard]] std::string writeRequest(const PlatformCall&) const;
+    /// Reads the first line of an answer.
+    [[nodiscard]] Expected<PlatformReply> readStatus(const Pending&, std::string_view line) const;
+    [[nodiscard]] tl::unexpected<Error> failure(
+        const Pending&, std::string message, ErrorCode = ErrorCode::PlatformUnavailable) const;
 
     event_base* m_base;
     SocketAddress m_address;
--- a/tests/platform/StoreCallsTests.cpp
+++ b/tests/platform/StoreCallsTests.cpp
@@ -99,6 +99,8 @@
     CHECK(call.headers[1].value == "19");
     CHECK(readPromotion(reply(200, "")) == PromotionOutcome::Accepted);
     CHECK(readPromotion(reply(409, "")) == PromotionOutcome::NotRunning);
-    CHECK(readPromotion(reply(429, "")) == PromotionOutcome::Unanswered);
+    CHECK(readPromotion(reply(429, "")) == PromotionOutcome::NotDone);
+    CHECK(readPromotion(fail(ErrorCode::NotSent, "POST /promotion", "platform", "")) == PromotionOutcome::NotDone);
+    CHECK(readPromotion(reply(503, "")) == PromotionOutcome::Unanswered);
     CHECK(readPromotion(noAnswer()) == PromotionOutcome::Unanswered);
 }
--- a/tests/proxy/GroupServiceTests.cpp
+++ b/tests/proxy/GroupServiceTests.cpp
@@ -44,7 +44,7 @@
     }
     void readClaim(const GroupName&) override { }
     void writeClaim(const GroupName&, const Claim&, RowVersion) override { }
-    void promote(const GroupName&, const TargetName&, RowVersion) override { }
+    void promote(const GroupName&, const TargetName&, RowVersion, Instant) override { }
     void finished(const WorkResult& result) override { results.push_back(result); }
     void transactionLost(SessionId) override { }
     void log(const LogRecord&) override { }
--- a/tests/proxy/PromotionTests.cpp
+++ b/tests/proxy/PromotionTests.cpp
@@ -14,6 +14,7 @@
     std::size_t reads { 0 };
     std::size_t writes { 0 };
     std::vector<std::string> orders;
+    Instant callBefore {};
     /// When the last resume may be sent at the latest.
     Instant resumeBefore {};
     std::optional<TargetName> promoted;
@@ -21,8 +22,9 @@
 
     void readClaim(const GroupName&) override { ++reads; }
     void writeClaim(const GroupName&, const Claim&, RowVersion) override { ++writes; }
-    void promote(const GroupName&, const TargetName& target, RowVersion version) override
+    void promote(const GroupName&, const TargetName& target, RowVersion version, Instant sendBefore) override
     {
+        callBefore = sendBefore;
         promoted = target;
         token = version.value();
     }
@@ -90,8 +92,8 @@
         promotion.claimRead(now, watcher, ClaimRow { RowVersion(5), {}, 1000 });
         promotion.claimWritten(now, watcher, std::optional(RowVersion(6)));
     }
-    /// Goes on to the accepted call for s.
-    void call()
+    /// Goes on to the call for s and its outcome.
+    void call(PromotionOutcome outcome = PromotionOutcome::Accepted)
     {
         claim();
         for (const auto step : { 30ms, 10ms }) {
@@ -103,7 +105,7 @@
         hear("s", standing(false, 1, 8, 2));
         tick(30ms);
         REQUIRE(actions.promoted);
-        promotion.promoteAnswered(now, watcher, PromotionOutcome::Accepted);
+        promotion.promoteAnswered(now, watcher, outcome);
     }
     /// Goes on to where s leads, p is demoted and r is to follow.
     void finish()
@@ -276,7 +278,8 @@
     group.finish();
     group.hear("r", standing(false, 2, 0, 2));
     group.actions.orders.clear();
-    group.tick(Promotion::claimLifetime);
+    // The claim ends before the time for repairs does.
+    group.tick(Promotion::finishLimit - 500ms);
     REQUIRE(group.actions.reads == 2);
     group.promotion.claimRead(group.now, group.watcher, ClaimRow { RowVersion(6), {}, 5000 });
     group.promotion.claimWritten(group.now, group.watcher, std::optional(RowVersion(7)));
@@ -305,3 +308,21 @@
     CHECK_FALSE(group.actions.promoted);
     CHECK(group.actions.has("resume r"));
 }
+
+TEST_CASE("A call takes effect while its claim lasts", "[proxy][promotion]")
+{
+    Fixture group;
+    group.call();
+    const auto claimed = Instant(100s) + Promotion::startSpread;
+    CHECK(group.actions.callBefore + Promotion::callTimeout + Promotion::effectLimit
+        <= claimed + Promotion::claimLifetime);
+}
+
+TEST_CASE("A call that was not sent is made again under a new claim", "[proxy][promotion]")
+{
+    Fixture group;
+    group.call(PromotionOutcome::NotDone);
+    CHECK(group.promotion.state() == "Delaying");
+    group.tick(Promotion::retryDelay);
+    CHECK(group.actions.reads == 2);
+}
--- a/tests/proxy/ProxyChecker.cpp
+++ b/tests/proxy/ProxyChecker.cpp
@@ -46,15 +46,19 @@
         broken("a statement ran with the values of another session");
 }
 
-void ProxyChecker::promoted(const FakeTarget& target, std::uint64_t token, const std::string& holder)
+void ProxyChecker::promotionCalled(std::uint64_t token, const std::string& holder)
 {
-    ++m_promotions;
     if (token < m_lastToken)
         broken("a lower fencing token after a higher one");
     if (token == m_lastToken && holder != m_lastHolder)
         broken("two holders of one fencing token");
     m_lastToken = token;
     m_lastHolder = holder;
+}
+
+void ProxyChecker::promoted(const FakeTarget& target)
+{
+    ++m_promotions;
     for (const auto& [writeId, acknowledged] : m_acknowledged) {
         if (!contains(target.log, target.log.size(), writeId))
             broken("lost: the promoted target lacks " + writeId);
--- a/tests/proxy/ProxyChecker.h
+++ b/tests/proxy/ProxyChecker.h
@@ -31,8 +31,10 @@
     /// A target runs a statement on a connection with these values.
     void valuesAre(const Session::SessionValues& found, const Session::SessionValues& expected);
     void statementOutsideTransaction() { broken("a statement of a transaction ran outside of it"); }
+    /// The platform takes the call for a promotion.
+    void promotionCalled(std::uint64_t token, const std::string& holder);
     /// A promotion takes effect.
-    void promoted(const FakeTarget& target, std::uint64_t token, const std::string& holder);
+    void promoted(const FakeTarget& target);
     /// At the end, with everything healed.
     void finished(const FakeTarget& primary);
 
--- a/tests/proxy/ProxyScheduleTests.cpp
+++ b/tests/proxy/ProxyScheduleTests.cpp
@@ -62,6 +62,19 @@
     }
 }
 
+TEST_CASE("A host that stops while its call connects does not call after another host", "[proxy][schedule]")
+{
+    // Others claim, call and see the new primary meanwhile.
+    constexpr Duration pause = 6s;
+    ProxySimulation simulation(firstSeed);
+    simulation.run(3s);
+    simulation.freezeNextCaller(pause);
+    simulation.crashPrimary();
+    simulation.run(2 * pause);
+    CHECK(simulation.checker().promotions() == 1);
+    CHECK(simulation.checker().violation() == "");
+}
+
 TEST_CASE("Promises hold in random schedules of faults", "[proxy][schedule]")
 {
     // PROXY_SCHEDULES and PROXY_SEED run more of them, or one again.
--- a/tests/proxy/ProxySimulation.cpp
+++ b/tests/proxy/ProxySimulation.cpp
@@ -93,7 +93,8 @@
 
 void ProxySimulation::promote(const TargetName& name, std::uint64_t token, const std::string& holder)
 {
-    after(m_promotionDelay, [this, name, token, holder] {
+    m_checker.promotionCalled(token, holder);
+    after(m_promotionDelay, [this, name] {
         auto& chosen = m_targets.at(name);
         if (!chosen.isRunning || chosen.isPrimary)
             return;
@@ -101,7 +102,7 @@
         for (const auto& [other, target] : m_targets)
             highest = std::max(highest, target.term);
         trace("promotion of " + name.value());
-        m_checker.promoted(chosen, token, holder);
+        m_checker.promoted(chosen);
         chosen.lead(Term(highest.value() + 1));
     });
 }
@@ -192,6 +193,11 @@
     std::cout << '\n';
 }
 
+void ProxySimulation::crashPrimary()
+{
+    leader()->crash();
+}
+
 void ProxySimulation::strike()
 {
     auto& struck = anyTarget();
--- a/tests/proxy/ProxySimulation.h
+++ b/tests/proxy/ProxySimulation.h
@@ -28,6 +28,9 @@
     void run(Duration);
     /// Brings about one random fault, and its end after a while.
     void strike();
+    void crashPrimary();
+    /// The next host that calls for a promotion stops for so long while its connection is set up.
+    void freezeNextCaller(Duration length) { m_freezeOfCaller = length; }
     /// Ends every fault, lets the hosts settle, and checks the logs.
     void finish();
 
@@ -46,6 +49,7 @@
     [[nodiscard]] ClaimRow claim() const { return m_claim; }
     std::optional<RowVersion> writeClaim(const Claim&, RowVersion expected);
     void promote(const TargetName&, std::uint64_t token, const std::string& holder);
+    [[nodiscard]] std::optional<Duration> takeFreezeOfCaller() { return std::exchange(m_freezeOfCaller, {}); }
     /// Commits on a primary.
     /// @param done called once enough replicas hold it; not at all when they never do.
     void commit(const TargetName&, const std::vector<std::string>& writes, std::function<void(LogPoint)> done);
@@ -86,6 +90,7 @@
     bool m_storeAnswers { true };
     std::uint64_t m_storeVersion { 1 };
     std::uint64_t m_writes { 0 };
+    std::optional<Duration> m_freezeOfCaller;
     ClaimRow m_claim;
     std::map<TargetName, Instant> m_reachesLeaderSince;
 };
--- a/tests/proxy/SimulatedHost.cpp
+++ b/tests/proxy/SimulatedHost.cpp
@@ -371,7 +371,22 @@
     });
 }
 
-void SimulatedHost::promote(const GroupName& group, const TargetName& target, RowVersion token)
+void SimulatedHost::promote(const GroupName& group, const TargetName& target, RowVersion token, Instant sendBefore)
+{
+    if (const auto frozen = m_simulation.takeFreezeOfCaller())
+        freeze(m_simulation.now() + *frozen);
+    // There and back for the connection, then the call.
+    m_simulation.after(ProxySimulation::hop, [this, group, target, token, sendBefore] {
+        deliver([this, group, target, token, sendBefore] {
+            if (m_simulation.now() < sendBefore)
+                sendPromotion(group, target, token);
+            else
+                m_proxy->promoteAnswered(m_simulation.now(), group, PromotionOutcome::NotDone);
+        });
+    });
+}
+
+void SimulatedHost::sendPromotion(const GroupName& group, const TargetName& target, RowVersion token)
 {
     m_simulation.after(ProxySimulation::hop, [this, group, target, token] {
         m_simulation.promote(target, token.value(), "host-" + std::to_string(m_index));
--- a/tests/proxy/SimulatedHost.h
+++ b/tests/proxy/SimulatedHost.h
@@ -31,7 +31,7 @@
     void writeHost(const HostName&, const std::string& value) override;
     void readClaim(const GroupName&) override;
     void writeClaim(const GroupName&, const Claim&, RowVersion expected) override;
-    void promote(const GroupName&, const TargetName&, RowVersion token) override;
+    void promote(const GroupName&, const TargetName&, RowVersion token, Instant sendBefore) override;
     void askPeer(const SocketAddress&) override { }
     /// Prints the record when PROXY_TRACE is set.
     void log(const LogRecord&) override;
@@ -53,6 +53,7 @@
     };
 
     void tick();
+    void sendPromotion(const GroupName&, const TargetName&, RowVersion token);
     void connect(ConnectionId);
     /// Runs a task on this host once a message has crossed the network, and the host runs.
     void deliver(std::function<void()> task);
--- a/tests/wire/PlatformClientTests.cpp
+++ b/tests/wire/PlatformClientTests.cpp
@@ -182,3 +182,59 @@
     CHECK(test.answers.empty());
     CHECK_THAT(test.answerOf(excess).error().message, Catch::Contains("too many"));
 }
+
+TEST_CASE("A guarded call is written only if it may be when its connection stands", "[wire][platform]")
+{
+    Fixture platform;
+    bool maySend = true;
+    int asked = 0;
+    PlatformCall call;
+    call.id = PlatformCallId(99);
+    call.method = PlatformMethod::Post;
+    call.path = "/order";
+    call.body = "{}";
+    call.headers = { { "X-Token", "7" } };
+    call.timeout = std::chrono::milliseconds(200);
+    call.maySend = [&] {
+        ++asked;
+        return maySend;
+    };
+
+    SECTION("with its headers and body, and brings back the status")
+    {
+        platform.client.call(call);
+        const auto& answer = platform.answerOf(call.id);
+        REQUIRE(answer);
+        CHECK(answer->status == 200);
+        REQUIRE(platform.requests.size() == 1);
+        CHECK(platform.requests[0].starts_with("POST /order HTTP/1.1\r\n"));
+        CHECK(platform.requests[0].find("X-Token: 7\r\n") != std::string::npos);
+        CHECK(platform.requests[0].ends_with("\r\n\r\n{}"));
+        CHECK(asked == 1);
+    }
+    SECTION("not when its time is over by then")
+    {
+        maySend = false;
+        platform.client.call(call);
+        const auto& answer = platform.answerOf(call.id);
+        REQUIRE_FALSE(answer);
+        CHECK(answer.error().code == ErrorCode::NotSent);
+        CHECK(platform.requests.empty());
+    }
+    SECTION("and fails as not sent when there is nobody to take it")
+    {
+        platform.server.stopListening();
+        platform.client.call(call);
+        const auto& answer = platform.answerOf(call.id);
+        REQUIRE_FALSE(answer);
+        CHECK(answer.error().code == ErrorCode::NotSent);
+    }
+    SECTION("but not as not sent when the answer stays away")
+    {
+        platform.script = [](const std::string&) { return Reply {}; };
+        platform.client.call(call);
+        const auto& answer = platform.answerOf(call.id);
+        REQUIRE_FALSE(answer);
+        CHECK(answer.error().code == ErrorCode::PlatformUnavailable);
+    }
+}
