Pass sessions on to one home in each data centre where connections are few

Cause: with 100 hosts and 65 connections to a target each host kept two connections of its own; the targets refused the rest, and hosts without any served nothing.

Weighed: relaying each connection (RelayServer) needs as many connections at the target; forwarding single statements needs the session's values and transaction at two hosts. A whole session passed on as lines needs neither.

The rendezvous hash of src/member moves to a file of its own and is used by both.

--- a/src/app/ProxyAssembly.cpp
+++ b/src/app/ProxyAssembly.cpp
@@ -18,6 +18,8 @@
 
     /// Descriptors that callers may take; the rest is for targets, the platform and peers.
     constexpr std::size_t callerLimit = 2400;
+    /// Sessions of other hosts are numbered from here on, above any count of own callers.
+    constexpr std::uint64_t forwardedIdBase = std::uint64_t { 1 } << 48U;
     /// Connections of peers that this host relays at a time.
     constexpr std::size_t relayLimit = 200;
     /// From the request to stop, callers are still taken for this long, until the balancer has noticed.
@@ -70,6 +72,8 @@
     , m_settings(settings)
     , m_load(std::move(load))
     , m_callers(base, settings.callers, callerLimit)
+    , m_sessions(base, settings.sessions, callerLimit, forwardedIdBase)
+    , m_forwarder(base)
     , m_targets(base)
     , m_relay(base, settings.relay, relayLimit,
           [this](const TargetName& target) { return !m_leavingSince && m_proxy.mayRelay(now(), target); })
@@ -98,8 +102,8 @@
 
 Expected<void> ProxyAssembly::listen()
 {
-    for (const auto& outcome :
-        { m_readiness.listen(), m_peers.listen(), m_metricsServer.listen(), m_relay.listen(), m_callers.listen() }) {
+    for (const auto& outcome : { m_readiness.listen(), m_peers.listen(), m_metricsServer.listen(), m_relay.listen(),
+             m_sessions.listen(), m_callers.listen() }) {
         if (!outcome)
             return outcome;
     }
@@ -111,8 +115,17 @@
 
 void ProxyAssembly::connectSignals()
 {
-    m_callers.arrived().connect([this](Wire::LineClientId id, std::string_view line) { onCallerLine(id, line); });
-    m_callers.ended().connect([this](Wire::LineClientId id, Wire::LineEnd end) { onCallerEnded(id, end); });
+    listenForCallers(m_callers);
+    listenForCallers(m_sessions);
+    m_forwarder.answered().connect([this](Proxy::SessionId id, std::string_view line) {
+        m_callers.send(clientOf(id), std::string(line) + "\r\n");
+    });
+    m_forwarder.finished().connect([this](Proxy::SessionId id) { m_callers.resume(clientOf(id)); });
+    m_forwarder.failed().connect([this](Proxy::SessionId id, const DatabaseName& database, const HostName& host) {
+        onForwardFailed(id, database, host);
+    });
+    m_forwarder.ended().connect([this](Proxy::SessionId id, const DatabaseName& database, const HostName& host,
+                                    bool hasOpenRequest) { onForwardEnded(id, database, host, hasOpenRequest); });
     m_targets.connected().connect([this](ConnectionId id) {
         const auto& opening = m_opening.at(id);
         m_targets.send(id,
@@ -143,6 +156,17 @@
     m_promotions.answered().connect(answered);
 }
 
+void ProxyAssembly::listenForCallers(Wire::LineServer& server)
+{
+    server.arrived().connect([this](Wire::LineClientId id, std::string_view line) { onCallerLine(id, line); });
+    server.ended().connect([this](Wire::LineClientId id, Wire::LineEnd end) { onCallerEnded(id, end); });
+}
+
+Wire::LineServer& ProxyAssembly::serverOf(Proxy::SessionId id)
+{
+    return id.value() > forwardedIdBase ? m_sessions : m_callers;
+}
+
 void ProxyAssembly::watchProcess()
 {
     const auto add = [this](event* created, const timeval* timeout) {
@@ -166,14 +190,18 @@
 {
     const auto moment = now();
     m_proxy.tick(moment);
+    m_forwarder.tick(moment);
     m_shutdown.tick(moment);
     Logging::flush();
-    if (m_leavingSince && moment - *m_leavingSince >= m_settings.stopTimeout / 2)
+    if (m_leavingSince && moment - *m_leavingSince >= m_settings.stopTimeout / 2) {
         m_proxy.endTransactions(moment);
+        m_forwarder.endTransactions();
+    }
     if (moment - m_stalledCheckedAt < stalledInterval)
         return;
     m_stalledCheckedAt = moment;
     m_callers.closeStalled(moment, stalledLimit);
+    m_sessions.closeStalled(moment, stalledLimit);
 }
 
 void ProxyAssembly::reload()
@@ -194,11 +222,24 @@
 
 void ProxyAssembly::onCallerLine(Wire::LineClientId id, std::string_view text)
 {
-    const auto line = Platform::readCallerLine(text);
     const auto session = sessionOf(id);
+    if (m_forwarder.has(session))
+        m_forwarder.send(session, text);
+    else
+        onSessionLine(session, text);
+}
+
+void ProxyAssembly::onSessionLine(Proxy::SessionId session, std::string_view text)
+{
+    const auto line = Platform::readCallerLine(text);
     const bool isOpen = m_proxy.hasSession(session);
     if (const auto* const open = std::get_if<Platform::OpenSession>(&line); open && !isOpen) {
-        m_proxy.sessionOpened(now(), session, open->database);
+        const bool isForwarded = session.value() > forwardedIdBase;
+        // The other host tries the next one.
+        if (isForwarded && m_leavingSince)
+            m_sessions.close(clientOf(session));
+        else
+            m_proxy.sessionOpened(now(), session, open->database, isForwarded);
         return;
     }
     if (const auto* const sent = std::get_if<Platform::SendStatement>(&line); sent && isOpen) {
@@ -207,7 +248,7 @@
     }
     if (std::holds_alternative<Platform::EndSession>(line)) {
         m_proxy.sessionClosed(now(), session);
-        m_callers.close(id);
+        serverOf(session).close(clientOf(session));
         return;
     }
     const auto* const bad = std::get_if<Platform::BadLine>(&line);
@@ -221,6 +262,7 @@
 
 void ProxyAssembly::onCallerEnded(Wire::LineClientId id, Wire::LineEnd end)
 {
+    m_forwarder.close(sessionOf(id));
     m_proxy.sessionClosed(now(), sessionOf(id));
     if (end == Wire::LineEnd::TooLong)
         refuseSession(sessionOf(id), { Session::FailureCode::TooLarge, "the message is too long" });
@@ -228,25 +270,49 @@
 
 void ProxyAssembly::acceptSession(Proxy::SessionId id)
 {
-    m_callers.send(clientOf(id), Platform::writeSessionOpen());
-    m_callers.resume(clientOf(id));
+    serverOf(id).send(clientOf(id), Platform::writeSessionOpen());
+    serverOf(id).resume(clientOf(id));
 }
 
-void ProxyAssembly::refuseSession(Proxy::SessionId id, const Session::Failure& failure)
+void ProxyAssembly::forwardSession(Proxy::SessionId id, const DatabaseName& database, const Proxy::HostEntry& host)
 {
-    m_callers.send(clientOf(id), Platform::writeFailure(failure));
+    m_forwarder.open(now(), id, database, host);
+}
+
+void ProxyAssembly::onForwardFailed(Proxy::SessionId id, const DatabaseName& database, const HostName& host)
+{
+    log({ LogEvent::SessionForwardFailed,
+        { { "session", std::to_string(id.value()) }, { "database", database.value() }, { "host", host.value() },
+            { "reason", "not opened in time, or refused" } } });
+    m_proxy.forwardFailed(now(), id, database, host);
+}
+
+void ProxyAssembly::onForwardEnded(
+    Proxy::SessionId id, const DatabaseName& database, const HostName& host, bool hasOpenRequest)
+{
+    log({ LogEvent::SessionForwardLost,
+        { { "session", std::to_string(id.value()) }, { "database", database.value() }, { "host", host.value() },
+            { "open", hasOpenRequest ? "yes" : "no" } } });
+    if (hasOpenRequest)
+        m_proxy.forwardLost(now(), host);
     m_callers.close(clientOf(id));
 }
 
+void ProxyAssembly::refuseSession(Proxy::SessionId id, const Session::Failure& failure)
+{
+    serverOf(id).send(clientOf(id), Platform::writeFailure(failure));
+    serverOf(id).close(clientOf(id));
+}
+
 void ProxyAssembly::answer(Proxy::SessionId id, const Session::Answer& answer)
 {
-    m_callers.send(clientOf(id), Platform::writeAnswer(answer));
-    m_callers.resume(clientOf(id));
+    serverOf(id).send(clientOf(id), Platform::writeAnswer(answer));
+    serverOf(id).resume(clientOf(id));
 }
 
 void ProxyAssembly::closeSession(Proxy::SessionId id)
 {
-    m_callers.close(clientOf(id));
+    serverOf(id).close(clientOf(id));
 }
 
 void ProxyAssembly::onTargetLine(ConnectionId id, std::string_view text)
@@ -434,6 +500,7 @@
 void ProxyAssembly::stopAccepting()
 {
     m_proxy.closeIdleSessions();
+    m_forwarder.closeIdle();
 }
 
 void ProxyAssembly::reportCut()
@@ -452,7 +519,7 @@
 
 bool ProxyAssembly::nothingInFlight() const
 {
-    return m_proxy.sessions() == 0 && m_callers.isFlushed();
+    return m_proxy.sessions() == 0 && m_forwarder.size() == 0 && m_callers.isFlushed() && m_sessions.isFlushed();
 }
 
 } // namespace Auburnpost
--- a/src/app/ProxyAssembly.h
+++ b/src/app/ProxyAssembly.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "app/SessionForwarder.h"
 #include "engine/Shutdown.h"
 #include "platform/RowDecoder.h"
 #include "platform/TargetCodec.h"
@@ -53,9 +54,16 @@
     void dumpState();
 
     // Callers.
+    void listenForCallers(Wire::LineServer&);
+    /// @return the server to which the session's connection belongs.
+    [[nodiscard]] Wire::LineServer& serverOf(Proxy::SessionId);
     void onCallerLine(Wire::LineClientId, std::string_view line);
+    void onSessionLine(Proxy::SessionId, std::string_view line);
     void onCallerEnded(Wire::LineClientId, Wire::LineEnd);
     void acceptSession(Proxy::SessionId) override;
+    void forwardSession(Proxy::SessionId, const DatabaseName&, const Proxy::HostEntry&) override;
+    void onForwardFailed(Proxy::SessionId, const DatabaseName&, const HostName&);
+    void onForwardEnded(Proxy::SessionId, const DatabaseName&, const HostName&, bool hasOpenRequest);
     void refuseSession(Proxy::SessionId, const Session::Failure&) override;
     void answer(Proxy::SessionId, const Session::Answer&) override;
     void closeSession(Proxy::SessionId) override;
@@ -96,6 +104,9 @@
     SettingsLoader m_load;
     Platform::RowDecoder m_decoder;
     Wire::LineServer m_callers;
+    /// Takes sessions that other hosts pass on.
+    Wire::LineServer m_sessions;
+    SessionForwarder m_forwarder;
     Wire::LineLinks m_targets;
     Wire::RelayServer m_relay;
     Wire::HttpServer m_readiness;
--- /dev/null
+++ b/src/app/SessionForwarder.cpp
@@ -0,0 +1,129 @@
+#include "app/SessionForwarder.h"
+
+#include "platform/CallerCodec.h"
+
+namespace Auburnpost {
+
+SessionForwarder::SessionForwarder(event_base* base)
+    : m_links(base)
+{
+    m_links.connected().connect([this](ConnectionId link) { onConnected(link); });
+    m_links.arrived().connect([this](ConnectionId link, std::string_view line) { onLine(link, line); });
+    m_links.ended().connect([this](ConnectionId link, Wire::LineEnd) { onEnded(link); });
+}
+
+void SessionForwarder::open(
+    Instant now, Proxy::SessionId id, const DatabaseName& database, const Proxy::HostEntry& host)
+{
+    const ConnectionId link(++m_lastLink);
+    auto& forward = m_forwards[id];
+    forward.link = link;
+    forward.database = database;
+    forward.host = host.name;
+    forward.openedAt = now;
+    m_sessionOf[link] = id;
+    m_links.open(link, host.sessions);
+}
+
+void SessionForwarder::onConnected(ConnectionId link)
+{
+    m_links.send(link, Platform::writeSessionRequest(m_forwards.at(m_sessionOf.at(link)).database));
+}
+
+void SessionForwarder::send(Proxy::SessionId id, std::string_view line)
+{
+    auto& forward = m_forwards.at(id);
+    forward.hasOpenRequest = true;
+    m_links.send(forward.link, std::string(line) + "\r\n");
+}
+
+void SessionForwarder::close(Proxy::SessionId id)
+{
+    const auto forward = m_forwards.extract(id);
+    if (!forward)
+        return;
+    m_sessionOf.erase(forward.mapped().link);
+    m_links.close(forward.mapped().link);
+}
+
+void SessionForwarder::onLine(ConnectionId link, std::string_view line)
+{
+    const auto id = m_sessionOf.at(link);
+    auto& forward = m_forwards.at(id);
+    forward.isAnswered = true;
+    const auto state = Platform::readAnswerEnd(line);
+    if (state) {
+        forward.state = *state;
+        forward.hasOpenRequest = false;
+    }
+    m_answered.emit(id, line);
+    if (!state)
+        return;
+    // The caller may have sent its next line already.
+    m_finished.emit(id);
+    const auto found = m_forwards.find(id);
+    if (m_isClosingIdle && found != m_forwards.end() && found->second.isIdle())
+        end(id, false);
+}
+
+void SessionForwarder::onEnded(ConnectionId link)
+{
+    const auto id = m_sessionOf.at(link);
+    const auto& forward = m_forwards.at(id);
+    if (forward.isAnswered)
+        end(id, forward.hasOpenRequest);
+    else
+        fail(id);
+}
+
+void SessionForwarder::fail(Proxy::SessionId id)
+{
+    const auto database = m_forwards.at(id).database;
+    const auto host = m_forwards.at(id).host;
+    close(id);
+    m_failed.emit(id, database, host);
+}
+
+void SessionForwarder::end(Proxy::SessionId id, bool hasOpenRequest)
+{
+    const auto database = m_forwards.at(id).database;
+    const auto host = m_forwards.at(id).host;
+    close(id);
+    m_ended.emit(id, database, host, hasOpenRequest);
+}
+
+void SessionForwarder::tick(Instant now)
+{
+    std::vector<Proxy::SessionId> late;
+    for (const auto& [id, forward] : m_forwards) {
+        if (!forward.isAnswered && now - forward.openedAt >= openLimit)
+            late.push_back(id);
+    }
+    for (const auto id : late)
+        fail(id);
+}
+
+void SessionForwarder::closeIdle()
+{
+    m_isClosingIdle = true;
+    std::vector<Proxy::SessionId> idle;
+    for (const auto& [id, forward] : m_forwards) {
+        if (forward.isIdle())
+            idle.push_back(id);
+    }
+    for (const auto id : idle)
+        end(id, false);
+}
+
+void SessionForwarder::endTransactions()
+{
+    std::vector<Proxy::SessionId> resting;
+    for (const auto& [id, forward] : m_forwards) {
+        if (!forward.hasOpenRequest)
+            resting.push_back(id);
+    }
+    for (const auto id : resting)
+        end(id, false);
+}
+
+} // namespace Auburnpost
--- a/src/base/LogEvent.cpp
+++ b/src/base/LogEvent.cpp
@@ -17,7 +17,7 @@
     constexpr std::size_t numberDigits = 4;
 
     /// In the order of the numbers.
-    constexpr std::array<Definition, 51> definitions { {
+    constexpr std::array<Definition, 55> definitions { {
         { LogEvent::Started, LogLevel::Info, "host started" },
         { LogEvent::Stopping, LogLevel::Info, "host stopping" },
         { LogEvent::Stopped, LogLevel::Info, "host stopped" },
@@ -34,6 +34,7 @@
         { LogEvent::PlatformBack, LogLevel::Info, "platform answers again" },
         { LogEvent::PeerStateTaken, LogLevel::Info, "state taken from a peer" },
         { LogEvent::RecordUnreadable, LogLevel::Warn, "record can't be read" },
+        { LogEvent::ServedGroupsChanged, LogLevel::Info, "groups served by this host changed" },
         { LogEvent::HostJoined, LogLevel::Info, "host joined" },
         { LogEvent::HostSuspected, LogLevel::Warn, "host suspected" },
         { LogEvent::HostDead, LogLevel::Warn, "host dead" },
@@ -67,6 +68,9 @@
         { LogEvent::StatementFailed, LogLevel::Info, "statement failed" },
         { LogEvent::StatementMoved, LogLevel::Info, "statement tried elsewhere" },
         { LogEvent::SessionRefused, LogLevel::Info, "session refused" },
+        { LogEvent::SessionForwarded, LogLevel::Info, "session passed on to another host" },
+        { LogEvent::SessionForwardFailed, LogLevel::Warn, "host did not take a session" },
+        { LogEvent::SessionForwardLost, LogLevel::Info, "session ended by the host that served it" },
         { LogEvent::PeerMessageRefused, LogLevel::Warn, "message of a peer refused" },
         { LogEvent::PeerSendFailed, LogLevel::Debug, "message to a peer not sent" },
     } };
--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -27,6 +27,7 @@
     PlatformBack = 211,
     PeerStateTaken = 212,
     RecordUnreadable = 213,
+    ServedGroupsChanged = 215,
 
     HostJoined = 300,
     HostSuspected = 301,
@@ -64,6 +65,9 @@
     StatementFailed = 611,
     StatementMoved = 612,
     SessionRefused = 613,
+    SessionForwarded = 614,
+    SessionForwardFailed = 615,
+    SessionForwardLost = 616,
 
     PeerMessageRefused = 700,
     PeerSendFailed = 701,
--- a/src/member/HomePlacement.cpp
+++ b/src/member/HomePlacement.cpp
@@ -1,10 +1,9 @@
 #include "member/HomePlacement.h"
 
 #include "member/HostRecord.h"
+#include "member/RendezvousScore.h"
 
 #include <algorithm>
-#include <cmath>
-#include <xxhash.h>
 
 namespace Auburnpost::Member {
 
@@ -13,20 +12,6 @@
     constexpr double primaryWeight = 2.0;
     constexpr double otherWeight = 1.0;
 
-    std::uint64_t hashOf(const std::string& text, std::uint64_t seed)
-    {
-        return XXH3_64bits_withSeed(text.data(), text.size(), seed);
-    }
-
-    /// Weighted rendezvous score: the chance to be the highest is proportional to the weight.
-    double scoreOf(std::uint64_t hostHash, std::uint64_t databaseHash, double weight)
-    {
-        const std::uint64_t mixed = XXH3_64bits_withSeed(&hostHash, sizeof hostHash, databaseHash);
-        constexpr double mantissaScale = 0x1.0p-53;
-        const double uniform = (static_cast<double>(mixed >> 11U) + 0.5) * mantissaScale;
-        return -weight / std::log(uniform);
-    }
-
     struct Scored {
         double score { 0 };
         std::size_t candidate { 0 };
@@ -39,7 +24,8 @@
 {
     for (const auto& record : hosts) {
         if (record.isLive() && !record.leaving)
-            m_candidates.push_back({ record.host.name, record.host.dataCentre, hashOf(record.host.name.value(), 0) });
+            m_candidates.push_back(
+                { record.host.name, record.host.dataCentre, rendezvousHash(record.host.name.value(), 0) });
     }
     std::sort(m_candidates.begin(), m_candidates.end(),
         [](const Candidate& left, const Candidate& right) { return left.name < right.name; });
@@ -47,13 +33,14 @@
 
 std::vector<HostName> HomePlacement::homes(const PlacementDemand& demand) const
 {
-    const auto databaseHash = hashOf(demand.database.value(), 1);
+    const auto databaseHash = rendezvousHash(demand.database.value(), 1);
     std::vector<Scored> scored;
     scored.reserve(m_candidates.size());
     for (std::size_t index = 0; index < m_candidates.size(); ++index) {
         const auto& candidate = m_candidates[index];
         const bool isNear = candidate.dataCentre == demand.primaryDataCentre;
-        scored.push_back({ scoreOf(candidate.hash, databaseHash, isNear ? primaryWeight : otherWeight), index });
+        scored.push_back(
+            { rendezvousScore(candidate.hash, databaseHash, isNear ? primaryWeight : otherWeight), index });
     }
     std::sort(scored.begin(), scored.end(), [](const Scored& left, const Scored& right) {
         return left.score != right.score ? left.score > right.score : left.candidate < right.candidate;
--- a/src/platform/CallerCodec.cpp
+++ b/src/platform/CallerCodec.cpp
@@ -151,6 +151,18 @@
     return "READY I -" + std::string(lineEnd);
 }
 
+std::string writeSessionRequest(const DatabaseName& database)
+{
+    return "START " + database.value() + std::string(lineEnd);
+}
+
+std::optional<Session::TransactionState> readAnswerEnd(std::string_view line)
+{
+    if (takeField(line) != "READY")
+        return {};
+    return readState(takeField(line));
+}
+
 std::string writeAnswer(const Session::Answer& answer)
 {
     std::string text;
--- a/src/platform/CallerCodec.h
+++ b/src/platform/CallerCodec.h
@@ -4,6 +4,7 @@
 #include "session/Answer.h"
 #include "session/Statement.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -34,6 +35,10 @@
 std::string writeAnswer(const Session::Answer&);
 /// @return the line that opens a session.
 std::string writeSessionOpen();
+/// @return the line with which a session on the database is asked for.
+std::string writeSessionRequest(const DatabaseName&);
+/// @return the session's state if the line ends an answer; empty otherwise.
+std::optional<Session::TransactionState> readAnswerEnd(std::string_view line);
 /// @return the line that refuses a session.
 std::string writeFailure(const Session::Failure&);
 
--- a/src/platform/Fields.h
+++ b/src/platform/Fields.h
@@ -50,4 +50,16 @@
     return std::to_string(point->term.value()) + "." + std::to_string(point->position.value());
 }
 
+/// @return the state behind its letter; nothing for other text.
+inline std::optional<Session::TransactionState> readState(std::string_view letter)
+{
+    if (letter == "I")
+        return Session::TransactionState::Idle;
+    if (letter == "T")
+        return Session::TransactionState::Open;
+    if (letter == "E")
+        return Session::TransactionState::Failed;
+    return {};
+}
+
 } // namespace Auburnpost::Platform
--- a/src/platform/SettingsReader.cpp
+++ b/src/platform/SettingsReader.cpp
@@ -30,8 +30,10 @@
         settings.readiness = readAddress(listen.at("Ready"));
         settings.peers = readAddress(listen.at("Control"));
         settings.metrics = { json.at("Ip").get<std::string>(), metricsPort };
-        // The first of the ports that are free for the hosts' own use, the same on all of them.
-        settings.relay = { json.at("Ip").get<std::string>(), json.at("InternalPorts").at(0).get<std::uint16_t>() };
+        // The first and the last of the ports that are free for the hosts' own use.
+        const auto& own = json.at("InternalPorts");
+        settings.relay = { json.at("Ip").get<std::string>(), own.front().get<std::uint16_t>() };
+        settings.sessions = { json.at("Ip").get<std::string>(), own.back().get<std::uint16_t>() };
         settings.store = readAddress(json.at("platform").at("Address"));
         settings.promotions = readAddress(json.at("Cloud").at("Address"));
         for (const auto& seed : json.value("Seeds", Json::array()))
--- a/src/platform/TargetCodec.cpp
+++ b/src/platform/TargetCodec.cpp
@@ -89,17 +89,6 @@
         return standing;
     }
 
-    std::optional<Session::TransactionState> readState(std::string_view letter)
-    {
-        if (letter == "I")
-            return Session::TransactionState::Idle;
-        if (letter == "T")
-            return Session::TransactionState::Open;
-        if (letter == "E")
-            return Session::TransactionState::Failed;
-        return {};
-    }
-
 } // namespace
 
 std::string TargetCodec::writeOpening(const Proxy::TargetRecord& target)
--- a/src/proxy/CallerSession.h
+++ b/src/proxy/CallerSession.h
@@ -12,6 +12,8 @@
     SessionId id;
     DatabaseName database;
     Session::SessionState state;
+    /// It came from another host, which has chosen this one to serve it.
+    bool isForwarded { false };
     /// Whether the caller was told that the session is open.
     bool isAccepted { false };
     Instant openedAt;
--- /dev/null
+++ b/src/proxy/GroupHomes.cpp
@@ -0,0 +1,70 @@
+#include "proxy/GroupHomes.h"
+
+#include "member/RendezvousScore.h"
+
+#include <algorithm>
+
+namespace Auburnpost::Proxy {
+
+GroupHomes::GroupHomes(HostName self, DataCentreName dataCentre)
+    : m_self(std::move(self))
+    , m_dataCentre(std::move(dataCentre))
+{
+}
+
+void GroupHomes::setHosts(std::vector<HostEntry> hosts)
+{
+    m_hosts = std::move(hosts);
+    m_rankings.clear();
+}
+
+void GroupHomes::failed(Instant now, const HostName& host)
+{
+    m_avoidedUntil[host] = now + avoidance;
+}
+
+bool GroupHomes::areNeeded(std::size_t connectionLimit) const
+{
+    return connectionLimit < m_hosts.size() * directConnections;
+}
+
+const std::vector<HostEntry>& GroupHomes::ranking(const GroupName& group) const
+{
+    const auto known = m_rankings.find(group);
+    if (known != m_rankings.end())
+        return known->second;
+    std::vector<std::pair<double, HostEntry>> scored;
+    const auto groupHash = Member::rendezvousHash(group.value(), 1);
+    for (const auto& host : m_hosts) {
+        if (host.dataCentre == m_dataCentre)
+            scored.emplace_back(
+                Member::rendezvousScore(Member::rendezvousHash(host.name.value(), 0), groupHash, 1.0), host);
+    }
+    std::sort(scored.begin(), scored.end(), [](const auto& left, const auto& right) {
+        return left.first != right.first ? left.first > right.first : left.second.name < right.second.name;
+    });
+    auto& ranked = m_rankings[group];
+    for (auto& [score, host] : scored)
+        ranked.push_back(std::move(host));
+    return ranked;
+}
+
+bool GroupHomes::isHome(const GroupName& group) const
+{
+    const auto& ranked = ranking(group);
+    return ranked.empty() || ranked.front().name == m_self;
+}
+
+std::optional<HostEntry> GroupHomes::homeFor(Instant now, const GroupName& group)
+{
+    std::erase_if(m_avoidedUntil, [now](const auto& entry) { return entry.second <= now; });
+    for (const auto& host : ranking(group)) {
+        if (host.name == m_self)
+            return {};
+        if (!m_avoidedUntil.contains(host.name))
+            return host;
+    }
+    return {};
+}
+
+} // namespace Auburnpost::Proxy
--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -34,6 +34,9 @@
         else if (!member.leavingSince)
             member.leavingSince = now;
     }
+    // A group that was not watched, or had no members, has not been without a primary for long.
+    if (m_members.empty())
+        m_primaryMissingSince.reset();
     m_members = std::move(next);
     if (m_primary && !m_members.contains(*m_primary))
         m_primary.reset();
--- a/src/proxy/HostDirectory.cpp
+++ b/src/proxy/HostDirectory.cpp
@@ -2,31 +2,57 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace Auburnpost::Proxy {
 
 namespace {
 
+    constexpr auto dataCentreField = "data_centre";
     constexpr auto relayField = "relay";
+    constexpr auto sessionsField = "sessions";
+
+    std::string textOf(const nlohmann::json& record, const char* field)
+    {
+        const auto found = record.find(field);
+        return found != record.end() && found->is_string() ? found->get<std::string>() : std::string();
+    }
+
+    /// @return the record; empty for one of another form, which is of another version of the program.
+    std::optional<HostEntry> decode(const StoreRow& row)
+    {
+        const auto record = nlohmann::json::parse(row.value, nullptr, false);
+        if (!record.is_object())
+            return {};
+        const auto relay = SocketAddress::parse(textOf(record, relayField));
+        const auto sessions = SocketAddress::parse(textOf(record, sessionsField));
+        if (!relay || !sessions)
+            return {};
+        return HostEntry { HostName(row.key), DataCentreName(textOf(record, dataCentreField)), *relay, *sessions };
+    }
 
 } // namespace
 
-HostDirectory::HostDirectory(HostName self, SocketAddress relay, StoreActions& actions)
+HostDirectory::HostDirectory(HostEntry self, StoreActions& actions)
     : m_self(std::move(self))
-    , m_relay(std::move(relay))
     , m_actions(actions)
+    , m_hosts { m_self }
 {
 }
 
-std::string HostDirectory::encode(const SocketAddress& relay)
+std::string HostDirectory::encode(const HostEntry& host)
 {
-    return nlohmann::json { { relayField, relay.toString() } }.dump();
+    return nlohmann::json {
+        { dataCentreField, host.dataCentre.value() }, { relayField, host.relay.toString() },
+        { sessionsField, host.sessions.toString() }
+    }.dump();
 }
 
 void HostDirectory::tick(Instant now)
 {
     if (!m_isWritten && now >= m_writeAt) {
         m_writeAt = now + writeRetry;
-        m_actions.writeHost(m_self, encode(m_relay));
+        m_actions.writeHost(m_self.name, encode(m_self));
     }
     if (now >= m_readAt) {
         m_readAt = now + (m_relays.empty() ? writeRetry : readInterval);
@@ -34,20 +60,26 @@
     }
 }
 
-void HostDirectory::read(const StorePage& page)
+bool HostDirectory::read(Instant now, const StorePage& page)
 {
-    std::vector<SocketAddress> relays;
+    std::vector<HostEntry> hosts { m_self };
     for (const auto& row : page.rows) {
-        const auto record = nlohmann::json::parse(row.value, nullptr, false);
-        if (row.key == m_self.value() || !record.is_object() || !record.contains(relayField))
-            continue;
-        // A record of another form is of another version of the program, which does not relay for this one.
-        const auto& text = record.at(relayField);
-        const auto address = SocketAddress::parse(text.is_string() ? text.get<std::string>() : std::string());
-        if (address)
-            relays.push_back(*address);
+        const auto host = decode(row);
+        if (host && host->name != m_self.name)
+            hosts.push_back(*host);
+    }
+    std::sort(hosts.begin(), hosts.end(),
+        [](const HostEntry& left, const HostEntry& right) { return left.name < right.name; });
+    if (hosts == m_hosts)
+        return false;
+    m_hosts = std::move(hosts);
+    m_relays.clear();
+    for (const auto& host : m_hosts) {
+        if (host.name != m_self.name)
+            m_relays.push_back(host.relay);
     }
-    m_relays = std::move(relays);
+    m_readAt = std::min(m_readAt, now + changedInterval);
+    return true;
 }
 
 } // namespace Auburnpost::Proxy
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -13,7 +13,8 @@
     , m_now(now)
     , m_tickedAt(now)
     , m_followers { StoreFollower(StoreTable::Configuration, actions), StoreFollower(StoreTable::Targets, actions) }
-    , m_hosts(m_settings.host, m_settings.relay, actions)
+    , m_hosts({ m_settings.host, m_settings.dataCentre, m_settings.relay, m_settings.sessions }, actions)
+    , m_homes(m_settings.host, m_settings.dataCentre)
     , m_peerAskedAt(now)
 {
 }
@@ -37,6 +38,7 @@
         logChanges(gone);
         applyMembers(now);
     }
+    applyHomes(now);
     for (auto& [name, group] : m_groups)
         group->tick(now);
     const auto idleLimit = m_catalog ? m_catalog->transactionIdleLimit : Duration {};
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "proxy/CallerSession.h"
+#include "proxy/GroupHomes.h"
 #include "proxy/GroupService.h"
 #include "proxy/HostDirectory.h"
 #include "proxy/ProxyActions.h"
@@ -9,6 +10,7 @@
 #include "proxy/TargetDirectory.h"
 
 #include <memory>
+#include <set>
 #include <unordered_map>
 
 namespace Auburnpost::Proxy {
@@ -22,6 +24,8 @@
     static constexpr Duration pauseLimit = std::chrono::milliseconds(300);
     /// A session that opens before any configuration is known waits for so long; callers give up after 2 s.
     static constexpr Duration acceptLimit = std::chrono::milliseconds(1500);
+    /// A host goes on watching a group's targets for so long after its last session on it.
+    static constexpr Duration groupLinger = std::chrono::seconds(10);
     /// Peers are asked once the store has not answered for so long, and again at this interval.
     static constexpr Duration peerDelay = std::chrono::milliseconds(400);
     static constexpr Duration peerInterval = std::chrono::milliseconds(700);
@@ -31,7 +35,12 @@
     void tick(Instant now);
 
     // Callers.
-    void sessionOpened(Instant now, SessionId, const DatabaseName&);
+    /// @param isForwarded whether another host passed the session on.
+    void sessionOpened(Instant now, SessionId, const DatabaseName&, bool isForwarded = false);
+    /// The host that a session was passed on to did not take it; another is tried.
+    void forwardFailed(Instant now, SessionId, const DatabaseName&, const HostName&);
+    /// The host that a session was passed on to is gone.
+    void forwardLost(Instant now, const HostName& host) { m_homes.failed(now, host); }
     void statementArrived(Instant now, SessionId, const Session::StatementId&, const Session::Statement&);
     /// A statement arrived that can't be read.
     void malformedArrived(Instant now, SessionId, const Session::Failure&);
@@ -92,6 +101,9 @@
 
     // Sessions.
     void decideOpening(CallerSession&);
+    /// @return the host to pass the session on to; empty when this host serves it.
+    [[nodiscard]] std::optional<HostEntry> homeOf(const CallerSession&, const Route&);
+    void forward(const CallerSession&, const HostEntry&);
     void serve(Instant now, CallerSession&, const Session::Statement&);
     [[nodiscard]] Work makeWork(Instant now, const CallerSession&, const Session::Statement&, const Route&);
     void answerNow(CallerSession&, const Session::Answer&);
@@ -108,6 +120,9 @@
     void applyCatalog(Instant now);
     void applyTargets(Instant now);
     void applyMembers(Instant now);
+    /// Watches the targets of the groups that this host serves, and of no others.
+    void applyHomes(Instant now);
+    [[nodiscard]] bool serves(Instant now, const GroupName&) const;
     void logChanges(const TargetDirectory::Changes&);
     void noteStore(Instant now, StoreTable, bool wasConnected, const Expected<StorePage>&);
     void askPeers(Instant now);
@@ -124,6 +139,10 @@
     std::optional<Catalog> m_catalog;
     TargetDirectory m_directory;
     HostDirectory m_hosts;
+    GroupHomes m_homes;
+    /// When a session on the group was last here.
+    std::map<GroupName, Instant> m_usedAt;
+    std::set<GroupName> m_served;
     std::map<GroupName, std::unique_ptr<GroupService>> m_groups;
     std::unordered_map<SessionId, CallerSession> m_sessions;
     std::uint64_t m_lastConnection { 0 };
--- a/src/proxy/ProxyActions.h
+++ b/src/proxy/ProxyActions.h
@@ -2,6 +2,7 @@
 
 #include "base/SocketAddress.h"
 #include "proxy/GroupActions.h"
+#include "proxy/HostEntry.h"
 #include "proxy/StoreFollower.h"
 
 namespace Auburnpost::Proxy {
@@ -14,6 +15,8 @@
     /// The caller's session is refused and closed.
     virtual void refuseSession(SessionId, const Session::Failure&) = 0;
     virtual void answer(SessionId, const Session::Answer&) = 0;
+    /// Passes the session on to another host, which answers it from here on.
+    virtual void forwardSession(SessionId, const DatabaseName&, const HostEntry&) = 0;
     /// Ends an idle session.
     virtual void closeSession(SessionId) = 0;
     virtual void openConnection(ConnectionId, const TargetRecord&, const std::optional<SocketAddress>& relay) = 0;
--- a/src/proxy/ProxySessions.cpp
+++ b/src/proxy/ProxySessions.cpp
@@ -47,12 +47,13 @@
     return found == m_catalog->routes.end() ? nullptr : &found->second;
 }
 
-void Proxy::sessionOpened(Instant now, SessionId id, const DatabaseName& database)
+void Proxy::sessionOpened(Instant now, SessionId id, const DatabaseName& database, bool isForwarded)
 {
     m_now = now;
     auto& session = m_sessions[id];
     session.id = id;
     session.database = database;
+    session.isForwarded = isForwarded;
     session.openedAt = now;
     session.quietSince = now;
     decideOpening(session);
@@ -62,7 +63,13 @@
 {
     if (session.isAccepted || !m_catalog)
         return;
-    if (findRoute(session.database)) {
+    if (const auto* const route = findRoute(session.database)) {
+        if (const auto home = homeOf(session, *route)) {
+            forward(session, *home);
+            return;
+        }
+        m_usedAt[route->group] = m_now;
+        applyHomes(m_now);
         session.isAccepted = true;
         m_actions.acceptSession(session.id);
         return;
@@ -75,6 +82,32 @@
     m_actions.refuseSession(id, { FailureCode::UnknownDatabase, "no such database" });
 }
 
+std::optional<HostEntry> Proxy::homeOf(const CallerSession& session, const Route& route)
+{
+    const auto group = m_catalog->groups.find(route.group);
+    const bool isFixed = session.isForwarded || m_isClosingIdle || group == m_catalog->groups.end();
+    if (isFixed || !m_homes.areNeeded(group->second.connectionLimit))
+        return {};
+    return m_homes.homeFor(m_now, route.group);
+}
+
+void Proxy::forward(const CallerSession& session, const HostEntry& home)
+{
+    log({ LogEvent::SessionForwarded,
+        { { "session", std::to_string(session.id.value()) }, { "database", session.database.value() },
+            { "host", home.name.value() } } });
+    const auto id = session.id;
+    const auto database = session.database;
+    m_sessions.erase(id);
+    m_actions.forwardSession(id, database, home);
+}
+
+void Proxy::forwardFailed(Instant now, SessionId id, const DatabaseName& database, const HostName& host)
+{
+    m_homes.failed(now, host);
+    sessionOpened(now, id, database);
+}
+
 void Proxy::statementArrived(
     Instant now, SessionId id, const Session::StatementId& statementId, const Session::Statement& statement)
 {
--- a/src/proxy/ProxySettings.h
+++ b/src/proxy/ProxySettings.h
@@ -18,6 +18,8 @@
     SocketAddress metrics;
     /// Where this host relays connections of its peers to targets.
     SocketAddress relay;
+    /// Where this host takes callers' sessions from its peers.
+    SocketAddress sessions;
     SocketAddress store;
     SocketAddress promotions;
     /// Hosts that may hand over what the store holds; they may be out of date or down.
--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -11,8 +11,10 @@
     m_now = now;
     if (table == StoreTable::Hosts) {
         // Without an answer the hosts known before stay; the followed tables report the store's loss.
-        if (page)
-            m_hosts.read(*page);
+        if (page && m_hosts.read(now, *page)) {
+            m_homes.setHosts(m_hosts.hosts());
+            applyHomes(now);
+        }
         return;
     }
     const bool wasConnected = follower(table).isConnected();
@@ -111,7 +113,36 @@
 void Proxy::applyMembers(Instant now)
 {
     for (auto& [name, group] : m_groups)
-        group->setMembers(now, m_directory.members(name));
+        group->setMembers(now, serves(now, name) ? m_directory.members(name) : std::vector<TargetRecord> {});
+}
+
+bool Proxy::serves(Instant now, const GroupName& name) const
+{
+    const auto rules = m_catalog->groups.find(name);
+    if (rules == m_catalog->groups.end() || !m_homes.areNeeded(rules->second.connectionLimit) || m_homes.isHome(name))
+        return true;
+    const auto used = m_usedAt.find(name);
+    return used != m_usedAt.end() && now - used->second < groupLinger;
+}
+
+void Proxy::applyHomes(Instant now)
+{
+    if (!m_catalog)
+        return;
+    for (const auto& [id, session] : m_sessions) {
+        if (const auto* const route = findRoute(session.database); route && session.isAccepted)
+            m_usedAt[route->group] = now;
+    }
+    std::set<GroupName> served;
+    for (const auto& [name, group] : m_groups) {
+        if (serves(now, name))
+            served.insert(name);
+    }
+    if (served == m_served)
+        return;
+    m_served = std::move(served);
+    log({ LogEvent::ServedGroupsChanged, { { "groups", std::to_string(m_served.size()) } } });
+    applyMembers(now);
 }
 
 void Proxy::logChanges(const TargetDirectory::Changes& changes)
--- a/src/wire/LineServer.cpp
+++ b/src/wire/LineServer.cpp
@@ -33,10 +33,11 @@
     }
 };
 
-LineServer::LineServer(event_base* base, SocketAddress address, std::size_t connectionLimit)
+LineServer::LineServer(event_base* base, SocketAddress address, std::size_t connectionLimit, std::uint64_t idBase)
     : m_base(base)
     , m_address(std::move(address))
     , m_connectionLimit(connectionLimit)
+    , m_lastId(idBase)
 {
     ignoreBrokenPipe();
 }
--- a/src/wire/LineServer.h
+++ b/src/wire/LineServer.h
@@ -21,7 +21,8 @@
 /// Lines of text on one address. Each connection hands out one line at a time: the next after resume().
 class LineServer {
 public:
-    LineServer(event_base*, SocketAddress, std::size_t connectionLimit);
+    /// @param idBase connections are numbered from here on, so that two servers may share one space of ids.
+    LineServer(event_base*, SocketAddress, std::size_t connectionLimit, std::uint64_t idBase = 0);
     ~LineServer();
     LineServer(const LineServer&) = delete;
     LineServer& operator=(const LineServer&) = delete;
@@ -59,7 +60,7 @@
     SocketAddress m_address;
     std::size_t m_connectionLimit;
     evconnlistener* m_listener { nullptr };
-    std::uint64_t m_lastId { 0 };
+    std::uint64_t m_lastId;
     std::unordered_map<LineClientId, std::unique_ptr<Client>> m_clients;
     sigc::signal<void(LineClientId, std::string_view)> m_arrived;
     sigc::signal<void(LineClientId, LineEnd)> m_ended;
--- a/tests/platform/CallerCodecTests.cpp
+++ b/tests/platform/CallerCodecTests.cpp
@@ -95,3 +95,13 @@
         CHECK(writeAnswer(answer) == "ERROR INDOUBT lost\r\nREADY E -\r\n");
     }
 }
+
+TEST_CASE("A session that is passed on is asked for and followed by its lines", "[platform]")
+{
+    CHECK(writeSessionRequest(DatabaseName("orders")) == "START orders\r\n");
+    CHECK(readAnswerEnd("READY I -") == Session::TransactionState::Idle);
+    CHECK(readAnswerEnd("READY T 3.7") == Session::TransactionState::Open);
+    CHECK(readAnswerEnd("READY E 3.7") == Session::TransactionState::Failed);
+    CHECK_FALSE(readAnswerEnd("ROW READY I"));
+    CHECK_FALSE(readAnswerEnd("DONE 7.1"));
+}
--- a/tests/proxy/GroupWatcherTests.cpp
+++ b/tests/proxy/GroupWatcherTests.cpp
@@ -199,6 +199,17 @@
     CHECK(watcher.witnessesNeeded() == 0);
 }
 
+TEST_CASE("A group that is watched again has its primary looked for first", "[proxy][watcher]")
+{
+    auto watcher = threeMembers();
+    watcher.record(start, p, start, standing(true, 1, 7));
+    watcher.setMembers(start + 1s, {});
+    const auto again = start + 2 * GroupWatcher::missingLimit;
+    watcher.setMembers(again, { record("p", 1), record("r", 2), record("s", 3) });
+    CHECK(watcher.trouble(again) == PrimaryTrouble::None);
+    CHECK(watcher.trouble(again + GroupWatcher::missingLimit) == PrimaryTrouble::Missing);
+}
+
 TEST_CASE("The fences that a promotion needs meet every set that could acknowledge a commit", "[proxy][watcher]")
 {
     auto watcher = threeMembers();
--- a/tests/proxy/SimulatedHost.cpp
+++ b/tests/proxy/SimulatedHost.cpp
@@ -314,8 +314,8 @@
         page.rows = m_simulation.targetRows();
     else if (table == StoreTable::Hosts)
         for (std::size_t host = 0; host < ProxySimulation::hostCount; ++host)
-            page.rows.push_back(
-                { "host-" + std::to_string(host), RowVersion(1), HostDirectory::encode(relayOf(host)), false });
+            page.rows.push_back({ "host-" + std::to_string(host), RowVersion(1),
+                HostDirectory::encode({ {}, {}, relayOf(host), relayOf(host) }), false });
     else
         page.rows = { { "catalog", RowVersion(1), "", false } };
     return page;
--- a/tests/proxy/SimulatedHost.h
+++ b/tests/proxy/SimulatedHost.h
@@ -22,6 +22,7 @@
     void acceptSession(SessionId) override;
     void refuseSession(SessionId, const Session::Failure&) override;
     void answer(SessionId, const Session::Answer&) override;
+    void forwardSession(SessionId, const DatabaseName&, const HostEntry&) override { }
     void closeSession(SessionId) override { }
     void openConnection(ConnectionId, const TargetRecord&, const std::optional<SocketAddress>& relay) override;
     void closeConnection(ConnectionId) override;
--- a/tests/proxy/TablesTests.cpp
+++ b/tests/proxy/TablesTests.cpp
@@ -193,7 +193,8 @@
 TEST_CASE("A host writes its record until that is acknowledged, and knows the others by theirs", "[proxy][hosts]")
 {
     Calls calls;
-    HostDirectory hosts(HostName("a"), { "10.0.0.1", 7 }, calls);
+    const HostEntry self { HostName("a"), DataCentreName("east"), { "10.0.0.1", 7 }, { "10.0.0.1", 9 } };
+    HostDirectory hosts(self, calls);
     hosts.tick(start);
     hosts.tick(start + HostDirectory::writeRetry);
     CHECK(calls.hostWrites == 2);
@@ -201,10 +202,14 @@
     hosts.tick(start + 2 * HostDirectory::writeRetry);
     CHECK(calls.hostWrites == 2);
 
-    const SocketAddress other { "10.0.0.2", 7 };
-    hosts.read(page({ { "a", RowVersion(1), HostDirectory::encode({ "10.0.0.1", 7 }), false },
-                        { "b", RowVersion(2), HostDirectory::encode(other), false },
-                        { "c", RowVersion(3), "\xff", false }, { "d", RowVersion(4), R"({"relay":3})", false } },
-        4));
-    CHECK(hosts.relays() == std::vector<SocketAddress> { other });
+    const HostEntry other { HostName("b"), DataCentreName("west"), { "10.0.0.2", 7 }, { "10.0.0.2", 9 } };
+    const auto listed
+        = page({ { "a", RowVersion(1), HostDirectory::encode(self), false },
+                   { "b", RowVersion(2), HostDirectory::encode(other), false }, { "c", RowVersion(3), "\xff", false },
+                   { "d", RowVersion(4), R"({"relay":3})", false } },
+            4);
+    CHECK(hosts.read(start, listed));
+    CHECK(hosts.relays() == std::vector<SocketAddress> { other.relay });
+    CHECK(hosts.hosts() == std::vector<HostEntry> { self, other });
+    CHECK_FALSE(hosts.read(start, listed));
 }
