Ask a replica that is behind by one read at a time, and again once it may have caught up

Cause: a read that a replica refused as lagging avoided it for good, as long as another target counted as a candidate. With both replicas behind, the reads waited for the full primary while the replicas' connections idled (8 idle connections each, 83 reads waiting; scratch copy with a dump). Reads also waited for one opening connection at the primary, however many waited already, and a lag told up to 2.5 s before raised a replica's cost.

Ruled out: connections (8 free at each replica), proofs (200 to 550 ms old).

Now each answer tells how far a target's reads see; a replica that lacks the position is tried again after 50 ms by one read, whose answer tells for all; as many reads wait for opening connections as connections open.

The test plays the load (30 reads, both replicas behind, the primary full): 0 served before, all but the primary's share after.

--- a/src/proxy/GroupPlacement.cpp
+++ b/src/proxy/GroupPlacement.cpp
@@ -146,14 +146,15 @@
     if (!findPosition(now, work))
         return false;
     work.obstacle = Obstacle::NoConnection;
-    const auto candidates = ReadPlacement::order(now, m_watcher, m_pools, work.avoided);
+    const auto candidates = ReadPlacement::order(now, m_watcher, m_pools, work.avoided, work.after);
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const auto& candidate = candidates[index];
         if (auto* const connection = idleOrOpen(now, candidate.target, work)) {
             sendWork(now, *connection, work);
             return true;
         }
-        const bool isOpening = m_pools[candidate.target].count(ConnectionStage::Opening) > 0;
+        // Each connection that opens is worth waiting for by one statement.
+        const bool isOpening = m_queue.size() <= m_pools[candidate.target].count(ConnectionStage::Opening);
         const bool nextIsFar
             = index + 1 < candidates.size() && candidates[index + 1].cost > candidate.cost + openingPatience;
         if (isOpening && nextIsFar)
@@ -202,6 +203,8 @@
 void GroupService::sendWork(Instant now, TargetConnection& connection, Work& work)
 {
     ++work.attempts;
+    if (work.after)
+        m_watcher.noteTried(now, connection.target, *work.after);
     work.sentOn.insert(connection.id);
     const bool isPinned = connection.stage == ConnectionStage::Pinned;
     connection.stage = work.startsTransaction || isPinned ? ConnectionStage::Pinned : ConnectionStage::Busy;
--- a/src/proxy/GroupReplies.cpp
+++ b/src/proxy/GroupReplies.cpp
@@ -213,6 +213,9 @@
     if (auto* const health = m_watcher.health(connection->target))
         health->heard(
             now, expected.purpose == ReplyPurpose::Standing ? std::optional(now - expected.askedAt) : std::nullopt);
+    // Inside a transaction the position may be that of its begin.
+    if (reply.position && reply.state == TransactionState::Idle)
+        m_watcher.noteApplied(now, connection->target, *reply.position);
     switch (expected.purpose) {
     case ReplyPurpose::Setup:
         if (reply.failure())
@@ -269,7 +272,7 @@
     if (!work)
         return;
     work->sentOn.clear();
-    if (!retryElsewhere(now, *work, target, failure->code)) {
+    if (!retryElsewhere(now, *work, target, failure->code, reply.position.has_value())) {
         const auto refused = *work;
         finishUnsent(refused, failure->code, failure->text);
     }
@@ -335,7 +338,8 @@
     const bool isPinned = connection.stage == ConnectionStage::Pinned;
     if (!isPinned) {
         becomeIdle(now, connection);
-        if (isRefusalBeforeRun(failure.code) && retryElsewhere(now, work, target, failure.code))
+        if (isRefusalBeforeRun(failure.code)
+            && retryElsewhere(now, work, target, failure.code, reply.position.has_value()))
             return;
         const auto failed = work;
         finish(failed, { failure, reply.state, reply.position }, nullptr);
@@ -356,9 +360,9 @@
     finish(failed, { failure, state, reply.position }, nullptr);
 }
 
-bool GroupService::retryElsewhere(Instant now, Work& work, const TargetName& target, FailureCode code)
+bool GroupService::retryElsewhere(Instant now, Work& work, const TargetName& target, FailureCode code, bool hasPosition)
 {
-    // A replica that lacks a position refuses at no cost, and each is asked once before all are asked again.
+    // A replica that lacks a position refuses at no cost.
     const bool isFree = code == FailureCode::Lagging || code == FailureCode::UnknownPreparedName;
     if (now + busyDelay >= work.deadline || (!isFree && !m_retries.tryRetry(now)))
         return false;
@@ -369,7 +373,8 @@
         work.notBefore = now + busyDelay;
         if (code == FailureCode::ReadOnly)
             m_polledAt.clear();
-    } else {
+    } else if (code != FailureCode::Lagging || !hasPosition) {
+        // Where a replica told its position, it is asked again once it may have caught up.
         work.avoided.insert(target);
     }
     m_queue.add(work);
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -118,7 +118,8 @@
     void takeStatement(Instant now, TargetConnection&, const ExpectedReply&, const TargetReply&);
     void noteCommit(TargetConnection&, const Work&, const ExpectedReply&, const TargetReply&);
     void takeFailure(Instant now, TargetConnection&, Work&, const TargetReply&);
-    bool retryElsewhere(Instant now, Work&, const TargetName&, Session::FailureCode);
+    /// @param hasPosition whether the refusal told how far the target's reads see.
+    bool retryElsewhere(Instant now, Work&, const TargetName&, Session::FailureCode, bool hasPosition);
     void finish(const Work&, Session::Answer, const TargetConnection*);
     void finishUnsent(const Work&, Session::FailureCode, const std::string& text);
     void notePath(Instant now, const TargetConnection&);
--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -96,6 +96,22 @@
         member.behindSince = now;
 }
 
+void GroupWatcher::noteApplied(Instant now, const TargetName& name, const LogPoint& applied)
+{
+    const auto found = m_members.find(name);
+    if (found == m_members.end())
+        return;
+    found->second.applied = applied;
+    found->second.appliedAt = now;
+}
+
+void GroupWatcher::noteTried(Instant now, const TargetName& name, const LogPoint& wanted)
+{
+    const auto found = m_members.find(name);
+    if (found != m_members.end() && found->second.applied && *found->second.applied < wanted)
+        found->second.appliedAt = now;
+}
+
 void GroupWatcher::refusedAsReplica(const TargetName& name)
 {
     if (m_primary != name)
--- a/src/proxy/GroupWatcher.h
+++ b/src/proxy/GroupWatcher.h
@@ -47,6 +47,9 @@
         /// When the question was sent that brought the standing.
         Instant askedAt {};
         TargetHealth health;
+        /// End of the log that its reads see, and when it told so.
+        std::optional<LogPoint> applied;
+        Instant appliedAt {};
         /// Since when it lacks a commit that the primary had when it was asked, without progress.
         std::optional<Instant> behindSince;
         /// Since when it is listed as primary.
@@ -66,6 +69,10 @@
     /// The primary acknowledged a commit that wrote something, which proves as much as the members' standings.
     /// @param askedAt when the commit was sent; @param end the end of its log after it.
     void committed(const TargetName&, Instant askedAt, const LogPoint& end);
+    /// An answer of the target told how far its reads see.
+    void noteApplied(Instant now, const TargetName&, const LogPoint& applied);
+    /// A read that needs a position is sent to the target; whether the target has it by now shows in its answer.
+    void noteTried(Instant now, const TargetName&, const LogPoint& wanted);
     /// A target refused a write as it isn't the primary.
     void refusedAsReplica(const TargetName&);
     [[nodiscard]] TargetHealth* health(const TargetName&);
--- a/src/proxy/ReadPlacement.cpp
+++ b/src/proxy/ReadPlacement.cpp
@@ -4,13 +4,15 @@
 
 namespace Auburnpost::Proxy {
 
-std::vector<ReadCandidate> ReadPlacement::order(
-    Instant now, const GroupWatcher& watcher, const Pools& pools, const std::set<TargetName>& avoided)
+std::vector<ReadCandidate> ReadPlacement::order(Instant now, const GroupWatcher& watcher, const Pools& pools,
+    const std::set<TargetName>& avoided, const std::optional<LogPoint>& after)
 {
     std::vector<ReadCandidate> candidates;
     for (const auto& [name, member] : watcher.members()) {
         if (avoided.contains(name) || member.record.isLeaving || !member.standing || member.health.isDoubtful(now))
             continue;
+        if (lacks(now, watcher, member, after))
+            continue;
         candidates.push_back({ name, costOf(watcher, member, pools) });
     }
     std::sort(candidates.begin(), candidates.end(),
@@ -18,6 +20,14 @@
     return candidates;
 }
 
+bool ReadPlacement::lacks(
+    Instant now, const GroupWatcher& watcher, const GroupWatcher::Member& member, const std::optional<LogPoint>& after)
+{
+    if (!after || !member.applied || watcher.primary() == member.record.name)
+        return false;
+    return *member.applied < *after && now - member.appliedAt < lagRetry;
+}
+
 Duration ReadPlacement::costOf(const GroupWatcher& watcher, const GroupWatcher::Member& member, const Pools& pools)
 {
     auto cost = member.health.roundTrip();
@@ -30,8 +40,6 @@
     }
     if (watcher.primary() == member.record.name)
         cost += primaryPenalty;
-    if (member.standing->lag >= lagPenaltyLimit)
-        cost += member.standing->lag;
     return cost;
 }
 
--- a/src/proxy/ReadPlacement.h
+++ b/src/proxy/ReadPlacement.h
@@ -21,17 +21,20 @@
     static constexpr Duration serviceTime = std::chrono::milliseconds(20);
     /// Keeps reads off the primary, which alone takes the writes, while a replica is about as near.
     static constexpr Duration primaryPenalty = std::chrono::milliseconds(10);
-    /// A replica whose applied log is behind by more is likely to refuse.
-    static constexpr Duration lagPenaltyLimit = std::chrono::milliseconds(1000);
+    /// A replica that has shown to lack the position is tried again after this, by one read; it applies all the
+    /// time, and a refusal costs a round trip.
+    static constexpr Duration lagRetry = std::chrono::milliseconds(50);
 
     using Pools = std::map<TargetName, ConnectionPool>;
 
     /// @param avoided targets that failed to serve the read.
+    /// @param after the position that the read has to see.
     /// @return the candidates, the cheapest first.
-    [[nodiscard]] static std::vector<ReadCandidate> order(
-        Instant now, const GroupWatcher&, const Pools&, const std::set<TargetName>& avoided);
+    [[nodiscard]] static std::vector<ReadCandidate> order(Instant now, const GroupWatcher&, const Pools&,
+        const std::set<TargetName>& avoided, const std::optional<LogPoint>& after = {});
 
 private:
+    static bool lacks(Instant now, const GroupWatcher&, const GroupWatcher::Member&, const std::optional<LogPoint>&);
     static Duration costOf(const GroupWatcher&, const GroupWatcher::Member&, const Pools&);
 };
 
--- a/tests/proxy/GroupServiceTests.cpp
+++ b/tests/proxy/GroupServiceTests.cpp
@@ -114,6 +114,7 @@
             reply.standing = TargetStanding {};
             reply.standing->isPrimary = target == TargetName("p");
             reply.standing->term = Term(1);
+            reply.standing->received = { Term(1), Position(10) };
             service.replied(now, sent.connection, reply);
         }
     }
@@ -337,3 +338,43 @@
         CHECK(group.service.watcher().trouble(group.now) == PrimaryTrouble::Down);
     }
 }
+
+// Answers a load of reads whose replicas fall behind for a while and which the primary alone can't carry: what waits
+// has to go back to the replicas as soon as these have caught up.
+TEST_CASE("Reads return to replicas that have caught up while the primary is full", "[proxy][service]")
+{
+    Fixture group;
+    constexpr std::size_t reads = 30;
+    for (std::size_t count = 0; count < reads; ++count)
+        group.service.submit(group.now, group.work(StatementKind::Read, Consistency::BoundedStaleness));
+    const LogPoint behind { Term(1), Position(9) };
+    std::size_t refusals = 0;
+    const auto answerReplicas = [&](bool areBehind) {
+        for (const auto& sent : std::exchange(group.statements, {})) {
+            if (group.actions.targets.at(sent.connection) == TargetName("p"))
+                continue;
+            if (areBehind)
+                ++refusals;
+            group.reply(sent,
+                areBehind
+                    ? TargetReply { Session::Failure { FailureCode::Lagging, "" }, TransactionState::Idle, behind, {} }
+                    : TargetReply {
+                        Session::Success {}, TransactionState::Idle, LogPoint { Term(1), Position(10) }, {} });
+        }
+        group.run(10ms);
+    };
+    constexpr int roundsBehind = 20;
+    for (int round = 0; round < roundsBehind; ++round)
+        answerReplicas(true);
+    const auto refusedBehind = refusals;
+    constexpr int roundsAfter = 30;
+    for (int round = 0; round < roundsAfter; ++round)
+        answerReplicas(false);
+
+    const auto served = std::count_if(group.actions.results.begin(), group.actions.results.end(),
+        [](const WorkResult& result) { return std::holds_alternative<Session::Success>(result.answer.body); });
+    // The primary answers none of those that it got, at most its share of connections.
+    CHECK(served >= 20);
+    // A replica that is behind is asked again now and then, not by each waiting read.
+    CHECK(refusedBehind <= 2 * reads);
+}
--- a/tests/proxy/PlacementTests.cpp
+++ b/tests/proxy/PlacementTests.cpp
@@ -114,6 +114,17 @@
     CHECK(nearest < reads / 2);
 }
 
+TEST_CASE("A replica that has just shown to lack the position is left out for a moment", "[proxy][placement]")
+{
+    auto watcher = group();
+    const LogPoint applied { Term(1), Position(7) };
+    const LogPoint wanted { Term(1), Position(8) };
+    watcher.noteApplied(start, TargetName("near"), applied);
+    CHECK(namesOf(ReadPlacement::order(start, watcher, {}, {}, wanted)).front() == "far");
+    CHECK(namesOf(ReadPlacement::order(start, watcher, {}, {}, applied)).front() == "near");
+    CHECK(namesOf(ReadPlacement::order(start + ReadPlacement::lagRetry, watcher, {}, {}, wanted)).front() == "near");
+}
+
 TEST_CASE("A host opens beyond its floor only while the target has told of room", "[proxy][connections]")
 {
     ConnectionPool pool;
