Fence members again that restart before a promotion takes effect

Cause: a fence ends with its member's process; after the call nobody looked whether the fences hold.

Ruled out: a resume by another host (none was sent).

--- a/src/chart/EmbeddedCharts.cpp
+++ b/src/chart/EmbeddedCharts.cpp
@@ -52,7 +52,7 @@
     <onentry><action name="demoteFormer"/></onentry>
     <transition event="progress" cond="promotedSeen" target="Finishing"/>
     <transition event="progress" cond="awaitLimitPassed" target="Delaying"><action name="delayRetry"/></transition>
-    <transition event="progress" cond="retryDue"><action name="demoteFormer"/></transition>
+    <transition event="progress" cond="retryDue"><action name="demoteFormer"/><action name="fenceAgain"/></transition>
   </state>
   <state id="Finishing">
     <onentry><action name="joinMembers"/></onentry>
--- a/src/proxy/Promotion.cpp
+++ b/src/proxy/Promotion.cpp
@@ -29,8 +29,8 @@
         { "readClaim", &Promotion::readClaim }, { "writeClaim", &Promotion::writeClaim },
         { "fenceMembers", &Promotion::fenceMembers }, { "askFenced", &Promotion::askFenced },
         { "callPromotion", &Promotion::callPromotion }, { "demoteFormer", &Promotion::demoteFormer },
-        { "joinMembers", &Promotion::joinMembers }, { "renewForRepairs", &Promotion::renewForRepairs },
-        { "giveUp", &Promotion::giveUp } };
+        { "fenceAgain", &Promotion::fenceAgain }, { "joinMembers", &Promotion::joinMembers },
+        { "renewForRepairs", &Promotion::renewForRepairs }, { "giveUp", &Promotion::giveUp } };
     const auto chart = Chart::StateChart::parse("promotion", Chart::embeddedChart("promotion"));
     AUBURNPOST_INVARIANT(chart, "promotion.scxml can't be read");
     auto runner = Runner::bind(*chart, std::move(bindings));
@@ -320,6 +320,16 @@
     }
 }
 
+void Promotion::fenceAgain(Context& context)
+{
+    for (const auto& [name, member] : context.watcher.members()) {
+        const auto& standing = member.standing;
+        const bool isChosen = name == m_chosen || name == context.watcher.primary();
+        if (!isChosen && standing && !standing->isPrimary && !standing->isFenced() && standing->term < m_term)
+            m_actions.order(name, FenceReplica { m_term }, claimUsableUntil());
+    }
+}
+
 void Promotion::joinMembers(Context& context)
 {
     m_orderedAt = context.now;
--- a/src/proxy/Promotion.h
+++ b/src/proxy/Promotion.h
@@ -116,6 +116,8 @@
     void askFenced(Context&);
     void callPromotion(Context&);
     void demoteFormer(Context&);
+    /// Fences members that lost their fence by a restart and do not follow the new primary yet.
+    void fenceAgain(Context&);
     void joinMembers(Context&);
     void renewForRepairs(Context&);
     void giveUp(Context&);
--- a/tests/proxy/PromotionTests.cpp
+++ b/tests/proxy/PromotionTests.cpp
@@ -326,3 +326,21 @@
     group.tick(Promotion::retryDelay);
     CHECK(group.actions.reads == 2);
 }
+
+TEST_CASE("A member that restarts without its fence is fenced again until the promotion shows", "[proxy][promotion]")
+{
+    Fixture group;
+    group.call();
+    group.actions.orders.clear();
+    group.hear("r", standing(false, 1, 7));
+    group.tick(Promotion::orderRetry);
+    CHECK(group.actions.has("fence r"));
+
+    SECTION("but not once it follows the new primary")
+    {
+        group.actions.orders.clear();
+        group.hear("r", standing(false, 2, 0));
+        group.tick(Promotion::orderRetry);
+        CHECK_FALSE(group.actions.has("fence r"));
+    }
+}
--- a/tests/proxy/ProxyScheduleTests.cpp
+++ b/tests/proxy/ProxyScheduleTests.cpp
@@ -47,9 +47,12 @@
         INFO("seed " << seed);
         CHECK(play(seed)->checker().violation() == "");
     }
-    // A former claimant resumed a member that the next one had fenced (docs/incidents/lost-after-return.md).
-    constexpr std::uint64_t resumedFence = 86;
-    CHECK(play(resumedFence, slowPromotion)->checker().violation() == "");
+    // 86: a former claimant resumed a member that the next one had fenced (docs/incidents/lost-after-return.md). 255: a
+    // fenced member restarted without its fence (docs/incidents/lost-fence.md).
+    for (const std::uint64_t seed : { 86, 255 }) {
+        INFO("slow promotion, seed " << seed);
+        CHECK(play(seed, slowPromotion)->checker().violation() == "");
+    }
 }
 
 TEST_CASE("Promises hold where a promotion takes its time", "[proxy][schedule]")
