Answer a method that a path does not take with 405 and Allow

Ruled out: clients that rely on 400; the error's step and outcome stay. Before: the changed test fails (400, no Allow). After: 405 with Allow: POST; 19 of 19 test programs pass. Conclusion: done for the callers' paths; the operators' are not changed.

--- a/src/base/ErrorCode.cpp
+++ b/src/base/ErrorCode.cpp
@@ -7,6 +7,8 @@
     switch (code) {
     case ErrorCode::BadRequest:
         return "bad_request";
+    case ErrorCode::MethodNotAllowed:
+        return "method_not_allowed";
     case ErrorCode::BadJson:
         return "bad_json";
     case ErrorCode::HeaderTooLarge:
--- a/src/base/ErrorCode.h
+++ b/src/base/ErrorCode.h
@@ -7,6 +7,7 @@
 /// What went wrong, in the terms of docs/CALLERS.md. Each has one fixed text form.
 enum class ErrorCode {
     BadRequest,
+    MethodNotAllowed,
     BadJson,
     HeaderTooLarge,
     BodyTooLarge,
--- a/src/wire/CallerAnswerWriter.cpp
+++ b/src/wire/CallerAnswerWriter.cpp
@@ -128,6 +128,9 @@
 {
     const auto& error = refusal.error;
     HttpReply reply { httpStatus(error.code), { { "Content-Type", "application/json" } }, {} };
+    // Every path of the callers' interface takes this one method.
+    if (error.code == ErrorCode::MethodNotAllowed)
+        reply.headers.push_back({ "Allow", "POST" });
     if (refusal.retryAfter || reply.status == statusServiceUnavailable)
         reply.headers.push_back({ "Retry-After", wholeSeconds(refusal.retryAfter.value_or(defaultRetryAfter)) });
     reply.body = "{\"error\":{\"outcome\":";
--- a/src/wire/CallerRequestReader.cpp
+++ b/src/wire/CallerRequestReader.cpp
@@ -55,7 +55,7 @@
                 if (route.collection != path[2] || route.verb != (hasVerb ? path[4] : ""))
                     continue;
                 if (message.method != HttpMethod::Post)
-                    return refuse(ErrorCode::BadRequest, "read method", "this path takes POST only");
+                    return refuse(ErrorCode::MethodNotAllowed, "read method", "this path takes POST only");
                 request.action = route.action;
                 request.organisation = OrganisationName(path[1]);
                 request.transaction = hasVerb ? path[3] : "";
--- a/src/wire/HttpStatus.cpp
+++ b/src/wire/HttpStatus.cpp
@@ -14,6 +14,7 @@
     /// Every code that is not here is answered with 503.
     constexpr StatusOfCode statusTable[] = {
         { ErrorCode::BadRequest, 400 },
+        { ErrorCode::MethodNotAllowed, 405 },
         { ErrorCode::BadJson, 400 },
         { ErrorCode::HeaderTooLarge, 400 },
         { ErrorCode::BodyTooLarge, 400 },
--- a/tests/wire/CallerServerTests.cpp
+++ b/tests/wire/CallerServerTests.cpp
@@ -180,7 +180,8 @@
     const auto client = test.client();
     client->send("GET /v1/o/statements HTTP/1.1\r\nHost: test\r\n\r\n");
     CHECK(test.errorOf(*client).at("step") == "read method");
-    CHECK(client->status() == 400);
+    CHECK(client->status() == 405);
+    CHECK(client->received().find("\r\nAllow: POST\r\n") != std::string::npos);
     SECTION("and one that HTTP does not know harms nobody")
     {
         const auto odd = test.client();
