Have a home that does not know a forwarded session's database close it

Ruled out: the hosts' own refusals (they forward only what they know).

Now the home closes such a session without an answer; the other host tries the next home, and itself at the end.

Conclusion: a refusal by configuration is for the host that took the caller. Not covered: a home with an older configuration goes on serving a route that was changed or dropped.

--- a/src/proxy/ProxySessions.cpp
+++ b/src/proxy/ProxySessions.cpp
@@ -78,8 +78,13 @@
         { { "database", session.database.value() }, { "reason", "unknown_database" },
             { "version", std::to_string(m_catalog->version.value()) } } });
     const auto id = session.id;
+    const bool isForwarded = session.isForwarded;
     m_sessions.erase(id);
-    m_actions.refuseSession(id, { FailureCode::UnknownDatabase, "no such database" });
+    // The host that passed it on knows the database by a configuration that this host does not have yet.
+    if (isForwarded)
+        m_actions.closeSession(id);
+    else
+        m_actions.refuseSession(id, { FailureCode::UnknownDatabase, "no such database" });
 }
 
 std::optional<HostEntry> Proxy::homeOf(const CallerSession& session, const Route& route)
--- a/tests/proxy/ProxyScheduleTests.cpp
+++ b/tests/proxy/ProxyScheduleTests.cpp
@@ -101,3 +101,16 @@
     CHECK(reads > schedules * 100);
     CHECK(promotions > schedules / 4);
 }
+
+// A home that is cut off from the store has an older configuration than the host that passes a session on to it.
+TEST_CASE("A session that was passed on is never refused for its database", "[proxy][homes]")
+{
+    ProxySimulation simulation(firstSeed);
+    simulation.run(1s);
+    const SessionId own(1001);
+    const SessionId forwarded(1002);
+    simulation.hostProxy(0).sessionOpened(simulation.now(), own, DatabaseName("unknown"));
+    simulation.hostProxy(0).sessionOpened(simulation.now(), forwarded, DatabaseName("unknown"), true);
+    CHECK(simulation.host(0).endingOf(own) == "refused");
+    CHECK(simulation.host(0).endingOf(forwarded) == "closed");
+}
--- a/tests/proxy/ProxySimulation.h
+++ b/tests/proxy/ProxySimulation.h
@@ -54,6 +54,7 @@
     /// @param done called once enough replicas hold it; not at all when they never do.
     void commit(const TargetName&, const std::vector<std::string>& writes, std::function<void(LogPoint)> done);
     [[nodiscard]] Proxy& hostProxy(std::size_t host) { return m_hosts.at(host)->proxy(); }
+    [[nodiscard]] const SimulatedHost& host(std::size_t host) const { return *m_hosts.at(host); }
     [[nodiscard]] bool isHostFrozen(std::size_t host) const { return m_hosts.at(host)->isFrozen(); }
     /// @return the id of a write that no other has.
     [[nodiscard]] std::string nextWrite() { return "w" + std::to_string(++m_writes); }
--- a/tests/proxy/SimulatedHost.cpp
+++ b/tests/proxy/SimulatedHost.cpp
@@ -79,7 +79,10 @@
     m_simulation.after(Duration(1), [this, id] { m_simulation.caller(m_index, id).accepted(); });
 }
 
-void SimulatedHost::refuseSession(SessionId, const Session::Failure&) { }
+void SimulatedHost::refuseSession(SessionId id, const Session::Failure&)
+{
+    m_endings[id] = "refused";
+}
 
 void SimulatedHost::answer(SessionId id, const Session::Answer& answer)
 {
--- a/tests/proxy/SimulatedHost.h
+++ b/tests/proxy/SimulatedHost.h
@@ -18,12 +18,14 @@
     /// Stops for a while, as if suspended.
     void freeze(Instant until) { m_frozenUntil = until; }
     [[nodiscard]] bool isFrozen() const;
+    /// @return how the proxy ended the session: "refused", "closed", or nothing.
+    [[nodiscard]] std::string endingOf(SessionId id) const { return m_endings.contains(id) ? m_endings.at(id) : ""; }
 
     void acceptSession(SessionId) override;
     void refuseSession(SessionId, const Session::Failure&) override;
     void answer(SessionId, const Session::Answer&) override;
     void forwardSession(SessionId, const DatabaseName&, const HostEntry&) override { }
-    void closeSession(SessionId) override { }
+    void closeSession(SessionId id) override { m_endings[id] = "closed"; }
     void openConnection(ConnectionId, const TargetRecord&, const std::optional<SocketAddress>& relay) override;
     void closeConnection(ConnectionId) override;
     void send(ConnectionId, const std::vector<TargetRequest>&) override;
@@ -74,6 +76,7 @@
     std::size_t m_index;
     std::unique_ptr<Proxy> m_proxy;
     std::map<ConnectionId, Link> m_links;
+    std::map<SessionId, std::string> m_endings;
     std::optional<Instant> m_frozenUntil;
 };
 
