--- a/src/app/ProxyAssembly.cpp
+++ b/src/app/ProxyAssembly.cpp
@@ -16,8 +16,12 @@
 
 namespace {
 
-    /// Descriptors that callers may take; the rest is for targets, the platform and peers.
-    constexpr std::size_t callerLimit = 2400;
+    /// Callers at a time. Each may take a second descriptor, for the host that its session is passed on to; with those
+    /// of peers' sessions that leaves 200 of the 2,810 that hosts have for sockets at least to targets and the
+    /// platform.
+    constexpr std::size_t callerLimit = 1000;
+    /// Sessions that other hosts pass on, at a time.
+    constexpr std::size_t peerSessionLimit = 600;
     /// Sessions of other hosts are numbered from here on, above any count of own callers.
     constexpr std::uint64_t forwardedIdBase = std::uint64_t { 1 } << 48U;
     /// Connections of peers that this host relays at a time.
@@ -72,7 +76,7 @@
     , m_settings(settings)
     , m_load(std::move(load))
     , m_callers(base, settings.callers, callerLimit)
-    , m_sessions(base, settings.sessions, callerLimit, forwardedIdBase)
+    , m_sessions(base, settings.sessions, peerSessionLimit, forwardedIdBase)
     , m_forwarder(base)
     , m_targets(base)
     , m_relay(base, settings.relay, relayLimit,
