--- a/src/base/LogEvent.cpp
+++ b/src/base/LogEvent.cpp
@@ -70,7 +70,7 @@
         { LogEvent::SessionRefused, LogLevel::Info, "session refused" },
         { LogEvent::SessionForwarded, LogLevel::Info, "session passed on to another host" },
         { LogEvent::SessionForwardFailed, LogLevel::Warn, "host did not take a session" },
-        { LogEvent::SessionForwardLost, LogLevel::Info, "session ended by the host that served it" },
+        { LogEvent::SessionForwardLost, LogLevel::Info, "session that was passed on has ended" },
         { LogEvent::PeerMessageRefused, LogLevel::Warn, "message of a peer refused" },
         { LogEvent::PeerSendFailed, LogLevel::Debug, "message to a peer not sent" },
     } };
--- a/tests/proxy/PromotionTests.cpp
+++ b/tests/proxy/PromotionTests.cpp
@@ -92,17 +92,24 @@
         promotion.claimRead(now, watcher, ClaimRow { RowVersion(5), {}, 1000 });
         promotion.claimWritten(now, watcher, std::optional(RowVersion(6)));
     }
-    /// Goes on to the call for s and its outcome.
-    void call(PromotionOutcome outcome = PromotionOutcome::Accepted)
+    void hearFenced()
     {
-        claim();
-        for (const auto step : { 30ms, 10ms }) {
-            hear("r", standing(false, 1, 7, 2));
-            hear("s", standing(false, 1, 8, 2));
-            tick(step);
-        }
         hear("r", standing(false, 1, 7, 2));
         hear("s", standing(false, 1, 8, 2));
+    }
+    /// Goes on to where the fences are asked for again.
+    void verify()
+    {
+        claim();
+        hearFenced();
+        tick(30ms);
+        now += 10ms;
+        hearFenced();
+    }
+    /// Goes on to the call for s and its outcome.
+    void call(PromotionOutcome outcome = PromotionOutcome::Accepted)
+    {
+        verify();
         tick(30ms);
         REQUIRE(actions.promoted);
         promotion.promoteAnswered(now, watcher, outcome);
@@ -205,13 +212,7 @@
 TEST_CASE("A host that was paused between its check and its call does not call", "[proxy][promotion]")
 {
     Fixture group;
-    group.claim();
-    group.hear("r", standing(false, 1, 7, 2));
-    group.hear("s", standing(false, 1, 8, 2));
-    group.tick(30ms);
-    group.now += 10ms;
-    group.hear("r", standing(false, 1, 7, 2));
-    group.hear("s", standing(false, 1, 8, 2));
+    group.verify();
     group.tick(Promotion::claimLifetime);
     CHECK_FALSE(group.actions.promoted);
 }
@@ -219,17 +220,7 @@
 TEST_CASE("A call that may still take effect keeps the fences", "[proxy][promotion]")
 {
     Fixture group;
-    group.claim();
-    group.hear("r", standing(false, 1, 7, 2));
-    group.hear("s", standing(false, 1, 8, 2));
-    group.tick(30ms);
-    group.now += 10ms;
-    group.hear("r", standing(false, 1, 7, 2));
-    group.hear("s", standing(false, 1, 8, 2));
-    group.tick(30ms);
-    REQUIRE(group.actions.promoted);
-    group.actions.orders.clear();
-    group.promotion.promoteAnswered(group.now, group.watcher, PromotionOutcome::Unanswered);
+    group.call(PromotionOutcome::Unanswered);
     group.tick(2s);
     CHECK_FALSE(group.actions.has("resume r"));
     CHECK_FALSE(group.actions.has("resume s"));
@@ -260,10 +251,10 @@
         group.tick(Promotion::orderRetry);
         CHECK_FALSE(group.actions.has("resume r"));
     }
-    SECTION("nor after it")
+    SECTION("nor after it, though the time for repairs is not over")
     {
         group.hear("r", standing(false, 2, 0, 2));
-        group.tick(Promotion::claimLifetime);
+        group.tick(Promotion::finishLimit - 500ms);
         CHECK_FALSE(group.actions.has("resume r"));
     }
     SECTION("and what waits for a connection is not sent after it")
