Share one listener between the line server and the relay server

Cause: both had the same ten lines of listening and their own backlog (1,024 and 128). Ruled out: HttpServer, which gives its listener to evhttp. Before: two copies.

--- a/src/wire/LineServer.cpp
+++ b/src/wire/LineServer.cpp
@@ -2,7 +2,6 @@
 
 #include "wire/SocketOptions.h"
 
-#include <event2/listener.h>
 #include <unistd.h>
 
 #include <optional>
@@ -10,13 +9,6 @@
 
 namespace Auburnpost::Wire {
 
-namespace {
-
-    /// Connections that the kernel may hold before they are accepted; a full queue delays them by seconds.
-    constexpr int acceptQueue = 1024;
-
-} // namespace
-
 struct LineServer::Client {
     std::unique_ptr<LineConnection> connection;
     /// Closed by the owner; only its output is awaited.
@@ -26,42 +18,20 @@
     std::size_t stalledBytes { 0 };
 };
 
-struct LineServer::Callbacks {
-    static void accept(evconnlistener*, evutil_socket_t descriptor, sockaddr*, int, void* self)
-    {
-        static_cast<LineServer*>(self)->accept(descriptor);
-    }
-};
-
 LineServer::LineServer(event_base* base, SocketAddress address, std::size_t connectionLimit, std::uint64_t idBase)
     : m_base(base)
-    , m_address(std::move(address))
+    , m_listener(base, std::move(address), [this](int descriptor) { accept(descriptor); })
     , m_connectionLimit(connectionLimit)
     , m_lastId(idBase)
 {
     ignoreBrokenPipe();
 }
 
-LineServer::~LineServer()
-{
-    stopListening();
-}
+LineServer::~LineServer() = default;
 
 Expected<void> LineServer::listen()
 {
-    const auto address = toSockaddr(m_address);
-    m_listener = evconnlistener_new_bind(m_base, &Callbacks::accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-        acceptQueue, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-    if (!m_listener)
-        return fail(ErrorCode::BadSettings, "listen", m_address.toString(), "the address can't be bound");
-    m_address = boundAddress(evconnlistener_get_fd(m_listener));
-    return {};
-}
-
-void LineServer::stopListening()
-{
-    if (m_listener)
-        evconnlistener_free(std::exchange(m_listener, nullptr));
+    return m_listener.start();
 }
 
 void LineServer::accept(int descriptor)
--- a/src/wire/LineServer.h
+++ b/src/wire/LineServer.h
@@ -3,6 +3,7 @@
 #include "base/Expected.h"
 #include "base/StrongId.h"
 #include "wire/LineConnection.h"
+#include "wire/Listener.h"
 
 #include <sigc++/signal.h>
 
@@ -11,8 +12,6 @@
 #include <memory>
 #include <unordered_map>
 
-struct evconnlistener;
-
 namespace Auburnpost::Wire {
 
 /// Names one accepted connection, for as long as the server lives.
@@ -30,7 +29,7 @@
     /// Starts to listen.
     /// @return nothing, or an error with step "listen".
     Expected<void> listen();
-    void stopListening();
+    void stopListening() { m_listener.stop(); }
 
     void send(LineClientId, std::string_view text);
     void resume(LineClientId);
@@ -40,7 +39,7 @@
     /// @return how many.
     std::size_t closeStalled(Instant now, Duration limit);
     /// @return the address listened on, with the port that the kernel chose when 0 was asked for.
-    [[nodiscard]] const SocketAddress& address() const { return m_address; }
+    [[nodiscard]] const SocketAddress& address() const { return m_listener.address(); }
     /// @return whether closed connections still have something to send.
     [[nodiscard]] bool isFlushed() const;
 
@@ -50,16 +49,14 @@
 
 private:
     struct Client;
-    struct Callbacks;
 
     void accept(int descriptor);
     void onLine(LineClientId, std::string_view line);
     void onEnded(LineClientId, LineEnd);
 
     event_base* m_base;
-    SocketAddress m_address;
+    Listener m_listener;
     std::size_t m_connectionLimit;
-    evconnlistener* m_listener { nullptr };
     std::uint64_t m_lastId;
     std::unordered_map<LineClientId, std::unique_ptr<Client>> m_clients;
     sigc::signal<void(LineClientId, std::string_view)> m_arrived;
--- /dev/null
+++ b/src/wire/Listener.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "base/Expected.h"
+#include "base/SocketAddress.h"
+#include "wire/LibeventPointers.h"
+
+#include <functional>
+
+namespace Auburnpost::Wire {
+
+/// Listens on an address and hands out the sockets of those who connect.
+class Listener {
+public:
+    using Handler = std::function<void(int descriptor)>;
+
+    Listener(event_base*, SocketAddress, Handler);
+    ~Listener();
+    Listener(const Listener&) = delete;
+    Listener& operator=(const Listener&) = delete;
+
+    /// @return nothing, or an error with step "listen".
+    Expected<void> start();
+    void stop();
+    /// @return the address listened on, with the port that the kernel chose when 0 was asked for.
+    [[nodiscard]] const SocketAddress& address() const { return m_address; }
+
+private:
+    static void accept(evconnlistener*, evutil_socket_t, sockaddr*, int, void* self);
+
+    event_base* m_base;
+    SocketAddress m_address;
+    Handler m_handler;
+    evconnlistener* m_listener { nullptr };
+};
+
+} // namespace Auburnpost::Wire
--- a/src/wire/RelayServer.cpp
+++ b/src/wire/RelayServer.cpp
@@ -5,7 +5,6 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <event2/listener.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -14,7 +13,6 @@
 
 namespace {
 
-    constexpr int acceptQueue = 128;
     /// The first line is an address and a name.
     constexpr std::size_t requestLimit = 512;
     /// A side that does not read holds the other one up beyond this.
@@ -49,10 +47,6 @@
 };
 
 struct RelayServer::Callbacks {
-    static void accept(evconnlistener*, evutil_socket_t descriptor, sockaddr*, int, void* self)
-    {
-        static_cast<RelayServer*>(self)->accept(descriptor);
-    }
     static void peerRead(bufferevent*, void* argument)
     {
         auto& pair = *static_cast<Pair*>(argument);
@@ -89,18 +83,14 @@
 
 RelayServer::RelayServer(event_base* base, SocketAddress address, std::size_t connectionLimit, Permission permission)
     : m_base(base)
-    , m_address(std::move(address))
+    , m_listener(base, std::move(address), [this](int descriptor) { accept(descriptor); })
     , m_connectionLimit(connectionLimit)
     , m_permission(std::move(permission))
 {
     ignoreBrokenPipe();
 }
 
-RelayServer::~RelayServer()
-{
-    if (m_listener)
-        evconnlistener_free(m_listener);
-}
+RelayServer::~RelayServer() = default;
 
 std::string RelayServer::request(const SocketAddress& target, const TargetName& name)
 {
@@ -109,13 +99,7 @@
 
 Expected<void> RelayServer::listen()
 {
-    const auto address = toSockaddr(m_address);
-    m_listener = evconnlistener_new_bind(m_base, &Callbacks::accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-        acceptQueue, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-    if (!m_listener)
-        return fail(ErrorCode::BadSettings, "listen", m_address.toString(), "the address can't be bound");
-    m_address = boundAddress(evconnlistener_get_fd(m_listener));
-    return {};
+    return m_listener.start();
 }
 
 void RelayServer::accept(int descriptor)
--- a/src/wire/RelayServer.h
+++ b/src/wire/RelayServer.h
@@ -2,7 +2,7 @@
 
 #include "base/Expected.h"
 #include "base/Ids.h"
-#include "wire/LineServer.h"
+#include "wire/Listener.h"
 
 #include <functional>
 #include <memory>
@@ -33,7 +33,7 @@
     Expected<void> listen();
     /// @return the line that asks for a connection.
     [[nodiscard]] static std::string request(const SocketAddress& target, const TargetName&);
-    [[nodiscard]] const SocketAddress& address() const { return m_address; }
+    [[nodiscard]] const SocketAddress& address() const { return m_listener.address(); }
     [[nodiscard]] std::size_t connections() const { return m_pairs.size(); }
 
 private:
@@ -48,10 +48,9 @@
     void end(Pair&);
 
     event_base* m_base;
-    SocketAddress m_address;
+    Listener m_listener;
     std::size_t m_connectionLimit;
     Permission m_permission;
-    evconnlistener* m_listener { nullptr };
     std::uint64_t m_lastPair { 0 };
     std::unordered_map<std::uint64_t, std::unique_ptr<Pair>> m_pairs;
 };
