Share the descriptors that the settings state among callers, peers and relays

Ruled out: the load of the sites (559 files at most on a host).

Before: 1,000 callers, 600 sessions of peers, 200 relays on any host.

Conclusion: taken from the settings, as an unseen site's hosts may have less.

--- a/src/app/ProxyAssembly.cpp
+++ b/src/app/ProxyAssembly.cpp
@@ -1,7 +1,6 @@
 #include "app/ProxyAssembly.h"
 
 #include "app/Logging.h"
-#include "platform/CallerCodec.h"
 #include "platform/StoreCalls.h"
 #include "proxy/PeerSnapshot.h"
 
@@ -16,16 +15,6 @@
 
 namespace {
 
-    /// Callers at a time. Each may take a second descriptor, for the host that its session is passed on to; with those
-    /// of peers' sessions that leaves 200 of the 2,810 that hosts have for sockets at least to targets and the
-    /// platform.
-    constexpr std::size_t callerLimit = 1000;
-    /// Sessions that other hosts pass on, at a time.
-    constexpr std::size_t peerSessionLimit = 600;
-    /// Sessions of other hosts are numbered from here on, above any count of own callers.
-    constexpr std::uint64_t forwardedIdBase = std::uint64_t { 1 } << 48U;
-    /// Connections of peers that this host relays at a time.
-    constexpr std::size_t relayLimit = 200;
     /// From the request to stop, callers are still taken for this long, until the balancer has noticed.
     constexpr Duration leaveNotice = std::chrono::milliseconds(2300);
     /// Before the process is killed it ends by itself.
@@ -55,16 +44,6 @@
         return limits;
     }
 
-    Proxy::SessionId sessionOf(Wire::LineClientId id)
-    {
-        return Proxy::SessionId(id.value());
-    }
-
-    Wire::LineClientId clientOf(Proxy::SessionId id)
-    {
-        return Wire::LineClientId(id.value());
-    }
-
     constexpr std::size_t storeConnections = 6;
     /// Promotions are called on connections of their own.
     constexpr std::size_t promotionConnections = 0;
@@ -75,11 +54,12 @@
     : m_base(base)
     , m_settings(settings)
     , m_load(std::move(load))
-    , m_callers(base, settings.callers, callerLimit)
-    , m_sessions(base, settings.sessions, peerSessionLimit, forwardedIdBase)
+    , m_shares(settings.descriptors)
+    , m_callers(base, settings.callers, m_shares.callers)
+    , m_sessions(base, settings.sessions, m_shares.peerSessions, forwardedIdBase)
     , m_forwarder(base)
     , m_targets(base)
-    , m_relay(base, settings.relay, relayLimit,
+    , m_relay(base, settings.relay, m_shares.relays,
           [this](const TargetName& target) { return !m_leavingSince && m_proxy.mayRelay(now(), target); })
     , m_readiness(base, settings.readiness, {})
     , m_peers(base, settings.peers, {})
@@ -121,15 +101,7 @@
 {
     listenForCallers(m_callers);
     listenForCallers(m_sessions);
-    m_forwarder.answered().connect([this](Proxy::SessionId id, std::string_view line) {
-        m_callers.send(clientOf(id), std::string(line) + "\r\n");
-    });
-    m_forwarder.finished().connect([this](Proxy::SessionId id) { m_callers.resume(clientOf(id)); });
-    m_forwarder.failed().connect([this](Proxy::SessionId id, const DatabaseName& database, const HostName& host) {
-        onForwardFailed(id, database, host);
-    });
-    m_forwarder.ended().connect([this](Proxy::SessionId id, const DatabaseName& database, const HostName& host,
-                                    bool hasOpenRequest) { onForwardEnded(id, database, host, hasOpenRequest); });
+    followForwards();
     m_targets.connected().connect([this](ConnectionId id) {
         const auto& opening = m_opening.at(id);
         m_targets.send(id,
@@ -160,17 +132,6 @@
     m_promotions.answered().connect(answered);
 }
 
-void ProxyAssembly::listenForCallers(Wire::LineServer& server)
-{
-    server.arrived().connect([this](Wire::LineClientId id, std::string_view line) { onCallerLine(id, line); });
-    server.ended().connect([this](Wire::LineClientId id, Wire::LineEnd end) { onCallerEnded(id, end); });
-}
-
-Wire::LineServer& ProxyAssembly::serverOf(Proxy::SessionId id)
-{
-    return id.value() > forwardedIdBase ? m_sessions : m_callers;
-}
-
 void ProxyAssembly::watchProcess()
 {
     const auto add = [this](event* created, const timeval* timeout) {
@@ -224,101 +185,6 @@
     log({ LogEvent::StateDumped, { { "state", m_proxy.dump(now()) } } });
 }
 
-void ProxyAssembly::onCallerLine(Wire::LineClientId id, std::string_view text)
-{
-    const auto session = sessionOf(id);
-    if (m_forwarder.has(session))
-        m_forwarder.send(session, text);
-    else
-        onSessionLine(session, text);
-}
-
-void ProxyAssembly::onSessionLine(Proxy::SessionId session, std::string_view text)
-{
-    const auto line = Platform::readCallerLine(text);
-    const bool isOpen = m_proxy.hasSession(session);
-    if (const auto* const open = std::get_if<Platform::OpenSession>(&line); open && !isOpen) {
-        const bool isForwarded = session.value() > forwardedIdBase;
-        // The other host tries the next one.
-        if (isForwarded && m_leavingSince)
-            m_sessions.close(clientOf(session));
-        else
-            m_proxy.sessionOpened(now(), session, open->database, isForwarded);
-        return;
-    }
-    if (const auto* const sent = std::get_if<Platform::SendStatement>(&line); sent && isOpen) {
-        m_proxy.statementArrived(now(), session, sent->id, sent->statement);
-        return;
-    }
-    if (std::holds_alternative<Platform::EndSession>(line)) {
-        m_proxy.sessionClosed(now(), session);
-        serverOf(session).close(clientOf(session));
-        return;
-    }
-    const auto* const bad = std::get_if<Platform::BadLine>(&line);
-    const auto failure
-        = bad ? bad->failure : Session::Failure { Session::FailureCode::Malformed, "not at this point of a session" };
-    if (isOpen)
-        m_proxy.malformedArrived(now(), session, failure);
-    else
-        refuseSession(session, failure);
-}
-
-void ProxyAssembly::onCallerEnded(Wire::LineClientId id, Wire::LineEnd end)
-{
-    m_forwarder.close(sessionOf(id));
-    m_proxy.sessionClosed(now(), sessionOf(id));
-    if (end == Wire::LineEnd::TooLong)
-        refuseSession(sessionOf(id), { Session::FailureCode::TooLarge, "the message is too long" });
-}
-
-void ProxyAssembly::acceptSession(Proxy::SessionId id)
-{
-    serverOf(id).send(clientOf(id), Platform::writeSessionOpen());
-    serverOf(id).resume(clientOf(id));
-}
-
-void ProxyAssembly::forwardSession(Proxy::SessionId id, const DatabaseName& database, const Proxy::HostEntry& host)
-{
-    m_forwarder.open(now(), id, database, host);
-}
-
-void ProxyAssembly::onForwardFailed(Proxy::SessionId id, const DatabaseName& database, const HostName& host)
-{
-    log({ LogEvent::SessionForwardFailed,
-        { { "session", std::to_string(id.value()) }, { "database", database.value() }, { "host", host.value() },
-            { "reason", "not opened in time, or refused" } } });
-    m_proxy.forwardFailed(now(), id, database, host);
-}
-
-void ProxyAssembly::onForwardEnded(
-    Proxy::SessionId id, const DatabaseName& database, const HostName& host, bool hasOpenRequest)
-{
-    log({ LogEvent::SessionForwardLost,
-        { { "session", std::to_string(id.value()) }, { "database", database.value() }, { "host", host.value() },
-            { "open", hasOpenRequest ? "yes" : "no" } } });
-    if (hasOpenRequest)
-        m_proxy.forwardLost(now(), host);
-    m_callers.close(clientOf(id));
-}
-
-void ProxyAssembly::refuseSession(Proxy::SessionId id, const Session::Failure& failure)
-{
-    serverOf(id).send(clientOf(id), Platform::writeFailure(failure));
-    serverOf(id).close(clientOf(id));
-}
-
-void ProxyAssembly::answer(Proxy::SessionId id, const Session::Answer& answer)
-{
-    serverOf(id).send(clientOf(id), Platform::writeAnswer(answer));
-    serverOf(id).resume(clientOf(id));
-}
-
-void ProxyAssembly::closeSession(Proxy::SessionId id)
-{
-    serverOf(id).close(clientOf(id));
-}
-
 void ProxyAssembly::onTargetLine(ConnectionId id, std::string_view text)
 {
     const auto codec = m_codecs.find(id);
--- a/src/app/ProxyAssembly.h
+++ b/src/app/ProxyAssembly.h
@@ -4,6 +4,7 @@
 #include "engine/Shutdown.h"
 #include "platform/RowDecoder.h"
 #include "platform/TargetCodec.h"
+#include "proxy/DescriptorShares.h"
 #include "proxy/Proxy.h"
 #include "wire/HttpServer.h"
 #include "wire/LineLinks.h"
@@ -54,7 +55,13 @@
     void dumpState();
 
     // Callers.
+    /// Sessions of other hosts are numbered from here on, above any count of own callers.
+    static constexpr std::uint64_t forwardedIdBase = std::uint64_t { 1 } << 48U;
+
     void listenForCallers(Wire::LineServer&);
+    void followForwards();
+    static Proxy::SessionId sessionOf(Wire::LineClientId);
+    static Wire::LineClientId clientOf(Proxy::SessionId);
     /// @return the server to which the session's connection belongs.
     [[nodiscard]] Wire::LineServer& serverOf(Proxy::SessionId);
     void onCallerLine(Wire::LineClientId, std::string_view line);
@@ -103,6 +110,7 @@
     Proxy::ProxySettings m_settings;
     SettingsLoader m_load;
     Platform::RowDecoder m_decoder;
+    Proxy::DescriptorShares m_shares;
     Wire::LineServer m_callers;
     /// Takes sessions that other hosts pass on.
     Wire::LineServer m_sessions;
--- /dev/null
+++ b/src/app/ProxyAssemblyCallers.cpp
@@ -0,0 +1,136 @@
+#include "app/ProxyAssembly.h"
+
+#include "platform/CallerCodec.h"
+
+namespace Auburnpost {
+
+void ProxyAssembly::listenForCallers(Wire::LineServer& server)
+{
+    server.arrived().connect([this](Wire::LineClientId id, std::string_view line) { onCallerLine(id, line); });
+    server.ended().connect([this](Wire::LineClientId id, Wire::LineEnd end) { onCallerEnded(id, end); });
+}
+
+void ProxyAssembly::followForwards()
+{
+    m_forwarder.answered().connect([this](Proxy::SessionId id, std::string_view line) {
+        m_callers.send(clientOf(id), std::string(line) + "\r\n");
+    });
+    m_forwarder.finished().connect([this](Proxy::SessionId id) { m_callers.resume(clientOf(id)); });
+    m_forwarder.failed().connect([this](Proxy::SessionId id, const DatabaseName& database, const HostName& host) {
+        onForwardFailed(id, database, host);
+    });
+    m_forwarder.ended().connect([this](Proxy::SessionId id, const DatabaseName& database, const HostName& host,
+                                    bool hasOpenRequest) { onForwardEnded(id, database, host, hasOpenRequest); });
+}
+
+Proxy::SessionId ProxyAssembly::sessionOf(Wire::LineClientId id)
+{
+    return Proxy::SessionId(id.value());
+}
+
+Wire::LineClientId ProxyAssembly::clientOf(Proxy::SessionId id)
+{
+    return Wire::LineClientId(id.value());
+}
+
+Wire::LineServer& ProxyAssembly::serverOf(Proxy::SessionId id)
+{
+    return id.value() > forwardedIdBase ? m_sessions : m_callers;
+}
+
+void ProxyAssembly::onCallerLine(Wire::LineClientId id, std::string_view text)
+{
+    const auto session = sessionOf(id);
+    if (m_forwarder.has(session))
+        m_forwarder.send(session, text);
+    else
+        onSessionLine(session, text);
+}
+
+void ProxyAssembly::onSessionLine(Proxy::SessionId session, std::string_view text)
+{
+    const auto line = Platform::readCallerLine(text);
+    const bool isOpen = m_proxy.hasSession(session);
+    if (const auto* const open = std::get_if<Platform::OpenSession>(&line); open && !isOpen) {
+        const bool isForwarded = session.value() > forwardedIdBase;
+        // The other host tries the next one.
+        if (isForwarded && m_leavingSince)
+            m_sessions.close(clientOf(session));
+        else
+            m_proxy.sessionOpened(now(), session, open->database, isForwarded);
+        return;
+    }
+    if (const auto* const sent = std::get_if<Platform::SendStatement>(&line); sent && isOpen) {
+        m_proxy.statementArrived(now(), session, sent->id, sent->statement);
+        return;
+    }
+    if (std::holds_alternative<Platform::EndSession>(line)) {
+        m_proxy.sessionClosed(now(), session);
+        serverOf(session).close(clientOf(session));
+        return;
+    }
+    const auto* const bad = std::get_if<Platform::BadLine>(&line);
+    const auto failure
+        = bad ? bad->failure : Session::Failure { Session::FailureCode::Malformed, "not at this point of a session" };
+    if (isOpen)
+        m_proxy.malformedArrived(now(), session, failure);
+    else
+        refuseSession(session, failure);
+}
+
+void ProxyAssembly::onCallerEnded(Wire::LineClientId id, Wire::LineEnd end)
+{
+    m_forwarder.close(sessionOf(id));
+    m_proxy.sessionClosed(now(), sessionOf(id));
+    if (end == Wire::LineEnd::TooLong)
+        refuseSession(sessionOf(id), { Session::FailureCode::TooLarge, "the message is too long" });
+}
+
+void ProxyAssembly::acceptSession(Proxy::SessionId id)
+{
+    serverOf(id).send(clientOf(id), Platform::writeSessionOpen());
+    serverOf(id).resume(clientOf(id));
+}
+
+void ProxyAssembly::forwardSession(Proxy::SessionId id, const DatabaseName& database, const Proxy::HostEntry& host)
+{
+    m_forwarder.open(now(), id, database, host);
+}
+
+void ProxyAssembly::onForwardFailed(Proxy::SessionId id, const DatabaseName& database, const HostName& host)
+{
+    log({ LogEvent::SessionForwardFailed,
+        { { "session", std::to_string(id.value()) }, { "database", database.value() }, { "host", host.value() },
+            { "reason", "not opened in time, or refused" } } });
+    m_proxy.forwardFailed(now(), id, database, host);
+}
+
+void ProxyAssembly::onForwardEnded(
+    Proxy::SessionId id, const DatabaseName& database, const HostName& host, bool hasOpenRequest)
+{
+    log({ LogEvent::SessionForwardLost,
+        { { "session", std::to_string(id.value()) }, { "database", database.value() }, { "host", host.value() },
+            { "open", hasOpenRequest ? "yes" : "no" } } });
+    if (hasOpenRequest)
+        m_proxy.forwardLost(now(), host);
+    m_callers.close(clientOf(id));
+}
+
+void ProxyAssembly::refuseSession(Proxy::SessionId id, const Session::Failure& failure)
+{
+    serverOf(id).send(clientOf(id), Platform::writeFailure(failure));
+    serverOf(id).close(clientOf(id));
+}
+
+void ProxyAssembly::answer(Proxy::SessionId id, const Session::Answer& answer)
+{
+    serverOf(id).send(clientOf(id), Platform::writeAnswer(answer));
+    serverOf(id).resume(clientOf(id));
+}
+
+void ProxyAssembly::closeSession(Proxy::SessionId id)
+{
+    serverOf(id).close(clientOf(id));
+}
+
+} // namespace Auburnpost
--- a/src/platform/SettingsReader.cpp
+++ b/src/platform/SettingsReader.cpp
@@ -38,6 +38,7 @@
         settings.promotions = readAddress(json.at("Cloud").at("Address"));
         for (const auto& seed : json.value("Seeds", Json::array()))
             settings.seeds.push_back(readAddress(seed));
+        settings.descriptors = json.at("Limits").at("FileDescriptors").get<std::size_t>();
         const std::chrono::duration<double> grace(json.at("Bounds").at("GraceS").get<double>());
         settings.stopTimeout = std::chrono::duration_cast<Duration>(grace);
         return settings;
--- a/src/proxy/ProxySettings.h
+++ b/src/proxy/ProxySettings.h
@@ -24,6 +24,8 @@
     SocketAddress promotions;
     /// Hosts that may hand over what the store holds; they may be out of date or down.
     std::vector<SocketAddress> seeds;
+    /// Descriptors that the process may have open.
+    std::size_t descriptors { 0 };
     /// From the request to stop until the process is killed.
     Duration stopTimeout {};
 };
--- a/tests/platform/RowDecoderTests.cpp
+++ b/tests/platform/RowDecoderTests.cpp
@@ -113,8 +113,9 @@
     const json settings { { "Node", "front-1" }, { "Zone", "west" }, { "Ip", "10.1.0.8" },
         { "Listen", { { "Front", "10.1.0.8:8784" }, { "Ready", "10.1.0.8:8785" }, { "Control", "10.1.0.8:8782" } } },
         { "InternalPorts", { 7440, 7455 } }, { "Seeds", { "10.1.0.8:8782", "10.2.0.6:8782" } },
-        { "Bounds", { { "GraceS", 6 } } }, { "platform", { { "Address", "10.200.1.7:8783" } } },
-        { "Cloud", { { "Address", "10.200.0.160:8783" } } }, { "Unknown", true } };
+        { "Limits", { { "FileDescriptors", 3010 } } }, { "Bounds", { { "GraceS", 6 } } },
+        { "platform", { { "Address", "10.200.1.7:8783" } } }, { "Cloud", { { "Address", "10.200.0.160:8783" } } },
+        { "Unknown", true } };
     constexpr std::uint16_t metricsPort = 9464;
     const auto read = readSettings(settings.dump(), metricsPort);
     REQUIRE(read);
@@ -122,6 +123,8 @@
     CHECK(read->callers == SocketAddress { "10.1.0.8", 8784 });
     CHECK(read->metrics == SocketAddress { "10.1.0.8", metricsPort });
     CHECK(read->relay == SocketAddress { "10.1.0.8", 7440 });
+    CHECK(read->sessions == SocketAddress { "10.1.0.8", 7455 });
+    CHECK(read->descriptors == 3010);
     CHECK(read->seeds.size() == 2);
     CHECK(read->stopTimeout == std::chrono::seconds(6));
 
