Log each failed call to the store and each older configuration that is ignored

The log showed an outage of the store only at its ends, so it could not tell a long poll that outlives the outage from calls on dead connections or from a configuration that is kept out. Each failed call now has a line with the time since it was sent and whether its connection was new; E0211 counts the failures, E0200 shows the table's version, E0217 a configuration that is not applied because a newer one is.

--- a/src/base/LogEvent.cpp
+++ b/src/base/LogEvent.cpp
@@ -17,7 +17,7 @@
     constexpr std::size_t numberDigits = 4;
 
     /// Sorted by number.
-    constexpr std::array<Definition, 55> definitions { {
+    constexpr std::array<Definition, 57> definitions { {
         { LogEvent::Started, LogLevel::Info, "host started" },
         { LogEvent::ShutdownStarted, LogLevel::Info, "host shutdown started" },
         { LogEvent::ShutdownCompleted, LogLevel::Info, "host shutdown completed" },
@@ -35,6 +35,8 @@
         { LogEvent::PeerStateAdopted, LogLevel::Info, "table state adopted from a peer" },
         { LogEvent::TargetRecordInvalid, LogLevel::Warn, "target record cannot be parsed" },
         { LogEvent::ServedGroupsChanged, LogLevel::Info, "set of groups served by this host changed" },
+        { LogEvent::PlatformCallFailed, LogLevel::Info, "another call to the platform failed" },
+        { LogEvent::OlderConfigurationIgnored, LogLevel::Warn, "older configuration ignored" },
         { LogEvent::HostJoined, LogLevel::Info, "host joined" },
         { LogEvent::HostSuspected, LogLevel::Warn, "host suspected to be dead" },
         { LogEvent::HostDead, LogLevel::Warn, "host declared dead" },
--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -28,6 +28,8 @@
     PeerStateAdopted = 212,
     TargetRecordInvalid = 213,
     ServedGroupsChanged = 215,
+    PlatformCallFailed = 216,
+    OlderConfigurationIgnored = 217,
 
     HostJoined = 300,
     HostSuspected = 301,
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -126,7 +126,9 @@
     void updateServedGroups(Instant now);
     [[nodiscard]] bool servesGroup(Instant now, const GroupName&) const;
     void logTargetChanges(const TargetDirectory::Changes&);
-    void logStoreConnectivity(Instant now, StoreTable, bool wasConnected, const Expected<StorePage>&);
+    /// Logs a failed call, and a success that follows failed ones.
+    /// @param before the calls before the one that ended.
+    void logStoreCall(Instant, StoreTable, const StoreFollower::CallHistory& before, const Expected<StorePage>&);
     void queryPeers(Instant now);
     [[nodiscard]] StoreFollower& follower(StoreTable table) { return m_followers[static_cast<std::size_t>(table)]; }
 
--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -17,9 +17,9 @@
         }
         return;
     }
-    const bool wasConnected = follower(table).isConnected();
+    const auto before = follower(table).calls();
     const bool hasChanged = follower(table).tableRead(now, m_random, page);
-    logStoreConnectivity(now, table, wasConnected, page);
+    logStoreCall(now, table, before, page);
     if (hasChanged)
         tableChanged(now, table);
     follower(table).tick(now);
@@ -28,25 +28,35 @@
 void Proxy::tableFollowed(Instant now, StoreTable table, const Expected<StorePage>& page)
 {
     m_now = now;
-    const bool wasConnected = follower(table).isConnected();
+    const auto before = follower(table).calls();
     const bool hasChanged = follower(table).tableFollowed(now, m_random, page);
-    logStoreConnectivity(now, table, wasConnected, page);
+    logStoreCall(now, table, before, page);
     if (hasChanged)
         tableChanged(now, table);
     follower(table).tick(now);
 }
 
-void Proxy::logStoreConnectivity(Instant, StoreTable table, bool wasConnected, const Expected<StorePage>& page)
+void Proxy::logStoreCall(
+    Instant now, StoreTable table, const StoreFollower::CallHistory& before, const Expected<StorePage>& page)
 {
-    const bool isConnected = follower(table).isConnected();
-    if (wasConnected == isConnected && page)
-        return;
-    if (!page && !wasConnected && follower(table).failingSince())
-        return;
     std::vector<LogField> fields { { "table", std::string(toString(table)) } };
-    if (!page)
+    if (!page) {
+        const auto waited = now - before.sentAt;
+        m_delegate.measure("store_call_failed_ms", static_cast<double>(toMilliseconds(waited)));
+        fields.push_back({ "waited_ms", std::to_string(toMilliseconds(waited)) });
+        fields.push_back({ "failures", std::to_string(before.failures + 1) });
         fields.push_back({ "reason", page.error().describe() });
-    log({ page ? LogEvent::PlatformRecovered : LogEvent::PlatformOutage, std::move(fields) });
+        const bool isFirst = !before.failingSince;
+        log({ isFirst ? LogEvent::PlatformOutage : LogEvent::PlatformCallFailed, std::move(fields) });
+        return;
+    }
+    if (before.isConnected)
+        return;
+    fields.push_back({ "waited_ms", std::to_string(toMilliseconds(now - before.sentAt)) });
+    fields.push_back({ "failures", std::to_string(before.failures) });
+    fields.push_back(
+        { "failing_ms", std::to_string(before.failingSince ? toMilliseconds(now - *before.failingSince) : 0) });
+    log({ LogEvent::PlatformRecovered, std::move(fields) });
 }
 
 void Proxy::tableChanged(Instant now, StoreTable table)
@@ -67,13 +77,22 @@
                     { "problem", catalog.error().describe() } } });
             continue;
         }
-        if (!*catalog || (m_catalog && (*catalog)->version <= m_catalog->version))
+        if (!*catalog)
+            continue;
+        if (m_catalog && (*catalog)->version <= m_catalog->version) {
+            if ((*catalog)->version < m_catalog->version)
+                log({ LogEvent::OlderConfigurationIgnored,
+                    { { "version", std::to_string((*catalog)->version.value()) },
+                        { "applied", std::to_string(m_catalog->version.value()) },
+                        { "row_version", std::to_string(row.version.value()) } } });
             continue;
+        }
         m_catalog = std::move(**catalog);
         log({ LogEvent::ConfigurationApplied,
             { { "version", std::to_string(m_catalog->version.value()) },
                 { "routes", std::to_string(m_catalog->routes.size()) },
-                { "row_version", std::to_string(row.version.value()) } } });
+                { "row_version", std::to_string(row.version.value()) },
+                { "as_of", std::to_string(follower(StoreTable::Configuration).state().asOf.value()) } } });
     }
     if (!m_catalog)
         return;
@@ -162,7 +181,8 @@
     if (m_settings.seeds.empty() || now - m_peerQueriedAt < peerQueryInterval)
         return;
     const bool needsPeers = std::any_of(m_followers.begin(), m_followers.end(), [now](const StoreFollower& follower) {
-        return (!follower.isKnown()) || (follower.failingSince() && now - *follower.failingSince() >= peerDelay);
+        return (!follower.isKnown())
+            || (follower.calls().failingSince && now - *follower.calls().failingSince >= peerDelay);
     });
     if (!needsPeers)
         return;
--- a/src/proxy/StoreFollower.cpp
+++ b/src/proxy/StoreFollower.cpp
@@ -15,6 +15,7 @@
     if (m_isCalling || now < m_nextCallAt)
         return;
     m_isCalling = true;
+    m_calls.sentAt = now;
     if (m_needsRead) {
         m_partialRead = {};
         m_delegate.readTable(m_table, {});
@@ -38,6 +39,7 @@
         m_partialRead.asOf = page->asOf;
     if (page->hasMore && !page->rows.empty()) {
         m_isCalling = true;
+        m_calls.sentAt = now;
         m_delegate.readTable(m_table, page->rows.back().key + '\0');
         return false;
     }
@@ -90,17 +92,18 @@
 
 void StoreFollower::recordAnswer(Instant now)
 {
-    m_isConnected = true;
-    m_answeredAt = now;
-    m_failingSince.reset();
+    m_calls.isConnected = true;
+    m_calls.failingSince.reset();
+    m_calls.failures = 0;
     m_nextCallAt = now;
 }
 
 void StoreFollower::recordFailure(Instant now, RandomEngine& random)
 {
-    m_isConnected = false;
-    if (!m_failingSince)
-        m_failingSince = now;
+    m_calls.isConnected = false;
+    if (!m_calls.failingSince)
+        m_calls.failingSince = now;
+    ++m_calls.failures;
     std::uniform_int_distribution<Duration::rep> delay(minRetryDelay.count(), maxRetryDelay.count());
     m_nextCallAt = now + Duration(delay(random));
 }
--- a/src/proxy/StoreFollower.h
+++ b/src/proxy/StoreFollower.h
@@ -5,6 +5,7 @@
 #include "base/Time.h"
 #include "proxy/StoreTable.h"
 
+#include <cstddef>
 #include <optional>
 
 namespace Auburnpost::Proxy {
@@ -35,6 +36,18 @@
     static constexpr Duration minRetryDelay = std::chrono::milliseconds(150);
     static constexpr Duration maxRetryDelay = std::chrono::milliseconds(400);
 
+    /// The outcome of the calls so far.
+    struct CallHistory {
+        /// Whether the last call succeeded.
+        bool isConnected { false };
+        /// When the call in progress, or otherwise the last call, was sent.
+        Instant sentAt {};
+        /// When the first of the calls that failed since the last success ended; empty while calls succeed.
+        std::optional<Instant> failingSince;
+        /// Calls that failed since the last success.
+        std::size_t failures { 0 };
+    };
+
     StoreFollower(StoreTable, StoreDelegate&);
 
     /// Starts the next call if one is due.
@@ -50,12 +63,8 @@
     [[nodiscard]] const TableState& state() const { return m_state; }
     /// @return whether the table was read, or adopted from a peer, at least once.
     [[nodiscard]] bool isKnown() const { return m_state.asOf != RowVersion {}; }
-    /// @return whether the last call succeeded.
-    [[nodiscard]] bool isConnected() const { return m_isConnected; }
-    /// @return when a call last succeeded.
-    [[nodiscard]] std::optional<Instant> answeredAt() const { return m_answeredAt; }
-    /// @return since when calls have been failing; empty while they succeed.
-    [[nodiscard]] std::optional<Instant> failingSince() const { return m_failingSince; }
+    /// @return the outcome of the calls so far.
+    [[nodiscard]] const CallHistory& calls() const { return m_calls; }
 
 private:
     void recordFailure(Instant now, RandomEngine&);
@@ -69,9 +78,7 @@
     TableState m_partialRead;
     bool m_needsRead { true };
     bool m_isCalling { false };
-    bool m_isConnected { false };
-    std::optional<Instant> m_answeredAt;
-    std::optional<Instant> m_failingSince;
+    CallHistory m_calls;
     Instant m_nextCallAt {};
 };
 
--- a/src/wire/PlatformClient.cpp
+++ b/src/wire/PlatformClient.cpp
@@ -73,6 +73,8 @@
     /// The connection of a conditional call.
     std::unique_ptr<LineConnection> conditionalConnection;
     bool isSent { false };
+    /// Whether an earlier call was answered on the connection, so that the connection may have died since.
+    bool isConnectionReused { false };
     /// Reason why the call failed at its start, until it is reported from the loop.
     std::string failureReason;
     /// Fires at the call's timeout; activated at once to report failureReason.
@@ -173,6 +175,7 @@
 void PlatformClient::start(PendingCall& pending, evhttp_connection* connection)
 {
     pending.connection = connection;
+    pending.isConnectionReused = m_usedConnections.contains(connection);
     pending.request = evhttp_request_new(&Callbacks::reply, &pending);
     auto* const headers = evhttp_request_get_output_headers(pending.request);
     evhttp_add_header(headers, "Host", m_address.toString().c_str());
@@ -265,7 +268,8 @@
     const auto code
         = pending.conditionalConnection && !pending.isSent ? ErrorCode::NotSent : ErrorCode::PlatformUnavailable;
     const auto message = pending.failureReason.empty()
-        ? "no answer within " + std::to_string(toMilliseconds(pending.call.timeout)) + " ms"
+        ? "no answer within " + std::to_string(toMilliseconds(pending.call.timeout)) + " ms on a "
+            + (pending.isConnectionReused ? "reused" : "new") + " connection"
         : pending.failureReason;
     finish(pending, failure(pending, message, code));
 }
@@ -273,8 +277,13 @@
 void PlatformClient::finish(PendingCall& pending, Expected<PlatformReply> reply)
 {
     const PlatformAnswer answer { pending.call.id, std::move(reply) };
-    if (pending.connection)
+    if (pending.connection) {
+        if (answer.reply)
+            m_usedConnections.insert(pending.connection);
+        else
+            m_usedConnections.erase(pending.connection);
         m_idleConnections.push_back(pending.connection);
+    }
     m_pending.erase(answer.id);
     scheduleStart();
     m_answered.emit(answer);
--- a/src/wire/PlatformClient.h
+++ b/src/wire/PlatformClient.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace Auburnpost::Wire {
@@ -74,6 +75,8 @@
     std::vector<HttpConnectionPointer> m_connections;
     /// Connections without a call in progress.
     std::vector<evhttp_connection*> m_idleConnections;
+    /// Connections on which the last call was answered.
+    std::unordered_set<evhttp_connection*> m_usedConnections;
 };
 
 } // namespace Auburnpost::Wire
--- a/tests/proxy/TablesTests.cpp
+++ b/tests/proxy/TablesTests.cpp
@@ -100,7 +100,7 @@
     SECTION("the known rows are kept while the store does not answer")
     {
         CHECK_FALSE(follower.tableFollowed(start, random, noAnswer()));
-        CHECK_FALSE(follower.isConnected());
+        CHECK_FALSE(follower.calls().isConnected);
         CHECK(follower.state().rows.size() == 2);
         follower.tick(start);
         CHECK(calls.follows == 1);
