--- a/cmake/Library.cmake
+++ b/cmake/Library.cmake
@@ -24,7 +24,7 @@
         target_compile_options(${NAME}_tests PRIVATE -Wall -Wextra -Werror)
         target_include_directories(${NAME}_tests PRIVATE ${CMAKE_SOURCE_DIR}/tests)
         target_link_libraries(${NAME}_tests PRIVATE ${TARGET} test_support)
-        add_test(NAME ${NAME} COMMAND ${NAME}_tests)
+        auburnpost_add_test(${NAME} ${NAME}_tests)
         # A fixed seed for all property tests, so that each run gives the same result.
         set_tests_properties(${NAME} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204")
     endif()
