Derive the times of a followed table from the bounds, and probe after a failed call

Callers were served by an older configuration after an outage of the store, up to 2 s longer than the 5 s after which the bound of 4 s holds again. A long poll that was sent while the store was silent was awaited for its whole 6 s, though the store was back: its times were constants that together exceeded the bounds (6 s poll, 0.4 s delay, then a second 6 s poll).

TableTimes derives poll, timeouts and delays from the bounds in the settings, so that their sum stays below them; a host polls without a wait after a failed call until the store answers. The time for which a target without a record stays in use follows from DrainMs in the same way.

--- a/src/app/ProxyAssembly.cpp
+++ b/src/app/ProxyAssembly.cpp
@@ -179,6 +179,7 @@
         return;
     }
     m_proxy.setSeeds(settings->seeds);
+    m_proxy.setBounds(settings->bounds);
     log({ LogEvent::SettingsReloaded, { { "seeds", std::to_string(settings->seeds.size()) } } });
 }
 
@@ -265,16 +266,15 @@
     client.call(call);
 }
 
-void ProxyAssembly::readTable(Proxy::StoreTable table, const std::string& fromKey)
+void ProxyAssembly::readTable(Proxy::StoreTable table, const std::string& fromKey, Duration timeout)
 {
-    call(m_storeClient, Platform::makeTableReadCall(table, fromKey),
+    call(m_storeClient, Platform::makeTableReadCall(table, fromKey, timeout),
         [this, table](
             const Expected<PlatformReply>& reply) { m_proxy.tableRead(now(), table, Platform::readPage(reply)); });
 }
 
-void ProxyAssembly::followTable(Proxy::StoreTable table, Proxy::RowVersion after, Duration wait)
+void ProxyAssembly::followTable(Proxy::StoreTable table, Proxy::RowVersion after, Duration wait, Duration timeout)
 {
-    const auto timeout = wait + Proxy::StoreFollower::responseTimeout;
     call(m_storeClient, Platform::makeTableFollowCall(table, after, wait, timeout),
         [this, table](
             const Expected<PlatformReply>& reply) { m_proxy.tableFollowed(now(), table, Platform::readPage(reply)); });
--- a/src/app/ProxyAssembly.h
+++ b/src/app/ProxyAssembly.h
@@ -86,8 +86,8 @@
 
     // The platform and peers.
     void call(Wire::PlatformClient&, PlatformCall, ReplyHandler);
-    void readTable(Proxy::StoreTable, const std::string& fromKey) override;
-    void followTable(Proxy::StoreTable, Proxy::RowVersion after, Duration wait) override;
+    void readTable(Proxy::StoreTable, const std::string& fromKey, Duration timeout) override;
+    void followTable(Proxy::StoreTable, Proxy::RowVersion after, Duration wait, Duration timeout) override;
     void writeHost(const HostName&, const std::string& value) override;
     void readLease(const Proxy::GroupName&) override;
     void writeLease(const Proxy::GroupName&, const Proxy::PromotionLease&, Proxy::RowVersion expected) override;
--- a/src/platform/SettingsReader.cpp
+++ b/src/platform/SettingsReader.cpp
@@ -20,6 +20,27 @@
         return *address;
     }
 
+    /// @return the bound, or the default if the deployment sets none.
+    /// @throws std::invalid_argument for a bound that is not positive.
+    Duration readBound(const Json& json, const char* name, Duration otherwise)
+    {
+        if (!json.contains(name))
+            return otherwise;
+        const std::chrono::duration<double, std::milli> bound(json.at(name).get<double>());
+        if (bound.count() <= 0)
+            throw std::invalid_argument(std::string(name) + " is not positive");
+        return std::chrono::duration_cast<Duration>(bound);
+    }
+
+    Proxy::TimeBounds readBounds(const Json& json)
+    {
+        Proxy::TimeBounds bounds;
+        bounds.configuration = readBound(json, "ConfigPropagationMs", bounds.configuration);
+        bounds.recovery = readBound(json, "StabilityWindowMs", bounds.recovery);
+        bounds.drain = readBound(json, "DrainMs", bounds.drain);
+        return bounds;
+    }
+
     Proxy::ProxySettings read(const Json& json, std::uint16_t metricsPort)
     {
         Proxy::ProxySettings settings;
@@ -39,6 +60,7 @@
         for (const auto& seed : json.value("Seeds", Json::array()))
             settings.seeds.push_back(readAddress(seed));
         settings.descriptors = json.at("Limits").at("FileDescriptors").get<std::size_t>();
+        settings.bounds = readBounds(json.at("Bounds"));
         const std::chrono::duration<double> grace(json.at("Bounds").at("GraceS").get<double>());
         settings.stopTimeout = std::chrono::duration_cast<Duration>(grace);
         return settings;
--- a/src/platform/StoreCalls.cpp
+++ b/src/platform/StoreCalls.cpp
@@ -116,13 +116,13 @@
 
 } // namespace
 
-PlatformCall makeTableReadCall(Proxy::StoreTable table, const std::string& fromKey)
+PlatformCall makeTableReadCall(Proxy::StoreTable table, const std::string& fromKey, Duration timeout)
 {
     PlatformCall call;
     call.path = std::string("/auburnpost/rows-get?Table=") + nameOf(table) + "&part=";
     if (!fromKey.empty())
         call.path += "&From=" + percentEncode(fromKey);
-    call.timeout = callTimeout;
+    call.timeout = timeout;
     return call;
 }
 
--- a/src/platform/StoreCalls.h
+++ b/src/platform/StoreCalls.h
@@ -11,8 +11,8 @@
 // Calls to the platform's store and its promotion service. These functions return a call whose id is not set yet.
 
 /// @param fromKey the first key of the page; empty to read from the start of the table.
-PlatformCall makeTableReadCall(Proxy::StoreTable, const std::string& fromKey);
-/// Long-polls for changes after a version.
+PlatformCall makeTableReadCall(Proxy::StoreTable, const std::string& fromKey, Duration timeout);
+/// Polls for changes after a version.
 /// @param wait maximum time that the store waits for a change; the timeout must be longer.
 PlatformCall makeTableFollowCall(Proxy::StoreTable, Proxy::RowVersion after, Duration wait, Duration timeout);
 PlatformCall makeHostWriteCall(const HostName&, const std::string& value);
--- a/src/proxy/HostDirectory.cpp
+++ b/src/proxy/HostDirectory.cpp
@@ -56,7 +56,7 @@
     }
     if (now >= m_readAt) {
         m_readAt = now + (m_relays.empty() ? writeRetryInterval : readInterval);
-        m_delegate.readTable(StoreTable::Hosts, {});
+        m_delegate.readTable(StoreTable::Hosts, {}, readTimeout);
     }
 }
 
--- a/src/proxy/HostDirectory.h
+++ b/src/proxy/HostDirectory.h
@@ -16,6 +16,7 @@
     static constexpr Duration readInterval = std::chrono::seconds(12);
     /// The same after a change, as hosts are often added one after another.
     static constexpr Duration readIntervalAfterChange = std::chrono::seconds(2);
+    static constexpr Duration readTimeout = std::chrono::milliseconds(900);
     /// Interval between attempts to write this host's record, and between reads while no other host is known.
     static constexpr Duration writeRetryInterval = std::chrono::seconds(1);
 
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -12,7 +12,9 @@
     , m_random(seed)
     , m_now(now)
     , m_lastTickAt(now)
-    , m_followers { StoreFollower(StoreTable::Configuration, delegate), StoreFollower(StoreTable::Targets, delegate) }
+    , m_followers { StoreFollower(StoreTable::Configuration, TableTimes::forConfiguration(m_settings.bounds), delegate),
+        StoreFollower(StoreTable::Targets, TableTimes::forTargets(m_settings.bounds), delegate) }
+    , m_directory(m_settings.bounds)
     , m_hosts({ m_settings.host, m_settings.dataCentre, m_settings.relay, m_settings.sessions }, delegate)
     , m_homes(m_settings.host, m_settings.dataCentre)
     , m_peerQueriedAt(now)
@@ -57,6 +59,14 @@
     }
 }
 
+void Proxy::setBounds(const TimeBounds& bounds)
+{
+    m_settings.bounds = bounds;
+    follower(StoreTable::Configuration).setTimes(TableTimes::forConfiguration(bounds));
+    follower(StoreTable::Targets).setTimes(TableTimes::forTargets(bounds));
+    m_directory.setBounds(bounds);
+}
+
 bool Proxy::isReady() const
 {
     return m_catalog && m_directory.size() > 0;
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -69,6 +69,7 @@
     [[nodiscard]] TableStates tables() const;
 
     void setSeeds(std::vector<SocketAddress> seeds) { m_settings.seeds = std::move(seeds); }
+    void setBounds(const TimeBounds&);
 
     // Leaving.
     /// Closes all idle sessions, and from now on each session as soon as it becomes idle.
--- a/src/proxy/ProxySettings.h
+++ b/src/proxy/ProxySettings.h
@@ -3,6 +3,7 @@
 #include "base/SocketAddress.h"
 #include "base/Time.h"
 #include "proxy/Ids.h"
+#include "proxy/TimeBounds.h"
 
 #include <vector>
 
@@ -32,6 +33,7 @@
     std::vector<SocketAddress> seeds;
     /// Maximum number of file descriptors that the process may have open.
     std::size_t descriptors { 0 };
+    TimeBounds bounds;
     /// Time from the shutdown request until the process is killed.
     Duration stopTimeout {};
 };
--- a/src/proxy/StoreFollower.cpp
+++ b/src/proxy/StoreFollower.cpp
@@ -4,8 +4,9 @@
 
 namespace Auburnpost::Proxy {
 
-StoreFollower::StoreFollower(StoreTable table, StoreDelegate& delegate)
+StoreFollower::StoreFollower(StoreTable table, TableTimes times, StoreDelegate& delegate)
     : m_table(table)
+    , m_times(times)
     , m_delegate(delegate)
 {
 }
@@ -18,9 +19,11 @@
     m_calls.sentAt = now;
     if (m_needsRead) {
         m_partialRead = {};
-        m_delegate.readTable(m_table, {});
+        m_delegate.readTable(m_table, {}, m_times.callTimeout(m_calls.failures));
+    } else if (m_calls.isConnected) {
+        m_delegate.followTable(m_table, m_state.asOf, m_times.pollWait(), m_times.pollTimeout());
     } else {
-        m_delegate.followTable(m_table, m_state.asOf, longPollWait);
+        m_delegate.followTable(m_table, m_state.asOf, Duration {}, m_times.callTimeout(m_calls.failures));
     }
 }
 
@@ -40,7 +43,7 @@
     if (page->hasMore && !page->rows.empty()) {
         m_isCalling = true;
         m_calls.sentAt = now;
-        m_delegate.readTable(m_table, page->rows.back().key + '\0');
+        m_delegate.readTable(m_table, page->rows.back().key + '\0', m_times.callTimeout(m_calls.failures));
         return false;
     }
     m_needsRead = false;
@@ -104,7 +107,8 @@
     if (!m_calls.failingSince)
         m_calls.failingSince = now;
     ++m_calls.failures;
-    std::uniform_int_distribution<Duration::rep> delay(minRetryDelay.count(), maxRetryDelay.count());
+    std::uniform_int_distribution<Duration::rep> delay(
+        m_times.minRetryDelay().count(), m_times.maxRetryDelay().count());
     m_nextCallAt = now + Duration(delay(random));
 }
 
--- a/src/proxy/StoreFollower.h
+++ b/src/proxy/StoreFollower.h
@@ -4,6 +4,7 @@
 #include "base/Random.h"
 #include "base/Time.h"
 #include "proxy/StoreTable.h"
+#include "proxy/TableTimes.h"
 
 #include <cstddef>
 #include <optional>
@@ -15,27 +16,20 @@
 public:
     virtual ~StoreDelegate() = default;
     /// Reads a page of a table, starting at a key.
-    virtual void readTable(StoreTable, const std::string& fromKey) = 0;
-    /// Long-polls for changes after a version.
-    virtual void followTable(StoreTable, RowVersion after, Duration wait) = 0;
+    virtual void readTable(StoreTable, const std::string& fromKey, Duration timeout) = 0;
+    /// Polls for changes after a version.
+    /// @param wait how long the store waits for a change; zero for an answer at once.
+    virtual void followTable(StoreTable, RowVersion after, Duration wait, Duration timeout) = 0;
     /// Writes this host's record.
     virtual void writeHost(const HostName&, const std::string& value) = 0;
 };
 
 /// Maintains a local copy of one table of the platform's store: reads the whole table, then follows its changes by
-/// long polls, and reads the whole table again when the store no longer has the history of changes. A row is never
-/// replaced by an older version.
+/// long polls, and reads the whole table again when the store no longer has the history of changes. After a failed call
+/// it polls without a wait until the store answers, as a long poll that an outage swallowed would outlast the outage.
+/// A row is never replaced by an older version.
 class StoreFollower {
 public:
-    /// Maximum time that the store waits for changes in a long poll. A connection that goes dead without an error is
-    /// detected only after this time plus responseTimeout.
-    static constexpr Duration longPollWait = std::chrono::milliseconds(5000);
-    /// Timeout of a call, in addition to the wait of a long poll; a healthy store answers within milliseconds.
-    static constexpr Duration responseTimeout = std::chrono::milliseconds(1000);
-    /// Bounds of the random delay after a failed call.
-    static constexpr Duration minRetryDelay = std::chrono::milliseconds(150);
-    static constexpr Duration maxRetryDelay = std::chrono::milliseconds(400);
-
     /// The outcome of the calls so far.
     struct CallHistory {
         /// Whether the last call succeeded.
@@ -48,7 +42,10 @@
         std::size_t failures { 0 };
     };
 
-    StoreFollower(StoreTable, StoreDelegate&);
+    StoreFollower(StoreTable, TableTimes, StoreDelegate&);
+
+    /// Applies from the next call on.
+    void setTimes(TableTimes times) { m_times = times; }
 
     /// Starts the next call if one is due.
     void tick(Instant now);
@@ -72,6 +69,7 @@
     bool mergeChanges(const StorePage&);
 
     StoreTable m_table;
+    TableTimes m_times;
     StoreDelegate& m_delegate;
     TableState m_state;
     /// The pages received so far by the read in progress.
--- /dev/null
+++ b/src/proxy/TableTimes.cpp
@@ -0,0 +1,58 @@
+#include "proxy/TableTimes.h"
+
+#include "proxy/TargetDirectory.h"
+
+#include <algorithm>
+
+namespace Auburnpost::Proxy {
+
+namespace {
+
+    constexpr int answerTimeoutsPerLimit = 8;
+    constexpr int retryDelaysPerLimit = 10;
+    /// Calls that are answered after the last failed one: a probe, and a read of the table if the store no longer has
+    /// the history of changes.
+    constexpr int answersAfterFailure = 2;
+    /// Events are handled, and delays end, at most this much late.
+    constexpr Duration schedulingDelay = std::chrono::milliseconds(60);
+
+} // namespace
+
+TableTimes::TableTimes(Duration limit)
+    : m_answerTimeout(std::max(limit / answerTimeoutsPerLimit, minAnswerTimeout))
+    , m_maxRetryDelay(limit / retryDelaysPerLimit)
+{
+    const auto afterFailure = m_maxRetryDelay + answersAfterFailure * m_answerTimeout + schedulingDelay;
+    m_pollWait = std::clamp(limit - afterFailure - m_answerTimeout, Duration {}, maxPollWait);
+}
+
+TableTimes TableTimes::forConfiguration(const TimeBounds& bounds)
+{
+    return TableTimes(std::min(bounds.configuration, bounds.recovery));
+}
+
+TableTimes TableTimes::forTargets(const TimeBounds& bounds)
+{
+    const auto drain = bounds.drain - TargetDirectory::minMissingTimeout - TargetDirectory::removalDelay;
+    return TableTimes(std::min({ bounds.configuration, bounds.recovery, drain }));
+}
+
+Duration TableTimes::callTimeout(std::size_t failures) const
+{
+    auto timeout = m_answerTimeout;
+    for (std::size_t count = 0; count < failures && timeout < pollTimeout(); ++count)
+        timeout *= 2;
+    return std::min(timeout, pollTimeout());
+}
+
+Duration TableTimes::minRetryDelay() const
+{
+    return m_maxRetryDelay / 3;
+}
+
+Duration TableTimes::maxDelay() const
+{
+    return pollTimeout() + m_maxRetryDelay + answersAfterFailure * m_answerTimeout + schedulingDelay;
+}
+
+} // namespace Auburnpost::Proxy
--- /dev/null
+++ b/src/proxy/TableTimes.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "proxy/TimeBounds.h"
+
+#include <cstddef>
+
+namespace Auburnpost::Proxy {
+
+/// Timeouts and delays with which a table of the store is followed, derived from the time within which a host has to
+/// know its changes.
+class TableTimes {
+public:
+    /// Longest round trip to a healthy store, with the establishment of a connection.
+    static constexpr Duration minAnswerTimeout = std::chrono::milliseconds(250);
+    /// A longer poll saves hardly any calls.
+    static constexpr Duration maxPollWait = std::chrono::milliseconds(5000);
+
+    /// @param limit time within which a change is known after its acknowledgement and after an outage.
+    explicit TableTimes(Duration limit);
+
+    /// @return the times for the table of the configuration.
+    static TableTimes forConfiguration(const TimeBounds&);
+    /// @return the times for the table of the targets. A target is used for missingTimeout after its record
+    /// disappeared.
+    static TableTimes forTargets(const TimeBounds&);
+
+    /// @return how long the store waits for a change in a long poll.
+    [[nodiscard]] Duration pollWait() const { return m_pollWait; }
+    [[nodiscard]] Duration pollTimeout() const { return m_pollWait + m_answerTimeout; }
+    /// @param failures calls that failed since the last success.
+    /// @return the timeout of a call that the store answers at once. It grows with the failures, so that a slow store
+    /// is read as well.
+    [[nodiscard]] Duration callTimeout(std::size_t failures) const;
+    /// Bounds of the random delay after a failed call.
+    [[nodiscard]] Duration minRetryDelay() const;
+    [[nodiscard]] Duration maxRetryDelay() const { return m_maxRetryDelay; }
+    /// @return the longest time, after a change was acknowledged or after an outage ended, until the change is known.
+    [[nodiscard]] Duration maxDelay() const;
+
+private:
+    Duration m_answerTimeout;
+    Duration m_maxRetryDelay;
+    Duration m_pollWait;
+};
+
+} // namespace Auburnpost::Proxy
--- a/src/proxy/TargetDirectory.cpp
+++ b/src/proxy/TargetDirectory.cpp
@@ -1,5 +1,9 @@
 #include "proxy/TargetDirectory.h"
 
+#include "proxy/TableTimes.h"
+
+#include <algorithm>
+
 #include <set>
 
 namespace Auburnpost::Proxy {
@@ -25,6 +29,12 @@
 
 } // namespace
 
+void TargetDirectory::setBounds(const TimeBounds& bounds)
+{
+    m_missingTimeout = std::clamp(
+        bounds.drain - TableTimes::forTargets(bounds).maxDelay() - removalDelay, minMissingTimeout, maxMissingTimeout);
+}
+
 TargetDirectory::Changes TargetDirectory::update(Instant now, const std::vector<TargetRecord>& rows)
 {
     Changes changes;
@@ -60,7 +70,7 @@
     Changes changes;
     for (auto next = m_targets.begin(); next != m_targets.end();) {
         const auto& missingSince = next->second.missingSince;
-        if (missingSince && now - *missingSince >= missingTimeout) {
+        if (missingSince && now - *missingSince >= m_missingTimeout) {
             changes.removed.push_back(next->second.record);
             next = m_targets.erase(next);
         } else {
--- a/src/proxy/TargetDirectory.h
+++ b/src/proxy/TargetDirectory.h
@@ -2,6 +2,7 @@
 
 #include "base/Time.h"
 #include "proxy/TargetRecord.h"
+#include "proxy/TimeBounds.h"
 
 #include <map>
 #include <optional>
@@ -13,10 +14,18 @@
 /// was unavailable, so its target stays in use until running targets have had time to register again.
 class TargetDirectory {
 public:
-    /// Time after which a target without a record is removed. Running targets register again about two seconds after
-    /// the store's recovery; the value stays below the time for which a target that is gone may still be sent
-    /// statements.
-    static constexpr Duration missingTimeout = std::chrono::milliseconds(2500);
+    /// Bounds of the time after which a target without a record is removed. Running targets register again about two
+    /// seconds after the store's recovery.
+    static constexpr Duration minMissingTimeout = std::chrono::milliseconds(2200);
+    static constexpr Duration maxMissingTimeout = std::chrono::milliseconds(2500);
+    /// Maximum time from the removal of a target until no more statements arrive at it.
+    static constexpr Duration removalDelay = std::chrono::milliseconds(100);
+
+    explicit TargetDirectory(const TimeBounds& bounds = {}) { setBounds(bounds); }
+
+    void setBounds(const TimeBounds&);
+    /// @return the time after which a target without a record is removed.
+    [[nodiscard]] Duration missingTimeout() const { return m_missingTimeout; }
 
     /// The changes made by an update.
     struct Changes {
@@ -29,7 +38,7 @@
     /// Replaces the listed targets. Of several records with one address only that of the latest start counts, as a
     /// target that crashed restarts under a new name.
     Changes update(Instant now, const std::vector<TargetRecord>& rows);
-    /// Removes targets whose record has been missing for missingTimeout.
+    /// Removes targets whose record has been missing for missingTimeout().
     Changes expire(Instant now);
 
     /// @return the targets of a group that are in use, those with a missing record included.
@@ -42,6 +51,7 @@
         std::optional<Instant> missingSince;
     };
 
+    Duration m_missingTimeout {};
     std::map<TargetName, Entry> m_targets;
 };
 
--- a/tests/platform/RowDecoderTests.cpp
+++ b/tests/platform/RowDecoderTests.cpp
@@ -134,4 +134,22 @@
     REQUIRE_FALSE(refused);
     CHECK(refused.error().message.find("Address") != std::string::npos);
     CHECK_FALSE(readSettings("nonsense", metricsPort));
+
+    SECTION("the time bounds of the deployment are read, and are the usual ones where it sets none")
+    {
+        CHECK(read->bounds == Proxy::TimeBounds {});
+        auto bounded = settings;
+        bounded["Bounds"]["ConfigPropagationMs"] = 2000;
+        bounded["Bounds"]["StabilityWindowMs"] = 2500.5;
+        bounded["Bounds"]["DrainMs"] = 3500;
+        const auto own = readSettings(bounded.dump(), metricsPort);
+        REQUIRE(own);
+        CHECK(own->bounds.configuration == std::chrono::milliseconds(2000));
+        CHECK(own->bounds.recovery == std::chrono::microseconds(2500500));
+        CHECK(own->bounds.drain == std::chrono::milliseconds(3500));
+        bounded["Bounds"]["DrainMs"] = 0;
+        const auto empty = readSettings(bounded.dump(), metricsPort);
+        REQUIRE_FALSE(empty);
+        CHECK(empty.error().message.find("DrainMs") != std::string::npos);
+    }
 }
--- a/tests/proxy/FakeStore.cpp
+++ b/tests/proxy/FakeStore.cpp
@@ -9,12 +9,11 @@
 namespace {
 
     constexpr Duration step = std::chrono::milliseconds(5);
-    constexpr Duration readTimeout = std::chrono::milliseconds(900);
     constexpr auto rowKey = "row";
 
 } // namespace
 
-Duration FakeStore::run(StoreFollower& follower, Instant until, Duration propagation, Duration recovery)
+Duration FakeStore::run(StoreFollower& follower, Instant until, const TimeBounds& bounds)
 {
     Duration maxDelay {};
     Instant nextTick {};
@@ -32,10 +31,10 @@
             m_unapplied.pop_front();
         if (m_unapplied.empty())
             continue;
-        // During the outage and for the recovery time after it no host is in touch.
-        const auto inTouchFrom = m_now >= m_outage.start ? m_outage.end + recovery : m_outage.start;
-        const auto due = std::max(m_unapplied.front().second + propagation, inTouchFrom);
-        maxDelay = std::max(maxDelay, m_now - due);
+        // No bound applies during the outage and for the recovery time after it.
+        if (m_now >= m_outage.start && m_now < m_outage.end + bounds.recovery)
+            continue;
+        maxDelay = std::max(maxDelay, m_now - (m_unapplied.front().second + bounds.configuration));
     }
     return maxDelay;
 }
@@ -45,6 +44,8 @@
     if (isOut(now)) {
         if (m_call)
             m_call->isLost = true;
+        if (m_losesHistory)
+            m_lostHistory = RowVersion(m_version + 1);
         return;
     }
     if (now < m_nextEditAt)
@@ -58,12 +59,12 @@
 {
     const auto call = *m_call;
     const bool hasAnswer = call.isRead || call.after < RowVersion(m_version) || now >= call.answerAt;
-    if (!call.isLost && hasAnswer && now >= call.sentAt + roundTrip) {
+    if (!call.isLost && hasAnswer && now >= call.sentAt + m_roundTrip) {
         m_call.reset();
         if (call.isRead)
-            follower.tableRead(now, m_random, page());
+            follower.tableRead(now, m_random, page(call));
         else
-            follower.tableFollowed(now, m_random, page());
+            follower.tableFollowed(now, m_random, page(call));
     } else if (now >= call.timeoutAt) {
         m_call.reset();
         const Expected<StorePage> failure = fail(ErrorCode::PlatformUnavailable, "call", "store", "no answer");
@@ -74,19 +75,21 @@
     }
 }
 
-StorePage FakeStore::page() const
+StorePage FakeStore::page(const Call& call) const
 {
+    if (!call.isRead && call.after < m_lostHistory)
+        return { {}, RowVersion(m_version), false, true };
     return { { { rowKey, RowVersion(m_version), "", false } }, RowVersion(m_version), false, false };
 }
 
-void FakeStore::readTable(StoreTable, const std::string&)
+void FakeStore::readTable(StoreTable, const std::string&, Duration timeout)
 {
-    m_call = { m_now, m_now + readTimeout, m_now, {}, true, isOut(m_now) };
+    m_call = { m_now, m_now + timeout, m_now, {}, true, isOut(m_now) };
 }
 
-void FakeStore::followTable(StoreTable, RowVersion after, Duration wait)
+void FakeStore::followTable(StoreTable, RowVersion after, Duration wait, Duration timeout)
 {
-    m_call = { m_now, m_now + wait + StoreFollower::responseTimeout, m_now + wait, after, false, isOut(m_now) };
+    m_call = { m_now, m_now + timeout, m_now + wait, after, false, isOut(m_now) };
 }
 
 } // namespace Auburnpost::Proxy
--- a/tests/proxy/FakeStore.h
+++ b/tests/proxy/FakeStore.h
@@ -10,27 +10,28 @@
 /// every call is lost, those in progress at its start included.
 class FakeStore final : public StoreDelegate {
 public:
-    /// Time from a call to the answer of a store that has one.
-    static constexpr Duration roundTrip = std::chrono::milliseconds(45);
-
     struct Outage {
         Instant start;
         Instant end;
     };
 
-    FakeStore(Outage outage, Duration editInterval)
+    /// @param roundTrip time from a call to the answer of a store that has one.
+    FakeStore(Outage outage, Duration editInterval, Duration roundTrip)
         : m_outage(outage)
         , m_editInterval(editInterval)
+        , m_roundTrip(roundTrip)
     {
     }
 
+    /// Makes the store lose the history of changes at the end of the outage.
+    void loseHistory() { m_losesHistory = true; }
+
     /// Runs a follower of the table until the given time.
-    /// @return the maximum time for which an edit was not applied though a host in touch has to apply it: later than
-    /// `propagation` after its acknowledgement and `recovery` after the outage.
-    Duration run(StoreFollower&, Instant until, Duration propagation, Duration recovery);
+    /// @return the maximum time by which an edit was applied later than the bounds demand.
+    Duration run(StoreFollower&, Instant until, const TimeBounds&);
 
-    void readTable(StoreTable, const std::string& fromKey) override;
-    void followTable(StoreTable, RowVersion after, Duration wait) override;
+    void readTable(StoreTable, const std::string& fromKey, Duration timeout) override;
+    void followTable(StoreTable, RowVersion after, Duration wait, Duration timeout) override;
     void writeHost(const HostName&, const std::string&) override { }
 
 private:
@@ -47,13 +48,17 @@
     [[nodiscard]] bool isOut(Instant now) const { return m_outage.start <= now && now < m_outage.end; }
     void advance(Instant now);
     void finishCall(StoreFollower&, Instant now);
-    [[nodiscard]] StorePage page() const;
+    [[nodiscard]] StorePage page(const Call&) const;
 
     Outage m_outage;
     Duration m_editInterval;
+    Duration m_roundTrip;
+    bool m_losesHistory { false };
     Instant m_now {};
     Instant m_nextEditAt {};
     std::uint64_t m_version { 1 };
+    /// The changes up to this version are no longer in the history.
+    RowVersion m_lostHistory;
     /// Acknowledgements of the edits that the follower has not applied yet.
     std::deque<std::pair<std::uint64_t, Instant>> m_unapplied;
     std::optional<Call> m_call;
--- a/tests/proxy/SimulatedHost.cpp
+++ b/tests/proxy/SimulatedHost.cpp
@@ -328,7 +328,7 @@
     return page;
 }
 
-void SimulatedHost::readTable(StoreTable table, const std::string&)
+void SimulatedHost::readTable(StoreTable table, const std::string&, Duration)
 {
     deliver([this, table] {
         if (m_simulation.storeAnswers())
@@ -338,7 +338,7 @@
     });
 }
 
-void SimulatedHost::followTable(StoreTable table, RowVersion, Duration)
+void SimulatedHost::followTable(StoreTable table, RowVersion, Duration, Duration)
 {
     constexpr Duration interval = std::chrono::milliseconds(100);
     m_simulation.after(interval, [this, table] {
--- a/tests/proxy/SimulatedHost.h
+++ b/tests/proxy/SimulatedHost.h
@@ -29,8 +29,8 @@
     void openConnection(ConnectionId, const TargetRecord&, const std::optional<SocketAddress>& relay) override;
     void closeConnection(ConnectionId) override;
     void send(ConnectionId, const std::vector<TargetRequest>&) override;
-    void readTable(StoreTable, const std::string& fromKey) override;
-    void followTable(StoreTable, RowVersion after, Duration wait) override;
+    void readTable(StoreTable, const std::string& fromKey, Duration timeout) override;
+    void followTable(StoreTable, RowVersion after, Duration wait, Duration timeout) override;
     void writeHost(const HostName&, const std::string& value) override;
     void readLease(const GroupName&) override;
     void writeLease(const GroupName&, const PromotionLease&, RowVersion expected) override;
--- a/tests/proxy/StoreFollowerTests.cpp
+++ b/tests/proxy/StoreFollowerTests.cpp
@@ -1,5 +1,7 @@
 #include "proxy/FakeStore.h"
 
+#include "proxy/TargetDirectory.h"
+
 #include <catch2/catch.hpp>
 
 using namespace Auburnpost;
@@ -8,29 +10,85 @@
 
 namespace {
 
-constexpr Duration propagation = 4000ms;
-constexpr Duration recovery = 5000ms;
+struct OutageCase {
+    TimeBounds bounds;
+    Duration editInterval {};
+    Duration roundTrip {};
+    bool losesHistory { false };
+};
 
 /// @return the maximum delay of an edit beyond the bounds, over the moments at which the outage may start.
-Duration maxDelay(Duration outageLength, Duration editInterval)
+Duration maxDelay(const OutageCase& outage, Duration length)
 {
     Duration result {};
     for (Duration phase {}; phase < 6s; phase += 500ms) {
         const auto start = Instant(10s) + phase;
-        FakeStore store({ start, start + outageLength }, editInterval);
-        StoreFollower follower(StoreTable::Configuration, store);
-        result = std::max(result, store.run(follower, start + outageLength + 15s, propagation, recovery));
+        FakeStore store({ start, start + length }, outage.editInterval, outage.roundTrip);
+        if (outage.losesHistory)
+            store.loseHistory();
+        StoreFollower follower(StoreTable::Configuration, TableTimes::forConfiguration(outage.bounds), store);
+        result = std::max(result, store.run(follower, start + length + 15s, outage.bounds));
     }
     return result;
 }
 
+TimeBounds scaled(double factor)
+{
+    const TimeBounds bounds;
+    const auto scale = [factor](Duration bound) { return std::chrono::duration_cast<Duration>(bound * factor); };
+    return { scale(bounds.configuration), scale(bounds.recovery), scale(bounds.drain) };
+}
+
 } // namespace
 
 TEST_CASE("A change is applied in time after an outage of the store of any length", "[proxy][store]")
 {
-    const auto editInterval = GENERATE(Duration(700ms), Duration(3300ms));
+    OutageCase outage;
+    outage.editInterval = GENERATE(Duration(700ms), Duration(3300ms));
+    outage.roundTrip = 45ms;
+    SECTION("with the usual bounds") { }
+    SECTION("with half of the bounds")
+    {
+        outage.bounds = scaled(0.5);
+    }
+    SECTION("with twice the bounds")
+    {
+        outage.bounds = scaled(2);
+    }
+    SECTION("with a store that answers slowly and loses its history")
+    {
+        outage.roundTrip = 400ms;
+        outage.losesHistory = true;
+    }
     for (Duration length {}; length <= 13s; length += 100ms) {
-        INFO("outage of " << toMilliseconds(length) << " ms, an edit each " << toMilliseconds(editInterval) << " ms");
-        CHECK(toMilliseconds(maxDelay(length, editInterval)) == 0);
+        INFO("outage of " << toMilliseconds(length) << " ms, an edit each " << toMilliseconds(outage.editInterval)
+                          << " ms");
+        CHECK(toMilliseconds(maxDelay(outage, length)) == 0);
+    }
+}
+
+TEST_CASE("The times of a followed table add up to less than the bounds", "[proxy][store]")
+{
+    const auto factor = GENERATE(0.5, 1.0, 2.0);
+    const auto bounds = scaled(factor);
+    CAPTURE(factor);
+    const auto configuration = TableTimes::forConfiguration(bounds);
+    CHECK(configuration.maxDelay() <= bounds.configuration);
+    CHECK(configuration.maxDelay() <= bounds.recovery);
+    CHECK(configuration.pollWait() > 0ms);
+    const auto targets = TableTimes::forTargets(bounds);
+    CHECK(targets.maxDelay() <= bounds.recovery);
+    CHECK(targets.pollWait() > 0ms);
+
+    // Running targets are back in the table two seconds after an outage of the store.
+    const auto missing = TargetDirectory(bounds).missingTimeout();
+    CHECK(missing > 2s);
+    CHECK(targets.maxDelay() + missing + TargetDirectory::removalDelay <= bounds.drain);
+
+    SECTION("no single call takes longer than a long poll")
+    {
+        for (std::size_t failures = 0; failures < 20; ++failures)
+            CHECK(configuration.callTimeout(failures) <= configuration.pollTimeout());
+        CHECK(configuration.callTimeout(0) < configuration.callTimeout(1));
     }
 }
--- a/tests/proxy/TablesTests.cpp
+++ b/tests/proxy/TablesTests.cpp
@@ -21,7 +21,7 @@
     std::size_t follows { 0 };
     RowVersion after;
 
-    void readTable(StoreTable, const std::string& fromKey) override
+    void readTable(StoreTable, const std::string& fromKey, Duration) override
     {
         ++reads;
         readFrom.push_back(fromKey);
@@ -29,7 +29,7 @@
     std::size_t hostWrites { 0 };
 
     void writeHost(const HostName&, const std::string&) override { ++hostWrites; }
-    void followTable(StoreTable, RowVersion version, Duration) override
+    void followTable(StoreTable, RowVersion version, Duration, Duration) override
     {
         ++follows;
         after = version;
@@ -67,7 +67,8 @@
 {
     CallRecorder calls;
     RandomEngine random { 1 };
-    StoreFollower follower(StoreTable::Targets, calls);
+    const auto times = TableTimes::forTargets({});
+    StoreFollower follower(StoreTable::Targets, times, calls);
     follower.tick(start);
     CHECK(calls.reads == 1);
     CHECK_FALSE(follower.tableRead(start, random, page({ row("a", 3) }, 5, true)));
@@ -104,7 +105,7 @@
         CHECK(follower.state().rows.size() == 2);
         follower.tick(start);
         CHECK(calls.follows == 1);
-        follower.tick(start + StoreFollower::maxRetryDelay);
+        follower.tick(start + times.maxRetryDelay());
         CHECK(calls.follows == 2);
     }
     SECTION("a peer's table is adopted only if it is newer")
@@ -160,7 +161,7 @@
     SECTION("it is removed after the timeout")
     {
         CHECK(directory.expire(start + 2s).isEmpty());
-        const auto changes = directory.expire(start + 1s + TargetDirectory::missingTimeout);
+        const auto changes = directory.expire(start + 1s + directory.missingTimeout());
         REQUIRE(changes.removed.size() == 1);
         CHECK(changes.removed.front().name == TargetName("b"));
     }
