Give up idle connections to the store when a call on another one times out

After an outage, or after connections were silenced, each idle connection to the store that had died cost one more call its whole timeout: lease calls of a failover 0.9 s each, polls their whole limit. A call that times out on a connection now makes the client replace the idle ones that had been used. The test failed before: the second of two calls after a timeout was awaited in vain on the other old connection.

--- a/src/wire/PlatformClient.cpp
+++ b/src/wire/PlatformClient.cpp
@@ -4,6 +4,7 @@
 #include "wire/LoopTime.h"
 #include "wire/SocketOptions.h"
 
+#include <algorithm>
 #include <charconv>
 #include <event2/bufferevent.h>
 #include <sys/socket.h>
@@ -107,16 +108,31 @@
     , m_startEvent(event_new(base, -1, 0, &Callbacks::start, this))
 {
     ignoreBrokenPipe();
-    const auto timeout = toTimeval(connectionTimeout);
     for (std::size_t count = 0; count < limits.connections; ++count) {
-        HttpConnectionPointer connection(
-            evhttp_connection_base_new(base, nullptr, m_address.ip.c_str(), m_address.port));
-        evhttp_connection_set_retries(connection.get(), 0);
-        evhttp_connection_set_timeout_tv(connection.get(), &timeout);
-        evhttp_connection_set_max_headers_size(connection.get(), headerBytesLimit);
-        evhttp_connection_set_max_body_size(connection.get(), static_cast<ev_ssize_t>(limits.bodyBytes));
-        m_idleConnections.push_back(connection.get());
-        m_connections.push_back(std::move(connection));
+        m_connections.push_back(makeConnection());
+        m_idleConnections.push_back(m_connections.back().get());
+    }
+}
+
+HttpConnectionPointer PlatformClient::makeConnection() const
+{
+    const auto timeout = toTimeval(connectionTimeout);
+    HttpConnectionPointer connection(evhttp_connection_base_new(m_base, nullptr, m_address.ip.c_str(), m_address.port));
+    evhttp_connection_set_retries(connection.get(), 0);
+    evhttp_connection_set_timeout_tv(connection.get(), &timeout);
+    evhttp_connection_set_max_headers_size(connection.get(), headerBytesLimit);
+    evhttp_connection_set_max_body_size(connection.get(), static_cast<ev_ssize_t>(m_limits.bodyBytes));
+    return connection;
+}
+
+void PlatformClient::replaceUsedIdleConnections()
+{
+    for (auto& connection : m_connections) {
+        const auto idle = std::find(m_idleConnections.begin(), m_idleConnections.end(), connection.get());
+        if (idle == m_idleConnections.end() || m_usedConnections.erase(connection.get()) == 0)
+            continue;
+        connection = makeConnection();
+        *idle = connection.get();
     }
 }
 
@@ -262,6 +278,8 @@
     if (pending.request) {
         resetOnClose(pending.connection);
         evhttp_cancel_request(std::exchange(pending.request, nullptr));
+        // What silenced this connection may have silenced the idle ones as well.
+        replaceUsedIdleConnections();
     }
     if (pending.conditionalConnection)
         pending.conditionalConnection->setResetOnClose();
--- a/src/wire/PlatformClient.h
+++ b/src/wire/PlatformClient.h
@@ -47,6 +47,9 @@
     struct PendingCall;
     struct Callbacks;
 
+    [[nodiscard]] HttpConnectionPointer makeConnection() const;
+    /// Replaces the idle connections on which an earlier call was answered by connections that are not open yet.
+    void replaceUsedIdleConnections();
     void scheduleStart();
     void startWaitingCalls();
     /// Starts a call that is sent only if PlatformCall::maySend allows it once the connection is established.
--- a/tests/wire/PlatformClientTests.cpp
+++ b/tests/wire/PlatformClientTests.cpp
@@ -38,7 +38,8 @@
         if (header == std::string::npos || session.input.size() < header + 4 + size)
             return;
         requests.push_back(std::exchange(session.input, {}));
-        RawServer::send(session, script(requests.back()));
+        if (isAnswered(session))
+            RawServer::send(session, script(requests.back()));
     }
 
     PlatformCallId call(std::chrono::milliseconds timeout = std::chrono::seconds(3), std::string path = "/table/t/r")
@@ -58,6 +59,8 @@
     Loop loop;
     std::vector<std::string> requests;
     std::function<Reply(const std::string&)> script { [](const std::string&) { return Reply { okReply("v") }; } };
+    /// Whether requests on a connection are answered.
+    std::function<bool(const RawServer::Session&)> isAnswered { [](const RawServer::Session&) { return true; } };
     RawServer server { loop.base(), [this](RawServer::Session& session) { onBytes(session); } };
     PlatformClient client;
     std::map<PlatformCallId, Expected<PlatformReply>> answers;
@@ -152,6 +155,23 @@
     CHECK(answer->body == "fresh");
 }
 
+TEST_CASE("Idle connections that went dead cost no further timeout after a call timed out", "[wire][platform]")
+{
+    Fixture test;
+    const auto first = test.call();
+    const auto second = test.call();
+    CHECK(test.answerOf(first).has_value());
+    CHECK(test.answerOf(second).has_value());
+    REQUIRE(test.server.accepted() == 2);
+
+    test.isAnswered = [](const RawServer::Session& session) { return session.number >= 2; };
+    CHECK_FALSE(test.answerOf(test.call(std::chrono::milliseconds(50))).has_value());
+    const auto third = test.call(std::chrono::seconds(1));
+    const auto fourth = test.call(std::chrono::seconds(1));
+    CHECK(test.answerOf(third).has_value());
+    CHECK(test.answerOf(fourth).has_value());
+}
+
 TEST_CASE("Many calls share a few connections and each gets its own answer", "[wire][platform]")
 {
     constexpr std::uint64_t count = 200;
