Log each problem of a target record once

A host logged every invalid record of the table again at each change of the table: 128 odd entries gave 128 lines for each heartbeat that changed an entry, and pushed other lines out of the buffer. A line is now written when a record becomes invalid or its problem changes.

--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -143,6 +143,8 @@
     std::array<StoreFollower, followedTables.size()> m_followers;
     std::optional<Catalog> m_catalog;
     TargetDirectory m_directory;
+    /// Why each invalid target record was refused, by its key, so that each problem is logged once.
+    std::map<std::string, std::string> m_invalidRecords;
     HostDirectory m_hosts;
     GroupHomes m_homes;
     /// When this host last had a session on the group.
--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -116,15 +116,20 @@
 void Proxy::updateTargets(Instant now)
 {
     std::vector<TargetRecord> listed;
+    std::map<std::string, std::string> invalid;
     for (const auto& [key, row] : follower(StoreTable::Targets).state().rows) {
         auto record = m_reader.readTarget(row);
         if (record)
             listed.push_back(std::move(*record));
         else
-            log({ LogEvent::TargetRecordInvalid,
-                { { "row", key }, { "version", std::to_string(row.version.value()) },
-                    { "problem", record.error().describe() } } });
+            invalid.emplace(key, record.error().describe());
+    }
+    for (const auto& [key, problem] : invalid) {
+        const auto known = m_invalidRecords.find(key);
+        if (known == m_invalidRecords.end() || known->second != problem)
+            log({ LogEvent::TargetRecordInvalid, { { "row", key }, { "problem", problem } } });
     }
+    m_invalidRecords = std::move(invalid);
     logTargetChanges(m_directory.update(now, listed));
     updateGroupMembers(now);
 }
