Decode a page of the store although a key in it is not UTF-8

One such key in a reply made the whole page unreadable, so that the host stopped following the table until the row was gone. The invalid bytes are replaced now, and the other rows are used.

--- a/src/platform/StoreCalls.cpp
+++ b/src/platform/StoreCalls.cpp
@@ -94,6 +94,18 @@
         return fail(ErrorCode::PlatformRefused, step, "store", "status " + std::to_string(reply.status));
     }
 
+    /// Bytes that are not UTF-8, as a foreign writer may have put into its row, are replaced, so that they hide no
+    /// other row.
+    /// @throws Json::exception for a body that is not JSON.
+    Json parseBody(const std::string& body)
+    {
+        auto json = Json::parse(body, nullptr, false);
+        if (!json.is_discarded())
+            return json;
+        const auto quoted = Json(body).dump(-1, ' ', false, Json::error_handler_t::replace);
+        return Json::parse(Json::parse(quoted).get_ref<const std::string&>());
+    }
+
     /// Decodes the reply to a call; an exception from the reader becomes an error.
     template <typename Value, typename Reader>
     Expected<Value> readReply(const Expected<PlatformReply>& reply, const char* step, Reader read)
@@ -103,7 +115,7 @@
         if (reply->status != statusOk)
             return refused(*reply, step);
         try {
-            return read(Json::parse(reply->body));
+            return read(parseBody(reply->body));
         } catch (const std::exception& problem) {
             return fail(ErrorCode::BadMessage, step, "store", problem.what());
         }
