Refuse target records with any field that a target would not write

A record of another writer was accepted as a target though a field that the proxy does not need was missing or of another type (ColdRemainingMs as a text, no Version), a field stood there twice, or a number was negative, fractional or beyond 2^64 (a negative born was read as the latest start, which takes an address over). Each field is checked now.

--- a/src/platform/RowDecoder.cpp
+++ b/src/platform/RowDecoder.cpp
@@ -2,6 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <set>
+
 namespace Auburnpost::Platform {
 
 using Proxy::Consistency;
@@ -60,27 +63,74 @@
         return catalog;
     }
 
+    /// Texts of parse errors quote the input, which may be long.
+    constexpr std::size_t maxProblemLength = 200;
+    constexpr std::uint64_t maxSlots = 1'000'000;
+    constexpr Duration maxColdTime = std::chrono::hours(24);
+
+    /// @throws std::exception for text that is not JSON, or that has a field of the top level twice.
+    Json parseObject(const std::string& text)
+    {
+        std::set<std::string> names;
+        return Json::parse(text, [&names](int depth, Json::parse_event_t event, const Json& parsed) {
+            if (event == Json::parse_event_t::key && depth == 1 && !names.insert(parsed.get<std::string>()).second)
+                throw std::invalid_argument("more than one field " + parsed.get<std::string>());
+            return true;
+        });
+    }
+
+    std::string readText(const Json& json, const char* name)
+    {
+        const auto& value = json.at(name);
+        if (!value.is_string() || value.get_ref<const std::string&>().empty())
+            throw std::invalid_argument(std::string(name) + " is not a text");
+        return value.get<std::string>();
+    }
+
+    std::uint64_t readWholeNumber(const Json& json, const char* name)
+    {
+        const auto& value = json.at(name);
+        if (!value.is_number_unsigned())
+            throw std::invalid_argument(std::string(name) + " is not a whole number from 0 to 2^64 - 1");
+        return value.get<std::uint64_t>();
+    }
+
+    /// Checks the fields that the proxy does not need. A record without them was not written by a target.
+    void checkUnusedFields(const Json& json)
+    {
+        readText(json, "Version");
+        readWholeNumber(json, "Sequence");
+        const auto& coldTime = json.at("ColdRemainingMs");
+        const auto isInRange = [](double value) { return value >= 0 && value <= toMilliseconds(maxColdTime); };
+        if (!coldTime.is_number() || !isInRange(coldTime.get<double>()))
+            throw std::invalid_argument("ColdRemainingMs is not a time");
+    }
+
     Proxy::TargetRecord parseRecord(const std::string& key, const Json& json)
     {
         Proxy::TargetRecord record;
         record.name = TargetName(key);
-        record.group = Proxy::GroupName(json.at("Service").get<std::string>());
-        const auto address = SocketAddress::parse(json.at("Address").get<std::string>());
+        record.group = Proxy::GroupName(readText(json, "Service"));
+        const auto address = SocketAddress::parse(readText(json, "Address"));
         if (!address)
             throw std::invalid_argument(address.error().message);
         record.address = *address;
-        record.dataCentre = DataCentreName(json.at("Zone").get<std::string>());
-        record.slots = std::max<std::size_t>(1, json.at("Slots").get<std::size_t>());
-        const auto state = json.at("State").get<std::string>();
+        record.dataCentre = DataCentreName(readText(json, "Zone"));
+        const auto slots = readWholeNumber(json, "Slots");
+        if (slots > maxSlots)
+            throw std::invalid_argument("Slots is out of range");
+        record.slots = std::max<std::size_t>(1, slots);
+        const auto state = readText(json, "State");
         if (state != "ready" && state != "draining")
             throw std::invalid_argument("unknown state " + state);
         record.isLeaving = state == "draining";
-        const auto role = json.at("DatabaseRole").get<std::string>();
+        const auto role = readText(json, "DatabaseRole");
         if (role != "primary" && role != "replica")
             throw std::invalid_argument("unknown role " + role);
         record.reportsPrimary = role == "primary";
         // Unix time of the target's start in milliseconds.
-        record.incarnation = Proxy::TargetIncarnation(json.at("born").get<std::uint64_t>());
+        record.incarnation = Proxy::TargetIncarnation(readWholeNumber(json, "born"));
+        checkUnusedFields(json);
         return record;
     }
 
@@ -100,9 +150,10 @@
 Expected<Proxy::TargetRecord> RowDecoder::readTarget(const Proxy::StoreRow& row) const
 {
     try {
-        return parseRecord(row.key, Json::parse(row.value));
+        return parseRecord(row.key, parseObject(row.value));
     } catch (const std::exception& problem) {
-        return fail(ErrorCode::BadMessage, "read target record", row.key, problem.what());
+        return fail(ErrorCode::BadMessage, "read target record", row.key,
+            std::string(problem.what()).substr(0, maxProblemLength));
     }
 }
 
