Count an address at which no target answered only while it is listed

An entry of another writer that claimed a group as its primary, at an address that refuses connections, stood for 50 ms and was deleted; reads of the group were refused (no_proof) for another 10.5 s. The directory keeps a target without a record for 2.5 s, and the group counted its address for 8 s more, so that a group of one needed a second target for each confirmation, and a group of three with SyncReplicas 1 two replicas instead of one and three fences instead of two.

An address that first appeared while the group was watched, and at which no target ever answered this host, is now forgotten with its record: one such entry holds a group up for as long as it stands and 2.5 s. Addresses of the first list keep the 8 s, as a host that has just started can't tell how long they stood. The test failed before in three places.

--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -12,12 +12,7 @@
 
 void GroupWatcher::setMembers(Instant now, const std::vector<TargetRecord>& records)
 {
-    for (const auto& [name, member] : m_members) {
-        if (member.record.isLeaving)
-            m_addressesListedAt.erase(member.record.address);
-        else
-            m_addressesListedAt[member.record.address] = now;
-    }
+    recordAddresses(now);
     Members next;
     for (const auto& record : records) {
         const auto known = m_members.find(record.name);
@@ -50,11 +45,31 @@
     updateFencedSince(now);
 }
 
+void GroupWatcher::recordAddresses(Instant now)
+{
+    for (const auto& [name, member] : m_members) {
+        auto& address = m_addresses[member.record.address];
+        address.listedAt = now;
+        address.mayHaveLog = address.mayHaveLog || member.health.lastResponseAt();
+        if (member.record.isLeaving)
+            m_addresses.erase(member.record.address);
+    }
+}
+
 void GroupWatcher::updateAddresses(Instant now)
 {
-    for (const auto& [name, member] : m_members)
-        m_addressesListedAt[member.record.address] = now;
-    std::erase_if(m_addressesListedAt, [now](const auto& entry) { return entry.second + membershipRetention < now; });
+    const bool isFirstList = m_addresses.empty();
+    std::set<SocketAddress> listed;
+    for (const auto& [name, member] : m_members) {
+        listed.insert(member.record.address);
+        auto& address = m_addresses[member.record.address];
+        address.listedAt = now;
+        address.mayHaveLog = address.mayHaveLog || isFirstList;
+    }
+    std::erase_if(m_addresses, [now, &listed](const auto& entry) {
+        const auto& [address, state] = entry;
+        return !listed.contains(address) && (!state.mayHaveLog || state.listedAt + membershipRetention < now);
+    });
 }
 
 bool GroupWatcher::recordStatus(Instant now, const TargetName& name, Instant queriedAt, const TargetStatus& status)
@@ -198,7 +213,7 @@
 
 std::size_t GroupWatcher::groupSize() const
 {
-    return m_addressesListedAt.size();
+    return m_addresses.size();
 }
 
 std::size_t GroupWatcher::fencesNeeded() const
--- a/src/proxy/GroupWatcher.h
+++ b/src/proxy/GroupWatcher.h
@@ -37,7 +37,8 @@
     /// A replica that is not fenced, lags behind the primary and has made no progress for this long counts as cut off
     /// from the primary.
     static constexpr Duration blockedTimeout = std::chrono::milliseconds(1500);
-    /// A member that is no longer listed still counts towards the size of the group for this long.
+    /// A member that is no longer listed still counts towards the size of the group for this long, unless it first
+    /// appeared while the group was watched and never answered: such a record may be another writer's.
     static constexpr Duration membershipRetention = std::chrono::seconds(8);
     /// Maximum time without a known primary before a failover is due. At a cold start the targets register within about
     /// two seconds of each other.
@@ -115,6 +116,14 @@
     [[nodiscard]] std::size_t groupSize() const;
     [[nodiscard]] bool isBlocked(Instant now, const Member& primary) const;
     void updateFencedSince(Instant now);
+    struct ListedAddress {
+        Instant listedAt;
+        /// Whether a member may have a log there: it answered, or it was listed when the group was first watched.
+        bool mayHaveLog { false };
+    };
+
+    /// Records the members' addresses as listed, before the list of members is replaced.
+    void recordAddresses(Instant now);
     void updateAddresses(Instant now);
     /// @return whether a responsive member is listed as primary and has not reported otherwise since it was listed.
     [[nodiscard]] bool hasResponsiveReportedPrimary(Instant now) const;
@@ -127,10 +136,10 @@
     PrimaryConfirmations m_confirmations;
     std::optional<Instant> m_primaryMissingSince;
     std::optional<Instant> m_fencedSince;
-    /// Addresses of the group's members with the time at which each was last listed. Members are counted by address
+    /// Addresses of the group's members. Members are counted by address
     /// because a target that crashed restarts under a new name at the same address, with its log. A member that left
     /// after an announced shutdown is removed at once, as its log was handed over before.
-    std::map<SocketAddress, Instant> m_addressesListedAt;
+    std::map<SocketAddress, ListedAddress> m_addresses;
 };
 
 } // namespace Auburnpost::Proxy
--- a/tests/proxy/GroupWatcherTests.cpp
+++ b/tests/proxy/GroupWatcherTests.cpp
@@ -200,6 +200,49 @@
     CHECK(watcher.confirmationsNeeded() == 0);
 }
 
+TEST_CASE("An address at which no target ever answered holds a group up only while it is listed", "[proxy][watcher]")
+{
+    GroupWatcher watcher;
+    const auto appeared = start + 10s;
+    SECTION("a group of one without synchronous replicas")
+    {
+        watcher.setRules({ 50, 0 });
+        const std::vector<TargetRecord> members { record("p", 1, true) };
+        watcher.setMembers(start, members);
+        watcher.recordStatus(appeared, p, appeared, makeStatus(true, 1, 7));
+        watcher.setMembers(appeared, { record("p", 1, true), record("foreign", 9, true) });
+        watcher.recordStatus(appeared + 10ms, p, appeared + 10ms, makeStatus(true, 1, 7));
+        CHECK_FALSE(watcher.confirmations().covers(appeared + 10ms, p));
+
+        watcher.setMembers(appeared + 50ms, members);
+        watcher.recordStatus(appeared + 60ms, p, appeared + 60ms, makeStatus(true, 1, 7));
+        CHECK(watcher.confirmations().covers(appeared + 60ms, p));
+    }
+    SECTION("a group of three with one synchronous replica")
+    {
+        watcher = threeMembers();
+        const auto own = std::vector { record("p", 1, true), record("r", 2), record("s", 3) };
+        auto withForeign = own;
+        withForeign.push_back(record("foreign", 9, true));
+        watcher.setMembers(appeared, withForeign);
+        CHECK(watcher.confirmationsNeeded() == 2);
+        CHECK(watcher.fencesNeeded() == 3);
+        SECTION("that refuses connections")
+        {
+            watcher.health(TargetName("foreign"))->recordRefusal(appeared);
+            watcher.setMembers(appeared + 50ms, own);
+            CHECK(watcher.confirmationsNeeded() == 1);
+            CHECK(watcher.fencesNeeded() == 2);
+        }
+        SECTION("but one at which a target answered counts for a while")
+        {
+            watcher.health(TargetName("foreign"))->recordResponse(appeared, {});
+            watcher.setMembers(appeared + 50ms, own);
+            CHECK(watcher.fencesNeeded() == 3);
+        }
+    }
+}
+
 TEST_CASE("The primary of a group that is watched again is not missing before the timeout", "[proxy][watcher]")
 {
     auto watcher = threeMembers();
