Log refused connections to a target once for each reason

A line is now written when the reason changes, and E0509 with the number of refusals when the target accepts a connection again.

--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -59,6 +59,7 @@
     TargetSuspicionCleared = 506,
     TargetConnectionClosed = 507,
     TargetPathChanged = 508,
+    TargetConnectSucceeded = 509,
 
     RequestRefused = 600,
     OutcomeUnknown = 601,
--- a/src/proxy/GroupReplies.cpp
+++ b/src/proxy/GroupReplies.cpp
@@ -49,6 +49,10 @@
         return;
     const auto target = connection->target;
     m_pools[target].recordOpened();
+    if (const auto refusals = m_refusals.extract(target))
+        log({ LogEvent::TargetConnectSucceeded,
+            { { "group", m_name.value() }, { "target", target.value() },
+                { "refusals", std::to_string(refusals.mapped().count) } } });
     recordPath(now, *connection);
     if (auto* const health = m_watcher.health(target)) {
         // The target accepts a new connection while established ones do not respond, so these may be dead.
@@ -102,12 +106,22 @@
         health->recordRefusal(now);
     }
     m_pools[target].recordRefusal(now, m_delegate.random());
-    log({ LogEvent::TargetConnectFailed,
-        { { "group", m_name.value() }, { "target", target.value() },
-            { "error", std::string(Session::toString(code)) } } });
+    logRefusal(target, code);
     discardConnection(id);
 }
 
+void GroupService::logRefusal(const TargetName& target, FailureCode code)
+{
+    auto& refusals = m_refusals[target];
+    if (refusals.count == 0 || refusals.code != code)
+        log({ LogEvent::TargetConnectFailed,
+            { { "group", m_name.value() }, { "target", target.value() },
+                { "error", std::string(Session::toString(code)) },
+                { "refusals", std::to_string(refusals.count + 1) } } });
+    ++refusals.count;
+    refusals.code = code;
+}
+
 void GroupService::connectionLost(Instant now, ConnectionId id)
 {
     auto* const connection = findConnection(id);
--- a/src/proxy/GroupService.cpp
+++ b/src/proxy/GroupService.cpp
@@ -56,6 +56,7 @@
     std::erase_if(m_pools,
         [this](const auto& entry) { return !m_watcher.find(entry.first) && entry.second.connections().empty(); });
     std::erase_if(m_paths, [this](const auto& entry) { return !m_watcher.find(entry.first); });
+    std::erase_if(m_refusals, [this](const auto& entry) { return !m_watcher.find(entry.first); });
     for (const auto& record : records) {
         m_pools[record.name].setLimit(m_rules.connectionLimit);
         if (m_pools[record.name].connections().empty())
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -85,6 +85,11 @@
     [[nodiscard]] bool owns(ConnectionId id) const { return m_targetOf.contains(id); }
 
 private:
+    /// Connection attempts that a target refused since it accepted one.
+    struct Refusals {
+        Session::FailureCode code {};
+        std::size_t count { 0 };
+    };
     /// A command of the promotion that waits for a connection to its target.
     struct Command {
         TargetRequest request;
@@ -130,6 +135,8 @@
     void finish(const PendingStatement&, Session::Answer, const TargetConnection*);
     void finishUnsent(const PendingStatement&, Session::FailureCode, const std::string& text);
     void recordPath(Instant now, const TargetConnection&);
+    /// Counts a refused connection attempt, and logs it if the target did not refuse the last one for the same reason.
+    void logRefusal(const TargetName&, Session::FailureCode);
     void markIdle(Instant now, TargetConnection&);
     void handleStatementLoss(Instant now, const PendingStatement&, ReplyPurpose);
     void discardConnection(ConnectionId);
@@ -164,6 +171,8 @@
     Promotion m_promotion;
     ReadTargetSelector::Pools m_pools;
     std::map<TargetName, TargetPath> m_paths;
+    /// Targets that refused the last connection attempts.
+    std::map<TargetName, Refusals> m_refusals;
     std::unordered_map<ConnectionId, TargetName> m_targetOf;
     std::map<PendingStatementId, PendingStatement> m_statements;
     StatementQueue m_queue;
--- a/tests/proxy/GroupServiceTests.cpp
+++ b/tests/proxy/GroupServiceTests.cpp
@@ -27,6 +27,7 @@
     std::vector<Sent> sent;
     std::vector<StatementResult> results;
     std::set<ConnectionId> closed;
+    std::vector<LogEvent> logged;
     std::uint64_t lastConnection { 0 };
     RandomEngine engine { 1 };
 
@@ -47,7 +48,11 @@
     void promote(const GroupName&, const TargetName&, RowVersion, Instant) override { }
     void statementFinished(const StatementResult& result) override { results.push_back(result); }
     void transactionLost(SessionId) override { }
-    void log(const LogRecord&) override { }
+    void log(const LogRecord& record) override { logged.push_back(record.event); }
+    [[nodiscard]] std::ptrdiff_t countOf(LogEvent event) const
+    {
+        return std::count(logged.begin(), logged.end(), event);
+    }
     ConnectionId nextConnectionId() override { return ConnectionId(++lastConnection); }
     RandomEngine& random() override { return engine; }
     [[nodiscard]] const std::vector<SocketAddress>& relays() const override { return relayAddresses; }
@@ -59,6 +64,9 @@
     FakeDelegate delegate;
     GroupService service { HostName("host"), GroupName("group"), delegate };
     std::set<TargetName> unresponsive;
+    /// A target that refuses connections, and its reason.
+    std::optional<std::pair<TargetName, FailureCode>> refusing;
+    std::size_t refusals { 0 };
     /// Relays that can't reach the unresponsive targets either.
     std::set<SocketAddress> refusingRelays;
     std::uint64_t lastId { 0 };
@@ -90,6 +98,11 @@
     {
         for (const auto id : std::exchange(delegate.opened, {})) {
             const auto& relay = delegate.relayOf.at(id);
+            if (refusing && refusing->first == delegate.targets.at(id)) {
+                ++refusals;
+                service.connectionRefused(now, id, refusing->second);
+                continue;
+            }
             if (relay && refusingRelays.contains(*relay))
                 service.connectionRefused(now, id, FailureCode::Failed);
             else if (relay || !unresponsive.contains(delegate.targets.at(id)))
@@ -344,6 +357,31 @@
 
 // Guards against reads that wait for a busy primary for too long. The replicas fall behind for a while and the primary
 // alone can't serve all reads, so waiting reads have to return to the replicas as soon as these have caught up.
+TEST_CASE("A target that refuses connections is logged once, and once when it accepts them again", "[proxy][service]")
+{
+    Fixture test;
+    test.refusing = { TargetName("r"), FailureCode::Failed };
+    for (const auto& [id, target] : test.delegate.targets) {
+        if (target == TargetName("r"))
+            test.service.connectionLost(test.now, id);
+    }
+    test.run(2s);
+    CHECK(test.refusals > 5);
+    CHECK(test.delegate.countOf(LogEvent::TargetConnectFailed) == 1);
+    SECTION("another reason is logged as well")
+    {
+        test.refusing->second = FailureCode::Misrouted;
+        test.run(1s);
+        CHECK(test.delegate.countOf(LogEvent::TargetConnectFailed) == 2);
+    }
+    SECTION("it accepts connections again")
+    {
+        test.refusing.reset();
+        test.run(1s);
+        CHECK(test.delegate.countOf(LogEvent::TargetConnectSucceeded) == 1);
+    }
+}
+
 TEST_CASE("Reads return to replicas that have caught up while the primary is full", "[proxy][service]")
 {
     Fixture group;
