--- a/src/proxy/TableTimes.cpp
+++ b/src/proxy/TableTimes.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+    /// Limits below this one leave no time for a poll between a failed call and the answers after it.
+    constexpr Duration minLimit = std::chrono::milliseconds(1000);
     constexpr int answerTimeoutsPerLimit = 8;
     constexpr int retryDelaysPerLimit = 10;
     /// Calls that are answered after the last failed one: a probe, and a read of the table if the store no longer has
@@ -18,10 +20,11 @@
 
 } // namespace
 
-TableTimes::TableTimes(Duration limit)
-    : m_answerTimeout(std::max(limit / answerTimeoutsPerLimit, minAnswerTimeout))
-    , m_maxRetryDelay(limit / retryDelaysPerLimit)
+TableTimes::TableTimes(Duration requestedLimit)
 {
+    const auto limit = std::max(requestedLimit, minLimit);
+    m_answerTimeout = std::max(limit / answerTimeoutsPerLimit, minAnswerTimeout);
+    m_maxRetryDelay = limit / retryDelaysPerLimit;
     const auto afterFailure = m_maxRetryDelay + answersAfterFailure * m_answerTimeout + schedulingDelay;
     m_pollWait = std::clamp(limit - afterFailure - m_answerTimeout, Duration {}, maxPollWait);
 }
--- a/src/proxy/TableTimes.h
+++ b/src/proxy/TableTimes.h
@@ -15,7 +15,8 @@
     /// A longer poll saves hardly any calls.
     static constexpr Duration maxPollWait = std::chrono::milliseconds(5000);
 
-    /// @param limit time within which a change is known after its acknowledgement and after an outage.
+    /// @param limit time within which a change is known after its acknowledgement and after an outage; one below a
+    /// second is exceeded.
     explicit TableTimes(Duration limit);
 
     /// @return the times for the table of the configuration.
--- a/src/proxy/TargetDirectory.cpp
+++ b/src/proxy/TargetDirectory.cpp
@@ -3,7 +3,6 @@
 #include "proxy/TableTimes.h"
 
 #include <algorithm>
-
 #include <set>
 
 namespace Auburnpost::Proxy {
--- a/tests/platform/ForeignRecordTests.cpp
+++ b/tests/platform/ForeignRecordTests.cpp
@@ -109,7 +109,7 @@
         proxy.tableFollowed(now, StoreTable::Targets, page(rows, asOf));
     }
 
-    [[nodiscard]] std::set<std::string> membersOf(const Proxy::Proxy& host) const
+    [[nodiscard]] std::set<std::string> membersOf(const Auburnpost::Proxy::Proxy& host) const
     {
         const auto state = json::parse(host.dump(now));
         std::set<std::string> names;
@@ -121,7 +121,7 @@
     Instant now { start };
     RecordingDelegate delegate;
     RowDecoder decoder;
-    Proxy::Proxy proxy { start, ProxySettings {}, decoder, delegate, 1 };
+    Auburnpost::Proxy::Proxy proxy { start, ProxySettings {}, decoder, delegate, 1 };
 };
 
 const std::set<std::string> goodNames { "i-1", "i-2" };
@@ -160,7 +160,7 @@
         const auto snapshot = decodeSnapshot(encodeSnapshot(test.proxy.tables()));
         REQUIRE(snapshot);
         RecordingDelegate delegate;
-        Proxy::Proxy peer(start, ProxySettings {}, test.decoder, delegate, 2);
+        Auburnpost::Proxy::Proxy peer(start, ProxySettings {}, test.decoder, delegate, 2);
         peer.peerAnswered(start, SocketAddress { "10.0.0.9", 1 }, snapshot);
         CHECK(test.membersOf(peer) == goodNames);
     }
--- a/tests/proxy/StoreFollowerTests.cpp
+++ b/tests/proxy/StoreFollowerTests.cpp
@@ -67,6 +67,18 @@
     }
 }
 
+TEST_CASE("Bounds that are too short to be kept give short times, not invalid ones", "[proxy][store]")
+{
+    const auto bounds = scaled(0.01);
+    for (const auto& times : { TableTimes::forConfiguration(bounds), TableTimes::forTargets(bounds) }) {
+        CHECK(times.maxDelay() < 1500ms);
+        CHECK(times.minRetryDelay() > 0ms);
+        CHECK(times.minRetryDelay() < times.maxRetryDelay());
+        CHECK(times.callTimeout(0) >= TableTimes::minAnswerTimeout);
+    }
+    CHECK(TargetDirectory(bounds).missingTimeout() > 2s);
+}
+
 TEST_CASE("The times of a followed table add up to less than the bounds", "[proxy][store]")
 {
     const auto factor = GENERATE(0.5, 1.0, 2.0);
