Send the last bytes of a relayed target before the connection to its peer is closed

Cause: when a target closed its connection, RelayServer wrote the rest of the output to the peer once, without blocking, and closed the connection; what the peer's socket did not take was dropped. A peer that read slowly got an answer without its end. A refused peer also counted against the limit until it closed its connection.

Change: the connection to the peer is closed once its output is sent, or after 10 s without progress; after a refusal as well.

--- a/src/wire/RelayServer.cpp
+++ b/src/wire/RelayServer.cpp
@@ -1,5 +1,7 @@
 #include "wire/RelayServer.h"
 
+#include "wire/LibeventPointers.h"
+#include "wire/LoopTime.h"
 #include "wire/SocketOptions.h"
 
 #include <event2/buffer.h>
@@ -17,11 +19,8 @@
     constexpr std::size_t maxRequestBytes = 512;
     /// Output queued for one side, in bytes, above which the other side is not read.
     constexpr std::size_t maxQueuedBytes = 256UL * 1024;
-
-    struct BuffereventDeleter {
-        void operator()(bufferevent* event) const { bufferevent_free(event); }
-    };
-    using BuffereventPointer = std::unique_ptr<bufferevent, BuffereventDeleter>;
+    /// Time for which a peer may accept none of the last bytes before its connection is closed.
+    constexpr Duration lastBytesTimeout = std::chrono::seconds(10);
 
     void sendLine(bufferevent* side, std::string_view answer)
     {
@@ -45,6 +44,8 @@
     BuffereventPointer peer;
     BuffereventPointer target;
     bool isConnected { false };
+    /// Whether the pair is closed once the output to the peer is sent.
+    bool isClosing { false };
 };
 
 struct RelayServer::Callbacks {
@@ -56,7 +57,7 @@
     static void peerEvent(bufferevent*, short what, void* argument)
     {
         auto& pair = *static_cast<Pair*>(argument);
-        if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+        if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
             pair.server->closePair(pair);
     }
     static void targetRead(bufferevent*, void* argument)
@@ -72,8 +73,10 @@
     // Called when the output to one side is sent; reading from the other side resumes.
     static void peerWritten(bufferevent*, void* argument)
     {
-        const auto& pair = *static_cast<Pair*>(argument);
-        if (pair.target)
+        auto& pair = *static_cast<Pair*>(argument);
+        if (pair.isClosing)
+            pair.server->closePair(pair);
+        else if (pair.target)
             bufferevent_enable(pair.target.get(), EV_READ);
     }
     static void targetWritten(bufferevent*, void* argument)
@@ -141,7 +144,7 @@
     const auto address = SocketAddress::parse(line.substr(0, blank));
     const auto name = blank == std::string_view::npos ? std::string_view() : line.substr(blank + 1);
     if (!address || !m_hasRoute(TargetName(std::string(name)))) {
-        sendLine(pair.peer.get(), refused);
+        refuse(pair);
         return;
     }
     pair.target.reset(bufferevent_socket_new(m_base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
@@ -165,11 +168,17 @@
     if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
         return;
     if (!pair.isConnected) {
-        sendLine(pair.peer.get(), refused);
+        refuse(pair);
         return;
     }
     forwardBytes(pair.target.get(), pair.peer.get());
-    closePair(pair);
+    closeAfterOutput(pair);
+}
+
+void RelayServer::refuse(Pair& pair)
+{
+    sendLine(pair.peer.get(), refused);
+    closeAfterOutput(pair);
 }
 
 void RelayServer::forwardBytes(bufferevent* from, bufferevent* to)
@@ -179,15 +188,21 @@
         bufferevent_disable(from, EV_READ);
 }
 
-void RelayServer::closePair(Pair& pair)
+void RelayServer::closeAfterOutput(Pair& pair)
 {
-    // The last bytes from a target are written before the connection to its peer is closed, as far as the socket
-    // accepts them without blocking.
-    evbuffer* const rest = bufferevent_get_output(pair.peer.get());
-    if (evbuffer_get_length(rest) > 0) {
-        const auto descriptor = bufferevent_getfd(pair.peer.get());
-        (void)evbuffer_write(rest, descriptor);
+    pair.target.reset();
+    if (evbuffer_get_length(bufferevent_get_output(pair.peer.get())) == 0) {
+        closePair(pair);
+        return;
     }
+    pair.isClosing = true;
+    bufferevent_disable(pair.peer.get(), EV_READ);
+    const auto timeout = toTimeval(lastBytesTimeout);
+    bufferevent_set_timeouts(pair.peer.get(), nullptr, &timeout);
+}
+
+void RelayServer::closePair(Pair& pair)
+{
     m_pairs.erase(pair.id);
 }
 
--- a/src/wire/RelayServer.h
+++ b/src/wire/RelayServer.h
@@ -16,8 +16,7 @@
 /// line answers whether the connection is established; from then on bytes are forwarded unchanged in both directions.
 class RelayServer {
 public:
-    /// The possible answers to the first line of a peer. After a refusal the connection stays open until the peer
-    /// closes it.
+    /// The possible answers to the first line of a peer. After a refusal the connection is closed.
     static constexpr std::string_view accepted = "OK";
     static constexpr std::string_view refused = "NO";
 
@@ -47,6 +46,9 @@
     void connect(Pair&, std::string_view line);
     void onTargetEvent(Pair&, short what);
     static void forwardBytes(bufferevent* from, bufferevent* to);
+    void refuse(Pair&);
+    /// Closes the connection to the target now, and that to the peer once its output is sent.
+    void closeAfterOutput(Pair&);
     void closePair(Pair&);
 
     event_base* m_base;
--- a/tests/wire/RelayServerTests.cpp
+++ b/tests/wire/RelayServerTests.cpp
@@ -69,6 +69,28 @@
         peer.send("nonsense\r\n");
     }
     CHECK(relayed.loop.runUntil([&] { return peer.received() == "NO\r\n"; }));
+    CHECK(relayed.loop.runUntil([&] { return relayed.relay.connections() == 0; }));
+}
+
+TEST_CASE("A peer that reads slowly gets the last bytes of a target that closed its connection", "[wire][relay]")
+{
+    // How many bytes the sockets hold is up to the kernel, so that only some of the sizes leave a rest in the relay.
+    constexpr std::size_t step = 192UL * 1024;
+    constexpr std::size_t largest = 10UL * 1024 * 1024;
+    for (std::size_t size = step; size <= largest; size += step) {
+        Fixture relayed;
+        RawClient peer(relayed.loop.base(), relayed.relay.address());
+        peer.send(RelayServer::request(relayed.target.address(), known) + "hello");
+        REQUIRE(relayed.loop.runUntil([&] { return peer.received() == "OK\r\ngot hello"; }));
+
+        peer.pauseReading();
+        relayed.target.push({ std::string(size, 'a'), true });
+        relayed.loop.runFor(20ms);
+        peer.resumeReading();
+        REQUIRE(relayed.loop.runUntil([&] { return peer.closed(); }));
+        CHECK(peer.received().size() - std::string("OK\r\ngot hello").size() == size);
+        CHECK(relayed.relay.connections() == 0);
+    }
 }
 
 TEST_CASE("The connection of a peer with an endless request line is closed", "[wire][relay]")
