Read all pages of the hosts' records

Cause: HostDirectory took the first page of the table (500 rows) as the whole list, so that with more records, those of replaced hosts included, the hosts behind it were neither homes nor relays.

Change: the pages of a read are put together, and the next read starts only once the last page has arrived or timed out. The key of the next page has one function for this and for the followed tables.

Test: proxy_tests "Hosts whose records are not on the first page are known" failed before.

--- a/src/proxy/HostDirectory.cpp
+++ b/src/proxy/HostDirectory.cpp
@@ -37,6 +37,7 @@
     : m_self(std::move(self))
     , m_delegate(delegate)
     , m_hosts { m_self }
+    , m_partialRead { m_self }
 {
 }
 
@@ -56,18 +57,25 @@
     }
     if (now >= m_readAt) {
         m_readAt = now + (m_relays.empty() ? writeRetryInterval : readInterval);
+        m_partialRead = { m_self };
         m_delegate.readTable(StoreTable::Hosts, {}, readTimeout);
     }
 }
 
 bool HostDirectory::updateHosts(Instant now, const StorePage& page)
 {
-    std::vector<HostEntry> hosts { m_self };
     for (const auto& row : page.rows) {
         const auto host = decode(row);
         if (host && host->name != m_self.name)
-            hosts.push_back(*host);
+            m_partialRead.push_back(*host);
     }
+    if (page.hasMore && !page.rows.empty()) {
+        // The next read starts only once this page has arrived or timed out.
+        m_readAt = std::max(m_readAt, now + writeRetryInterval);
+        m_delegate.readTable(StoreTable::Hosts, keyAfter(page.rows.back().key), readTimeout);
+        return false;
+    }
+    auto hosts = std::exchange(m_partialRead, { m_self });
     std::sort(hosts.begin(), hosts.end(),
         [](const HostEntry& left, const HostEntry& right) { return left.name < right.name; });
     if (hosts == m_hosts)
--- a/src/proxy/HostDirectory.h
+++ b/src/proxy/HostDirectory.h
@@ -25,7 +25,7 @@
     /// Writes this host's record until the write is acknowledged, and reads all records at intervals.
     void tick(Instant now);
     void recordWritten(bool isAcknowledged) { m_isRecordWritten = m_isRecordWritten || isAcknowledged; }
-    /// Replaces the list of hosts by the records read from the store.
+    /// Adds a page of records to the read in progress. The last page ends the read and replaces the list of hosts.
     /// @return whether the list changed.
     bool updateHosts(Instant now, const StorePage&);
     /// @return all hosts, including this one.
@@ -41,6 +41,8 @@
     StoreDelegate& m_delegate;
     std::vector<HostEntry> m_hosts;
     std::vector<SocketAddress> m_relays;
+    /// The hosts on the pages received so far by the read in progress.
+    std::vector<HostEntry> m_partialRead;
     bool m_isRecordWritten { false };
     Instant m_writeAt {};
     Instant m_readAt {};
--- a/src/proxy/StoreFollower.cpp
+++ b/src/proxy/StoreFollower.cpp
@@ -43,7 +43,7 @@
     if (page->hasMore && !page->rows.empty()) {
         m_isCalling = true;
         m_calls.sentAt = now;
-        m_delegate.readTable(m_table, page->rows.back().key + '\0', m_times.callTimeout(m_calls.failures));
+        m_delegate.readTable(m_table, keyAfter(page->rows.back().key), m_times.callTimeout(m_calls.failures));
         return false;
     }
     m_needsRead = false;
--- a/src/proxy/StoreTable.h
+++ b/src/proxy/StoreTable.h
@@ -47,6 +47,12 @@
     bool isHistoryUnavailable { false };
 };
 
+/// @return the key from which the page after the one that ends with @p key is read.
+inline std::string keyAfter(const std::string& key)
+{
+    return key + '\0';
+}
+
 /// The content of a table as of one version.
 struct TableState {
     RowVersion asOf;
--- a/tests/proxy/TablesTests.cpp
+++ b/tests/proxy/TablesTests.cpp
@@ -217,3 +217,37 @@
     CHECK(hosts.hosts() == std::vector<HostEntry> { self, other });
     CHECK_FALSE(hosts.updateHosts(start, listed));
 }
+
+TEST_CASE("Hosts whose records are not on the first page are known", "[proxy][hosts]")
+{
+    constexpr std::size_t pages = 3;
+    constexpr std::size_t rowsPerPage = 500;
+    CallRecorder calls;
+    const HostEntry self { HostName("self"), DataCentreName("east"), { "10.0.0.1", 7 }, { "10.0.0.1", 9 } };
+    HostDirectory hosts(self, calls);
+    hosts.tick(start);
+
+    auto now = start;
+    for (std::size_t index = 0; index < pages; ++index) {
+        std::vector<StoreRow> rows;
+        for (std::size_t count = 0; count < rowsPerPage; ++count) {
+            const auto number = index * rowsPerPage + count;
+            const SocketAddress address { "10.0.1.1", static_cast<std::uint16_t>(number + 1) };
+            const HostEntry other { {}, DataCentreName("west"), address, address };
+            rows.push_back(
+                { std::to_string(10000 + number), RowVersion(number + 1), HostDirectory::encode(other), false });
+        }
+        const auto lastKey = rows.back().key;
+        const bool isLast = index + 1 == pages;
+        now += HostDirectory::readTimeout;
+        CHECK(hosts.updateHosts(now, page(rows, 9, !isLast)) == isLast);
+        if (isLast)
+            break;
+        CHECK(calls.readFrom.back() == keyAfter(lastKey));
+        // No second read starts while the next page is awaited.
+        const auto reads = calls.reads;
+        hosts.tick(now + HostDirectory::readTimeout);
+        CHECK(calls.reads == reads);
+    }
+    CHECK(hosts.hosts().size() == pages * rowsPerPage + 1);
+}
