Forget queued commands of a target that is no longer listed

Cause: the command that demotes a former primary has no expiry. If the target was removed before one of its connections was idle, the command stayed queued and created an empty pool for the target again at each tick. The times of the last query and the suspicion of a removed target were kept as well.

Change: setMembers() forgets them with the rest of the target's state.

Test: proxy_tests "A command for a target that is no longer listed is dropped" failed before.

--- a/src/proxy/GroupService.cpp
+++ b/src/proxy/GroupService.cpp
@@ -57,6 +57,9 @@
         [this](const auto& entry) { return !m_watcher.find(entry.first) && entry.second.connections().empty(); });
     std::erase_if(m_paths, [this](const auto& entry) { return !m_watcher.find(entry.first); });
     std::erase_if(m_refusals, [this](const auto& entry) { return !m_watcher.find(entry.first); });
+    std::erase_if(m_polledAt, [this](const auto& entry) { return !m_watcher.find(entry.first); });
+    std::erase_if(m_commands, [this](const auto& entry) { return !m_watcher.find(entry.first); });
+    std::erase_if(m_suspects, [this](const auto& name) { return !m_watcher.find(name); });
     for (const auto& record : records) {
         m_pools[record.name].setLimit(m_rules.connectionLimit);
         if (m_pools[record.name].connections().empty())
--- a/tests/proxy/GroupServiceTests.cpp
+++ b/tests/proxy/GroupServiceTests.cpp
@@ -70,11 +70,12 @@
     /// Relays that can't reach the unresponsive targets either.
     std::set<SocketAddress> refusingRelays;
     std::uint64_t lastId { 0 };
+    std::vector<TargetRecord> records { 3 };
+    std::map<TargetName, Term> fences;
 
     Fixture()
     {
         service.setRules({ 50, 1 });
-        std::vector<TargetRecord> records(3);
         for (std::size_t index = 0; index < records.size(); ++index) {
             records[index].name = TargetName(std::string(1, "prs"[index]));
             records[index].address = { "10.0.0.1", static_cast<std::uint16_t>(index + 1) };
@@ -129,6 +130,9 @@
             reply.status->isPrimary = target == TargetName("p");
             reply.status->term = Term(1);
             reply.status->received = { Term(1), Position(10) };
+            if (const auto* const fence = std::get_if<FenceReplica>(&sent.request))
+                fences[target] = fence->term;
+            reply.status->fencedTerm = fences[target];
             service.replied(now, sent.connection, reply);
         }
     }
@@ -382,6 +386,34 @@
     }
 }
 
+TEST_CASE("A command for a target that is no longer listed is dropped", "[proxy][service]")
+{
+    Fixture group;
+    const TargetName formerPrimary("p");
+    group.records[0].isLeaving = true;
+    group.service.setMembers(group.now, group.records);
+    group.run(200ms);
+    group.service.leaseRead(group.now, PromotionLeaseRow {});
+    group.service.leaseWritten(group.now, std::optional(RowVersion(1)));
+    group.run(400ms);
+    REQUIRE(group.fences.size() >= 2);
+    // The former primary is to be demoted, but none of its connections is idle.
+    group.unresponsive = { formerPrimary };
+    group.service.promoteAnswered(group.now, PromotionOutcome::Accepted);
+    group.run(1s);
+
+    group.records.erase(group.records.begin());
+    group.service.setMembers(group.now, group.records);
+    for (const auto& [id, target] : group.delegate.targets) {
+        if (target == formerPrimary && !group.delegate.closed.contains(id))
+            group.service.connectionLost(group.now, id);
+    }
+    group.run(100ms);
+    group.service.setMembers(group.now, group.records);
+    group.run(100ms);
+    CHECK_FALSE(group.service.pools().contains(formerPrimary));
+}
+
 TEST_CASE("Reads return to replicas that have caught up while the primary is full", "[proxy][service]")
 {
     Fixture group;
