--- a/src/app/ProxyAssembly.cpp
+++ b/src/app/ProxyAssembly.cpp
@@ -1,8 +1,6 @@
 #include "app/ProxyAssembly.h"
 
 #include "app/Logging.h"
-#include "platform/StoreCalls.h"
-#include "proxy/PeerSnapshot.h"
 
 #include <event2/event.h>
 
@@ -23,8 +21,6 @@
     /// that wait for the answer to an earlier one.
     constexpr Duration stalledInputTimeout = std::chrono::seconds(10);
     constexpr Duration stalledCheckInterval = std::chrono::seconds(1);
-    constexpr Duration peerTimeout = std::chrono::milliseconds(600);
-    constexpr auto snapshotPath = "/v1/snapshot";
     constexpr int statusOk = 200;
     constexpr int statusNotFound = 404;
     constexpr int statusUnavailable = 503;
@@ -37,14 +33,6 @@
         return times;
     }
 
-    Wire::PlatformClientLimits clientLimits(const Proxy::ProxySettings& settings, std::size_t connections)
-    {
-        Wire::PlatformClientLimits limits;
-        limits.userAgent = settings.host.value() + "/" + settings.dataCentre.value();
-        limits.connections = connections;
-        return limits;
-    }
-
     constexpr std::size_t storeConnections = 6;
     /// Each promotion call opens a connection of its own, so the client keeps none.
     constexpr std::size_t promotionConnections = 0;
@@ -118,8 +106,9 @@
     });
     m_peerServer.requestReceived().connect([this](const Wire::HttpRequest& request) { servePeer(request); });
     m_metricsServer.requestReceived().connect([this](const Wire::HttpRequest& request) {
-        m_metricsServer.reply(
-            request.id, { statusOk, { { "Content-Type", "text/plain" } }, m_metrics.dump() + requestCounts() });
+        m_metricsServer.reply(request.id,
+            { statusOk, { { "Content-Type", "text/plain" } },
+                m_metrics.dump() + requestCounts() + m_storeCalls.dump() });
     });
     for (auto* const server : { &m_readinessServer, &m_peerServer, &m_metricsServer })
         server->requestRefused().connect([server](RequestId id, const Error&) {
@@ -259,90 +248,6 @@
     m_targets.send(id, codec->second.write(requests));
 }
 
-void ProxyAssembly::call(Wire::PlatformClient& client, PlatformCall call, ReplyHandler handler)
-{
-    call.id = PlatformCallId(++m_lastCallId);
-    m_replyHandlers.emplace(call.id, std::move(handler));
-    client.call(call);
-}
-
-void ProxyAssembly::readTable(Proxy::StoreTable table, const std::string& fromKey, Duration timeout)
-{
-    call(m_storeClient, Platform::makeTableReadCall(table, fromKey, timeout),
-        [this, table](
-            const Expected<PlatformReply>& reply) { m_proxy.tableRead(now(), table, Platform::readPage(reply)); });
-}
-
-void ProxyAssembly::followTable(Proxy::StoreTable table, Proxy::RowVersion after, Duration wait, Duration timeout)
-{
-    call(m_storeClient, Platform::makeTableFollowCall(table, after, wait, timeout),
-        [this, table](
-            const Expected<PlatformReply>& reply) { m_proxy.tableFollowed(now(), table, Platform::readPage(reply)); });
-}
-
-void ProxyAssembly::writeHost(const HostName& host, const std::string& value)
-{
-    call(m_storeClient, Platform::makeHostWriteCall(host, value), [this](const Expected<PlatformReply>& reply) {
-        // Without an answer the proxy writes the record again. A loss of the store is reported by the table followers.
-        m_proxy.hostWritten(reply && reply->status == statusOk);
-    });
-}
-
-void ProxyAssembly::readLease(const Proxy::GroupName& group)
-{
-    call(m_storeClient, Platform::makeLeaseReadCall(group), [this, group](const Expected<PlatformReply>& reply) {
-        m_proxy.leaseRead(now(), group, Platform::readLeaseRow(group, reply));
-    });
-}
-
-void ProxyAssembly::writeLease(
-    const Proxy::GroupName& group, const Proxy::PromotionLease& lease, Proxy::RowVersion expected)
-{
-    call(m_storeClient, Platform::makeLeaseWriteCall(group, lease, expected),
-        [this, group](const Expected<PlatformReply>& reply) {
-            m_proxy.leaseWritten(now(), group, Platform::readLeaseWrite(reply));
-        });
-}
-
-void ProxyAssembly::promote(
-    const Proxy::GroupName& group, const TargetName& target, Proxy::RowVersion token, Instant sendBefore)
-{
-    auto promotion = Platform::makePromotionCall(group, target, m_settings.host, token, Proxy::Promotion::callTimeout);
-    promotion.maySend = [sendBefore] { return now() < sendBefore; };
-    call(m_promotionClient, std::move(promotion), [this, group](const Expected<PlatformReply>& reply) {
-        m_proxy.promoteAnswered(now(), group, Platform::readPromotionOutcome(reply));
-    });
-}
-
-void ProxyAssembly::queryPeer(const SocketAddress& peer)
-{
-    auto& client = m_peerClients[peer];
-    if (!client) {
-        client = std::make_unique<Wire::PlatformClient>(m_base, peer, clientLimits(m_settings, 1));
-        client->answered().connect([this, peer](const PlatformAnswer& answer) {
-            if (!answer.reply)
-                m_proxy.peerAnswered(now(), peer, tl::unexpected(answer.reply.error()));
-            else
-                m_proxy.peerAnswered(now(), peer, Proxy::decodeSnapshot(answer.reply->body));
-        });
-    }
-    PlatformCall snapshotCall;
-    snapshotCall.id = PlatformCallId(++m_lastCallId);
-    snapshotCall.path = snapshotPath;
-    snapshotCall.timeout = peerTimeout;
-    client->call(snapshotCall);
-}
-
-void ProxyAssembly::servePeer(const Wire::HttpRequest& request)
-{
-    const bool isStateRequest = !request.path.empty() && request.path.back() == "state";
-    if (isStateRequest)
-        m_peerServer.reply(request.id, { statusOk, { { "Content-Type", "application/json" } }, m_proxy.dump(now()) });
-    else
-        m_peerServer.reply(request.id,
-            { statusOk, { { "Content-Type", "application/msgpack" } }, Proxy::encodeSnapshot(m_proxy.tables()) });
-}
-
 void ProxyAssembly::log(const LogRecord& record)
 {
     Logging::write(record);
--- a/src/app/ProxyAssembly.h
+++ b/src/app/ProxyAssembly.h
@@ -6,6 +6,7 @@
 #include "platform/TargetCodec.h"
 #include "proxy/DescriptorShares.h"
 #include "proxy/Proxy.h"
+#include "proxy/StoreCallCounts.h"
 #include "wire/HttpServer.h"
 #include "wire/LineClients.h"
 #include "wire/LineServer.h"
@@ -85,6 +86,7 @@
     void send(ConnectionId, const std::vector<Proxy::TargetRequest>&) override;
 
     // The platform and peers.
+    [[nodiscard]] static Wire::PlatformClientLimits clientLimits(const Proxy::ProxySettings&, std::size_t connections);
     void call(Wire::PlatformClient&, PlatformCall, ReplyHandler);
     void readTable(Proxy::StoreTable, const std::string& fromKey, Duration timeout) override;
     void followTable(Proxy::StoreTable, Proxy::RowVersion after, Duration wait, Duration timeout) override;
@@ -125,6 +127,7 @@
     Wire::PlatformClient m_promotionClient;
     std::map<SocketAddress, std::unique_ptr<Wire::PlatformClient>> m_peerClients;
     Wire::Metrics m_metrics;
+    Proxy::StoreCallCounts m_storeCalls;
     Proxy::Proxy m_proxy;
     Shutdown m_shutdown;
     std::unordered_map<ConnectionId, Platform::TargetCodec> m_codecs;
--- /dev/null
+++ b/src/app/ProxyAssemblyPlatform.cpp
@@ -0,0 +1,119 @@
+#include "app/ProxyAssembly.h"
+#include "platform/StoreCalls.h"
+#include "proxy/PeerSnapshot.h"
+
+namespace Auburnpost {
+
+namespace {
+
+    constexpr Duration peerTimeout = std::chrono::milliseconds(600);
+    constexpr auto snapshotPath = "/v1/snapshot";
+    constexpr int statusOk = 200;
+
+} // namespace
+
+Wire::PlatformClientLimits ProxyAssembly::clientLimits(const Proxy::ProxySettings& settings, std::size_t connections)
+{
+    Wire::PlatformClientLimits limits;
+    limits.userAgent = settings.host.value() + "/" + settings.dataCentre.value();
+    limits.connections = connections;
+    return limits;
+}
+
+void ProxyAssembly::call(Wire::PlatformClient& client, PlatformCall call, ReplyHandler handler)
+{
+    call.id = PlatformCallId(++m_lastCallId);
+    m_replyHandlers.emplace(call.id, std::move(handler));
+    client.call(call);
+}
+
+void ProxyAssembly::readTable(Proxy::StoreTable table, const std::string& fromKey, Duration timeout)
+{
+    call(m_storeClient, Platform::makeTableReadCall(table, fromKey, timeout),
+        [this, table](const Expected<PlatformReply>& reply) {
+            const auto page = Platform::readPage(reply);
+            m_storeCalls.recordRead(table, page);
+            m_proxy.tableRead(now(), table, page);
+        });
+}
+
+void ProxyAssembly::followTable(Proxy::StoreTable table, Proxy::RowVersion after, Duration wait, Duration timeout)
+{
+    call(m_storeClient, Platform::makeTableFollowCall(table, after, wait, timeout),
+        [this, table](const Expected<PlatformReply>& reply) {
+            const auto page = Platform::readPage(reply);
+            m_storeCalls.recordPoll(table, page);
+            m_proxy.tableFollowed(now(), table, page);
+        });
+}
+
+void ProxyAssembly::writeHost(const HostName& host, const std::string& value)
+{
+    call(m_storeClient, Platform::makeHostWriteCall(host, value), [this](const Expected<PlatformReply>& reply) {
+        // Without an answer the proxy writes the record again. A loss of the store is reported by the table followers.
+        const auto isDone = reply.map([](const PlatformReply& answered) { return answered.status == statusOk; });
+        m_storeCalls.recordHostWrite(isDone);
+        m_proxy.hostWritten(isDone.value_or(false));
+    });
+}
+
+void ProxyAssembly::readLease(const Proxy::GroupName& group)
+{
+    call(m_storeClient, Platform::makeLeaseReadCall(group), [this, group](const Expected<PlatformReply>& reply) {
+        const auto row = Platform::readLeaseRow(group, reply);
+        m_storeCalls.recordLeaseRead(row);
+        m_proxy.leaseRead(now(), group, row);
+    });
+}
+
+void ProxyAssembly::writeLease(
+    const Proxy::GroupName& group, const Proxy::PromotionLease& lease, Proxy::RowVersion expected)
+{
+    call(m_storeClient, Platform::makeLeaseWriteCall(group, lease, expected),
+        [this, group](const Expected<PlatformReply>& reply) {
+            const auto version = Platform::readLeaseWrite(reply);
+            m_storeCalls.recordLeaseWrite(version);
+            m_proxy.leaseWritten(now(), group, version);
+        });
+}
+
+void ProxyAssembly::promote(
+    const Proxy::GroupName& group, const TargetName& target, Proxy::RowVersion token, Instant sendBefore)
+{
+    auto promotion = Platform::makePromotionCall(group, target, m_settings.host, token, Proxy::Promotion::callTimeout);
+    promotion.maySend = [sendBefore] { return now() < sendBefore; };
+    call(m_promotionClient, std::move(promotion), [this, group](const Expected<PlatformReply>& reply) {
+        m_proxy.promoteAnswered(now(), group, Platform::readPromotionOutcome(reply));
+    });
+}
+
+void ProxyAssembly::queryPeer(const SocketAddress& peer)
+{
+    auto& client = m_peerClients[peer];
+    if (!client) {
+        client = std::make_unique<Wire::PlatformClient>(m_base, peer, clientLimits(m_settings, 1));
+        client->answered().connect([this, peer](const PlatformAnswer& answer) {
+            if (!answer.reply)
+                m_proxy.peerAnswered(now(), peer, tl::unexpected(answer.reply.error()));
+            else
+                m_proxy.peerAnswered(now(), peer, Proxy::decodeSnapshot(answer.reply->body));
+        });
+    }
+    PlatformCall snapshotCall;
+    snapshotCall.id = PlatformCallId(++m_lastCallId);
+    snapshotCall.path = snapshotPath;
+    snapshotCall.timeout = peerTimeout;
+    client->call(snapshotCall);
+}
+
+void ProxyAssembly::servePeer(const Wire::HttpRequest& request)
+{
+    const bool isStateRequest = !request.path.empty() && request.path.back() == "state";
+    if (isStateRequest)
+        m_peerServer.reply(request.id, { statusOk, { { "Content-Type", "application/json" } }, m_proxy.dump(now()) });
+    else
+        m_peerServer.reply(request.id,
+            { statusOk, { { "Content-Type", "application/msgpack" } }, Proxy::encodeSnapshot(m_proxy.tables()) });
+}
+
+} // namespace Auburnpost
