Carry messages between hosts over libevent instead of nng

Cause: in each of the stopped processes nng's thread for closing (nng:reap2) waits without a limit for a call of a connection that has ended, and nng_close waits for that thread. The thread is one for all sockets, so each later close in the process hangs too: drop() of a peer on the event loop of a running host as well as its shutdown. A time limit around nng_close would bound the shutdown, but every later connection of the host would still never be closed.

Change: PeerTransport speaks the same framing over libevent, in which nothing waits: PeerSender is one outgoing connection with its queue, PeerReceiver one incoming one, PeerFraming the bytes.

Tests: "Closing the connections never waits for a peer that comes and goes" (200 rounds) is new, as are those for a peer with another protocol, a message above the limit, and single bytes. The section on other peers ran them on a loop of their own, which only worked with the library's threads; it now uses the one loop.

--- a/src/engine/Action.h
+++ b/src/engine/Action.h
@@ -27,13 +27,13 @@
     ConnectionId connection;
 };
 
-/// Sends a message to the nng address of another host.
+/// Sends a message to the peer address of another host.
 struct SendToPeer {
     SocketAddress address;
     std::string bytes;
 };
 
-/// Closes the connection to another host's nng address.
+/// Closes the connection to another host's peer address.
 struct DisconnectPeer {
     SocketAddress address;
 };
--- a/src/engine/Event.h
+++ b/src/engine/Event.h
@@ -23,7 +23,7 @@
     TargetStatus targetStatus;
 };
 
-/// A message of another host arrived over nng.
+/// A message of another host arrived.
 struct PeerReceived {
     std::string bytes;
 };
--- a/src/wire/LineConnection.cpp
+++ b/src/wire/LineConnection.cpp
@@ -5,29 +5,12 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <memory>
 
 namespace Auburnpost::Wire {
 
-namespace {
-
-    /// Time without an acknowledgement after which a connection fails, in milliseconds; above the longest pause of a
-    /// healthy network link.
-    constexpr unsigned tcpUserTimeoutMs = 6000;
-
-    void setTcpOptions(int descriptor)
-    {
-        const int on = 1;
-        // Errors are ignored: without these options the connection works, but detects a loss later.
-        (void)setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-        (void)setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &tcpUserTimeoutMs, sizeof(tcpUserTimeoutMs));
-    }
-
-} // namespace
-
 struct LineConnection::Callbacks {
     static void read(bufferevent*, void* self) { static_cast<LineConnection*>(self)->onReadable(); }
     static void written(bufferevent*, void* self) { static_cast<LineConnection*>(self)->onFlushed(); }
--- a/src/wire/PeerTransport.h
+++ b/src/wire/PeerTransport.h
@@ -2,8 +2,9 @@
 
 #include "base/Expected.h"
 #include "base/SocketAddress.h"
-#include "base/Time.h"
-#include "wire/LibeventPointers.h"
+#include "wire/Listener.h"
+#include "wire/PeerReceiver.h"
+#include "wire/PeerSender.h"
 
 #include <sigc++/signal.h>
 
@@ -13,21 +14,15 @@
 
 namespace Auburnpost::Wire {
 
-/// Limits and reconnect intervals of PeerTransport.
+/// Limits of PeerTransport.
 struct PeerTransportLimits {
     /// Maximum size of a sent or received message, in bytes.
     std::size_t messageBytes { 64UL * 1024 * 1024 };
-    /// Maximum messages queued for one peer; further ones are refused. At most 8192.
-    int sendBufferMessages { 1024 };
-    /// Maximum received messages queued for the event loop.
-    int receiveBufferMessages { 1024 };
-    Duration reconnectMin { std::chrono::milliseconds(50) };
-    Duration reconnectMax { std::chrono::seconds(1) };
+    PeerSenderLimits sender;
 };
 
-/// Exchanges messages between hosts over nng, with one socket that receives from all peers and one sending socket per
-/// peer. Messages to a peer arrive in the order sent, each at most once; those in transit are lost when a connection
-/// breaks.
+/// Exchanges messages between hosts. Messages to a peer arrive in the order sent, each at most once; those in transit
+/// are lost when a connection breaks. Each direction has its own connection.
 class PeerTransport {
 public:
     PeerTransport(event_base*, SocketAddress listenAddress, PeerTransportLimits = {});
@@ -35,35 +30,31 @@
     PeerTransport(const PeerTransport&) = delete;
     PeerTransport& operator=(const PeerTransport&) = delete;
 
-    /// Starts receiving. The port must not be 0.
+    /// Starts receiving.
     /// @return nothing, or an error with step "listen".
-    Expected<void> listen();
+    Expected<void> listen() { return m_listener.start(); }
 
     /// Queues a message for a peer; the first message to a peer also starts the connection.
-    /// @return nothing, ErrorCode::PeerUnreachable if the peer's queue is full or its socket can't be opened, or
-    /// ErrorCode::BadMessage if the message exceeds the size limit. After an error the message was not sent.
+    /// @return nothing, ErrorCode::PeerUnreachable if the peer's queue is full, or ErrorCode::BadMessage if the message
+    /// exceeds the size limit. After an error the message was not sent.
     Expected<void> send(const SocketAddress& peer, const std::string& bytes);
-    /// Closes the socket for a peer and discards the messages queued for it.
+    /// Closes the connection to a peer and discards the messages queued for it.
     void drop(const SocketAddress& peer);
 
     sigc::signal<void(const std::string& bytes)>& received() { return m_received; }
 
-    /// @return the number of peers that have a sending socket.
+    /// @return the number of peers to which messages are sent.
     [[nodiscard]] std::size_t peers() const { return m_senders.size(); }
 
 private:
-    class Socket;
-    struct Callbacks;
-
-    Expected<Socket*> findOrOpenSender(const SocketAddress&);
-    void onReadable();
+    void accept(int descriptor);
 
     event_base* m_base;
-    SocketAddress m_listenAddress;
     PeerTransportLimits m_limits;
-    std::unique_ptr<Socket> m_receiver;
-    std::map<SocketAddress, std::unique_ptr<Socket>> m_senders;
-    EventPointer m_readable;
+    Listener m_listener;
+    std::uint64_t m_lastReceiver { 0 };
+    std::map<std::uint64_t, std::unique_ptr<PeerReceiver>> m_receivers;
+    std::map<SocketAddress, std::unique_ptr<PeerSender>> m_senders;
     sigc::signal<void(const std::string&)> m_received;
 };
 
--- a/src/wire/SocketOptions.cpp
+++ b/src/wire/SocketOptions.cpp
@@ -3,15 +3,32 @@
 #include <arpa/inet.h>
 #include <array>
 #include <csignal>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace Auburnpost::Wire {
 
+namespace {
+
+    /// Time without an acknowledgement after which a connection fails, in milliseconds; above the longest pause of a
+    /// healthy network link.
+    constexpr unsigned tcpUserTimeoutMs = 6000;
+
+} // namespace
+
 void ignoreBrokenPipe()
 {
     std::signal(SIGPIPE, SIG_IGN);
 }
 
+void setTcpOptions(int descriptor)
+{
+    const int on = 1;
+    // Errors are ignored: without these options the connection works, but detects a loss later.
+    (void)setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    (void)setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &tcpUserTimeoutMs, sizeof(tcpUserTimeoutMs));
+}
+
 sockaddr_in toSockaddr(const SocketAddress& address)
 {
     sockaddr_in result {};
--- a/src/wire/SocketOptions.h
+++ b/src/wire/SocketOptions.h
@@ -10,6 +10,10 @@
 /// Ignores SIGPIPE, so that a write to a closed connection returns an error instead of ending the process.
 void ignoreBrokenPipe();
 
+/// Makes a connection send small messages at once, and fail once the other side has not acknowledged anything for a
+/// while.
+void setTcpOptions(int descriptor);
+
 /// @return the address as a socket address structure.
 sockaddr_in toSockaddr(const SocketAddress&);
 /// @return the address in a socket address structure.
--- a/tests/wire/PeerTransportTests.cpp
+++ b/tests/wire/PeerTransportTests.cpp
@@ -1,6 +1,8 @@
 #include "wire/PeerTransport.h"
 
 #include "wire/Loop.h"
+#include "wire/PeerFraming.h"
+#include "wire/RawClient.h"
 #include "wire/RawServer.h"
 
 #include <catch2/catch.hpp>
@@ -9,6 +11,7 @@
 
 using namespace Auburnpost;
 using namespace Auburnpost::Wire;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -36,8 +39,7 @@
 PeerTransportLimits smallBuffer()
 {
     PeerTransportLimits limits;
-    limits.sendBufferMessages = 4;
-    limits.receiveBufferMessages = 4;
+    limits.sender.queuedMessages = 4;
     return limits;
 }
 
@@ -95,10 +97,12 @@
     }
     SECTION("messages to other peers are delivered")
     {
-        Fixture other;
-        const auto receiver = other.listen();
-        CHECK(sender.send(other.address, "hello").has_value());
-        CHECK(other.loop.runUntil([&] { return !other.received.empty(); }));
+        const auto otherAddress = freeAddress(test.loop);
+        PeerTransport other(test.loop.base(), otherAddress);
+        other.received().connect([&](const std::string& bytes) { test.received.push_back(bytes); });
+        REQUIRE(other.listen().has_value());
+        CHECK(sender.send(otherAddress, "hello").has_value());
+        CHECK(test.loop.runUntil([&] { return !test.received.empty(); }));
     }
     SECTION("drop() discards the peer's queue")
     {
@@ -125,6 +129,63 @@
     CHECK(test.received.back() == "again");
 }
 
+TEST_CASE("Closing the connections never waits for a peer that comes and goes", "[wire][peer]")
+{
+    // The close of a socket used to hang now and then after its peer had restarted.
+    constexpr int rounds = 200;
+    Fixture test;
+    for (int round = 0; round < rounds; ++round) {
+        PeerTransport sender(test.loop.base(), {});
+        test.received.clear();
+        auto receiver = test.listen();
+        REQUIRE(sender.send(test.address, "first").has_value());
+        REQUIRE(test.loop.runUntil([&] { return !test.received.empty(); }));
+        receiver.reset();
+        REQUIRE(sender.send(test.address, "second").has_value());
+        const auto closedAt = std::chrono::steady_clock::now();
+        sender.drop(test.address);
+        CHECK(std::chrono::steady_clock::now() - closedAt < 1s);
+    }
+}
+
+TEST_CASE("A peer that does not speak the framing is disconnected and harms no other", "[wire][peer]")
+{
+    Fixture test;
+    const auto receiver = test.listen();
+    RawClient stranger(test.loop.base(), test.address);
+    SECTION("another protocol")
+    {
+        stranger.send("GET / HTTP/1.1\r\n\r\n");
+    }
+    SECTION("a message above the size limit")
+    {
+        stranger.send(PeerFraming::senderHeader);
+        stranger.send(std::string(PeerFraming::lengthBytes, '\xff'));
+    }
+    CHECK(test.loop.runUntil([&] { return stranger.closed(); }));
+    PeerTransport sender(test.loop.base(), {});
+    CHECK(sender.send(test.address, "hello").has_value());
+    CHECK(test.loop.runUntil([&] { return !test.received.empty(); }));
+}
+
+TEST_CASE("Messages that arrive in single bytes are put together", "[wire][peer]")
+{
+    Fixture test;
+    const auto receiver = test.listen();
+    RawClient peer(test.loop.base(), test.address);
+    const std::string message = "hello";
+    const auto bytes = std::string(PeerFraming::senderHeader) + PeerFraming::encodeLength(message.size()) + message
+        + PeerFraming::encodeLength(0);
+    for (const char byte : bytes) {
+        peer.send(std::string(1, byte));
+        test.loop.runFor(1ms);
+    }
+    REQUIRE(test.loop.runUntil([&] { return test.received.size() == 2; }));
+    CHECK(test.received[0] == message);
+    CHECK(test.received[1].empty());
+    CHECK(peer.received() == PeerFraming::receiverHeader);
+}
+
 TEST_CASE("A port in use is reported", "[wire][peer]")
 {
     Fixture test;
