Test fences and confirmations for groups of any size up to seven

The tests covered groups of three and four. For every size up to 7, every number of synchronous replicas below it and every subset of members: a confirmed primary excludes a commit by another one, enough fences exclude a commit by the former one, and the log end of fenced members is used only if no commit can miss it. Passes on the present code: given the right size of the group the counts are right for all shapes.

--- a/tests/proxy/GroupWatcherTests.cpp
+++ b/tests/proxy/GroupWatcherTests.cpp
@@ -1,5 +1,6 @@
 #include "proxy/GroupWatcher.h"
 
+#include <bit>
 #include <catch2/catch.hpp>
 
 using namespace Auburnpost;
@@ -280,6 +281,51 @@
     }
 }
 
+TEST_CASE("Fences and confirmations exclude another primary in groups of any size", "[proxy][watcher]")
+{
+    const auto others = GENERATE(range(0U, 7U));
+    const auto size = others + 1;
+    const auto sync = GENERATE_COPY(range(0U, size));
+    CAPTURE(size, sync);
+    const auto quorum = sync + 1;
+    std::vector<TargetRecord> records;
+    for (unsigned index = 0; index < size; ++index)
+        records.push_back(record(std::to_string(index), static_cast<std::uint16_t>(index + 1), index == 0));
+    const auto& primary = records.front().name;
+    // Each bit stands for one member besides the primary.
+    for (unsigned members = 0; members < 1U << others; ++members) {
+        const auto count = static_cast<unsigned>(std::popcount(members));
+        GroupWatcher joined;
+        joined.setRules({ 50, sync });
+        joined.setMembers(start, records);
+        auto fenced = joined;
+        joined.recordStatus(start, primary, start, makeStatus(true, 1, 7));
+        for (unsigned index = 1; index < size; ++index) {
+            const bool isAmong = (members >> (index - 1)) & 1U;
+            joined.recordStatus(start, records[index].name, start, makeStatus(false, isAmong ? 2 : 1, 7));
+            fenced.recordStatus(start, records[index].name, start, makeStatus(false, 1, index, isAmong ? 2 : 0));
+        }
+        // Members that joined another primary may have acknowledged a commit with it.
+        const bool mayHaveCommitted = count >= quorum;
+        CHECK_FALSE((joined.confirmations().covers(start, primary) && mayHaveCommitted));
+        if (count == 0)
+            CHECK(joined.confirmations().covers(start, primary));
+
+        // Enough fenced members for a promotion: the others can't acknowledge a commit, and did not acknowledge one
+        // alone.
+        if (sync > 0 && count >= fenced.fencesNeeded())
+            CHECK(size - count < quorum);
+        const bool hasLogEnd = fenced.confirmations().logPointAt(start).has_value();
+        CHECK_FALSE((hasLogEnd && size - count >= quorum));
+    }
+    // If the primary alone is lost, the others are enough for a promotion.
+    GroupWatcher watcher;
+    watcher.setRules({ 50, sync });
+    watcher.setMembers(start, records);
+    if (size > quorum)
+        CHECK(watcher.fencesNeeded() <= size - 1);
+}
+
 TEST_CASE("The status of a target is discarded once the target restarts", "[proxy][watcher]")
 {
     auto watcher = threeMembers();
