--- a/tests/proxy/StoreFollowerTests.cpp
+++ b/tests/proxy/StoreFollowerTests.cpp
@@ -10,7 +10,23 @@
 
 namespace {
 
+/// A table that is followed, the times to follow it, and the time within which a change has to be known.
+struct FollowedTable {
+    StoreTable table;
+    TableTimes (*times)(const TimeBounds&);
+    Duration (*limit)(const TimeBounds&);
+};
+
+constexpr FollowedTable configurationTable { StoreTable::Configuration, &TableTimes::forConfiguration,
+    [](const TimeBounds& bounds) { return bounds.configuration; } };
+/// A target whose record disappears is still used for a while, within the same bound.
+constexpr FollowedTable targetsTable { StoreTable::Targets, &TableTimes::forTargets, [](const TimeBounds& bounds) {
+                                          return bounds.drain - TargetDirectory(bounds).missingTimeout()
+                                              - TargetDirectory::removalDelay;
+                                      } };
+
 struct OutageCase {
+    FollowedTable followed { configurationTable };
     TimeBounds bounds;
     Duration editInterval {};
     Duration roundTrip {};
@@ -26,8 +42,10 @@
         FakeStore store({ start, start + length }, outage.editInterval, outage.roundTrip);
         if (outage.losesHistory)
             store.loseHistory();
-        StoreFollower follower(StoreTable::Configuration, TableTimes::forConfiguration(outage.bounds), store);
-        result = std::max(result, store.run(follower, start + length + 15s, outage.bounds));
+        StoreFollower follower(outage.followed.table, outage.followed.times(outage.bounds), store);
+        auto limits = outage.bounds;
+        limits.configuration = outage.followed.limit(outage.bounds);
+        result = std::max(result, store.run(follower, start + length + 15s, limits));
     }
     return result;
 }
@@ -67,6 +85,28 @@
     }
 }
 
+TEST_CASE(
+    "A release acknowledged in the first moments after a silent outage of the store is known in time", "[proxy][store]")
+{
+    OutageCase outage;
+    outage.editInterval = 100ms;
+    outage.roundTrip = GENERATE(Duration(5ms), Duration(45ms));
+    outage.followed = GENERATE(configurationTable, targetsTable);
+    SECTION("with the usual bounds") { }
+    SECTION("with half of the bounds")
+    {
+        outage.bounds = scaled(0.5);
+    }
+    SECTION("when the outage loses the history of changes")
+    {
+        outage.losesHistory = true;
+    }
+    for (Duration length {}; length <= 8s; length += 100ms) {
+        INFO("outage of " << toMilliseconds(length) << " ms, table " << toString(outage.followed.table));
+        CHECK(toMilliseconds(maxDelay(outage, length)) == 0);
+    }
+}
+
 TEST_CASE("Bounds that are too short to be kept give short times, not invalid ones", "[proxy][store]")
 {
     const auto bounds = scaled(0.01);
