Rely on one replica only to have an acknowledged commit

Evidence: a trace of silent-store, in which the primary acknowledged 1.243 at 14.71 s and three of four replicas, none of them restarted, were fenced at 1.242 at 17.15 s.

Change: RowDecoder takes a number above one as one, so that fences and confirmations are counted for it.

Test: platform_tests "No more than one replica is relied on ..." failed before.

--- a/src/platform/RowDecoder.cpp
+++ b/src/platform/RowDecoder.cpp
@@ -45,6 +45,10 @@
         return route;
     }
 
+    /// Replicas that certainly have an acknowledged commit, whatever higher number is configured: targets acknowledge
+    /// once the first replica has received the commit.
+    constexpr std::size_t guaranteedSyncReplicas = 1;
+
     Proxy::Catalog parseCatalog(const Json& json)
     {
         Proxy::Catalog catalog;
@@ -55,7 +59,7 @@
         for (const auto& service : json.at("Services")) {
             auto& group = catalog.groups[Proxy::GroupName(service.at("Name").get<std::string>())];
             group.connectionLimit = service.at("ConnectionLimit").get<std::size_t>();
-            group.syncReplicas = service.value("SyncReplicas", std::size_t { 0 });
+            group.syncReplicas = std::min(service.value("SyncReplicas", std::size_t { 0 }), guaranteedSyncReplicas);
         }
         const auto& limits = json.at("Limits");
         if (limits.contains("TxIdleMs"))
--- a/tests/platform/RowDecoderTests.cpp
+++ b/tests/platform/RowDecoderTests.cpp
@@ -53,6 +53,19 @@
     CHECK((*catalog)->transactionIdleLimit == std::chrono::seconds(3));
 }
 
+TEST_CASE("No more than one replica is relied on to have an acknowledged commit", "[platform]")
+{
+    const RowDecoder decoder;
+    const auto [configured, relied]
+        = GENERATE(table<std::size_t, std::size_t>({ { 0, 0 }, { 1, 1 }, { 2, 1 }, { 4, 1 } }));
+    auto configuration = configurationJson();
+    configuration["Services"][0]["SyncReplicas"] = configured;
+    const auto catalog = decoder.readCatalog(row("config", configuration));
+    REQUIRE(catalog);
+    REQUIRE(*catalog);
+    CHECK((*catalog)->groups.at(GroupName("finy74a")).syncReplicas == relied);
+}
+
 TEST_CASE("Other rows of the operators hold no configuration, and a malformed configuration is an error", "[platform]")
 {
     const RowDecoder decoder;
