--- a/review/standin/Standin.h
+++ b/review/standin/Standin.h
@@ -179,7 +179,7 @@
         while (true) {
             const int descriptor = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
             if (descriptor < 0)
-                continue;
+                return;
             const int on = 1;
             setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
             std::thread([descriptor, serve] {
@@ -221,6 +221,12 @@
         m_rows[table][key] = { encodeBase64(value), ++m_version, false };
         m_changed.notify_all();
     }
+    void remove(const std::string& table, const std::string& key)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_rows[table][key] = { "", ++m_version, true };
+        m_changed.notify_all();
+    }
     /// Called for POST /promotion; returns the status.
     std::function<int(const std::string& service, const std::string& id)> onPromotion;
 
