--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,7 +5,7 @@
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
 cd "$top" || exit 2
-timeout -k 5 100 target/review/ForeignEntry target/src/app/auburnpost "$folder" "${TROUBLE:-1}" "$here/record.txt"
+timeout -k 5 100 target/review/Smuggle target/src/app/auburnpost "$folder" "${TROUBLE:-1}" "$here/record.txt"
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
