End a line at CR LF only

Cause: LineConnection read lines with EVBUFFER_EOL_CRLF, which ends a line at a line feed as well, while the platform ends it at CR LF only. The reader reported two messages, so the check for control characters in readCallerLine never saw the line feed. Evidence: readCallerLine refuses the whole message when it gets it (platform_tests, now with it in the list); the reader's new tests show two lines where one was sent.

Change: LineFraming::takeLine divides bytes into lines, at CR LF only. It serves callers, targets, forwarded sessions and the status line of conditional calls, which all read through LineConnection. The refusal by readCallerLine then holds.

--- a/src/wire/LineConnection.cpp
+++ b/src/wire/LineConnection.cpp
@@ -1,5 +1,6 @@
 #include "wire/LineConnection.h"
 
+#include "wire/LineFraming.h"
 #include "wire/SocketOptions.h"
 
 #include <event2/buffer.h>
@@ -7,8 +8,6 @@
 #include <event2/event.h>
 #include <sys/socket.h>
 
-#include <memory>
-
 namespace Auburnpost::Wire {
 
 struct LineConnection::Callbacks {
@@ -117,11 +116,10 @@
     m_isReading = true;
     auto* const input = bufferevent_get_input(m_bufferevent);
     while (!m_isPaused) {
-        std::size_t length = 0;
-        const std::unique_ptr<char, decltype(&free)> line(evbuffer_readln(input, &length, EVBUFFER_EOL_CRLF), free);
+        const auto line = LineFraming::takeLine(input);
         if (!line)
             break;
-        m_handlers.line({ line.get(), length });
+        m_handlers.line(*line);
         if (isDestroyed)
             return;
     }
--- a/src/wire/LineConnection.h
+++ b/src/wire/LineConnection.h
@@ -23,8 +23,8 @@
     LineTooLong,
 };
 
-/// One TCP connection that carries lines of text. The owner may destroy it within the handlers for a line and for the
-/// end of the connection.
+/// One TCP connection that carries lines of text as LineFraming divides them. The owner may destroy it within the
+/// handlers for a line and for the end of the connection.
 class LineConnection {
 public:
     struct Handlers {
--- a/tests/app/SessionForwarderTests.cpp
+++ b/tests/app/SessionForwarderTests.cpp
@@ -80,6 +80,19 @@
     CHECK(host.answers == std::vector<std::string> { "READY I -", "ROW v", "DONE 7.1", "READY I 1.4" });
 }
 
+TEST_CASE("A line feed alone does not divide a line that is forwarded", "[app][forward]")
+{
+    Fixture host;
+    host.openAndAccept();
+    const std::string request("QUERY 1 WRITE a b\nQUERY 2 WRITE c d");
+    host.forwarder.send(session, request);
+    REQUIRE(host.loop.runUntil([&] { return host.received.size() == 2; }));
+    CHECK(host.received[1] == request);
+    host.answer("ROW v\nREADY T 1.4\r\nDONE 7.1\r\nREADY I 1.4\r\n");
+    REQUIRE(host.loop.runUntil([&] { return host.finished == 2; }));
+    CHECK(host.answers == std::vector<std::string> { "READY I -", "ROW v\nREADY T 1.4", "DONE 7.1", "READY I 1.4" });
+}
+
 TEST_CASE("A host that does not open a session is reported, so that the next host can be tried", "[app][forward]")
 {
     Fixture host;
--- a/tests/platform/CallerCodecTests.cpp
+++ b/tests/platform/CallerCodecTests.cpp
@@ -60,7 +60,8 @@
     for (const auto* const line : { "", "HELLO", "QUERY", "QUERY 1f", "QUERY 1f NONSENSE", "QUERY - READ 1a4",
              "QUERY 1f AFTER 3.1207 READ 1a4", "QUERY 1f STATUS", "QUERY 1f PAUSE 3", "QUERY 1f DEMOTE 3",
              "QUERY 1f RESET", "QUERY 1f READ", "QUERY 1f READ a b", "QUERY 1f WRITE a", "QUERY 1f PREPARE s READ",
-             "QUERY 1f PREPARE s MAYBE q", "QUERY 1f COMMIT now", "START", "QUERY 1f READ a\x01" }) {
+             "QUERY 1f PREPARE s MAYBE q", "QUERY 1f COMMIT now", "START", "QUERY 1f READ a\x01",
+             "QUERY 1f WRITE a b\nQUERY 20 WRITE c d", "QUERY 1f WRITE a b\rQUERY 20 WRITE c d", "START d\nBYE" }) {
         INFO(line);
         CHECK(std::holds_alternative<MalformedLine>(readCallerLine(line)));
     }
--- a/tests/wire/LineTests.cpp
+++ b/tests/wire/LineTests.cpp
@@ -55,6 +55,36 @@
     CHECK(client.received() == "answer\r\n");
 }
 
+TEST_CASE("A line feed alone does not smuggle a second message into a line", "[wire][lines]")
+{
+    const std::string text("QUERY 1 WRITE a b\nQUERY 2 WRITE c d");
+    SECTION("on an accepted connection")
+    {
+        Fixture served;
+        RawClient client(served.loop.base(), served.server.address());
+        client.send(text + "\r\nnext\r\n");
+        REQUIRE(served.loop.runUntil([&] { return served.lines.size() == 1; }));
+        served.server.resume(served.last);
+        REQUIRE(served.loop.runUntil([&] { return served.lines.size() == 2; }));
+        CHECK(served.lines == std::vector<std::string> { text, "next" });
+    }
+    SECTION("on a client's connection")
+    {
+        Loop loop;
+        RawServer server(loop.base(), [&](RawServer::Session& session) {
+            session.input.clear();
+            RawServer::send(session, { text + "\r\nnext\r\n", false });
+        });
+        LineClients lineClients(loop.base());
+        std::vector<std::string> lines;
+        lineClients.connected().connect([&](ConnectionId id) { lineClients.send(id, "hello\r\n"); });
+        lineClients.lineReceived().connect([&](ConnectionId, std::string_view line) { lines.emplace_back(line); });
+        lineClients.open(ConnectionId(1), server.address());
+        REQUIRE(loop.runUntil([&] { return lines.size() >= 2; }));
+        CHECK(lines == std::vector<std::string> { text, "next" });
+    }
+}
+
 TEST_CASE("A closed connection ends as soon as its last message is sent", "[wire][lines]")
 {
     // A connection that stayed open after close() accepted requests that were never answered.
