End the request of a relay's peer at CR LF only

What followed the line feed went to the target as bytes of the session.

Change: it reads the line through LineFraming, which both readers now share.

Test: wire_tests "A line feed alone does not end a peer's request, which would send the rest to the target" failed before: the target got a statement.

--- a/src/wire/RelayServer.cpp
+++ b/src/wire/RelayServer.cpp
@@ -1,6 +1,7 @@
 #include "wire/RelayServer.h"
 
 #include "wire/LibeventPointers.h"
+#include "wire/LineFraming.h"
 #include "wire/LoopTime.h"
 #include "wire/SocketOptions.h"
 
@@ -24,7 +25,7 @@
 
     void sendLine(bufferevent* side, std::string_view answer)
     {
-        const auto line = std::string(answer) + "\r\n";
+        const auto line = std::string(answer).append(LineFraming::lineEnd);
         bufferevent_write(side, line.data(), line.size());
     }
 
@@ -98,7 +99,7 @@
 
 std::string RelayServer::request(const SocketAddress& target, const TargetName& name)
 {
-    return target.toString() + " " + name.value() + "\r\n";
+    return (target.toString() + " " + name.value()).append(LineFraming::lineEnd);
 }
 
 Expected<void> RelayServer::listen()
@@ -130,10 +131,9 @@
         return;
     }
     auto* const input = bufferevent_get_input(pair.peer.get());
-    std::size_t length = 0;
-    const std::unique_ptr<char, decltype(&free)> line(evbuffer_readln(input, &length, EVBUFFER_EOL_CRLF), free);
+    const auto line = LineFraming::takeLine(input);
     if (line && !pair.target)
-        connect(pair, { line.get(), length });
+        connect(pair, *line);
     else if (evbuffer_get_length(input) > maxRequestBytes)
         closePair(pair);
 }
--- a/tests/wire/RelayServerTests.cpp
+++ b/tests/wire/RelayServerTests.cpp
@@ -72,6 +72,17 @@
     CHECK(relayed.loop.runUntil([&] { return relayed.relay.connections() == 0; }));
 }
 
+TEST_CASE("A line feed alone does not end a peer's request, which would send the rest to the target", "[wire][relay]")
+{
+    Fixture relayed;
+    RawClient peer(relayed.loop.base(), relayed.relay.address());
+    peer.send(relayed.target.address().toString() + " known\nQUERY 1 WRITE a b\r\n");
+    REQUIRE(relayed.loop.runUntil([&] { return relayed.relay.connections() == 0 || !peer.received().empty(); }));
+    relayed.loop.runFor(20ms);
+    CHECK(peer.received() == "NO\r\n");
+    CHECK(relayed.target.accepted() == 0);
+}
+
 TEST_CASE("A peer that reads slowly gets the last bytes of a target that closed its connection", "[wire][relay]")
 {
     // How many bytes the sockets hold is up to the kernel, so that only some of the sizes leave a rest in the relay.
