Keep the bytes that a relay's peer sends before its connection stands

Cause: RelayServer took a line from a peer's input whenever bytes arrived before the connection to the target was established, also when it had the request already, and dropped it. The hosts wait for the relay's answer, so none of theirs was lost.

Test: wire_tests "A line that a peer sends before the answer to its request reaches the target" failed before. Its target is a listener whose queue is full, so that the connection takes as long as the test wants.

--- a/src/wire/RelayServer.cpp
+++ b/src/wire/RelayServer.cpp
@@ -131,10 +131,14 @@
         return;
     }
     auto* const input = bufferevent_get_input(pair.peer.get());
-    const auto line = LineFraming::takeLine(input);
-    if (line && !pair.target)
-        connect(pair, *line);
-    else if (evbuffer_get_length(input) > maxRequestBytes)
+    // Bytes after the request wait in the input until the connection to the target is established.
+    if (!pair.target) {
+        if (const auto line = LineFraming::takeLine(input)) {
+            connect(pair, *line);
+            return;
+        }
+    }
+    if (evbuffer_get_length(input) > (pair.target ? maxQueuedBytes : maxRequestBytes))
         closePair(pair);
 }
 
--- a/tests/wire/RelayServerTests.cpp
+++ b/tests/wire/RelayServerTests.cpp
@@ -1,5 +1,6 @@
 #include "wire/RelayServer.h"
 
+#include "wire/FullListener.h"
 #include "wire/Loop.h"
 #include "wire/RawClient.h"
 #include "wire/RawServer.h"
@@ -83,6 +84,27 @@
     CHECK(relayed.target.accepted() == 0);
 }
 
+TEST_CASE("A line that a peer sends before the answer to its request reaches the target", "[wire][relay]")
+{
+    Fixture relayed;
+    // A listener whose queue is full answers a connection attempt only after the queue has room again.
+    RawClient first(relayed.loop.base(), relayed.relay.address());
+    FullListener slowTarget;
+    first.send(RelayServer::request(slowTarget.address(), known));
+    relayed.loop.runFor(50ms);
+    REQUIRE(first.received().empty());
+    first.send("one\r\n");
+    relayed.loop.runFor(50ms);
+    first.send("two\r\n");
+    relayed.loop.runFor(50ms);
+    REQUIRE(first.received().empty());
+
+    slowTarget.acceptAll();
+    REQUIRE(relayed.loop.runUntil([&] { return first.received() == "OK\r\n"; }));
+    relayed.loop.runFor(20ms);
+    CHECK(slowTarget.receive("one\r\ntwo\r\n"));
+}
+
 TEST_CASE("A peer that reads slowly gets the last bytes of a target that closed its connection", "[wire][relay]")
 {
     // How many bytes the sockets hold is up to the kernel, so that only some of the sizes leave a rest in the relay.
