Refuse records whose name or group can't be a field of a line

Cause: a target's key and group in the store are written into the line that opens a connection and into the request to a relay, and any text was accepted for both. A foreign record with CR LF in its key could add a statement that no caller sent.

Nothing else of the store is written to a line.

Test: platform_tests "A record whose name or group would add a line to a connection names no target" failed before: such records were members, and connections were opened to them.

--- a/src/platform/CallerCodec.cpp
+++ b/src/platform/CallerCodec.cpp
@@ -3,9 +3,7 @@
 #include "platform/FailureKeywords.h"
 #include "platform/Fields.h"
 
-#include <algorithm>
 #include <array>
-#include <cctype>
 #include <optional>
 
 namespace Auburnpost::Platform {
@@ -108,11 +106,6 @@
         return { { Session::FailureCode::Malformed, text } };
     }
 
-    bool hasControlCharacter(std::string_view line)
-    {
-        return std::any_of(line.begin(), line.end(), [](unsigned char letter) { return std::iscntrl(letter) != 0; });
-    }
-
     char letterOf(Session::TransactionState state)
     {
         constexpr std::string_view letters = "ITE";
--- a/src/platform/Fields.h
+++ b/src/platform/Fields.h
@@ -3,6 +3,8 @@
 #include "base/LogPoint.h"
 #include "session/Answer.h"
 
+#include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <optional>
 #include <string>
@@ -10,6 +12,17 @@
 
 namespace Auburnpost::Platform {
 
+inline bool hasControlCharacter(std::string_view text)
+{
+    return std::any_of(text.begin(), text.end(), [](unsigned char letter) { return std::iscntrl(letter) != 0; });
+}
+
+/// @return whether the text can be a field of a line, which a space or a line end would divide.
+inline bool isField(std::string_view text)
+{
+    return !text.empty() && text.find(' ') == std::string_view::npos && !hasControlCharacter(text);
+}
+
 /// Removes the first field from a line and returns it; fields are separated by one space.
 inline std::string_view nextField(std::string_view& line)
 {
--- a/src/platform/RowDecoder.cpp
+++ b/src/platform/RowDecoder.cpp
@@ -1,5 +1,7 @@
 #include "platform/RowDecoder.h"
 
+#include "platform/Fields.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -112,9 +114,15 @@
 
     Proxy::TargetRecord parseRecord(const std::string& key, const Json& json)
     {
+        // The name and the group become fields of the line that opens a connection to the target.
+        if (!isField(key))
+            throw std::invalid_argument("the key is not a name");
+        const auto group = readText(json, "Service");
+        if (!isField(group))
+            throw std::invalid_argument("Service is not a name");
         Proxy::TargetRecord record;
         record.name = TargetName(key);
-        record.group = Proxy::GroupName(readText(json, "Service"));
+        record.group = Proxy::GroupName(group);
         const auto address = SocketAddress::parse(readText(json, "Address"));
         if (!address)
             throw std::invalid_argument(address.error().message);
--- a/tests/platform/ForeignRecordTests.cpp
+++ b/tests/platform/ForeignRecordTests.cpp
@@ -173,6 +173,31 @@
     }
 }
 
+TEST_CASE("A record whose name or group would add a line to a connection names no target", "[platform][foreign]")
+{
+    Fixture test;
+    auto rows = json::array({ rowOf("i-1", 2, base64(goodRecord("10.0.0.1:80").dump())) });
+    std::uint64_t version = 2;
+    for (const auto* const key :
+        { "i-3\r\nQUERY 1 WRITE a b", "i-3\nQUERY 1 WRITE a b", "i-3\r", "i-3 i-4", "i-\x7f", "" }) {
+        ++version;
+        rows.push_back(rowOf(key, version, base64(goodRecord("10.0.0.2:" + std::to_string(version)).dump())));
+    }
+    const auto keys = rows.size() - 1;
+    for (const auto* const group : { "group\\r\\nQUERY 1 WRITE a b", "group\\n", "group group", " " }) {
+        ++version;
+        rows.push_back(rowOf(
+            "i-" + std::to_string(version), version, base64(recordWith("Service", "\"" + std::string(group) + "\""))));
+    }
+    const auto groups = rows.size() - 1 - keys;
+    test.proxy.tableRead(test.now, StoreTable::Targets, Fixture::page(rows, version));
+    CHECK(test.membersOf(test.proxy) == std::set<std::string> { "i-1" });
+    CHECK(test.delegate.fieldsOf(LogEvent::TargetRecordInvalid, "row").size() == keys + groups);
+    test.proxy.tick(test.now);
+    for (const auto& [id, target] : test.delegate.connections)
+        CHECK(target.name == TargetName("i-1"));
+}
+
 TEST_CASE("A page of foreign records only leaves the table followed", "[platform][foreign]")
 {
     Fixture test;
