Let a carriage return end a comment in the statement guard

Cause: the guard of the project's own interface ended a comment that starts with "--" at a line feed only, PostgreSQL at a carriage return too. A COMMIT behind a carriage return passed as part of a comment.

--- a/src/route/StatementGuard.cpp
+++ b/src/route/StatementGuard.cpp
@@ -15,6 +15,9 @@
     constexpr std::array<std::string_view, 6> reservedNames { "auburnpost_", "group_status", "group_fence",
         "group_promote", "group_follow", "group_wait" };
 
+    /// Each of these characters ends a comment that starts with "--".
+    constexpr std::string_view lineEnds = "\r\n";
+
     std::string lower(std::string_view text)
     {
         std::string result(text);
@@ -50,7 +53,7 @@
             if (std::isspace(static_cast<unsigned char>(sql[index])) || sql[index] == ';' || sql[index] == '(')
                 ++index;
             else if (sql.substr(index, 2) == "--")
-                index = std::min(sql.find('\n', index), sql.size());
+                index = std::min(sql.find_first_of(lineEnds, index), sql.size());
             else if (sql.substr(index, 2) == "/*")
                 index = skipBlockComment(sql, index);
             else
