Refuse requests in a transfer coding other than chunked

Cause: evhttp takes a request in a coding that it doesn't know, without a length, for one without a body, and reads the body as the next request. A commit needs no body, so such a request ran, and one that was hidden in its body after it.

Change: readHttpRequest refuses any coding but chunked, and more than one, with 400; the connection is closed.

--- a/src/wire/HttpRequestReader.cpp
+++ b/src/wire/HttpRequestReader.cpp
@@ -85,6 +85,13 @@
         return bytes;
     }
 
+    /// evhttp takes a request in any other transfer coding for one without a body, and the body for the next request.
+    bool hasReadableCoding(const HttpRequest& message)
+    {
+        const auto codings = message.find("Transfer-Encoding");
+        return codings.empty() || (codings.size() == 1 && !evutil_ascii_strcasecmp(codings.front().data(), "chunked"));
+    }
+
     std::string readBody(evhttp_request* request)
     {
         auto* const buffer = evhttp_request_get_input_buffer(request);
@@ -110,6 +117,8 @@
     // Readers that choose different Content-Length headers would see different requests (request smuggling).
     if (message.find("Content-Length").size() > 1)
         return fail(ErrorCode::BadRequest, "read header", "", "the body's length is given more than once");
+    if (!hasReadableCoding(message))
+        return fail(ErrorCode::BadRequest, "read header", "", "the only transfer coding that is read is chunked");
     auto path = readPath(request);
     if (!path)
         return tl::unexpected<Error>(path.error());
--- a/tests/wire/CallerServerTests.cpp
+++ b/tests/wire/CallerServerTests.cpp
@@ -250,6 +250,17 @@
         client->post(statements, "", "Transfer-Encoding: chunked\r\n");
         client->send("0\r\n\r\n");
     }
+    SECTION("a body in a coding other than chunks, in which a second request may hide")
+    {
+        const auto coding = GENERATE(values<const char*>({ "identity", "gzip", "" }));
+        client->send("POST /v1/o/transactions/h-1/commit HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: "
+            + std::string(coding) + "\r\n\r\nPOST /v1/o/transactions/h-2/commit HTTP/1.1\r\n\r\n");
+    }
+    SECTION("more than one coding")
+    {
+        client->send("POST /v1/o/transactions/h-1/commit HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n"
+                     "Transfer-Encoding: identity\r\n\r\n0\r\n\r\n");
+    }
     REQUIRE(test.loop.runUntil([&] { return client->closed(); }));
     CHECK(client->status() == 400);
     CHECK(test.arrived.empty());
