Log a caller's message that is refused

E0617 names the session and the reason, once for each session, also for a first message that opens no session and for one above the length limit.

--- a/src/app/ProxyAssembly.h
+++ b/src/app/ProxyAssembly.h
@@ -74,6 +74,8 @@
     void onForwardFailed(Proxy::SessionId, const DatabaseName&, const HostName&);
     void onForwardEnded(Proxy::SessionId, const DatabaseName&, const HostName&, bool hasOpenRequest);
     void refuseSession(Proxy::SessionId, const Session::Failure&) override;
+    /// Refuses a message, and with it a session that is not open.
+    void refuseMessage(Proxy::SessionId, const Session::Failure&);
     void answer(Proxy::SessionId, const Session::Answer&) override;
     void closeSession(Proxy::SessionId) override;
 
--- a/src/app/ProxyAssemblyCallers.cpp
+++ b/src/app/ProxyAssemblyCallers.cpp
@@ -79,7 +79,7 @@
     if (isOpen)
         m_proxy.malformedStatementArrived(now(), session, failure);
     else
-        refuseSession(session, failure);
+        refuseMessage(session, failure);
 }
 
 void ProxyAssembly::onCallerEnded(Wire::AcceptedConnectionId id, Wire::DisconnectReason end)
@@ -87,7 +87,13 @@
     m_forwarder.close(sessionOf(id));
     m_proxy.sessionClosed(now(), sessionOf(id));
     if (end == Wire::DisconnectReason::LineTooLong)
-        refuseSession(sessionOf(id), { Session::FailureCode::TooLarge, "the message is too long" });
+        refuseMessage(sessionOf(id), { Session::FailureCode::TooLarge, "the message is too long" });
+}
+
+void ProxyAssembly::refuseMessage(Proxy::SessionId id, const Session::Failure& failure)
+{
+    log({ LogEvent::CallerMessageRefused, { { "session", std::to_string(id.value()) }, { "reason", failure.text } } });
+    refuseSession(id, failure);
 }
 
 void ProxyAssembly::acceptSession(Proxy::SessionId id)
--- a/src/base/LogEvent.cpp
+++ b/src/base/LogEvent.cpp
@@ -17,7 +17,7 @@
     constexpr std::size_t numberDigits = 4;
 
     /// Sorted by number.
-    constexpr std::array<Definition, 58> definitions { {
+    constexpr std::array<Definition, 59> definitions { {
         { LogEvent::Started, LogLevel::Info, "host started" },
         { LogEvent::ShutdownStarted, LogLevel::Info, "host shutdown started" },
         { LogEvent::ShutdownCompleted, LogLevel::Info, "host shutdown completed" },
@@ -75,6 +75,7 @@
         { LogEvent::SessionForwarded, LogLevel::Info, "session forwarded to another host" },
         { LogEvent::SessionForwardFailed, LogLevel::Warn, "forwarding a session to another host failed" },
         { LogEvent::SessionForwardEnded, LogLevel::Info, "forwarded session ended" },
+        { LogEvent::CallerMessageRefused, LogLevel::Info, "message of a caller refused" },
         { LogEvent::PeerMessageRejected, LogLevel::Warn, "message from a peer rejected" },
         { LogEvent::PeerMessageNotSent, LogLevel::Debug, "sending a message to a peer failed" },
     } };
--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -71,6 +71,7 @@
     SessionForwarded = 614,
     SessionForwardFailed = 615,
     SessionForwardEnded = 616,
+    CallerMessageRefused = 617,
 
     PeerMessageRejected = 700,
     PeerMessageNotSent = 701,
--- a/src/proxy/CallerSession.h
+++ b/src/proxy/CallerSession.h
@@ -16,6 +16,8 @@
     bool isForwarded { false };
     /// Whether the session was reported open to the caller.
     bool isAccepted { false };
+    /// Whether a message of the session was refused, which is logged once.
+    bool hasRefusedMessage { false };
     Instant openedAt;
 
     /// The open transaction's route as of its begin.
--- a/src/proxy/ProxySessions.cpp
+++ b/src/proxy/ProxySessions.cpp
@@ -146,8 +146,13 @@
 void Proxy::malformedStatementArrived(Instant now, SessionId id, const Session::Failure& failure)
 {
     m_now = now;
-    if (auto* const session = findSession(id))
-        sendAnswer(*session, { failure, session->state.transaction(), {} });
+    auto* const session = findSession(id);
+    if (!session)
+        return;
+    if (!std::exchange(session->hasRefusedMessage, true))
+        log({ LogEvent::CallerMessageRefused,
+            { { "session", std::to_string(id.value()) }, { "reason", failure.text } } });
+    sendAnswer(*session, { failure, session->state.transaction(), {} });
 }
 
 void Proxy::serveStatement(Instant now, CallerSession& session, const Session::Statement& statement)
