--- a/src/platform/Fields.h
+++ b/src/platform/Fields.h
@@ -12,6 +12,7 @@
 
 namespace Auburnpost::Platform {
 
+/// @return whether the text has a control character, a CR or LF included.
 inline bool hasControlCharacter(std::string_view text)
 {
     return std::any_of(text.begin(), text.end(), [](unsigned char letter) { return std::iscntrl(letter) != 0; });
--- a/src/wire/HttpRequestReader.cpp
+++ b/src/wire/HttpRequestReader.cpp
@@ -85,7 +85,7 @@
         return bytes;
     }
 
-    /// evhttp takes a request in any other transfer coding for one without a body, and the body for the next request.
+    /// evhttp takes a request in an unknown transfer coding for one without a body, and its body for the next request.
     bool hasReadableCoding(const HttpRequest& message)
     {
         const auto codings = message.find("Transfer-Encoding");
