Log the evidence of each promotion, and whether its fences held until its effect

E0400, E0401, E0402 and E0408 now show the members counted, the fences needed and held, each member's role, log end, age of status and fence, recent departures, the end of the primary's log, and the age and source of the list. E0402 tells why, and is also logged when no effect of a call was seen in time, or when another primary is known. New: E0413 (effect), E0414 (a fence gone before it), E0415 (effect after the attempt was abandoned). E0504 tells whether the target was leaving. No decision changes: PromotionTrace and MemberHistory are only read by logs.

--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -49,6 +49,9 @@
     PromotionLeaseHeld = 410,
     PromotionCommandSent = 411,
     PromotionCommandDropped = 412,
+    PromotionEffectSeen = 413,
+    PromotionFenceLost = 414,
+    PromotionEffectLate = 415,
 
     TargetConnectFailed = 500,
     TargetConnectionLost = 501,
--- a/src/proxy/GroupService.cpp
+++ b/src/proxy/GroupService.cpp
@@ -327,6 +327,11 @@
     m_delegate.log(record);
 }
 
+void GroupService::measure(std::string_view series, double sample)
+{
+    m_delegate.measure(series, sample);
+}
+
 void GroupService::sendCommand(const TargetName& target, const TargetRequest& request, Instant sendBefore)
 {
     m_commands.insert_or_assign(target, Command { request, sendBefore });
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -45,6 +45,8 @@
 
     void setRules(const GroupRules&);
     void setMembers(Instant now, const std::vector<TargetRecord>&);
+    /// Stores where the list of targets came from, for logs and dumps.
+    void setListOrigin(const TableOrigin& origin) { m_watcher.setListOrigin(origin); }
     void tick(Instant now);
     /// Restarts the timeouts of all members after a pause of this process.
     void resumedAfterPause(Instant now) { m_watcher.discountPause(now); }
@@ -161,6 +163,7 @@
     void promote(const GroupName&, const TargetName&, RowVersion token, Instant sendBefore) override;
     void sendCommand(const TargetName&, const TargetRequest&, Instant sendBefore) override;
     void log(const LogRecord&) override;
+    void measure(std::string_view series, double sample) override;
     void sendQueuedCommands(Instant now);
 
     HostName m_self;
--- a/src/proxy/GroupServiceDelegate.h
+++ b/src/proxy/GroupServiceDelegate.h
@@ -38,6 +38,8 @@
     /// Reports that the connection of a session's transaction ended between two statements.
     virtual void transactionLost(SessionId) = 0;
     virtual void log(const LogRecord&) = 0;
+    /// Adds a sample to a metrics series.
+    virtual void measure(std::string_view series, double sample) = 0;
     /// @return an id that was never used for a connection.
     virtual ConnectionId nextConnectionId() = 0;
     virtual RandomEngine& random() = 0;
--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -32,6 +32,7 @@
     // Time in which the group was not watched, or had no members, does not count as time without a primary.
     if (m_members.empty())
         m_primaryMissingSince.reset();
+    recordDepartures(now, next);
     m_members = std::move(next);
     if (m_primary && !m_members.contains(*m_primary))
         m_primary.reset();
@@ -45,6 +46,23 @@
     updateFencedSince(now);
 }
 
+void GroupWatcher::recordDepartures(Instant now, const Members& next)
+{
+    // Without any member the group is no longer watched.
+    if (next.empty())
+        return;
+    for (const auto& [name, member] : m_members) {
+        const auto listed = next.find(name);
+        if (listed != next.end() && listed->second.record.incarnation == member.record.incarnation)
+            continue;
+        auto kind
+            = listed == next.end() ? MemberHistory::DepartureKind::Lapsed : MemberHistory::DepartureKind::Restarted;
+        if (listed == next.end() && member.record.isLeaving)
+            kind = MemberHistory::DepartureKind::Left;
+        m_history.recordDeparture(now, { name, kind, now, member.status, member.queriedAt });
+    }
+}
+
 void GroupWatcher::recordAddresses(Instant now)
 {
     for (const auto& [name, member] : m_members) {
@@ -89,6 +107,7 @@
     if (isLatestPrimary) {
         m_primary = name;
         m_primaryTerm = status.term;
+        m_history.recordPrimary({ name, status.term, status.received, queriedAt });
         m_primaryMissingSince.reset();
     } else if (m_primary == name && !status.isPrimary) {
         m_primary.reset();
@@ -204,6 +223,8 @@
 
 void GroupWatcher::recordCommit(const TargetName& name, Instant sentAt, const LogPoint& end)
 {
+    if (m_primary == name)
+        m_history.recordPrimary({ name, m_primaryTerm, end, sentAt });
     // The replicas that acknowledged the commit had not joined another primary. In a larger group another primary could
     // still have enough other replicas.
     const bool isConfirmation = m_rules.syncReplicas > 0 && groupSize() < 2 * (m_rules.syncReplicas + 1);
@@ -216,6 +237,18 @@
     return m_addresses.size();
 }
 
+std::vector<SocketAddress> GroupWatcher::unlistedAddresses() const
+{
+    std::vector<SocketAddress> unlisted;
+    for (const auto& [address, state] : m_addresses) {
+        const bool isListed = std::any_of(m_members.begin(), m_members.end(),
+            [&address = address](const auto& entry) { return entry.second.record.address == address; });
+        if (!isListed)
+            unlisted.push_back(address);
+    }
+    return unlisted;
+}
+
 std::size_t GroupWatcher::fencesNeeded() const
 {
     const auto size = groupSize();
--- a/src/proxy/GroupWatcher.h
+++ b/src/proxy/GroupWatcher.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "proxy/Catalog.h"
+#include "proxy/MemberHistory.h"
 #include "proxy/PrimaryConfirmations.h"
+#include "proxy/TableOrigin.h"
 #include "proxy/TargetHealth.h"
 #include "proxy/TargetRecord.h"
 #include "proxy/TargetStatus.h"
@@ -67,6 +69,8 @@
     /// Replaces the list of members. The state of a member is kept if the new list has it in the same incarnation.
     void setMembers(Instant now, const std::vector<TargetRecord>&);
     void setRules(const GroupRules& rules) { m_rules = rules; }
+    /// Stores where the list of targets came from.
+    void setListOrigin(const TableOrigin& origin) { m_listOrigin = origin; }
 
     /// Stores a member's status and derives a confirmation from it where possible.
     /// @param queriedAt when the query was sent; a status older than the stored one is ignored.
@@ -96,6 +100,12 @@
     [[nodiscard]] Term highestTerm() const { return m_highestTerm; }
     [[nodiscard]] const PrimaryConfirmations& confirmations() const { return m_confirmations; }
     [[nodiscard]] FailoverReason failoverReason(Instant now) const;
+    /// @return how many members the group is counted as, those included that are no longer listed but may have a log.
+    [[nodiscard]] std::size_t groupSize() const;
+    /// @return the addresses of the counted members that are no longer listed.
+    [[nodiscard]] std::vector<SocketAddress> unlistedAddresses() const;
+    [[nodiscard]] const TableOrigin& listOrigin() const { return m_listOrigin; }
+    [[nodiscard]] const MemberHistory& history() const { return m_history; }
     /// @return how many members have to be fenced before a promotion, so that at least one of them has every
     /// acknowledged commit and no further commit can be acknowledged.
     [[nodiscard]] std::size_t fencesNeeded() const;
@@ -113,7 +123,6 @@
     /// at least one of these members has every acknowledged commit.
     void confirmFencedLogEnd();
     void updateBehindSince(Instant now, Member&, Instant queriedAt, const TargetStatus&);
-    [[nodiscard]] std::size_t groupSize() const;
     [[nodiscard]] bool isBlocked(Instant now, const Member& primary) const;
     void updateFencedSince(Instant now);
     struct ListedAddress {
@@ -122,6 +131,8 @@
         bool mayHaveLog { false };
     };
 
+    /// Records the members that the next list does not have in the same incarnation.
+    void recordDepartures(Instant now, const Members& next);
     /// Records the members' addresses as listed, before the list of members is replaced.
     void recordAddresses(Instant now);
     void updateAddresses(Instant now);
@@ -140,6 +151,8 @@
     /// because a target that crashed restarts under a new name at the same address, with its log. A member that left
     /// after an announced shutdown is removed at once, as its log was handed over before.
     std::map<SocketAddress, ListedAddress> m_addresses;
+    TableOrigin m_listOrigin;
+    MemberHistory m_history;
 };
 
 } // namespace Auburnpost::Proxy
--- a/src/proxy/Promotion.cpp
+++ b/src/proxy/Promotion.cpp
@@ -1,6 +1,7 @@
 #include "proxy/Promotion.h"
 
 #include "chart/EmbeddedCharts.h"
+#include "proxy/PromotionLog.h"
 
 #include <algorithm>
 
@@ -13,6 +14,14 @@
         return static_cast<std::uint64_t>(toMilliseconds(duration));
     }
 
+    /// @return the number of members that report a fence of any term.
+    std::size_t countFenced(const GroupWatcher& watcher)
+    {
+        const auto& members = watcher.members();
+        return static_cast<std::size_t>(std::count_if(members.begin(), members.end(),
+            [](const auto& entry) { return entry.second.status && entry.second.status->isFenced(); }));
+    }
+
 } // namespace
 
 Promotion::Runner Promotion::makeRunner()
@@ -43,6 +52,7 @@
     , m_group(std::move(group))
     , m_delegate(delegate)
     , m_runner(makeRunner())
+    , m_trace(m_group, delegate)
 {
 }
 
@@ -50,8 +60,10 @@
 {
     const auto before = m_runner.state();
     m_runner.fire(event, *this, context);
-    if (m_runner.state() != before)
+    if (m_runner.state() != before) {
         m_stateEnteredAt = context.now;
+        logAbandonment(event, before, context);
+    }
 }
 
 void Promotion::start(
@@ -64,16 +76,22 @@
     m_finishingSince.reset();
     std::uniform_int_distribution<Duration::rep> jitter(0, startJitter.count());
     m_delayUntil = now + Duration(jitter(random));
-    log(LogEvent::PrimarySuspected,
-        { { "trouble", std::string(toString(failoverReason)) },
-            { "primary", watcher.primary() ? watcher.primary()->value() : "-" },
-            { "term", std::to_string(watcher.primaryTerm().value()) } });
+    m_failoverReason = failoverReason;
+    m_trace.recordSuspicion(now);
+    std::vector<LogField> fields { { "trouble", std::string(toString(failoverReason)) },
+        { "primary", watcher.primary() ? watcher.primary()->value() : "-" },
+        { "term", std::to_string(watcher.primaryTerm().value()) } };
+    PromotionLog::appendEvidence(fields, now, watcher, countFenced(watcher));
+    log(LogEvent::PrimarySuspected, std::move(fields));
     Context context { now, watcher, failoverReason };
     fire("start", context);
 }
 
 void Promotion::tick(Instant now, const GroupWatcher& watcher, FailoverReason failoverReason)
 {
+    m_trace.observe(now, watcher);
+    if (failoverReason != FailoverReason::None)
+        m_failoverReason = failoverReason;
     if (isIdle())
         return;
     Context context { now, watcher, failoverReason };
@@ -117,8 +135,11 @@
     m_term = Term(watcher.highestTerm().value() + 1);
     m_enoughFencedSince.reset();
     m_candidate.reset();
-    log(LogEvent::FailoverStarted,
-        { { "token", std::to_string(m_token.value()) }, { "term", std::to_string(m_term.value()) } });
+    std::vector<LogField> fields { { "token", std::to_string(m_token.value()) },
+        { "term", std::to_string(m_term.value()) },
+        { "trouble", m_goal == PromotionGoal::ResumeMembers ? "fences" : std::string(toString(m_failoverReason)) } };
+    PromotionLog::appendEvidence(fields, now, watcher, countFenced(watcher));
+    log(LogEvent::FailoverStarted, std::move(fields));
     fire("claimTaken", context);
 }
 
@@ -301,11 +322,13 @@
 {
     m_candidate = memberWithLongestLog(context.watcher);
     const auto& status = *context.watcher.find(*m_candidate)->status;
-    log(LogEvent::PromotionRequested,
-        { { "target", m_candidate->value() }, { "token", std::to_string(m_token.value()) },
-            { "received",
-                std::to_string(status.received.term.value()) + "." + std::to_string(status.received.position.value()) },
-            { "fenced", std::to_string(fencedMembers(context.watcher).size()) } });
+    const auto fenced = fencedMembers(context.watcher);
+    std::vector<LogField> fields { { "target", m_candidate->value() }, { "token", std::to_string(m_token.value()) },
+        { "received", PromotionLog::describe(status.received) }, { "term", std::to_string(m_term.value()) },
+        { "trouble", std::string(toString(m_failoverReason)) } };
+    PromotionLog::appendEvidence(fields, context.now, context.watcher, fenced.size());
+    log(LogEvent::PromotionRequested, std::move(fields));
+    m_trace.recordCall(context.now, context.watcher, *m_candidate, m_token, fenced);
     m_delegate.promote(m_group, *m_candidate, m_token, callDeadline());
 }
 
@@ -352,10 +375,6 @@
 
 void Promotion::abandonAttempt(Context& context)
 {
-    log(LogEvent::FailoverAbandoned,
-        { { "term", std::to_string(m_term.value()) },
-            { "fenced", std::to_string(fencedMembers(context.watcher).size()) },
-            { "needed", std::to_string(context.watcher.fencesNeeded()) } });
     for (const auto& name : fencedMembers(context.watcher))
         m_delegate.sendCommand(name, ResumeReplica {}, leaseUsableUntil());
     delayRetry(context);
@@ -366,6 +385,30 @@
     m_goal = PromotionGoal::ResumeMembers;
 }
 
+void Promotion::logAbandonment(std::string_view event, std::string_view before, const Context& context)
+{
+    const bool isAttempt = before == "Fencing" || before == "Verifying";
+    const bool isCalled = before == "Calling" || before == "Awaiting";
+    const bool isSuperseded = isAttempt && m_runner.isIn("Finishing");
+    if (!isSuperseded && !((isAttempt || isCalled) && m_runner.isIn("Delaying")))
+        return;
+    std::string_view why = isSuperseded ? "superseded" : "lease_ending";
+    if (before == "Awaiting")
+        why = "no_effect";
+    else if (before == "Calling")
+        why = event == "notRunning" ? "not_running" : "not_done";
+    std::vector<LogField> fields { { "token", std::to_string(m_token.value()) },
+        { "term", std::to_string(m_term.value()) }, { "why", std::string(why) },
+        { "trouble", std::string(toString(m_failoverReason)) },
+        { "candidate", isCalled ? m_candidate->value() : "-" } };
+    PromotionLog::appendEvidence(fields, context.now, context.watcher, fencedMembers(context.watcher).size());
+    log(LogEvent::FailoverAbandoned, std::move(fields));
+    if (before == "Calling")
+        m_trace.recordRefusal();
+    else if (isCalled)
+        m_trace.recordAbandonment(context.now);
+}
+
 void Promotion::log(LogEvent event, std::vector<LogField> fields) const
 {
     fields.insert(fields.begin(), { "group", m_group.value() });
--- a/src/proxy/Promotion.h
+++ b/src/proxy/Promotion.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "base/Expected.h"
-#include "base/LogRecord.h"
 #include "base/Random.h"
 #include "chart/ChartRunner.h"
 #include "proxy/GroupWatcher.h"
 #include "proxy/PromotionLease.h"
+#include "proxy/PromotionTrace.h"
 #include "proxy/TargetRequest.h"
 
 #include <optional>
@@ -14,9 +14,8 @@
 namespace Auburnpost::Proxy {
 
 /// Operations that Promotion requires from its environment.
-class PromotionDelegate {
+class PromotionDelegate : public PromotionObserver {
 public:
-    virtual ~PromotionDelegate() = default;
     virtual void readLease(const GroupName&) = 0;
     /// Writes the lease if the row still has the expected version.
     virtual void writeLease(const GroupName&, const PromotionLease&, RowVersion expected) = 0;
@@ -26,7 +25,6 @@
     /// Sends one request to a target, which replies with its status.
     /// @param sendBefore the request is dropped if it can't be sent before this moment.
     virtual void sendCommand(const TargetName&, const TargetRequest&, Instant sendBefore) = 0;
-    virtual void log(const LogRecord&) = 0;
 };
 
 /// What a promotion is to achieve.
@@ -88,6 +86,7 @@
         return m_runner.isIn("Attempt") || m_runner.isIn("Calling") || m_runner.isIn("Awaiting");
     }
     [[nodiscard]] const std::string& state() const { return m_runner.state(); }
+    [[nodiscard]] const PromotionTrace& trace() const { return m_trace; }
 
 private:
     struct Context {
@@ -139,6 +138,9 @@
     [[nodiscard]] bool mayResume(const GroupWatcher::Member&) const;
     [[nodiscard]] std::set<TargetName> fencedMembers(const GroupWatcher&) const;
     [[nodiscard]] std::optional<TargetName> memberWithLongestLog(const GroupWatcher&) const;
+    /// Logs an attempt that ended without success.
+    /// @param before the state that the event left.
+    void logAbandonment(std::string_view event, std::string_view before, const Context&);
     void log(LogEvent, std::vector<LogField>) const;
 
     HostName m_self;
@@ -164,6 +166,9 @@
     std::optional<Instant> m_finishingSince;
     /// The target whose promotion this attempt requested; empty before that.
     std::optional<TargetName> m_candidate;
+    /// Why the primary is to be replaced, as last known, for logs.
+    FailoverReason m_failoverReason { FailoverReason::None };
+    PromotionTrace m_trace;
 };
 
 } // namespace Auburnpost::Proxy
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -177,6 +177,11 @@
     m_delegate.log(record);
 }
 
+void Proxy::measure(std::string_view series, double sample)
+{
+    m_delegate.measure(series, sample);
+}
+
 ConnectionId Proxy::nextConnectionId()
 {
     return ConnectionId(++m_lastConnection);
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -97,6 +97,7 @@
     void statementFinished(const StatementResult&) override;
     void transactionLost(SessionId) override;
     void log(const LogRecord&) override;
+    void measure(std::string_view series, double sample) override;
     ConnectionId nextConnectionId() override;
     RandomEngine& random() override { return m_random; }
     [[nodiscard]] const std::vector<SocketAddress>& relays() const override { return m_hosts.relays(); }
@@ -123,6 +124,8 @@
     void adoptCatalog(Instant now);
     void updateTargets(Instant now);
     void updateGroupMembers(Instant now);
+    /// Tells the groups where the list of targets came from.
+    void updateListOrigin();
     /// Determines the groups that this host serves, and watches the targets of these groups only.
     void updateServedGroups(Instant now);
     [[nodiscard]] bool servesGroup(Instant now, const GroupName&) const;
--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -19,6 +19,7 @@
     }
     const auto before = follower(table).calls();
     const bool hasChanged = follower(table).tableRead(now, m_random, page);
+    updateListOrigin();
     logStoreCall(now, table, before, page);
     if (hasChanged)
         tableChanged(now, table);
@@ -30,6 +31,7 @@
     m_now = now;
     const auto before = follower(table).calls();
     const bool hasChanged = follower(table).tableFollowed(now, m_random, page);
+    updateListOrigin();
     logStoreCall(now, table, before, page);
     if (hasChanged)
         tableChanged(now, table);
@@ -103,6 +105,7 @@
             group = std::make_unique<GroupService>(m_settings.host, name, delegate);
         group->setRules(rules);
     }
+    updateListOrigin();
     updateGroupMembers(now);
     std::vector<SessionId> waiting;
     for (const auto& [id, session] : m_sessions) {
@@ -140,6 +143,13 @@
         group->setMembers(now, servesGroup(now, name) ? m_directory.members(name) : std::vector<TargetRecord> {});
 }
 
+void Proxy::updateListOrigin()
+{
+    const auto origin = follower(StoreTable::Targets).origin();
+    for (auto& [name, group] : m_groups)
+        group->setListOrigin(origin);
+}
+
 bool Proxy::servesGroup(Instant now, const GroupName& name) const
 {
     const auto rules = m_catalog->groups.find(name);
@@ -178,7 +188,9 @@
                 { "primary", record.reportsPrimary ? "yes" : "no" },
                 { "incarnation", std::to_string(record.incarnation.value()) } } });
     for (const auto& record : changes.removed)
-        log({ LogEvent::TargetRemoved, { { "group", record.group.value() }, { "target", record.name.value() } } });
+        log({ LogEvent::TargetRemoved,
+            { { "group", record.group.value() }, { "target", record.name.value() },
+                { "leaving", record.isLeaving ? "yes" : "no" } } });
 }
 
 void Proxy::queryPeers(Instant now)
@@ -208,8 +220,9 @@
         return;
     }
     for (const auto& [table, state] : *tables) {
-        if (!follower(table).adopt(state))
+        if (!follower(table).adopt(state, peer))
             continue;
+        updateListOrigin();
         log({ LogEvent::PeerStateAdopted,
             { { "peer", peer.toString() }, { "table", std::string(toString(table)) },
                 { "as_of", std::to_string(state.asOf.value()) } } });
--- a/src/proxy/StoreFollower.cpp
+++ b/src/proxy/StoreFollower.cpp
@@ -50,6 +50,7 @@
     if (m_partialRead.asOf < m_state.asOf)
         return false;
     m_state = std::move(m_partialRead);
+    recordConfirmation(now);
     return true;
 }
 
@@ -65,9 +66,17 @@
         m_needsRead = true;
         return false;
     }
+    if (page->asOf >= m_state.asOf)
+        recordConfirmation(now);
     return mergeChanges(*page);
 }
 
+void StoreFollower::recordConfirmation(Instant now)
+{
+    m_confirmedAt = now;
+    m_peer.reset();
+}
+
 bool StoreFollower::mergeChanges(const StorePage& page)
 {
     bool hasChanged = false;
@@ -85,11 +94,12 @@
     return hasChanged;
 }
 
-bool StoreFollower::adopt(const TableState& peers)
+bool StoreFollower::adopt(const TableState& peers, const SocketAddress& peer)
 {
     if (peers.asOf <= m_state.asOf)
         return false;
     m_state = peers;
+    m_peer = peer;
     return true;
 }
 
--- a/src/proxy/StoreFollower.h
+++ b/src/proxy/StoreFollower.h
@@ -4,6 +4,7 @@
 #include "base/Random.h"
 #include "base/Time.h"
 #include "proxy/StoreTable.h"
+#include "proxy/TableOrigin.h"
 #include "proxy/TableTimes.h"
 
 #include <cstddef>
@@ -55,11 +56,13 @@
     bool tableFollowed(Instant now, RandomEngine&, const Expected<StorePage>&);
     /// Adopts a peer's copy of the table if it is newer.
     /// @return whether the copy was adopted.
-    bool adopt(const TableState&);
+    bool adopt(const TableState&, const SocketAddress& peer);
 
     [[nodiscard]] const TableState& state() const { return m_state; }
     /// @return whether the table was read, or adopted from a peer, at least once.
     [[nodiscard]] bool isKnown() const { return m_state.asOf != RowVersion {}; }
+    /// @return where the table's content came from.
+    [[nodiscard]] TableOrigin origin() const { return { m_confirmedAt, m_peer, m_state.asOf }; }
     /// @return the outcome of the calls so far.
     [[nodiscard]] const CallHistory& calls() const { return m_calls; }
 
@@ -67,6 +70,7 @@
     void recordFailure(Instant now, RandomEngine&);
     void recordAnswer(Instant now);
     bool mergeChanges(const StorePage&);
+    void recordConfirmation(Instant now);
 
     StoreTable m_table;
     TableTimes m_times;
@@ -77,6 +81,10 @@
     bool m_needsRead { true };
     bool m_isCalling { false };
     CallHistory m_calls;
+    /// When the store last answered with all changes up to then.
+    std::optional<Instant> m_confirmedAt;
+    /// The peer whose copy was adopted since then.
+    std::optional<SocketAddress> m_peer;
     Instant m_nextCallAt {};
 };
 
--- a/tests/proxy/GroupServiceTests.cpp
+++ b/tests/proxy/GroupServiceTests.cpp
@@ -49,6 +49,7 @@
     void statementFinished(const StatementResult& result) override { results.push_back(result); }
     void transactionLost(SessionId) override { }
     void log(const LogRecord& record) override { logged.push_back(record.event); }
+    void measure(std::string_view, double) override { }
     [[nodiscard]] std::ptrdiff_t countOf(LogEvent event) const
     {
         return std::count(logged.begin(), logged.end(), event);
--- a/tests/proxy/PromotionTests.cpp
+++ b/tests/proxy/PromotionTests.cpp
@@ -39,6 +39,7 @@
         commands.push_back(name + target.value());
     }
     void log(const LogRecord&) override { }
+    void measure(std::string_view, double) override { }
 
     [[nodiscard]] bool has(const std::string& wanted) const
     {
--- a/tests/proxy/TablesTests.cpp
+++ b/tests/proxy/TablesTests.cpp
@@ -110,9 +110,20 @@
     }
     SECTION("a peer's table is adopted only if it is newer")
     {
-        CHECK_FALSE(follower.adopt({ RowVersion(8), {} }));
-        CHECK(follower.adopt({ RowVersion(9), { { "d", row("d", 9) } } }));
+        const SocketAddress peer { "10.0.0.9", 7 };
+        CHECK_FALSE(follower.adopt({ RowVersion(8), {} }, peer));
+        CHECK(follower.adopt({ RowVersion(9), { { "d", row("d", 9) } } }, peer));
         CHECK(follower.state().rows.count("d") == 1);
+        CHECK(follower.origin().peer == peer);
+        CHECK(follower.origin().confirmedAt == start);
+        CHECK(follower.origin().asOf == RowVersion(9));
+
+        // An answer to a poll from before the adoption does not confirm the newer copy.
+        CHECK_FALSE(follower.tableFollowed(start + 1s, random, page({}, 8)));
+        CHECK(follower.origin().peer == peer);
+        CHECK_FALSE(follower.tableFollowed(start + 2s, random, page({}, 9)));
+        CHECK_FALSE(follower.origin().peer);
+        CHECK(follower.origin().confirmedAt == start + 2s);
     }
 }
 
