Simulate changing members, the store's table and late promotions

A second model beside the fixed one: targets join, count from their start and report to the store later; leave, and end with their log; lose their record while they work; crash and come back as the primary unless another was promoted. The log takes a hop to a replica and its receipt another, so that what a demoted primary sent still arrives and nobody acknowledges without a primary. Hosts follow a table with real versions, can be cut off from the store or from everything, and can be started again without memory. A promotion has an effect time and an answer of its own.

--- a/tests/proxy/FakeTarget.cpp
+++ b/tests/proxy/FakeTarget.cpp
@@ -32,13 +32,18 @@
 
 void FakeTarget::copyLogFrom(const FakeTarget& primary)
 {
-    if (!isRunning || isPrimary || fencedTerm != Term {} || primary.term < term)
-        return;
-    term = primary.term;
-    const auto common
-        = std::mismatch(log.begin(), log.end(), primary.log.begin(), primary.log.end()).first - log.begin();
+    receive(primary.term, primary.log);
+}
+
+bool FakeTarget::receive(Term primaryTerm, const std::vector<LogEntry>& primaryLog)
+{
+    if (!isRunning || isPrimary || fencedTerm != Term {} || primaryTerm < term)
+        return false;
+    term = primaryTerm;
+    const auto common = std::mismatch(log.begin(), log.end(), primaryLog.begin(), primaryLog.end()).first - log.begin();
     applied = std::min(applied, static_cast<std::size_t>(common));
-    log = primary.log;
+    log = primaryLog;
+    return true;
 }
 
 LogPoint FakeTarget::append(const std::vector<std::string>& writes)
@@ -66,4 +71,13 @@
     connections.clear();
 }
 
+void FakeTarget::end()
+{
+    crash();
+    isGone = true;
+    isPrimary = false;
+    log.clear();
+    applied = 0;
+}
+
 } // namespace Auburnpost::Proxy
--- a/tests/proxy/FakeTarget.h
+++ b/tests/proxy/FakeTarget.h
@@ -36,6 +36,8 @@
 public:
     TargetRecord record;
     bool isRunning { true };
+    /// Whether the process has ended for good.
+    bool isGone { false };
     bool isPrimary { false };
     Term term { 1 };
     Term fencedTerm;
@@ -50,11 +52,16 @@
     [[nodiscard]] TargetStatus status() const;
     /// Copies the log of a primary if this target follows it.
     void copyLogFrom(const FakeTarget& primary);
+    /// Receives the log that a primary of the given term sent, if this target follows it.
+    /// @return whether the target has the log.
+    bool receive(Term, const std::vector<LogEntry>&);
     /// Appends a commit to the log of this primary.
     LogPoint append(const std::vector<std::string>& writes);
     void becomePrimary(Term newTerm);
     /// Stops the process: closes all connections and removes the fence.
     void crash();
+    /// Ends the process for good, with its log.
+    void end();
 };
 
 } // namespace Auburnpost::Proxy
--- a/tests/proxy/ProxyChecker.cpp
+++ b/tests/proxy/ProxyChecker.cpp
@@ -60,8 +60,10 @@
 {
     ++m_promotions;
     for (const auto& [writeId, acknowledged] : m_acknowledged) {
-        if (!contains(target.log, target.log.size(), writeId))
-            recordViolation("lost: the promoted target lacks " + writeId);
+        if (contains(target.log, target.log.size(), writeId))
+            continue;
+        m_lost.insert(writeId);
+        recordViolation("lost: the promoted target lacks " + writeId);
     }
 }
 
--- a/tests/proxy/ProxyChecker.h
+++ b/tests/proxy/ProxyChecker.h
@@ -43,6 +43,8 @@
     [[nodiscard]] std::size_t acknowledgedWrites() const { return m_acknowledged.size(); }
     [[nodiscard]] std::size_t reads() const { return m_reads; }
     [[nodiscard]] std::size_t promotions() const { return m_promotions; }
+    /// @return the number of acknowledged writes that a promoted target lacked.
+    [[nodiscard]] std::size_t lostWrites() const { return m_lost.size(); }
 
 private:
     struct Acknowledged {
@@ -61,6 +63,7 @@
     std::string m_violation;
     std::size_t m_reads { 0 };
     std::size_t m_promotions { 0 };
+    std::set<std::string> m_lost;
 };
 
 } // namespace Auburnpost::Proxy
--- a/tests/proxy/ProxySimulation.cpp
+++ b/tests/proxy/ProxySimulation.cpp
@@ -16,21 +16,23 @@
 
 } // namespace
 
-ProxySimulation::ProxySimulation(std::uint64_t seed, Duration promotionDelay)
-    : m_promotionDelay(promotionDelay)
+ProxySimulation::ProxySimulation(std::uint64_t seed, Duration promotionDelay, MembershipModel model)
+    : m_model(model)
     , m_random(seed)
+    , m_orders(promotionDelay)
+    , m_replication(*this)
+    , m_membership(*this)
 {
+    std::vector<TargetRecord> records;
     for (std::size_t index = 0; index < targetCount; ++index) {
         const TargetName name("t" + std::to_string(index));
-        auto& target = m_targets[name];
-        target.record.name = name;
-        target.record.group = GroupName("group");
-        target.record.address = { "10.0.0." + std::to_string(index + 1), 1 };
-        target.record.slots = 3;
-        target.record.incarnation = TargetIncarnation(1);
+        addTarget(name, index);
+        auto& target = m_targets.at(name);
         target.isPrimary = index == 0;
         target.record.reportsPrimary = index == 0;
+        records.push_back(target.record);
     }
+    m_store.listFirst(records);
     for (std::size_t host = 0; host < hostCount; ++host)
         m_hosts.push_back(std::make_unique<SimulatedHost>(*this, host, seed + host));
     for (std::size_t host = 0; host < hostCount; ++host) {
@@ -71,30 +73,92 @@
 
 bool ProxySimulation::isCut(std::size_t host, const TargetName& target) const
 {
-    return m_cutHosts.contains({ host, target });
+    return m_cutHosts.contains({ host, target }) || isIsolated(host);
 }
 
-std::vector<StoreRow> ProxySimulation::targetRows() const
+void ProxySimulation::isolateHost(std::size_t host, Duration length)
 {
-    std::vector<StoreRow> rows;
-    for (const auto& [name, target] : m_targets)
-        rows.push_back({ name.value(), RowVersion(1), "", false });
-    return rows;
+    trace("isolated: host " + std::to_string(host));
+    m_isolatedUntil[host] = now() + length;
+    m_store.cutHost(host, now() + length);
 }
 
-std::optional<RowVersion> ProxySimulation::writeLease(const PromotionLease& lease, RowVersion expected)
+bool ProxySimulation::isIsolated(std::size_t host) const
 {
-    if (expected != m_leaseRow.version)
-        return {};
-    m_leaseRow.lease = lease;
-    m_leaseRow.version = RowVersion(++m_storeVersion);
-    return m_leaseRow.version;
+    const auto until = m_isolatedUntil.find(host);
+    return until != m_isolatedUntil.end() && now() < until->second;
+}
+
+bool ProxySimulation::hasNewHost() const
+{
+    constexpr Duration memory = 15s;
+    return m_hostStartedAt && now() - *m_hostStartedAt < memory;
+}
+
+bool ProxySimulation::areCut(const TargetName& left, const TargetName& right) const
+{
+    return m_cutTargets.contains({ std::min(left, right), std::max(left, right) });
+}
+
+void ProxySimulation::setCut(const TargetName& left, const TargetName& right, bool isCut)
+{
+    trace((isCut ? "cut of " : "cut ended of ") + left.value() + " and " + right.value());
+    const std::pair cut { std::min(left, right), std::max(left, right) };
+    if (isCut)
+        m_cutTargets.insert(cut);
+    else
+        m_cutTargets.erase(cut);
+}
+
+void ProxySimulation::setHostCut(std::size_t host, const TargetName& target, bool isCut)
+{
+    trace((isCut ? "cut of host " : "cut ended of host ") + std::to_string(host) + " and " + target.value());
+    if (isCut)
+        m_cutHosts.insert({ host, target });
+    else
+        m_cutHosts.erase({ host, target });
+}
+
+void ProxySimulation::addTarget(const TargetName& name, std::size_t number)
+{
+    auto& target = m_targets[name];
+    target.record.name = name;
+    target.record.group = GroupName("group");
+    target.record.address = { "10.0.0." + std::to_string(number + 1), 1 };
+    target.record.slots = 3;
+    target.record.incarnation = TargetIncarnation(1);
 }
 
-void ProxySimulation::promote(const TargetName& name, std::uint64_t token, const std::string& holder)
+void ProxySimulation::restartHost(std::size_t host, Duration downTime)
 {
-    m_checker.checkPromotionCall(token, holder);
-    after(m_promotionDelay, [this, name] {
+    trace("kill of host " + std::to_string(host));
+    m_hosts.at(host)->kill();
+    for (std::uint64_t session = 1; session <= callersPerHost; ++session)
+        m_callers.at({ host, session })->disconnected();
+    for (auto& other : m_hosts)
+        other->loseConnectionsVia(host);
+    after(downTime, [this, host] {
+        m_hostStartedAt = now();
+        trace("start of host " + std::to_string(host));
+        m_killedHosts.push_back(std::move(m_hosts.at(host)));
+        const auto restarts = m_killedHosts.size();
+        m_hosts.at(host) = std::make_unique<SimulatedHost>(*this, host, m_random(), restarts);
+        for (std::uint64_t session = 1; session <= callersPerHost; ++session)
+            m_callers.at({ host, session })->connect();
+    });
+}
+
+std::optional<PromotionOutcome> ProxySimulation::promote(const TargetName& name, std::uint64_t token, std::size_t host)
+{
+    m_checker.checkPromotionCall(token, "host-" + std::to_string(host));
+    if (hasChangingMembers() && !m_targets.at(name).isRunning)
+        return PromotionOutcome::NotRunning;
+    const auto order = m_orders.next(m_random);
+    if (const auto function = std::exchange(m_onNextPromotionCall, {}))
+        function(host);
+    m_orders.recordAccepted();
+    after(order.effectDelay, [this, name] {
+        m_orders.recordSettled();
         auto& chosen = m_targets.at(name);
         if (!chosen.isRunning || chosen.isPrimary)
             return;
@@ -104,14 +168,27 @@
         trace("promotion of " + name.value());
         m_checker.checkPromotion(chosen);
         chosen.becomePrimary(Term(highest.value() + 1));
+        m_promotedTerm = chosen.term;
     });
+    if (!order.isAnswered)
+        return {};
+    return PromotionOutcome::Accepted;
 }
 
 void ProxySimulation::commit(
     const TargetName& name, const std::vector<std::string>& writes, std::function<void(LogPoint)> done)
 {
-    const auto point = m_targets.at(name).append(writes);
-    m_unacknowledged.push_back({ name, point, std::move(done) });
+    auto& primary = m_targets.at(name);
+    const auto point = primary.append(writes);
+    if (!hasChangingMembers()) {
+        m_unacknowledged.push_back({ name, point, std::move(done) });
+        return;
+    }
+    m_replication.commit(name, point, std::move(done));
+    for (const auto& [replica, target] : m_targets) {
+        if (sourceOf(replica) == &primary && !target.isPrimary && !m_notReceiving.contains(replica))
+            m_replication.send(primary, replica);
+    }
 }
 
 FakeTarget* ProxySimulation::currentPrimary()
@@ -124,18 +201,26 @@
     return best;
 }
 
+FakeTarget* ProxySimulation::sourceOf(const TargetName& name)
+{
+    FakeTarget* source = nullptr;
+    for (auto& [other, primary] : m_targets) {
+        if (other != name && primary.isRunning && primary.isPrimary && !areCut(name, other)
+            && (!source || primary.term > source->term))
+            source = &primary;
+    }
+    return source;
+}
+
 void ProxySimulation::replicate()
 {
-    m_leaseRow.storeNowMs = static_cast<std::uint64_t>(toMilliseconds(now().time_since_epoch()));
+    m_store.setNow(now());
     for (auto& [name, replica] : m_targets) {
-        FakeTarget* source = nullptr;
-        for (auto& [other, primary] : m_targets) {
-            const bool reaches = !m_cutTargets.contains({ std::min(name, other), std::max(name, other) });
-            if (other != name && primary.isRunning && primary.isPrimary && reaches
-                && (!source || primary.term > source->term))
-                source = &primary;
-        }
-        if (source && !replica.isPrimary && !m_notReceiving.contains(name))
+        auto* const source = sourceOf(name);
+        const bool receives = source && !replica.isPrimary && !m_notReceiving.contains(name);
+        if (receives && hasChangingMembers())
+            m_replication.send(*source, name);
+        else if (receives)
             replica.copyLogFrom(*source);
         const bool seesNewer = source && replica.isRunning && replica.isPrimary && source->term > replica.term;
         auto& since = m_newerPrimarySeenSince[name];
@@ -147,6 +232,10 @@
             replica.applied = replica.log.size();
     }
     acknowledgeCommits();
+    if (hasChangingMembers()) {
+        m_replication.dropWithoutPrimary();
+        m_membership.update();
+    }
     after(replicationInterval, [this] { replicate(); });
 }
 
@@ -186,10 +275,13 @@
     if (!isTraced)
         return;
     std::cout << toMilliseconds(now().time_since_epoch()) << " simulation " << text;
-    for (const auto& [name, target] : m_targets)
+    for (const auto& [name, target] : m_targets) {
+        if (target.isGone)
+            continue;
         std::cout << "; " << name << (target.isRunning ? "" : " down") << (target.isPrimary ? " primary" : " replica")
                   << " term " << target.term << " fenced " << target.fencedTerm << " end " << target.logEnd().term
                   << '.' << target.logEnd().position;
+    }
     std::cout << '\n';
 }
 
@@ -244,8 +336,8 @@
         return;
     case 3:
         // The store is unavailable.
-        m_storeAnswers = false;
-        after(length, [this] { m_storeAnswers = true; });
+        m_store.setAnswering(false);
+        after(length, [this] { m_store.setAnswering(true); });
         return;
     case 4:
         // A host is paused.
--- a/tests/proxy/SimulatedCaller.cpp
+++ b/tests/proxy/SimulatedCaller.cpp
@@ -34,6 +34,33 @@
     m_unit.session = id.value() * ProxySimulation::hostCount + host;
 }
 
+void SimulatedCaller::after(Duration delay, void (SimulatedCaller::*task)())
+{
+    m_simulation.after(delay, [this, task, session = m_brokenSessions] {
+        if (session == m_brokenSessions)
+            (this->*task)();
+    });
+}
+
+void SimulatedCaller::connect()
+{
+    m_simulation.hostProxy(m_host).sessionOpened(m_simulation.now(), m_id, DatabaseName(m_database));
+}
+
+void SimulatedCaller::refused()
+{
+    after(500ms, &SimulatedCaller::connect);
+}
+
+void SimulatedCaller::disconnected()
+{
+    ++m_brokenSessions;
+    m_unit.session += ProxySimulation::maxSessions;
+    m_values.clear();
+    m_isInTransaction = false;
+    m_writes.clear();
+}
+
 void SimulatedCaller::accepted()
 {
     scheduleNextUnit(m_simulation.between(1ms, 200ms));
@@ -43,7 +70,7 @@
 {
     m_isInTransaction = false;
     m_writes.clear();
-    m_simulation.after(pause, [this] { startUnit(); });
+    after(pause, &SimulatedCaller::startUnit);
 }
 
 void SimulatedCaller::send(StatementKind kind, std::string argument)
@@ -92,7 +119,7 @@
 void SimulatedCaller::sendNextOfTransaction()
 {
     if (m_simulation.isHostPaused(m_host)) {
-        m_simulation.after(50ms, [this] { sendNextOfTransaction(); });
+        after(50ms, &SimulatedCaller::sendNextOfTransaction);
         return;
     }
     if (m_remainingStatements == 0) {
@@ -135,10 +162,10 @@
         recordWriteOutcomes(answer, false);
         m_writes.clear();
         m_remainingStatements = 0;
-        m_simulation.after(pause, [this] { send(StatementKind::Rollback, ""); });
+        after(pause, &SimulatedCaller::rollBack);
         return;
     }
-    m_simulation.after(pause, [this] { sendNextOfTransaction(); });
+    after(pause, &SimulatedCaller::sendNextOfTransaction);
 }
 
 } // namespace Auburnpost::Proxy
--- a/tests/proxy/SimulatedCaller.h
+++ b/tests/proxy/SimulatedCaller.h
@@ -21,7 +21,13 @@
     /// @return the session that sent the statement.
     static std::uint64_t sessionOf(const Session::StatementId&);
 
+    /// Opens a session.
+    void connect();
     void accepted();
+    /// The session was refused; opens another later.
+    void refused();
+    /// The session broke, and with it the statement in progress.
+    void disconnected();
     void answered(const Session::Answer&);
     [[nodiscard]] const Session::SessionValues& values() const { return m_values; }
     [[nodiscard]] const ProxyChecker::Unit& unit() const { return m_unit; }
@@ -33,6 +39,9 @@
     void sendNextOfTransaction();
     void send(Session::StatementKind, std::string argument);
     void scheduleNextUnit(Duration pause);
+    /// Runs a task later unless the session breaks before.
+    void after(Duration, void (SimulatedCaller::*task)());
+    void rollBack() { send(Session::StatementKind::Rollback, ""); }
     /// @param isCommittedOnSuccess whether an answer without a failure means that the writes of the unit are committed.
     void recordWriteOutcomes(const Session::Answer&, bool isCommittedOnSuccess);
 
@@ -47,6 +56,8 @@
     bool m_isStopped { false };
     std::size_t m_remainingStatements { 0 };
     std::uint64_t m_sent { 0 };
+    /// Number of sessions that broke.
+    std::uint64_t m_brokenSessions { 0 };
     Session::StatementKind m_kind { Session::StatementKind::Read };
     /// Writes of the unit in progress.
     std::vector<std::string> m_writes;
--- a/tests/proxy/SimulatedHost.cpp
+++ b/tests/proxy/SimulatedHost.cpp
@@ -14,6 +14,8 @@
 namespace {
 
     constexpr Duration serviceTime = std::chrono::milliseconds(3);
+    /// Timeout of a host's calls for the row of the promotion lease and for its own record.
+    constexpr Duration storeCallTimeout = std::chrono::milliseconds(900);
     const GroupName groupName("group");
 
     /// All hosts relay at the same IP address, each at its own port.
@@ -22,6 +24,12 @@
         return { "10.9.0.1", static_cast<std::uint16_t>(index + 1) };
     }
 
+    /// All hosts answer peers at the same IP address, each at its own port.
+    SocketAddress peerAddressOf(std::size_t index)
+    {
+        return { "10.9.0.2", static_cast<std::uint16_t>(index + 1) };
+    }
+
     tl::unexpected<Error> storeUnavailable()
     {
         return fail(ErrorCode::PlatformUnavailable, "call", "store", "no answer");
@@ -39,13 +47,19 @@
 
 } // namespace
 
-SimulatedHost::SimulatedHost(ProxySimulation& simulation, std::size_t index, std::uint64_t seed)
+SimulatedHost::SimulatedHost(ProxySimulation& simulation, std::size_t index, std::uint64_t seed, std::size_t start)
     : m_simulation(simulation)
     , m_index(index)
+    , m_start(start)
 {
     ProxySettings settings;
     settings.host = HostName("host-" + std::to_string(index));
     settings.relay = relayOf(index);
+    if (simulation.hasChangingMembers()) {
+        settings.peers = peerAddressOf(index);
+        for (std::size_t host = 0; host < ProxySimulation::hostCount; ++host)
+            settings.seeds.push_back(peerAddressOf(host));
+    }
     const RowReader& reader = *this;
     m_proxy = std::make_unique<Proxy>(simulation.now(), settings, reader, *this, seed);
     simulation.after(Duration(1), [this] { tick(); });
@@ -53,11 +67,37 @@
 
 bool SimulatedHost::isPaused() const
 {
-    return m_pausedUntil && m_simulation.now() < *m_pausedUntil;
+    return m_isKilled || (m_pausedUntil && m_simulation.now() < *m_pausedUntil);
+}
+
+void SimulatedHost::kill()
+{
+    m_isKilled = true;
+    m_simulation.after(ProxySimulation::oneWayDelay, [this] {
+        for (const auto& [id, connection] : m_connections)
+            m_simulation.target(connection.target)->connections.erase(connection.id);
+        m_connections.clear();
+    });
+}
+
+void SimulatedHost::loseConnectionsVia(std::size_t host)
+{
+    for (auto& [id, connection] : m_connections) {
+        if (host == m_index || connection.viaHost != host)
+            continue;
+        connection.isStuck = true;
+        m_simulation.target(connection.target)->connections.erase(connection.id);
+        deliver([this, lost = id] {
+            if (m_connections.erase(lost) > 0)
+                m_proxy->connectionLost(m_simulation.now(), lost);
+        });
+    }
 }
 
 void SimulatedHost::tick()
 {
+    if (m_isKilled)
+        return;
     if (!isPaused())
         m_proxy->tick(m_simulation.now());
     m_simulation.after(Proxy::tickInterval, [this] { tick(); });
@@ -70,24 +110,37 @@
             task();
             return;
         }
-        m_simulation.after(*m_pausedUntil - m_simulation.now() + Duration(1), task);
+        if (m_isKilled)
+            return;
+        m_simulation.after(*m_pausedUntil - m_simulation.now() + Duration(1), [this, task] {
+            if (!m_isKilled)
+                task();
+        });
     });
 }
 
 void SimulatedHost::acceptSession(SessionId id)
 {
-    m_simulation.after(Duration(1), [this, id] { m_simulation.caller(m_index, id).accepted(); });
+    m_simulation.after(Duration(1), [this, id] {
+        if (!m_isKilled)
+            m_simulation.caller(m_index, id).accepted();
+    });
 }
 
 void SimulatedHost::refuseSession(SessionId id, const Session::Failure&)
 {
     m_endings[id] = "refused";
+    if (m_simulation.hasChangingMembers())
+        m_simulation.caller(m_index, id).refused();
 }
 
 void SimulatedHost::answer(SessionId id, const Session::Answer& answer)
 {
     // Delayed because the caller's next statement must not arrive from within the answer to its last one.
-    m_simulation.after(Duration(1), [this, id, answer] { m_simulation.caller(m_index, id).answered(answer); });
+    m_simulation.after(Duration(1), [this, id, answer] {
+        if (!m_isKilled)
+            m_simulation.caller(m_index, id).answered(answer);
+    });
 }
 
 void SimulatedHost::openConnection(
@@ -95,7 +148,8 @@
 {
     auto& connection = m_connections[id];
     connection.target = record.name;
-    connection.id = id.value() * ProxySimulation::hostCount + m_index;
+    constexpr std::uint64_t maxConnections = 1'000'000;
+    connection.id = (m_start * maxConnections + id.value()) * ProxySimulation::hostCount + m_index;
     connection.viaHost = relay ? relay->port - 1U : m_index;
     m_simulation.after(ProxySimulation::oneWayDelay, [this, id] { connect(id); });
 }
@@ -242,6 +296,9 @@
 void SimulatedHost::checkStatement(
     const FakeTarget& target, const FakeTargetConnection& side, const RunStatement& statement)
 {
+    // The caller's state is already that of its next session.
+    if (m_isKilled)
+        return;
     const auto& caller = m_simulation.caller(m_index, SessionId(SimulatedCaller::sessionOf(statement.id)));
     m_simulation.checker().checkValues(side.values, caller.values());
     if (caller.isInTransaction() && side.state != TransactionState::Open)
@@ -316,10 +373,10 @@
 StorePage SimulatedHost::page(StoreTable table) const
 {
     StorePage page;
-    page.asOf = m_simulation.storeVersion();
+    page.asOf = m_simulation.store().version();
     if (table == StoreTable::Targets)
-        page.rows = m_simulation.targetRows();
-    else if (table == StoreTable::Hosts)
+        return m_simulation.store().targets();
+    if (table == StoreTable::Hosts)
         for (std::size_t host = 0; host < ProxySimulation::hostCount; ++host)
             page.rows.push_back({ "host-" + std::to_string(host), RowVersion(1),
                 HostDirectory::encode({ {}, {}, relayOf(host), relayOf(host) }), false });
@@ -328,23 +385,42 @@
     return page;
 }
 
-void SimulatedHost::readTable(StoreTable table, const std::string&, Duration)
+StorePage SimulatedHost::changes(StoreTable table, RowVersion after) const
+{
+    return table == StoreTable::Targets ? m_simulation.store().targetsChangedAfter(after) : page(table);
+}
+
+void SimulatedHost::deliverFromStore(Instant sentAt, Duration timeout, const std::function<void(bool isAnswered)>& task)
+{
+    auto& store = m_simulation.store();
+    const auto answerAt = m_simulation.now() + store.delay() + ProxySimulation::oneWayDelay;
+    const bool isLost = store.isHostCut(m_index, sentAt) || store.isHostCut(m_index, answerAt);
+    const auto timeoutAt = std::max(sentAt + timeout, m_simulation.now());
+    if (isLost || (store.delay() > Duration {} && answerAt > timeoutAt))
+        m_simulation.after(timeoutAt - m_simulation.now(), [this, task] { deliver([task] { task(false); }); });
+    else if (store.delay() > Duration {})
+        m_simulation.after(store.delay(), [this, task] { deliver([task] { task(true); }); });
+    else
+        deliver([this, task] { task(m_simulation.store().isAnswering()); });
+}
+
+void SimulatedHost::readTable(StoreTable table, const std::string&, Duration timeout)
 {
-    deliver([this, table] {
-        if (m_simulation.storeAnswers())
+    deliverFromStore(m_simulation.now(), timeout, [this, table](bool isAnswered) {
+        if (isAnswered)
             m_proxy->tableRead(m_simulation.now(), table, page(table));
         else
             m_proxy->tableRead(m_simulation.now(), table, storeUnavailable());
     });
 }
 
-void SimulatedHost::followTable(StoreTable table, RowVersion, Duration, Duration)
+void SimulatedHost::followTable(StoreTable table, RowVersion after, Duration, Duration timeout)
 {
     constexpr Duration interval = std::chrono::milliseconds(100);
-    m_simulation.after(interval, [this, table] {
-        deliver([this, table] {
-            if (m_simulation.storeAnswers())
-                m_proxy->tableFollowed(m_simulation.now(), table, page(table));
+    m_simulation.after(interval, [this, table, after, timeout, sentAt = m_simulation.now()] {
+        deliverFromStore(sentAt, timeout, [this, table, after](bool isAnswered) {
+            if (isAnswered)
+                m_proxy->tableFollowed(m_simulation.now(), table, changes(table, after));
             else
                 m_proxy->tableFollowed(m_simulation.now(), table, storeUnavailable());
         });
@@ -353,14 +429,15 @@
 
 void SimulatedHost::writeHost(const HostName&, const std::string&)
 {
-    deliver([this] { m_proxy->hostWritten(m_simulation.storeAnswers()); });
+    deliverFromStore(
+        m_simulation.now(), storeCallTimeout, [this](bool isAnswered) { m_proxy->hostWritten(isAnswered); });
 }
 
 void SimulatedHost::readLease(const GroupName& group)
 {
-    deliver([this, group] {
-        if (m_simulation.storeAnswers())
-            m_proxy->leaseRead(m_simulation.now(), group, m_simulation.lease());
+    deliverFromStore(m_simulation.now(), storeCallTimeout, [this, group](bool isAnswered) {
+        if (isAnswered)
+            m_proxy->leaseRead(m_simulation.now(), group, m_simulation.store().lease());
         else
             m_proxy->leaseRead(m_simulation.now(), group, storeUnavailable());
     });
@@ -368,13 +445,44 @@
 
 void SimulatedHost::writeLease(const GroupName& group, const PromotionLease& lease, RowVersion expected)
 {
-    m_simulation.after(ProxySimulation::oneWayDelay, [this, group, lease, expected] {
-        if (!m_simulation.storeAnswers()) {
+    const auto sentAt = m_simulation.now();
+    if (m_simulation.store().isHostCut(m_index, sentAt)) {
+        deliverFromStore(sentAt, storeCallTimeout,
+            [this, group](bool) { m_proxy->leaseWritten(m_simulation.now(), group, storeUnavailable()); });
+        return;
+    }
+    m_simulation.after(ProxySimulation::oneWayDelay + m_simulation.store().delay(), [=, this] {
+        if (!m_simulation.store().isAnswering()) {
             deliver([this, group] { m_proxy->leaseWritten(m_simulation.now(), group, storeUnavailable()); });
             return;
         }
-        const auto version = m_simulation.writeLease(lease, expected);
+        // The write is done even if its answer comes too late or is lost.
+        const auto version = m_simulation.store().writeLease(lease, expected);
+        answerLeaseWrite(group, version, sentAt);
+    });
+}
+
+void SimulatedHost::answerLeaseWrite(const GroupName& group, const std::optional<RowVersion>& version, Instant sentAt)
+{
+    const auto answerAt = m_simulation.now() + ProxySimulation::oneWayDelay;
+    const auto timeoutAt = std::max(sentAt + storeCallTimeout, m_simulation.now());
+    if (answerAt > timeoutAt || m_simulation.store().isHostCut(m_index, answerAt))
+        m_simulation.after(timeoutAt - m_simulation.now(), [this, group] {
+            deliver([this, group] { m_proxy->leaseWritten(m_simulation.now(), group, storeUnavailable()); });
+        });
+    else
         deliver([this, group, version] { m_proxy->leaseWritten(m_simulation.now(), group, version); });
+}
+
+void SimulatedHost::queryPeer(const SocketAddress& address)
+{
+    const auto peer = static_cast<std::size_t>(address.port - 1U);
+    m_simulation.after(ProxySimulation::oneWayDelay, [this, address, peer] {
+        if (m_simulation.isHostPaused(peer) || m_simulation.isIsolated(m_index) || m_simulation.isIsolated(peer))
+            return;
+        deliver([this, address, tables = m_simulation.hostProxy(peer).tables()] {
+            m_proxy->peerAnswered(m_simulation.now(), address, tables);
+        });
     });
 }
 
@@ -396,8 +504,16 @@
 void SimulatedHost::sendPromotion(const GroupName& group, const TargetName& target, RowVersion token)
 {
     m_simulation.after(ProxySimulation::oneWayDelay, [this, group, target, token] {
-        m_simulation.promote(target, token.value(), "host-" + std::to_string(m_index));
-        deliver([this, group] { m_proxy->promoteAnswered(m_simulation.now(), group, PromotionOutcome::Accepted); });
+        const auto outcome = m_simulation.promote(target, token.value(), m_index);
+        const auto answer = [this, group, outcome] {
+            deliver([this, group, outcome] {
+                m_proxy->promoteAnswered(m_simulation.now(), group, outcome.value_or(PromotionOutcome::Unanswered));
+            });
+        };
+        if (outcome)
+            answer();
+        else
+            m_simulation.after(Promotion::callTimeout, answer);
     });
 }
 
@@ -415,7 +531,7 @@
 
 Expected<TargetRecord> SimulatedHost::readTarget(const StoreRow& row) const
 {
-    return m_simulation.target(TargetName(row.key))->record;
+    return m_simulation.store().decode(row);
 }
 
 } // namespace Auburnpost::Proxy
--- a/tests/proxy/SimulatedHost.h
+++ b/tests/proxy/SimulatedHost.h
@@ -12,12 +12,18 @@
 /// A proxy in simulated time, with its connections to the fake targets.
 class SimulatedHost final : public ProxyDelegate, private RowReader {
 public:
-    SimulatedHost(ProxySimulation&, std::size_t index, std::uint64_t seed);
+    /// @param start number of hosts that were started again before this one; 0 for those that run from the start.
+    SimulatedHost(ProxySimulation&, std::size_t index, std::uint64_t seed, std::size_t start = 0);
 
     [[nodiscard]] Proxy& proxy() { return *m_proxy; }
     /// Pauses the host, as if the process was suspended.
     void pause(Instant until) { m_pausedUntil = until; }
+    /// @return whether the host does nothing, because it is paused or was killed.
     [[nodiscard]] bool isPaused() const;
+    /// Ends the process: closes all connections and handles nothing from now on.
+    void kill();
+    /// Breaks the connections that another host relays.
+    void loseConnectionsVia(std::size_t host);
     /// @return how the proxy ended the session: "refused", "closed", or empty if it did not.
     [[nodiscard]] std::string endingOf(SessionId id) const { return m_endings.contains(id) ? m_endings.at(id) : ""; }
 
@@ -35,7 +41,7 @@
     void readLease(const GroupName&) override;
     void writeLease(const GroupName&, const PromotionLease&, RowVersion expected) override;
     void promote(const GroupName&, const TargetName&, RowVersion token, Instant sendBefore) override;
-    void queryPeer(const SocketAddress&) override { }
+    void queryPeer(const SocketAddress&) override;
     /// Prints the record if PROXY_TRACE is set.
     void log(const LogRecord&) override;
     void measure(std::string_view, double) override { }
@@ -57,10 +63,14 @@
     };
 
     void tick();
+    void answerLeaseWrite(const GroupName&, const std::optional<RowVersion>& version, Instant sentAt);
     void sendPromotion(const GroupName&, const TargetName&, RowVersion token);
     void connect(ConnectionId);
     /// Runs a task on this host after one hop, or when the host's pause ends if that is later.
     void deliver(std::function<void()> task);
+    /// Runs a task on this host after the store's delay, or with the failure of the call at its timeout if the call or
+    /// its answer is lost.
+    void deliverFromStore(Instant sentAt, Duration timeout, const std::function<void(bool isAnswered)>& task);
     [[nodiscard]] bool updateStuck(HostConnection&) const;
     void handleRequest(ConnectionId, const TargetRequest&);
     void handleCommitted(ConnectionId, const TargetName&);
@@ -71,15 +81,18 @@
         ConnectionId, FakeTarget&, FakeTargetConnection&, std::vector<std::string> writes);
     void checkStatement(const FakeTarget&, const FakeTargetConnection&, const RunStatement&);
     StorePage page(StoreTable) const;
+    StorePage changes(StoreTable, RowVersion after) const;
     [[nodiscard]] Expected<std::optional<Catalog>> readCatalog(const StoreRow&) const override;
     [[nodiscard]] Expected<TargetRecord> readTarget(const StoreRow&) const override;
 
     ProxySimulation& m_simulation;
     std::size_t m_index;
+    std::size_t m_start;
     std::unique_ptr<Proxy> m_proxy;
     std::map<ConnectionId, HostConnection> m_connections;
     std::map<SessionId, std::string> m_endings;
     std::optional<Instant> m_pausedUntil;
+    bool m_isKilled { false };
 };
 
 } // namespace Auburnpost::Proxy
