--- /dev/null
+++ b/tests/proxy/MembershipScheduleTests.cpp
@@ -0,0 +1,189 @@
+#include "proxy/ProxySimulation.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Auburnpost;
+using namespace Auburnpost::Proxy;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t firstSeed = 1;
+/// Time for the hosts to know the group and to serve callers, and for a new target to be known to them.
+constexpr Duration settleTime = 3s;
+/// Time from a target's record until all hosts have it.
+constexpr Duration listDelay = 300ms;
+const TargetName primary("t0");
+const TargetName first("t1");
+const TargetName second("t2");
+
+/// A group with the primary t0 and the replicas t1 and t2 in a simulation with changing members.
+class Schedule {
+public:
+    Schedule()
+        : simulation(firstSeed, ProxySimulation::promotionDelay, MembershipModel::Changing)
+    {
+        simulation.run(settleTime);
+    }
+
+    /// Cuts the primary from the replicas that were there from the start, or connects them again.
+    void cutPrimary(bool isCut)
+    {
+        simulation.setCut(primary, first, isCut);
+        simulation.setCut(primary, second, isCut);
+    }
+
+    /// Adds a replica that all hosts know.
+    TargetName addKnownReplica()
+    {
+        const auto name = simulation.membership().join(100ms);
+        simulation.run(settleTime);
+        return name;
+    }
+
+    /// Ends all faults, and checks that no guarantee was broken and that the group is served.
+    void check()
+    {
+        simulation.recoverAndCheck();
+        CHECK(simulation.checker().violation() == "");
+        CHECK(simulation.checker().lostWrites() == 0);
+        CHECK(simulation.checker().acknowledgedWrites() > 100);
+        CHECK(simulation.currentPrimary());
+    }
+
+    ProxySimulation simulation;
+};
+
+} // namespace
+
+// The replicas that stay are cut from the primary, and a leaving one acknowledges alone. With its record went its place
+// in the count of the members, and two fences of three sufficed (docs/incidents/lost-while-members-change.md).
+TEST_CASE("A commit that only the primary and a departed replica hold is not rolled back", "[proxy][membership]")
+{
+    Schedule schedule;
+    auto& simulation = schedule.simulation;
+    const auto leaving = schedule.addKnownReplica();
+    simulation.membership().leave(leaving);
+
+    SECTION("the primary is cut from the other replicas")
+    {
+        simulation.run(SimulatedMembership::drain - 2s);
+        schedule.cutPrimary(true);
+        simulation.run(4s);
+        schedule.cutPrimary(false);
+    }
+    SECTION("the primary crashes and comes back")
+    {
+        simulation.run(SimulatedMembership::drain - 500ms);
+        schedule.cutPrimary(true);
+        simulation.run(600ms);
+        simulation.membership().crash(primary, 3s);
+        simulation.run(3s);
+        schedule.cutPrimary(false);
+    }
+    schedule.check();
+}
+
+TEST_CASE("A commit that only a departed primary and a lapsed replica hold is not rolled back", "[proxy][membership]")
+{
+    Schedule schedule;
+    auto& simulation = schedule.simulation;
+    const auto lapsed = schedule.addKnownReplica();
+    simulation.membership().leave(primary);
+    // While one replica can't be fenced, the leaving primary is not replaced.
+    for (std::size_t host = 0; host < ProxySimulation::hostCount; ++host)
+        simulation.setHostCut(host, first, true);
+    simulation.run(2s);
+    simulation.membership().cutFromStore(lapsed, 20s);
+    simulation.run(3s);
+    schedule.cutPrimary(true);
+    simulation.run(SimulatedMembership::drain - 5s);
+    for (std::size_t host = 0; host < ProxySimulation::hostCount; ++host)
+        simulation.setHostCut(host, first, false);
+    simulation.run(2s);
+    schedule.check();
+}
+
+TEST_CASE(
+    "A commit that an unlisted new replica acknowledged is not rolled back by a planned switch", "[proxy][membership]")
+{
+    Schedule schedule;
+    auto& simulation = schedule.simulation;
+    simulation.membership().leave(primary);
+    simulation.membership().join(3s);
+    simulation.run(5s);
+    schedule.check();
+}
+
+TEST_CASE("A host with an old list does not promote past a primary that it does not know", "[proxy][membership]")
+{
+    const auto length = GENERATE(6000ms, 6300ms, 6600ms, 6900ms, 7200ms, 7500ms, 7800ms, 8100ms);
+    INFO("isolated for " << length.count() << " ms");
+    Schedule schedule;
+    auto& simulation = schedule.simulation;
+    simulation.isolateHost(0, length);
+    simulation.membership().join(100ms);
+    simulation.membership().join(100ms);
+    simulation.run(1s);
+    // The new targets have the longest logs when the primary is replaced.
+    schedule.cutPrimary(true);
+    simulation.run(200ms);
+    simulation.membership().leave(primary, 2s);
+    simulation.run(2s);
+    schedule.cutPrimary(false);
+    simulation.run(10s);
+    schedule.check();
+}
+
+TEST_CASE("A commit that a lapsed replica acknowledged is not rolled back by a planned switch", "[proxy][membership]")
+{
+    Schedule schedule;
+    auto& simulation = schedule.simulation;
+    const auto lapsed = schedule.addKnownReplica();
+    simulation.membership().cutFromStore(lapsed, 30s);
+
+    SECTION("the hosts were started again without its record")
+    {
+        simulation.run(2 * SimulatedMembership::lapseTimeout);
+        for (std::size_t host = 0; host < ProxySimulation::hostCount; ++host) {
+            simulation.restartHost(host, 200ms);
+            simulation.run(1s);
+        }
+    }
+    SECTION("the hosts removed it long ago")
+    {
+        simulation.run(15s);
+    }
+    simulation.membership().leave(primary);
+    simulation.run(5s);
+    schedule.check();
+}
+
+TEST_CASE("A promotion that takes effect seconds late rolls back no acknowledged commit", "[proxy][membership]")
+{
+    static constexpr Duration lateness = 6s;
+    // The primary is back before, at, or after the end of the wait for the promotion's effect.
+    const auto downTime = GENERATE(1500ms, 3000ms, 4000ms, 4200ms, 4400ms);
+    const bool isAnswered = GENERATE(true, false);
+    Schedule schedule;
+    auto& simulation = schedule.simulation;
+    simulation.orders().set({ lateness, isAnswered });
+
+    SECTION("its host keeps running") { }
+    SECTION("its host is paused after the call")
+    {
+        simulation.onNextPromotionCall([&simulation](std::size_t host) { simulation.pauseHost(host, 2 * lateness); });
+    }
+    SECTION("its host is killed after the call")
+    {
+        simulation.onNextPromotionCall([&simulation](std::size_t host) { simulation.restartHost(host, 500ms); });
+    }
+    simulation.membership().crash(primary, downTime);
+    simulation.run(1s);
+    // The candidate can't follow the former primary when that is back.
+    simulation.setCut(primary, first, true);
+    simulation.run(lateness + 1s);
+    simulation.setCut(primary, first, false);
+    INFO("primary down for " << downTime.count() << " ms, call " << (isAnswered ? "answered" : "not answered"));
+    schedule.check();
+}
