Measure promotions, and tell a lost fence from one that the effect removed

Series: ms from call to effect and from suspicion to effect, abandoned attempts, fences lost before the effect, and the age of the list of targets at the call. The effect of a promotion removes the members' fences some tens of ms before this host sees the new primary, so E0414 appeared at effects where no fence was lost. A fence now counts as lost once the candidate, queried after that, reports that it is not promoted yet; E0413 shows the others as cleared. A refused call is found by its token.

--- a/src/proxy/Promotion.cpp
+++ b/src/proxy/Promotion.cpp
@@ -404,9 +404,8 @@
     PromotionLog::appendEvidence(fields, context.now, context.watcher, fencedMembers(context.watcher).size());
     log(LogEvent::FailoverAbandoned, std::move(fields));
     if (before == "Calling")
-        m_trace.recordRefusal();
-    else if (isCalled)
-        m_trace.recordAbandonment(context.now);
+        m_trace.recordRefusal(m_token);
+    m_trace.recordAbandonment(context.now, before == "Awaiting");
 }
 
 void Promotion::log(LogEvent event, std::vector<LogField> fields) const
--- a/src/proxy/PromotionTrace.cpp
+++ b/src/proxy/PromotionTrace.cpp
@@ -8,6 +8,11 @@
 
 namespace {
 
+    double milliseconds(Duration duration)
+    {
+        return static_cast<double>(toMilliseconds(duration));
+    }
+
     /// @return the highest term that a member has joined.
     Term highestJoinedTerm(const GroupWatcher& watcher)
     {
@@ -32,9 +37,13 @@
     std::string describeFences(const PromotionTrace::Call& call)
     {
         std::string text;
-        for (const auto& [name, goneAt] : call.fences) {
+        for (const auto& [name, fence] : call.fences) {
             text += (text.empty() ? "" : ",") + name.value();
-            text += goneAt ? "/gone/" + PromotionLog::age(*goneAt, call.calledAt) + "ms" : "/held";
+            if (fence.goneAt)
+                text += (fence.isGoneBeforeEffect ? "/gone/" : "/cleared/")
+                    + PromotionLog::age(*fence.goneAt, call.calledAt) + "ms";
+            else
+                text += "/held";
         }
         return text.empty() ? "-" : text;
     }
@@ -55,21 +64,23 @@
     if (const auto* const member = watcher.find(candidate); member && member->status)
         call.end = member->status->received;
     for (const auto& name : fenced)
-        call.fences[name] = std::nullopt;
+        call.fences[name] = {};
     if (m_calls.size() >= maxCalls)
         m_calls.erase(m_calls.begin());
     m_calls.push_back(std::move(call));
+    if (const auto& confirmedAt = watcher.listOrigin().confirmedAt)
+        m_observer.measure("promotion_target_list_age_ms", milliseconds(now - *confirmedAt));
 }
 
-void PromotionTrace::recordRefusal()
+void PromotionTrace::recordRefusal(RowVersion token)
 {
-    if (!m_calls.empty())
-        m_calls.pop_back();
+    std::erase_if(m_calls, [token](const Call& call) { return call.token == token; });
 }
 
-void PromotionTrace::recordAbandonment(Instant now)
+void PromotionTrace::recordAbandonment(Instant now, bool mayTakeEffect)
 {
-    if (!m_calls.empty() && !m_calls.back().abandonedAt)
+    m_observer.measure("promotion_abandoned_ms", milliseconds(now - m_suspectedAt));
+    if (mayTakeEffect && !m_calls.empty() && !m_calls.back().abandonedAt)
         m_calls.back().abandonedAt = now;
 }
 
@@ -96,26 +107,42 @@
         return;
     if (const auto& log = watcher.history().primaryLog(); log && log->term <= call.replacedTerm)
         call.replacedLog = log;
-    for (auto& [name, goneAt] : call.fences) {
+    const auto* const candidate = watcher.find(call.candidate);
+    for (auto& [name, fence] : call.fences) {
         const auto* const member = watcher.find(name);
-        const auto why = whyGone(member);
-        if (goneAt || why.empty())
+        const bool isGone = !whyGone(member).empty();
+        if (isGone && !fence.goneAt)
+            fence.goneAt = now;
+        if (!fence.goneAt || fence.isGoneBeforeEffect)
+            continue;
+        const bool isQueriedLater = candidate && candidate->status && candidate->queriedAt >= *fence.goneAt;
+        if (!isQueriedLater)
             continue;
-        goneAt = now;
-        const auto* const status = member && member->status ? &*member->status : nullptr;
-        m_observer.log({ LogEvent::PromotionFenceLost,
-            { { "group", m_group.value() }, { "target", name.value() }, { "token", std::to_string(call.token.value()) },
-                { "candidate", call.candidate.value() }, { "why", std::string(why) },
-                { "call_ms", PromotionLog::age(now, call.calledAt) },
-                { "received", status ? PromotionLog::describe(status->received) : "-" },
-                { "given_up", call.abandonedAt ? "yes" : "no" } } });
+        fence.isGoneBeforeEffect = true;
+        reportLostFence(*fence.goneAt, call, name, member);
     }
 }
 
+void PromotionTrace::reportLostFence(
+    Instant goneAt, const Call& call, const TargetName& name, const GroupWatcher::Member* member)
+{
+    const auto* const status = member && member->status ? &*member->status : nullptr;
+    const auto why = whyGone(member);
+    m_observer.log({ LogEvent::PromotionFenceLost,
+        { { "group", m_group.value() }, { "target", name.value() }, { "token", std::to_string(call.token.value()) },
+            { "candidate", call.candidate.value() }, { "why", std::string(why.empty() ? "renewed" : why) },
+            { "call_ms", PromotionLog::age(goneAt, call.calledAt) },
+            { "received", status ? PromotionLog::describe(status->received) : "-" },
+            { "given_up", call.abandonedAt ? "yes" : "no" } } });
+}
+
 void PromotionTrace::reportEffect(Instant now, const Call& call)
 {
     const auto gone = std::count_if(
-        call.fences.begin(), call.fences.end(), [](const auto& fence) { return fence.second.has_value(); });
+        call.fences.begin(), call.fences.end(), [](const auto& entry) { return entry.second.isGoneBeforeEffect; });
+    m_observer.measure("promotion_call_to_effect_ms", milliseconds(now - call.calledAt));
+    m_observer.measure("promotion_suspicion_to_effect_ms", milliseconds(now - call.suspectedAt));
+    m_observer.measure("promotion_fences_lost", static_cast<double>(gone));
     const auto& replaced = call.replacedLog;
     std::vector<LogField> fields { { "group", m_group.value() }, { "target", call.candidate.value() },
         { "token", std::to_string(call.token.value()) }, { "call_ms", PromotionLog::age(now, call.calledAt) },
--- a/src/proxy/PromotionTrace.h
+++ b/src/proxy/PromotionTrace.h
@@ -29,6 +29,15 @@
     /// Time for which a call is followed; platforms carry out a delayed call within seconds.
     static constexpr Duration retention = std::chrono::seconds(30);
 
+    /// A fence that a call relies on.
+    struct Fence {
+        /// When the fence was first seen to be gone.
+        std::optional<Instant> goneAt;
+        /// Whether the candidate, queried later, reported that it was not promoted yet. Otherwise the effect itself may
+        /// have removed the fence.
+        bool isGoneBeforeEffect { false };
+    };
+
     struct Call {
         TargetName candidate;
         RowVersion token;
@@ -41,8 +50,7 @@
         LogPoint end;
         /// The log of the primary that is being replaced.
         std::optional<MemberHistory::PrimaryLog> replacedLog;
-        /// The members whose fences the call relies on, and when each fence was seen to be gone.
-        std::map<TargetName, std::optional<Instant>> fences;
+        std::map<TargetName, Fence> fences;
         /// When the attempt ended without an effect.
         std::optional<Instant> abandonedAt;
     };
@@ -55,10 +63,11 @@
     /// @param fenced the members whose fences it relies on.
     void recordCall(Instant now, const GroupWatcher&, const TargetName& candidate, RowVersion token,
         const std::set<TargetName>& fenced);
-    /// Records that the last call was refused, so that it has no effect.
-    void recordRefusal();
-    /// Records that the attempt in progress ended without success. Its call, if there was one, may still take effect.
-    void recordAbandonment(Instant now);
+    /// Records that the call with the token was refused, so that it has no effect.
+    void recordRefusal(RowVersion token);
+    /// Records that the attempt in progress ended without success.
+    /// @param mayTakeEffect whether the attempt has made a call that may still take effect.
+    void recordAbandonment(Instant now, bool mayTakeEffect);
     /// Reports fences that are gone and calls that took effect.
     void observe(Instant now, const GroupWatcher&);
 
@@ -67,6 +76,7 @@
 
 private:
     void observeFences(Instant now, const GroupWatcher&, Call&);
+    void reportLostFence(Instant goneAt, const Call&, const TargetName&, const GroupWatcher::Member*);
     void reportEffect(Instant now, const Call&);
 
     GroupName m_group;
