Show logs, fences, counts and pending promotion calls in the state dump

/state now has for each member its role, log end, the age of that status and its fence; for each group the members counted, the fences needed, the departures, the end of the primary's log and the promotion calls without a seen effect; and the source and age of the list of targets. E0502 to E0504 show the version of the list, to compare with list_as_of of E0408.

--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -1,4 +1,5 @@
 #include "proxy/Proxy.h"
+#include "proxy/StateDump.h"
 
 #include <nlohmann/json.hpp>
 
@@ -181,16 +182,17 @@
 
 void Proxy::logTargetChanges(const TargetDirectory::Changes& changes)
 {
+    const auto asOf = std::to_string(follower(StoreTable::Targets).state().asOf.value());
     for (const auto& record : changes.listed)
         log({ record.isLeaving ? LogEvent::TargetLeaving : LogEvent::TargetListed,
             { { "group", record.group.value() }, { "target", record.name.value() },
                 { "address", record.address.toString() }, { "data_centre", record.dataCentre.value() },
                 { "primary", record.reportsPrimary ? "yes" : "no" },
-                { "incarnation", std::to_string(record.incarnation.value()) } } });
+                { "incarnation", std::to_string(record.incarnation.value()) }, { "as_of", asOf } } });
     for (const auto& record : changes.removed)
         log({ LogEvent::TargetRemoved,
             { { "group", record.group.value() }, { "target", record.name.value() },
-                { "leaving", record.isLeaving ? "yes" : "no" } } });
+                { "leaving", record.isLeaving ? "yes" : "no" }, { "as_of", asOf } } });
 }
 
 void Proxy::queryPeers(Instant now)
@@ -242,22 +244,13 @@
 {
     using Json = nlohmann::json;
     Json groups = Json::object();
-    for (const auto& [name, group] : m_groups) {
-        Json members = Json::object();
-        for (const auto& [target, member] : group->watcher().members()) {
-            const auto pool = group->pools().find(target);
-            members[target.value()] = { { "data_centre", member.record.dataCentre.value() },
-                { "leaving", member.record.isLeaving }, { "doubtful", member.health.isSuspect(now) },
-                { "round_trip_ms", toMilliseconds(member.health.roundTrip()) },
-                { "connections", pool == group->pools().end() ? 0 : pool->second.connections().size() } };
-        }
-        groups[name.value()] = { { "primary", group->watcher().primary() ? group->watcher().primary()->value() : "" },
-            { "term", group->watcher().primaryTerm().value() }, { "waiting", group->waiting() },
-            { "promotion", group->promotion().state() }, { "members", std::move(members) } };
-    }
+    for (const auto& [name, group] : m_groups)
+        groups[name.value()] = describeGroup(now, *group);
     const Json state { { "host", m_settings.host.value() }, { "ready", isReady() },
         { "configuration", m_catalog ? m_catalog->version.value() : 0 }, { "sessions", m_sessions.size() },
-        { "statements", statements() }, { "groups", std::move(groups) } };
+        { "statements", statements() },
+        { "targets_list", describeOrigin(now, m_followers[static_cast<std::size_t>(StoreTable::Targets)].origin()) },
+        { "groups", std::move(groups) } };
     return state.dump(2);
 }
 
--- /dev/null
+++ b/src/proxy/StateDump.cpp
@@ -0,0 +1,71 @@
+#include "proxy/StateDump.h"
+
+#include "proxy/PromotionLog.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Auburnpost::Proxy {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    Json describeMember(Instant now, const GroupWatcher::Member& member, std::size_t connections)
+    {
+        Json described { { "data_centre", member.record.dataCentre.value() }, { "leaving", member.record.isLeaving },
+            { "doubtful", member.health.isSuspect(now) },
+            { "round_trip_ms", toMilliseconds(member.health.roundTrip()) }, { "connections", connections },
+            { "role", "unknown" } };
+        if (const auto& status = member.status) {
+            described["role"] = status->isPrimary ? "primary" : "replica";
+            described["term"] = status->term.value();
+            described["log_end"] = PromotionLog::describe(status->received);
+            described["log_end_age_ms"] = toMilliseconds(now - member.queriedAt);
+            described["fence"] = status->fencedTerm.value();
+        }
+        return described;
+    }
+
+    Json describeCalls(Instant now, const PromotionTrace& trace)
+    {
+        Json calls = Json::array();
+        for (const auto& call : trace.calls())
+            calls.push_back({ { "candidate", call.candidate.value() }, { "token", call.token.value() },
+                { "log_end", PromotionLog::describe(call.end) }, { "call_ms", toMilliseconds(now - call.calledAt) },
+                { "given_up", call.abandonedAt.has_value() } });
+        return calls;
+    }
+
+} // namespace
+
+Json describeOrigin(Instant now, const TableOrigin& origin)
+{
+    Json described { { "from", PromotionLog::describeSource(origin) }, { "as_of", origin.asOf.value() } };
+    if (origin.confirmedAt)
+        described["age_ms"] = toMilliseconds(now - *origin.confirmedAt);
+    return described;
+}
+
+Json describeGroup(Instant now, const GroupService& group)
+{
+    const auto& watcher = group.watcher();
+    Json members = Json::object();
+    for (const auto& [target, member] : watcher.members()) {
+        const auto pool = group.pools().find(target);
+        const auto connections = pool == group.pools().end() ? 0 : pool->second.connections().size();
+        members[target.value()] = describeMember(now, member, connections);
+    }
+    Json described { { "primary", watcher.primary() ? watcher.primary()->value() : "" },
+        { "term", watcher.primaryTerm().value() }, { "waiting", group.waiting() },
+        { "promotion", group.promotion().state() },
+        { "promotion_calls", describeCalls(now, group.promotion().trace()) }, { "members", std::move(members) },
+        { "departed", PromotionLog::describeDepartures(now, watcher) }, { "counted", watcher.groupSize() },
+        { "fences_needed", watcher.fencesNeeded() } };
+    if (const auto& log = watcher.history().primaryLog()) {
+        described["primary_end"] = PromotionLog::describe(log->end);
+        described["primary_end_age_ms"] = toMilliseconds(now - log->knownAt);
+    }
+    return described;
+}
+
+} // namespace Auburnpost::Proxy
