Count a member without a record until its commits are on members that stay

Cause: GroupWatcher counted the members that the list had at that moment (a lapsed one for another 8 s), with no evidence on what depended on the one that went. Now GroupMembership decides who counts, for fences and confirmations alike: a member without a record stays, is queried, fenced and counted, but gets no statements, until its process is known to have ended and the log that the primary has after that is on enough members that stay. While the primary answers, nothing is given up.

--- a/src/base/LogEvent.cpp
+++ b/src/base/LogEvent.cpp
@@ -17,7 +17,7 @@
     constexpr std::size_t numberDigits = 4;
 
     /// Sorted by number.
-    constexpr std::array<Definition, 62> definitions { {
+    constexpr std::array<Definition, 63> definitions { {
         { LogEvent::Started, LogLevel::Info, "host started" },
         { LogEvent::ShutdownStarted, LogLevel::Info, "host shutdown started" },
         { LogEvent::ShutdownCompleted, LogLevel::Info, "host shutdown completed" },
@@ -59,6 +59,7 @@
         { LogEvent::PromotionFenceLost, LogLevel::Warn,
             "fence of target gone before the requested promotion took effect" },
         { LogEvent::PromotionEffectLate, LogLevel::Warn, "promotion took effect after its attempt was abandoned" },
+        { LogEvent::MemberReleased, LogLevel::Info, "member without a record no longer counts" },
         { LogEvent::TargetConnectFailed, LogLevel::Warn, "opening a connection to target failed" },
         { LogEvent::TargetConnectionLost, LogLevel::Warn, "connection to target lost during a request" },
         { LogEvent::TargetLeaving, LogLevel::Info, "target marked as leaving" },
--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -52,6 +52,7 @@
     PromotionEffectSeen = 413,
     PromotionFenceLost = 414,
     PromotionEffectLate = 415,
+    MemberReleased = 420,
 
     TargetConnectFailed = 500,
     TargetConnectionLost = 501,
--- /dev/null
+++ b/src/proxy/GroupMembership.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "proxy/Catalog.h"
+#include "proxy/GroupMember.h"
+
+#include <vector>
+
+namespace Auburnpost::Proxy {
+
+/// Why a member without a record no longer counts.
+enum class MemberReleaseReason : std::uint8_t {
+    /// The members that stay have every commit that it can have helped to acknowledge.
+    LogsCaughtUp,
+    /// It never answered this host.
+    NeverAnswered,
+    /// Another record stands for the log at its address.
+    Superseded,
+    /// The limit for the wait has passed.
+    GivenUp,
+};
+
+/// @return the text for logs, such as "logs_caught_up".
+std::string_view toString(MemberReleaseReason);
+
+/// A member that no longer counts.
+struct MemberRelease {
+    TargetName name;
+    MemberReleaseReason reason {};
+};
+
+/// The members of one database group that may hold an acknowledged commit. Promotions, fences and confirmations count
+/// the same members. A member whose record disappears still counts until the log of every commit that it can have
+/// helped to acknowledge is shown to be on members that stay.
+class GroupMembership {
+public:
+    /// An unlisted member that gives no answer counts as ended after this long.
+    static constexpr Duration silenceTimeout = std::chrono::seconds(8);
+    /// The same for one that had announced its shutdown.
+    static constexpr Duration leavingSilenceTimeout = std::chrono::seconds(1);
+    /// Maximum time for which an ended or silent member without a record counts. A target that crashed is back before.
+    static constexpr Duration retentionLimit = std::chrono::seconds(20);
+
+    void setRules(const GroupRules& rules) { m_rules = rules; }
+
+    /// Replaces the list of members. The state of a member is kept if the new list has it in the same incarnation.
+    /// @return the members that no longer count.
+    std::vector<MemberRelease> setListed(Instant now, const std::vector<TargetRecord>&);
+    /// Forgets all members, of a group that is no longer watched.
+    void clear() { m_members.clear(); }
+
+    /// Updates what is known of members without a record, after a status or a failed connection.
+    /// @param primary the current primary; null when none is known.
+    /// @return the members that no longer count.
+    std::vector<MemberRelease> releaseUnlisted(Instant now, const GroupMember* primary);
+
+    [[nodiscard]] GroupMembers& members() { return m_members; }
+    [[nodiscard]] const GroupMembers& members() const { return m_members; }
+    /// @return the member; null if the target is not a member.
+    [[nodiscard]] const GroupMember* find(const TargetName&) const;
+    [[nodiscard]] GroupMember* find(const TargetName&);
+
+    /// @return how many members count. Members are counted by address, because a target that crashed restarts under a
+    /// new name at the same address, with its log.
+    [[nodiscard]] std::size_t size() const;
+    [[nodiscard]] std::size_t listedCount() const;
+    /// @return how many members count that are not known to have ended.
+    [[nodiscard]] std::size_t runningCount() const;
+    /// @return how many members have to be fenced before a promotion, so that at least one of them has every
+    /// acknowledged commit and no further commit can be acknowledged.
+    [[nodiscard]] std::size_t fencesNeeded() const;
+    /// @return how many members besides the primary have to report that they are not fenced to confirm the primary.
+    [[nodiscard]] std::size_t confirmationsNeeded() const;
+    /// @return whether the log of a member that ended is not yet known to be on members that stay.
+    [[nodiscard]] bool awaitsEvidence() const;
+
+private:
+    /// @return whether enough listed members besides the primary have the log up to the point.
+    [[nodiscard]] bool isHeldByListed(const LogPoint&, const GroupMember& primary) const;
+    [[nodiscard]] std::optional<MemberReleaseReason> releaseReason(
+        Instant now, GroupMember&, const GroupMember* primary) const;
+
+    GroupRules m_rules;
+    GroupMembers m_members;
+};
+
+} // namespace Auburnpost::Proxy
--- a/src/proxy/GroupService.cpp
+++ b/src/proxy/GroupService.cpp
@@ -39,20 +39,53 @@
 
 void GroupService::setMembers(Instant now, const std::vector<TargetRecord>& records)
 {
-    std::vector<ConnectionId> stale;
+    std::set<TargetName> replaced;
     for (const auto& [name, pool] : m_pools) {
         const auto listed = std::find_if(
             records.begin(), records.end(), [&name = name](const TargetRecord& record) { return record.name == name; });
         const auto* const known = m_watcher.find(name);
-        const bool isSame = listed != records.end() && known && known->record.incarnation == listed->incarnation;
-        for (const auto& [id, connection] : pool.connections()) {
-            if (!isSame && connection.expectedReplies.empty())
-                stale.push_back(id);
-        }
+        const bool wasListed = known && known->isListed();
+        const bool isSame
+            = listed == records.end() ? known && !wasListed : known && known->record.incarnation == listed->incarnation;
+        if (!isSame)
+            replaced.insert(name);
     }
+    for (const auto& name : replaced)
+        discardUnusedConnections(name);
     m_watcher.setMembers(now, records);
-    for (const auto id : stale)
-        discardConnection(id);
+    forgetReleasedMembers(now);
+    // What an unlisted member can have acknowledged is compared with the members' status from now on.
+    if (m_watcher.membership().listedCount() < m_watcher.members().size())
+        m_polledAt.clear();
+    for (const auto& record : records) {
+        m_pools[record.name].setLimit(m_rules.connectionLimit);
+        if (m_pools[record.name].connections().empty())
+            open(now, record.name);
+    }
+    dispatchWaiting(now);
+}
+
+void GroupService::stopWatching(Instant now)
+{
+    m_watcher.stopWatching();
+    forgetReleasedMembers(now);
+    dispatchWaiting(now);
+}
+
+void GroupService::forgetReleasedMembers(Instant now)
+{
+    for (const auto& release : m_watcher.releaseUnlisted(now))
+        log({ LogEvent::MemberReleased,
+            { { "group", m_name.value() }, { "target", release.name.value() },
+                { "reason", std::string(toString(release.reason)) },
+                { "counted", std::to_string(m_watcher.membership().size()) } } });
+    std::set<TargetName> forgotten;
+    for (const auto& [name, pool] : m_pools) {
+        if (!m_watcher.find(name))
+            forgotten.insert(name);
+    }
+    for (const auto& name : forgotten)
+        discardUnusedConnections(name);
     std::erase_if(m_pools,
         [this](const auto& entry) { return !m_watcher.find(entry.first) && entry.second.connections().empty(); });
     std::erase_if(m_paths, [this](const auto& entry) { return !m_watcher.find(entry.first); });
@@ -60,12 +93,6 @@
     std::erase_if(m_polledAt, [this](const auto& entry) { return !m_watcher.find(entry.first); });
     std::erase_if(m_commands, [this](const auto& entry) { return !m_watcher.find(entry.first); });
     std::erase_if(m_suspects, [this](const auto& name) { return !m_watcher.find(name); });
-    for (const auto& record : records) {
-        m_pools[record.name].setLimit(m_rules.connectionLimit);
-        if (m_pools[record.name].connections().empty())
-            open(now, record.name);
-    }
-    dispatchWaiting(now);
 }
 
 void GroupService::tick(Instant now)
@@ -73,6 +100,7 @@
     expireStatements(now);
     checkConnections(now);
     probePaths(now);
+    forgetReleasedMembers(now);
     pollMembers(now);
     watchPrimary(now);
     sendQueuedCommands(now);
@@ -116,6 +144,17 @@
     }
 }
 
+void GroupService::discardUnusedConnections(const TargetName& target)
+{
+    std::vector<ConnectionId> unused;
+    for (const auto& [id, connection] : m_pools.at(target).connections()) {
+        if (connection.expectedReplies.empty())
+            unused.push_back(id);
+    }
+    for (const auto id : unused)
+        discardConnection(id);
+}
+
 void GroupService::discardIdleConnections(const TargetName& target, ConnectionId except)
 {
     std::vector<ConnectionId> idle;
@@ -142,7 +181,10 @@
 
 Duration GroupService::pollIntervalOf(Instant now, const GroupWatcher::Member& member) const
 {
-    const bool isUrgent = !m_promotion.isIdle() || !m_watcher.primary();
+    const bool awaitsEvidence = m_watcher.membership().awaitsEvidence();
+    if (!member.isListed() && member.endedAt)
+        return idlePollInterval;
+    const bool isUrgent = !m_promotion.isIdle() || !m_watcher.primary() || awaitsEvidence;
     if (isUrgent || member.health.isSuspect(now) || !member.status)
         return urgentPollInterval;
     const auto lastResponse = member.health.lastResponseAt();
@@ -163,7 +205,7 @@
     m_confirmationStartedAt = now;
     std::vector<const GroupWatcher::Member*> others;
     for (const auto& [name, member] : m_watcher.members()) {
-        if (name != m_watcher.primary() && !member.health.isSuspect(now))
+        if (name != m_watcher.primary() && member.isListed() && !member.health.isSuspect(now))
             others.push_back(&member);
     }
     const auto needed = std::min(m_watcher.confirmationsNeeded(), others.size());
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -45,6 +45,8 @@
 
     void setRules(const GroupRules&);
     void setMembers(Instant now, const std::vector<TargetRecord>&);
+    /// Forgets the members of a group that this host no longer serves.
+    void stopWatching(Instant now);
     /// Stores where the list of targets came from, for logs and dumps.
     void setListOrigin(const TableOrigin& origin) { m_watcher.setListOrigin(origin); }
     void tick(Instant now);
@@ -122,6 +124,8 @@
     void probePaths(Instant now);
     /// Closes idle connections that may have gone dead, or whose path is no longer used.
     void discardIdleConnections(const TargetName&, ConnectionId except);
+    /// Closes the connections on which no reply is expected.
+    void discardUnusedConnections(const TargetName&);
     TargetConnection* findIdleOrOpen(Instant now, const TargetName&, const PendingStatement&);
 
     // Replies.
@@ -155,6 +159,9 @@
     void checkConnections(Instant now);
     [[nodiscard]] bool isOverdue(Instant now, const ExpectedReply&) const;
     void watchPrimary(Instant now);
+    /// Releases the members without a record that no longer count, and drops what is kept for targets that are no
+    /// members.
+    void forgetReleasedMembers(Instant now);
     void logSuspicionChanges(Instant now);
 
     // PromotionDelegate.
--- a/src/proxy/GroupWatcher.h
+++ b/src/proxy/GroupWatcher.h
@@ -1,16 +1,11 @@
 #pragma once
 
-#include "proxy/Catalog.h"
+#include "proxy/GroupMembership.h"
 #include "proxy/MemberHistory.h"
 #include "proxy/PrimaryConfirmations.h"
 #include "proxy/TableOrigin.h"
-#include "proxy/TargetHealth.h"
-#include "proxy/TargetRecord.h"
-#include "proxy/TargetStatus.h"
 
-#include <map>
 #include <optional>
-#include <set>
 #include <string_view>
 #include <vector>
 
@@ -39,36 +34,26 @@
     /// A replica that is not fenced, lags behind the primary and has made no progress for this long counts as cut off
     /// from the primary.
     static constexpr Duration blockedTimeout = std::chrono::milliseconds(1500);
-    /// A member that is no longer listed still counts towards the size of the group for this long, unless it first
-    /// appeared while the group was watched and never answered: such a record may be another writer's.
-    static constexpr Duration membershipRetention = std::chrono::seconds(8);
     /// Maximum time without a known primary before a failover is due. At a cold start the targets register within about
     /// two seconds of each other.
     static constexpr Duration missingTimeout = std::chrono::milliseconds(2500);
 
-    struct Member {
-        TargetRecord record;
-        std::optional<TargetStatus> status;
-        /// When the query that returned the status was sent.
-        Instant queriedAt {};
-        TargetHealth health;
-        /// End of the log that the member's reads see, as last reported.
-        std::optional<LogPoint> applied;
-        /// When `applied` was last reported, or when a read that needs a later log point was last sent to the member.
-        Instant appliedCheckedAt {};
-        /// Since when the member has made no progress although it lacks a commit that the primary had when the member
-        /// was queried.
-        std::optional<Instant> behindSince;
-        /// Since when the member's record reports it as the primary.
-        std::optional<Instant> reportsPrimarySince;
-        /// When the member's record first announced its shutdown.
-        std::optional<Instant> leavingSince;
-    };
-    using Members = std::map<TargetName, Member>;
+    using Member = GroupMember;
+    using Members = GroupMembers;
 
-    /// Replaces the list of members. The state of a member is kept if the new list has it in the same incarnation.
+    /// Replaces the list of members. The state of a member is kept if the new list has it in the same incarnation. A
+    /// member without a record is kept while it counts (GroupMembership).
     void setMembers(Instant now, const std::vector<TargetRecord>&);
-    void setRules(const GroupRules& rules) { m_rules = rules; }
+    /// Forgets the members of a group that this host no longer serves.
+    void stopWatching();
+    /// Releases the members without a record that no longer count.
+    /// @return the members released since the last call.
+    std::vector<MemberRelease> releaseUnlisted(Instant now);
+    void setRules(const GroupRules& rules)
+    {
+        m_rules = rules;
+        m_membership.setRules(rules);
+    }
     /// Stores where the list of targets came from.
     void setListOrigin(const TableOrigin& origin) { m_listOrigin = origin; }
 
@@ -90,9 +75,11 @@
     /// @return the failure detector of a member; null if the target is not a member.
     [[nodiscard]] TargetHealth* health(const TargetName&);
 
-    [[nodiscard]] const Members& members() const { return m_members; }
+    /// @return the members, those without a record that still count included.
+    [[nodiscard]] const Members& members() const { return m_membership.members(); }
+    [[nodiscard]] const GroupMembership& membership() const { return m_membership; }
     /// @return the member; null if the target is not a member.
-    [[nodiscard]] const Member* find(const TargetName&) const;
+    [[nodiscard]] const Member* find(const TargetName& name) const { return m_membership.find(name); }
     /// @return the primary of the highest term seen; empty when none is known.
     [[nodiscard]] const std::optional<TargetName>& primary() const { return m_primary; }
     [[nodiscard]] Term primaryTerm() const { return m_primaryTerm; }
@@ -101,16 +88,11 @@
     [[nodiscard]] const PrimaryConfirmations& confirmations() const { return m_confirmations; }
     [[nodiscard]] FailoverReason failoverReason(Instant now) const;
     /// @return how many members the group is counted as, those included that are no longer listed but may have a log.
-    [[nodiscard]] std::size_t groupSize() const;
-    /// @return the addresses of the counted members that are no longer listed.
-    [[nodiscard]] std::vector<SocketAddress> unlistedAddresses() const;
+    [[nodiscard]] std::size_t groupSize() const { return m_membership.size(); }
     [[nodiscard]] const TableOrigin& listOrigin() const { return m_listOrigin; }
     [[nodiscard]] const MemberHistory& history() const { return m_history; }
-    /// @return how many members have to be fenced before a promotion, so that at least one of them has every
-    /// acknowledged commit and no further commit can be acknowledged.
-    [[nodiscard]] std::size_t fencesNeeded() const;
-    /// @return how many members besides the primary have to report that they are not fenced to confirm the primary.
-    [[nodiscard]] std::size_t confirmationsNeeded() const;
+    [[nodiscard]] std::size_t fencesNeeded() const { return m_membership.fencesNeeded(); }
+    [[nodiscard]] std::size_t confirmationsNeeded() const { return m_membership.confirmationsNeeded(); }
     /// @return whether the group has had a fenced member for at least @p limit without interruption.
     [[nodiscard]] bool hasFencedMemberFor(Instant now, Duration limit) const;
     /// Restarts all timeouts after a pause of this process, as members may have responded meanwhile.
@@ -125,32 +107,20 @@
     void updateBehindSince(Instant now, Member&, Instant queriedAt, const TargetStatus&);
     [[nodiscard]] bool isBlocked(Instant now, const Member& primary) const;
     void updateFencedSince(Instant now);
-    struct ListedAddress {
-        Instant listedAt;
-        /// Whether a member may have a log there: it answered, or it was listed when the group was first watched.
-        bool mayHaveLog { false };
-    };
-
     /// Records the members that the next list does not have in the same incarnation.
-    void recordDepartures(Instant now, const Members& next);
-    /// Records the members' addresses as listed, before the list of members is replaced.
-    void recordAddresses(Instant now);
-    void updateAddresses(Instant now);
+    void recordDepartures(Instant now, const std::vector<TargetRecord>& records);
     /// @return whether a responsive member is listed as primary and has not reported otherwise since it was listed.
     [[nodiscard]] bool hasResponsiveReportedPrimary(Instant now) const;
 
     GroupRules m_rules;
-    Members m_members;
+    GroupMembership m_membership;
+    std::vector<MemberRelease> m_released;
     std::optional<TargetName> m_primary;
     Term m_primaryTerm;
     Term m_highestTerm;
     PrimaryConfirmations m_confirmations;
     std::optional<Instant> m_primaryMissingSince;
     std::optional<Instant> m_fencedSince;
-    /// Addresses of the group's members. Members are counted by address
-    /// because a target that crashed restarts under a new name at the same address, with its log. A member that left
-    /// after an announced shutdown is removed at once, as its log was handed over before.
-    std::map<SocketAddress, ListedAddress> m_addresses;
     TableOrigin m_listOrigin;
     MemberHistory m_history;
 };
--- a/src/proxy/Promotion.cpp
+++ b/src/proxy/Promotion.cpp
@@ -215,10 +215,15 @@
         return false;
     const auto& members = context.watcher.members();
     const auto others = static_cast<std::size_t>(std::count_if(members.begin(), members.end(),
-        [&context](const auto& entry) { return entry.first != context.watcher.primary(); }));
+        [&context](const auto& entry) { return mayFence(context.watcher, entry.first, entry.second); }));
     return fencedMembers(context.watcher).size() >= others || context.now - *m_enoughFencedSince >= fenceGrace;
 }
 
+bool Promotion::mayFence(const GroupWatcher& watcher, const TargetName& name, const GroupWatcher::Member& member)
+{
+    return name != watcher.primary() && (member.isListed() || !member.endedAt);
+}
+
 bool Promotion::isRetryDue(const Context& context) const
 {
     return context.now - m_commandedAt >= commandRetryInterval;
@@ -291,7 +296,7 @@
     m_commandedAt = context.now;
     for (const auto& [name, member] : context.watcher.members()) {
         const bool isFenced = member.status && member.status->fencedTerm == m_term;
-        if (name != context.watcher.primary() && !isFenced)
+        if (mayFence(context.watcher, name, member) && !isFenced)
             m_delegate.sendCommand(name, FenceReplica { m_term }, leaseUsableUntil());
     }
 }
--- a/src/proxy/Promotion.h
+++ b/src/proxy/Promotion.h
@@ -129,6 +129,8 @@
     void renewLeaseForResume(Context&);
     void abandonAttempt(Context&);
 
+    /// @return whether the member may be fenced: it may answer, and is not the primary.
+    [[nodiscard]] static bool mayFence(const GroupWatcher&, const TargetName&, const GroupWatcher::Member&);
     void updateEnoughFenced(const Context&);
     /// @return the moment before which a command has to be sent to take effect before another host can hold the lease.
     [[nodiscard]] Instant leaseUsableUntil() const { return m_leaseReadAt + leaseLifetime - callTimeout; }
--- a/src/proxy/PromotionLog.cpp
+++ b/src/proxy/PromotionLog.cpp
@@ -19,6 +19,8 @@
         }
         if (member.record.isLeaving)
             text += "/leaving";
+        if (!member.isListed())
+            text += "/unlisted";
         if (member.health.isSuspect(now))
             text += "/suspect";
         return text;
@@ -58,8 +60,6 @@
     std::vector<std::string> texts;
     for (const auto& [name, member] : watcher.members())
         texts.push_back(describeMember(now, member));
-    for (const auto& address : watcher.unlistedAddresses())
-        texts.push_back(address.toString() + "/unlisted");
     return join(texts);
 }
 
--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -140,8 +140,12 @@
 
 void Proxy::updateGroupMembers(Instant now)
 {
-    for (auto& [name, group] : m_groups)
-        group->setMembers(now, servesGroup(now, name) ? m_directory.members(name) : std::vector<TargetRecord> {});
+    for (auto& [name, group] : m_groups) {
+        if (servesGroup(now, name))
+            group->setMembers(now, m_directory.members(name));
+        else
+            group->stopWatching(now);
+    }
 }
 
 void Proxy::updateListOrigin()
--- a/src/proxy/ReadTargetSelector.cpp
+++ b/src/proxy/ReadTargetSelector.cpp
@@ -9,7 +9,8 @@
 {
     std::vector<ReadCandidate> candidates;
     for (const auto& [name, member] : watcher.members()) {
-        if (avoided.contains(name) || member.record.isLeaving || !member.status || member.health.isSuspect(now))
+        if (avoided.contains(name) || member.record.isLeaving || !member.isListed() || !member.status
+            || member.health.isSuspect(now))
             continue;
         if (lacksLogPoint(now, watcher, member, requiredLogPoint))
             continue;
--- a/src/proxy/TargetHealth.h
+++ b/src/proxy/TargetHealth.h
@@ -34,6 +34,8 @@
     void discountPause(Instant now);
 
     [[nodiscard]] bool isRefusing() const { return m_refusals >= refusalsUntilDown; }
+    /// @return whether the last connection attempt that ended was refused.
+    [[nodiscard]] bool hasRefused() const { return m_refusals > 0; }
     /// @return whether new statements should be sent to other targets.
     [[nodiscard]] bool isSuspect(Instant now) const;
     /// @return whether neither the established connections nor a new connection attempt brought a response.
