Do not take a primary for blocked while it acknowledges commits to this host

A replica that is not on this host's list may receive and acknowledge while all known ones are cut off; the primary was then replaced as blocked, and what that replica had acknowledged was rolled back. A commit that this host saw acknowledged within blockedTimeout now shows that the primary is not blocked.

--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -182,6 +182,8 @@
         m_history.recordPrimary({ name, m_primaryTerm, end, sentAt });
     // The replicas that acknowledged the commit had not joined another primary. In a larger group another primary could
     // still have enough other replicas.
+    if (m_primary == name && end.term == m_primaryTerm)
+        m_commitSentAt = std::max(m_commitSentAt.value_or(sentAt), sentAt);
     const bool isConfirmation = m_rules.syncReplicas > 0 && m_membership.size() < 2 * (m_rules.syncReplicas + 1);
     if (isConfirmation && m_primary == name && end.term == m_primaryTerm)
         m_confirmations.add(sentAt, name, end);
@@ -217,6 +219,9 @@
 {
     if (!primary.status || m_rules.syncReplicas == 0)
         return false;
+    // A replica that this host does not know may acknowledge commits.
+    if (m_commitSentAt && now - *m_commitSentAt < blockedTimeout)
+        return false;
     std::size_t behind = 0;
     std::size_t responsive = 0;
     for (const auto& [name, member] : members()) {
--- a/src/proxy/GroupWatcher.h
+++ b/src/proxy/GroupWatcher.h
@@ -121,6 +121,8 @@
     PrimaryConfirmations m_confirmations;
     std::optional<Instant> m_primaryMissingSince;
     std::optional<Instant> m_fencedSince;
+    /// When the newest commit that the primary acknowledged to this host was sent.
+    std::optional<Instant> m_commitSentAt;
     TableOrigin m_listOrigin;
     MemberHistory m_history;
 };
--- a/tests/proxy/GroupMembershipTests.cpp
+++ b/tests/proxy/GroupMembershipTests.cpp
@@ -217,3 +217,24 @@
     group.list({ record("p", 1), record("r", 2), record("s", 3), record("leaver", 4) });
     CHECK(group.size() == 4);
 }
+
+TEST_CASE(
+    "A primary that acknowledges commits is not blocked by the replicas that this host knows", "[proxy][membership]")
+{
+    Group group;
+    const auto stall = [&group] {
+        for (const auto& name : { r, s, leaver })
+            group.respond(name, false, 7);
+    };
+    group.now += 100ms;
+    group.respond(p, true, 20);
+    group.now += 100ms;
+    stall();
+    group.now += GroupWatcher::blockedTimeout;
+    group.respond(p, true, 30);
+    group.now += 10ms;
+    stall();
+    CHECK(group.watcher.failoverReason(group.now) == FailoverReason::Blocked);
+    group.watcher.recordCommit(p, group.now, { Term(1), Position(31) });
+    CHECK(group.watcher.failoverReason(group.now) == FailoverReason::None);
+}
