Demote a primary that answers before another member is promoted

Cause: the proof that the promoted log is complete rested on the number of members alone, which a host can't know exactly. A primary that answers now hands over: DEMOTE ends its log, its status shows where, and the member that is promoted has all of it. Nobody acknowledges between the demotion and the effect of the order, whatever members there are and however late it takes effect, so no fences are needed and none have to be removed. If no member has the log in time, the members are fenced and counted, the demoted primary among them. A primary whose replicas all lag keeps its role when it announces its shutdown. A target that the platform reports as not running goes last among equal logs in the next attempt.

--- a/src/chart/EmbeddedCharts.cpp
+++ b/src/chart/EmbeddedCharts.cpp
@@ -24,19 +24,25 @@
     <state id="Writing">
       <onentry><action name="writeClaim"/></onentry>
       <transition event="claimTaken" cond="repairsOnly" target="Finishing"/>
+      <transition event="claimTaken" cond="canHandOver" target="Demoting"/>
       <transition event="claimTaken" target="Fencing"/>
     </state>
   </state>
   <state id="Attempt" initial="Fencing">
     <transition event="progress" cond="superseded" target="Finishing"/>
     <transition event="progress" cond="claimEnds" target="Delaying"><action name="giveUp"/></transition>
+    <state id="Demoting">
+      <onentry><action name="startHandover"/></onentry>
+      <transition event="progress" cond="handoverReady" target="Calling"/>
+      <transition event="progress" cond="handoverStalled" target="Fencing"/>
+      <transition event="progress" cond="handoverPollDue"><action name="pollHandover"/></transition>
+    </state>
     <state id="Fencing">
       <onentry><action name="fenceMembers"/></onentry>
-      <transition event="progress" cond="enoughFenced" target="Verifying"/>
+      <transition event="progress" cond="enoughFenced" target="Verifying"><action name="askFenced"/></transition>
       <transition event="progress" cond="retryDue"><action name="fenceMembers"/></transition>
     </state>
     <state id="Verifying">
-      <onentry><action name="askFenced"/></onentry>
       <transition event="progress" cond="fencesHold" target="Calling"/>
       <transition event="progress" cond="retryDue" target="Fencing"/>
     </state>
--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -199,7 +199,7 @@
     const auto& primary = m_membership.members().at(*m_primary);
     if (primary.health.isDown(now))
         return hasResponsiveReportedPrimary(now) ? FailoverReason::None : FailoverReason::Down;
-    if (primary.record.isLeaving)
+    if (primary.record.isLeaving && hasCaughtUpReplica(now))
         return FailoverReason::Leaving;
     return isBlocked(now, primary) ? FailoverReason::Blocked : FailoverReason::None;
 }
@@ -215,6 +215,15 @@
     });
 }
 
+bool GroupWatcher::hasCaughtUpReplica(Instant now) const
+{
+    return std::any_of(members().begin(), members().end(), [this, now](const auto& entry) {
+        const auto& member = entry.second;
+        return entry.first != m_primary && member.isListed() && !member.record.isLeaving && member.status
+            && !member.status->isPrimary && !member.behindSince && !member.health.isDown(now);
+    });
+}
+
 bool GroupWatcher::isBlocked(Instant now, const Member& primary) const
 {
     if (!primary.status || m_rules.syncReplicas == 0)
--- a/src/proxy/GroupWatcher.h
+++ b/src/proxy/GroupWatcher.h
@@ -87,6 +87,8 @@
     [[nodiscard]] Term highestTerm() const { return m_highestTerm; }
     [[nodiscard]] const PrimaryConfirmations& confirmations() const { return m_confirmations; }
     [[nodiscard]] FailoverReason failoverReason(Instant now) const;
+    /// @return whether a member that stays receives the primary's commits, so that the primary can hand over to it.
+    [[nodiscard]] bool hasCaughtUpReplica(Instant now) const;
     /// @return how many members the group is counted as, those included that are no longer listed but may have a log.
     [[nodiscard]] std::size_t groupSize() const { return m_membership.size(); }
     [[nodiscard]] const TableOrigin& listOrigin() const { return m_listOrigin; }
--- a/src/proxy/Promotion.cpp
+++ b/src/proxy/Promotion.cpp
@@ -4,6 +4,8 @@
 #include "proxy/PromotionLog.h"
 
 #include <algorithm>
+#include <tuple>
+#include <utility>
 
 namespace Auburnpost::Proxy {
 
@@ -31,12 +33,15 @@
         { "claimLate", &Promotion::isLeaseStepLate }, { "repairsOnly", &Promotion::isResumeOnly },
         { "superseded", &Promotion::isSuperseded }, { "claimEnds", &Promotion::isLeaseEnding },
         { "renewalDue", &Promotion::isRenewalDue }, { "enoughFenced", &Promotion::hasEnoughFenced },
+        { "canHandOver", &Promotion::canHandOver }, { "handoverReady", &Promotion::isHandoverReady },
+        { "handoverStalled", &Promotion::hasHandoverStalled }, { "handoverPollDue", &Promotion::isHandoverPollDue },
         { "retryDue", &Promotion::isRetryDue }, { "fencesHold", &Promotion::areFencesVerified },
         { "promotedSeen", &Promotion::isPromotionSeen }, { "awaitLimitPassed", &Promotion::hasAwaitTimedOut },
         { "allJoined", &Promotion::haveAllJoined }, { "finishLimitPassed", &Promotion::hasFinishTimedOut } };
     bindings.actions = { { "waitForHolder", &Promotion::waitForLeaseHolder }, { "delayRetry", &Promotion::delayRetry },
         { "readClaim", &Promotion::readLease }, { "writeClaim", &Promotion::writeLease },
         { "fenceMembers", &Promotion::fenceMembers }, { "askFenced", &Promotion::queryFenced },
+        { "startHandover", &Promotion::startHandover }, { "pollHandover", &Promotion::pollHandover },
         { "callPromotion", &Promotion::callPromotion }, { "demoteFormer", &Promotion::demoteFormerPrimary },
         { "fenceAgain", &Promotion::refenceMembers }, { "joinMembers", &Promotion::joinMembers },
         { "renewForRepairs", &Promotion::renewLeaseForResume }, { "giveUp", &Promotion::abandonAttempt } };
@@ -73,6 +78,7 @@
         return;
     m_goal = goal;
     m_replacedTerm = watcher.primaryTerm();
+    m_hasDemotedPrimary = m_hasDemotedPrimary && !watcher.primary();
     m_finishingSince.reset();
     std::uniform_int_distribution<Duration::rep> jitter(0, startJitter.count());
     m_delayUntil = now + Duration(jitter(random));
@@ -135,6 +141,7 @@
     m_term = Term(watcher.highestTerm().value() + 1);
     m_enoughFencedSince.reset();
     m_candidate.reset();
+    m_demoted.reset();
     std::vector<LogField> fields { { "token", std::to_string(m_token.value()) },
         { "term", std::to_string(m_term.value()) },
         { "trouble", m_goal == PromotionGoal::ResumeMembers ? "fences" : std::string(toString(m_failoverReason)) } };
@@ -146,6 +153,8 @@
 void Promotion::promoteAnswered(Instant now, const GroupWatcher& watcher, PromotionOutcome outcome)
 {
     constexpr std::string_view events[] { "accepted", "notRunning", "notDone", "unanswered" };
+    if (outcome == PromotionOutcome::NotRunning && m_candidate)
+        m_notRunning.insert(*m_candidate);
     Context context { now, watcher };
     log(LogEvent::PromotionRequestFinished,
         { { "target", m_candidate ? m_candidate->value() : "-" }, { "token", std::to_string(m_token.value()) },
@@ -157,6 +166,8 @@
 {
     if (m_goal == PromotionGoal::ResumeMembers)
         return !context.watcher.hasFencedMemberFor(context.now, Duration {});
+    if (m_hasDemotedPrimary && !context.watcher.primary())
+        return false;
     return context.failoverReason == FailoverReason::None;
 }
 
@@ -211,7 +222,7 @@
 
 bool Promotion::hasEnoughFenced(const Context& context) const
 {
-    if (!m_enoughFencedSince)
+    if (!m_enoughFencedSince || isLeaseEnding(context) || isSuperseded(context))
         return false;
     const auto& members = context.watcher.members();
     const auto others = static_cast<std::size_t>(std::count_if(members.begin(), members.end(),
@@ -219,11 +230,6 @@
     return fencedMembers(context.watcher).size() >= others || context.now - *m_enoughFencedSince >= fenceGrace;
 }
 
-bool Promotion::mayFence(const GroupWatcher& watcher, const TargetName& name, const GroupWatcher::Member& member)
-{
-    return name != watcher.primary() && (member.isListed() || !member.endedAt);
-}
-
 bool Promotion::isRetryDue(const Context& context) const
 {
     return context.now - m_commandedAt >= commandRetryInterval;
@@ -237,7 +243,7 @@
     std::size_t verified = 0;
     for (const auto& name : fencedMembers(context.watcher))
         verified += context.watcher.find(name)->queriedAt >= m_verifyStartedAt ? 1 : 0;
-    return verified >= context.watcher.fencesNeeded() && memberWithLongestLog(context.watcher);
+    return verified >= context.watcher.fencesNeeded() && chooseFenced(context);
 }
 
 bool Promotion::isPromotionSeen(const Context& context) const
@@ -291,9 +297,93 @@
     m_delegate.writeLease(m_group, { m_self, m_leaseRow.storeNowMs + milliseconds(leaseLifetime) }, m_leaseRow.version);
 }
 
+bool Promotion::canHandOver(const Context& context) const
+{
+    const auto& primary = context.watcher.primary();
+    return primary && context.watcher.primaryTerm() == m_replacedTerm
+        && !context.watcher.find(*primary)->health.isDown(context.now)
+        && context.watcher.hasCaughtUpReplica(context.now);
+}
+
+void Promotion::startHandover(Context& context)
+{
+    m_demoted = context.watcher.primary();
+    m_demotedAt = context.now;
+    m_hasDemotedPrimary = true;
+    pollHandover(context);
+}
+
+void Promotion::pollHandover(Context& context)
+{
+    m_commandedAt = context.now;
+    const auto end = demotedLogEnd(context.watcher);
+    if (!end)
+        m_delegate.sendCommand(*m_demoted, DemotePrimary { m_term }, leaseUsableUntil());
+    for (const auto& [name, member] : context.watcher.members()) {
+        const bool hasLog = end && member.status && member.status->received >= *end;
+        if (name != m_demoted && mayFence(context.watcher, name, member) && !hasLog)
+            m_delegate.sendCommand(name, QueryStatus {}, leaseUsableUntil());
+    }
+}
+
+std::optional<LogPoint> Promotion::demotedLogEnd(const GroupWatcher& watcher) const
+{
+    const auto* const member = m_demoted ? watcher.find(*m_demoted) : nullptr;
+    if (!member || !member->status || member->status->isPrimary || member->queriedAt < m_demotedAt)
+        return {};
+    return member->status->received;
+}
+
+std::optional<TargetName> Promotion::handoverCandidate(const Context& context) const
+{
+    const auto end = demotedLogEnd(context.watcher);
+    if (!end)
+        return {};
+    const GroupWatcher::Member* best = nullptr;
+    for (const auto& [name, member] : context.watcher.members()) {
+        const bool isUsable = name != m_demoted && member.isListed() && member.status && !member.status->isPrimary
+            && !member.health.isDown(context.now);
+        if (!isUsable || member.queriedAt < m_demotedAt)
+            continue;
+        // A member of a later term follows a primary that this host does not know.
+        if (member.status->term > m_replacedTerm || member.status->received < *end)
+            continue;
+        if (!best || suitability(member) > suitability(*best))
+            best = &member;
+    }
+    if (!best)
+        return {};
+    return best->record.name;
+}
+
+bool Promotion::isHandoverReady(const Context& context) const
+{
+    return !isLeaseEnding(context) && !isSuperseded(context) && handoverCandidate(context);
+}
+
+bool Promotion::hasHandoverStalled(const Context& context) const
+{
+    return context.now - m_demotedAt >= handoverTimeout;
+}
+
+bool Promotion::isHandoverPollDue(const Context& context) const
+{
+    const auto interval = demotedLogEnd(context.watcher) ? handoverPollInterval : commandRetryInterval;
+    return context.now - m_commandedAt >= interval;
+}
+
+bool Promotion::mayFence(const GroupWatcher& watcher, const TargetName& name, const GroupWatcher::Member& member)
+{
+    return name != watcher.primary() && (member.isListed() || !member.endedAt);
+}
+
 void Promotion::fenceMembers(Context& context)
 {
     m_commandedAt = context.now;
+    if (m_demoted)
+        log(LogEvent::HandoverStalled,
+            { { "primary", m_demoted->value() }, { "token", std::to_string(m_token.value()) } });
+    m_demoted.reset();
     for (const auto& [name, member] : context.watcher.members()) {
         const bool isFenced = member.status && member.status->fencedTerm == m_term;
         if (mayFence(context.watcher, name, member) && !isFenced)
@@ -309,23 +399,31 @@
         m_delegate.sendCommand(name, QueryStatus {}, leaseUsableUntil());
 }
 
-std::optional<TargetName> Promotion::memberWithLongestLog(const GroupWatcher& watcher) const
+std::tuple<bool, bool, bool> Promotion::suitability(const GroupWatcher::Member& member) const
+{
+    return { !m_notRunning.contains(member.record.name), member.isListed(), !member.record.isLeaving };
+}
+
+std::optional<TargetName> Promotion::chooseFenced(const Context& context) const
 {
+    const auto fenced = fencedMembers(context.watcher);
+    if (fenced.empty())
+        return {};
     const GroupWatcher::Member* best = nullptr;
-    for (const auto& name : fencedMembers(watcher)) {
-        const auto* const member = watcher.find(name);
-        if (!best || member->status->received > best->status->received
-            || (member->status->received == best->status->received && best->record.isLeaving))
+    for (const auto& name : fenced) {
+        const auto* const member = context.watcher.find(name);
+        const auto rank = [this](const GroupWatcher::Member& ranked) {
+            return std::tuple(ranked.status->received, suitability(ranked));
+        };
+        if (!best || rank(*member) > rank(*best))
             best = member;
     }
-    if (!best)
-        return {};
     return best->record.name;
 }
 
 void Promotion::callPromotion(Context& context)
 {
-    m_candidate = memberWithLongestLog(context.watcher);
+    m_candidate = m_demoted ? handoverCandidate(context) : chooseFenced(context);
     const auto& status = *context.watcher.find(*m_candidate)->status;
     const auto fenced = fencedMembers(context.watcher);
     std::vector<LogField> fields { { "target", m_candidate->value() }, { "token", std::to_string(m_token.value()) },
@@ -349,6 +447,9 @@
 
 void Promotion::refenceMembers(Context& context)
 {
+    // After a handover nothing can be acknowledged while the former primary answers that it is no primary.
+    if (m_demoted && demotedLogEnd(context.watcher) && !context.watcher.find(*m_demoted)->health.isSuspect(context.now))
+        return;
     for (const auto& [name, member] : context.watcher.members()) {
         const auto& status = member.status;
         const bool isCandidateOrPrimary = name == m_candidate || name == context.watcher.primary();
@@ -362,6 +463,8 @@
     m_commandedAt = context.now;
     if (!m_finishingSince)
         m_finishingSince = context.now;
+    m_notRunning.clear();
+    m_hasDemotedPrimary = false;
     // A member that is resumed while the former primary is still primary could follow it again and let it complete
     // commits.
     bool hasFormerPrimary = false;
--- a/src/proxy/Promotion.h
+++ b/src/proxy/Promotion.h
@@ -10,6 +10,7 @@
 
 #include <optional>
 #include <set>
+#include <tuple>
 
 namespace Auburnpost::Proxy {
 
@@ -34,9 +35,10 @@
     ResumeMembers,
 };
 
-/// Replaces the primary of one group, driven by the state chart promotion.scxml: acquires the group's promotion lease
-/// in the store, fences enough members, verifies that the fences hold, promotes the member with the longest log, and
-/// makes the other members follow the new primary.
+/// Replaces the primary of one group, driven by the state chart promotion.scxml, under the group's promotion lease in
+/// the store. A primary that answers hands over: it is demoted, which ends its log, and a member that has this log is
+/// promoted. Otherwise enough members are fenced, the fences are verified, and the member with the longest log is
+/// promoted. At the end the other members are made to follow the new primary.
 class Promotion {
 public:
     /// Lifetime of a lease, which has to cover fencing, verification, the promotion call and its effect.
@@ -59,6 +61,10 @@
     static constexpr Duration fenceGrace = std::chrono::milliseconds(120);
     /// Maximum time for reading or writing the lease's row.
     static constexpr Duration leaseStepTimeout = std::chrono::milliseconds(1200);
+    /// Maximum time for demoting a primary and finding a member that has its log.
+    static constexpr Duration handoverTimeout = std::chrono::milliseconds(600);
+    /// Interval at which the members' logs are compared with that of the demoted primary.
+    static constexpr Duration handoverPollInterval = std::chrono::milliseconds(60);
     /// Maximum time from an accepted call until the target reports that it is the primary; platforms take up to about a
     /// second.
     static constexpr Duration awaitTimeout = std::chrono::milliseconds(3500);
@@ -106,6 +112,10 @@
     [[nodiscard]] bool isSuperseded(const Context&) const;
     [[nodiscard]] bool isLeaseEnding(const Context&) const;
     [[nodiscard]] bool isRenewalDue(const Context&) const;
+    [[nodiscard]] bool canHandOver(const Context&) const;
+    [[nodiscard]] bool isHandoverReady(const Context&) const;
+    [[nodiscard]] bool hasHandoverStalled(const Context&) const;
+    [[nodiscard]] bool isHandoverPollDue(const Context&) const;
     [[nodiscard]] bool hasEnoughFenced(const Context&) const;
     [[nodiscard]] bool isRetryDue(const Context&) const;
     [[nodiscard]] bool areFencesVerified(const Context&) const;
@@ -118,6 +128,8 @@
     void delayRetry(Context&);
     void readLease(Context&);
     void writeLease(Context&);
+    void startHandover(Context&);
+    void pollHandover(Context&);
     void fenceMembers(Context&);
     void queryFenced(Context&);
     void callPromotion(Context&);
@@ -129,6 +141,10 @@
     void renewLeaseForResume(Context&);
     void abandonAttempt(Context&);
 
+    /// @return the end of the log of the primary that was demoted; empty until it has reported that it is no primary.
+    [[nodiscard]] std::optional<LogPoint> demotedLogEnd(const GroupWatcher&) const;
+    /// @return a member that has the whole log of the demoted primary; empty if there is none yet.
+    [[nodiscard]] std::optional<TargetName> handoverCandidate(const Context&) const;
     /// @return whether the member may be fenced: it may answer, and is not the primary.
     [[nodiscard]] static bool mayFence(const GroupWatcher&, const TargetName&, const GroupWatcher::Member&);
     void updateEnoughFenced(const Context&);
@@ -139,7 +155,10 @@
     /// @return whether the member's fence is of this attempt or an earlier one, so that this attempt may remove it.
     [[nodiscard]] bool mayResume(const GroupWatcher::Member&) const;
     [[nodiscard]] std::set<TargetName> fencedMembers(const GroupWatcher&) const;
-    [[nodiscard]] std::optional<TargetName> memberWithLongestLog(const GroupWatcher&) const;
+    /// @return the order in which members with equal logs are promoted; the highest goes first.
+    [[nodiscard]] std::tuple<bool, bool, bool> suitability(const GroupWatcher::Member&) const;
+    /// @return the fenced member to be promoted; empty if none is fenced.
+    [[nodiscard]] std::optional<TargetName> chooseFenced(const Context&) const;
     /// Logs an attempt that ended without success.
     /// @param before the state that the event left.
     void logAbandonment(std::string_view event, std::string_view before, const Context&);
@@ -168,6 +187,13 @@
     std::optional<Instant> m_finishingSince;
     /// The target whose promotion this attempt requested; empty before that.
     std::optional<TargetName> m_candidate;
+    /// The primary that this attempt demoted, and when; empty unless it hands over.
+    std::optional<TargetName> m_demoted;
+    Instant m_demotedAt {};
+    /// Targets that the platform reported as not running since the last primary was lost.
+    std::set<TargetName> m_notRunning;
+    /// Whether this host demoted the last primary and has seen no other since.
+    bool m_hasDemotedPrimary { false };
     /// Why the primary is to be replaced, as last known, for logs.
     FailoverReason m_failoverReason { FailoverReason::None };
     PromotionTrace m_trace;
