Read the members from the store under the lease, before the call

Cause: an attempt went on with whatever list the host had; a lease says who may promote, not what that host knows. The list is now read after the lease was acquired, beside the fences, and no call is made before it is applied. A long poll that was waiting meanwhile may bring older changes; these are dropped.

--- a/src/app/ProxyAssembly.h
+++ b/src/app/ProxyAssembly.h
@@ -95,6 +95,7 @@
     void writeHost(const HostName&, const std::string& value) override;
     void readLease(const Proxy::GroupName&) override;
     void writeLease(const Proxy::GroupName&, const Proxy::PromotionLease&, Proxy::RowVersion expected) override;
+    void readMembers(const Proxy::GroupName&, const std::string& fromKey) override;
     void promote(const Proxy::GroupName&, const TargetName&, Proxy::RowVersion token, Instant sendBefore) override;
     void queryPeer(const SocketAddress&) override;
     void servePeer(const Wire::HttpRequest&);
--- a/src/app/ProxyAssemblyPlatform.cpp
+++ b/src/app/ProxyAssemblyPlatform.cpp
@@ -7,6 +7,7 @@
 namespace {
 
     constexpr Duration peerTimeout = std::chrono::milliseconds(600);
+    constexpr Duration membersTimeout = std::chrono::milliseconds(900);
     constexpr auto snapshotPath = "/v1/snapshot";
     constexpr int statusOk = 200;
 
@@ -77,6 +78,16 @@
         });
 }
 
+void ProxyAssembly::readMembers(const Proxy::GroupName& group, const std::string& fromKey)
+{
+    call(m_storeClient, Platform::makeTableReadCall(Proxy::StoreTable::Targets, fromKey, membersTimeout),
+        [this, group](const Expected<PlatformReply>& reply) {
+            const auto page = Platform::readPage(reply);
+            m_storeCalls.recordRead(Proxy::StoreTable::Targets, page);
+            m_proxy.membersRead(now(), group, page);
+        });
+}
+
 void ProxyAssembly::promote(
     const Proxy::GroupName& group, const TargetName& target, Proxy::RowVersion token, Instant sendBefore)
 {
--- a/src/chart/EmbeddedCharts.cpp
+++ b/src/chart/EmbeddedCharts.cpp
@@ -41,6 +41,7 @@
       <onentry><action name="fenceMembers"/></onentry>
       <transition event="progress" cond="enoughFenced" target="Verifying"><action name="askFenced"/></transition>
       <transition event="progress" cond="retryDue"><action name="fenceMembers"/></transition>
+      <transition event="listed"><action name="fenceMembers"/></transition>
     </state>
     <state id="Verifying">
       <transition event="progress" cond="fencesHold" target="Calling"/>
--- a/src/proxy/GroupService.cpp
+++ b/src/proxy/GroupService.cpp
@@ -359,6 +359,11 @@
     m_delegate.writeLease(group, lease, expected);
 }
 
+void GroupService::readMembers(const GroupName& group)
+{
+    m_delegate.readMembers(group);
+}
+
 void GroupService::promote(const GroupName& group, const TargetName& target, RowVersion token, Instant sendBefore)
 {
     m_delegate.promote(group, target, token, sendBefore);
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -75,6 +75,8 @@
     {
         m_promotion.leaseWritten(now, m_watcher, version);
     }
+    /// @param isKnown whether setMembers() was given what the store lists; false if the store could not be read.
+    void membersRead(Instant now, bool isKnown) { m_promotion.membersRead(now, m_watcher, isKnown); }
     void promoteAnswered(Instant now, PromotionOutcome outcome)
     {
         m_promotion.promoteAnswered(now, m_watcher, outcome);
@@ -167,6 +169,7 @@
     // PromotionDelegate.
     void readLease(const GroupName&) override;
     void writeLease(const GroupName&, const PromotionLease&, RowVersion expected) override;
+    void readMembers(const GroupName&) override;
     void promote(const GroupName&, const TargetName&, RowVersion token, Instant sendBefore) override;
     void sendCommand(const TargetName&, const TargetRequest&, Instant sendBefore) override;
     void log(const LogRecord&) override;
--- a/src/proxy/GroupServiceDelegate.h
+++ b/src/proxy/GroupServiceDelegate.h
@@ -33,6 +33,8 @@
     virtual void send(ConnectionId, const std::vector<TargetRequest>&) = 0;
     virtual void readLease(const GroupName&) = 0;
     virtual void writeLease(const GroupName&, const PromotionLease&, RowVersion expected) = 0;
+    /// Reads the members of the group from the store; GroupService::membersRead() follows.
+    virtual void readMembers(const GroupName&) = 0;
     virtual void promote(const GroupName&, const TargetName&, RowVersion token, Instant sendBefore) = 0;
     virtual void statementFinished(const StatementResult&) = 0;
     /// Reports that the connection of a session's transaction ended between two statements.
--- a/src/proxy/Promotion.cpp
+++ b/src/proxy/Promotion.cpp
@@ -142,6 +142,7 @@
     m_enoughFencedSince.reset();
     m_candidate.reset();
     m_demoted.reset();
+    m_isListFresh = false;
     std::vector<LogField> fields { { "token", std::to_string(m_token.value()) },
         { "term", std::to_string(m_term.value()) },
         { "trouble", m_goal == PromotionGoal::ResumeMembers ? "fences" : std::string(toString(m_failoverReason)) } };
@@ -150,6 +151,16 @@
     fire("claimTaken", context);
 }
 
+void Promotion::membersRead(Instant now, const GroupWatcher& watcher, bool isKnown)
+{
+    m_isReadingMembers = false;
+    if (!isKnown || isIdle())
+        return;
+    m_isListFresh = true;
+    Context context { now, watcher };
+    fire("listed", context);
+}
+
 void Promotion::promoteAnswered(Instant now, const GroupWatcher& watcher, PromotionOutcome outcome)
 {
     constexpr std::string_view events[] { "accepted", "notRunning", "notDone", "unanswered" };
@@ -238,7 +249,7 @@
 bool Promotion::areFencesVerified(const Context& context) const
 {
     // After a pause of this host the fences may look valid although another host holds the lease.
-    if (isLeaseEnding(context) || isSuperseded(context))
+    if (!m_isListFresh || isLeaseEnding(context) || isSuperseded(context))
         return false;
     std::size_t verified = 0;
     for (const auto& name : fencedMembers(context.watcher))
@@ -384,6 +395,10 @@
         log(LogEvent::HandoverStalled,
             { { "primary", m_demoted->value() }, { "token", std::to_string(m_token.value()) } });
     m_demoted.reset();
+    if (!m_isListFresh && !m_isReadingMembers) {
+        m_isReadingMembers = true;
+        m_delegate.readMembers(m_group);
+    }
     for (const auto& [name, member] : context.watcher.members()) {
         const bool isFenced = member.status && member.status->fencedTerm == m_term;
         if (mayFence(context.watcher, name, member) && !isFenced)
--- a/src/proxy/Promotion.h
+++ b/src/proxy/Promotion.h
@@ -20,6 +20,9 @@
     virtual void readLease(const GroupName&) = 0;
     /// Writes the lease if the row still has the expected version.
     virtual void writeLease(const GroupName&, const PromotionLease&, RowVersion expected) = 0;
+    /// Reads the group's members from the store, as the list of this host may be old. Promotion::membersRead() follows
+    /// once the members are updated.
+    virtual void readMembers(const GroupName&) = 0;
     /// Asks the platform to promote the target to primary.
     /// @param sendBefore the call must not be sent at or after this moment.
     virtual void promote(const GroupName&, const TargetName&, RowVersion token, Instant sendBefore) = 0;
@@ -83,6 +86,8 @@
     /// @param version the row's new version; empty when the row's version was not the expected one; or the error of the
     /// write.
     void leaseWritten(Instant now, const GroupWatcher&, const Expected<std::optional<RowVersion>>& version);
+    /// @param isKnown whether the members are as the store lists them; false if they could not be read.
+    void membersRead(Instant now, const GroupWatcher&, bool isKnown);
     void promoteAnswered(Instant now, const GroupWatcher&, PromotionOutcome);
 
     [[nodiscard]] bool isIdle() const { return m_runner.isIn("Idle"); }
@@ -187,6 +192,9 @@
     std::optional<Instant> m_finishingSince;
     /// The target whose promotion this attempt requested; empty before that.
     std::optional<TargetName> m_candidate;
+    /// Whether the members are those that the store listed after the lease was acquired.
+    bool m_isListFresh { false };
+    bool m_isReadingMembers { false };
     /// The primary that this attempt demoted, and when; empty unless it hands over.
     std::optional<TargetName> m_demoted;
     Instant m_demotedAt {};
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -58,6 +58,7 @@
     void tableFollowed(Instant now, StoreTable, const Expected<StorePage>&);
     void leaseRead(Instant now, const GroupName&, const Expected<PromotionLeaseRow>&);
     void leaseWritten(Instant now, const GroupName&, const Expected<std::optional<RowVersion>>&);
+    void membersRead(Instant now, const GroupName&, const Expected<StorePage>&);
     void promoteAnswered(Instant now, const GroupName&, PromotionOutcome);
 
     void hostWritten(bool isAcknowledged) { m_hosts.recordWritten(isAcknowledged); }
@@ -93,6 +94,7 @@
     void send(ConnectionId, const std::vector<TargetRequest>&) override;
     void readLease(const GroupName&) override;
     void writeLease(const GroupName&, const PromotionLease&, RowVersion expected) override;
+    void readMembers(const GroupName&) override;
     void promote(const GroupName&, const TargetName&, RowVersion token, Instant sendBefore) override;
     void statementFinished(const StatementResult&) override;
     void transactionLost(SessionId) override;
@@ -146,6 +148,8 @@
     std::array<StoreFollower, followedTables.size()> m_followers;
     std::optional<Catalog> m_catalog;
     TargetDirectory m_directory;
+    /// The pages received so far by the reads of the targets' table on behalf of groups.
+    std::map<GroupName, TableState> m_memberReads;
     /// Why each invalid target record was refused, by its key, so that each problem is logged once.
     std::map<std::string, std::string> m_invalidRecords;
     HostDirectory m_hosts;
--- a/src/proxy/ProxyDelegate.h
+++ b/src/proxy/ProxyDelegate.h
@@ -24,6 +24,9 @@
     virtual void send(ConnectionId, const std::vector<TargetRequest>&) = 0;
     virtual void readLease(const GroupName&) = 0;
     virtual void writeLease(const GroupName&, const PromotionLease&, RowVersion expected) = 0;
+    /// Reads a page of the table of targets on behalf of a group, beside the calls of the table's follower;
+    /// Proxy::membersRead() follows.
+    virtual void readMembers(const GroupName&, const std::string& fromKey) = 0;
     virtual void promote(const GroupName&, const TargetName&, RowVersion token, Instant sendBefore) = 0;
     /// Requests a peer's copies of the store's tables.
     virtual void queryPeer(const SocketAddress&) = 0;
--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace Auburnpost::Proxy {
 
@@ -39,6 +40,39 @@
     follower(table).tick(now);
 }
 
+void Proxy::readMembers(const GroupName& group)
+{
+    m_memberReads[group] = {};
+    m_delegate.readMembers(group, {});
+}
+
+void Proxy::membersRead(Instant now, const GroupName& name, const Expected<StorePage>& page)
+{
+    m_now = now;
+    auto* const group = findGroup(name);
+    if (!group)
+        return;
+    if (!page) {
+        group->membersRead(now, false);
+        return;
+    }
+    auto& read = m_memberReads[name];
+    for (const auto& row : page->rows)
+        read.rows[row.key] = row;
+    // The pages of one read may have different versions; the first one is the version from which changes are followed.
+    if (read.asOf == RowVersion {})
+        read.asOf = page->asOf;
+    if (page->hasMore && !page->rows.empty()) {
+        m_delegate.readMembers(name, keyAfter(page->rows.back().key));
+        return;
+    }
+    const auto whole = std::exchange(read, {});
+    if (follower(StoreTable::Targets).adoptRead(now, whole))
+        tableChanged(now, StoreTable::Targets);
+    updateListOrigin();
+    group->membersRead(now, true);
+}
+
 void Proxy::logStoreCall(
     Instant now, StoreTable table, const StoreFollower::CallHistory& before, const Expected<StorePage>& page)
 {
--- a/src/proxy/StoreFollower.cpp
+++ b/src/proxy/StoreFollower.cpp
@@ -81,6 +81,9 @@
 {
     bool hasChanged = false;
     for (const auto& row : page.rows) {
+        // A table that was adopted while the poll waited may already reflect the change, or a later one.
+        if (row.version <= m_state.asOf)
+            continue;
         const auto known = m_state.rows.find(row.key);
         if (known != m_state.rows.end() && known->second.version >= row.version)
             continue;
@@ -103,6 +106,17 @@
     return true;
 }
 
+bool StoreFollower::adoptRead(Instant now, const TableState& read)
+{
+    if (read.asOf < m_state.asOf)
+        return false;
+    recordConfirmation(now);
+    if (read.asOf == m_state.asOf)
+        return false;
+    m_state = read;
+    return true;
+}
+
 void StoreFollower::recordAnswer(Instant now)
 {
     m_calls.isConnected = true;
--- a/src/proxy/StoreFollower.h
+++ b/src/proxy/StoreFollower.h
@@ -57,6 +57,9 @@
     /// Adopts a peer's copy of the table if it is newer.
     /// @return whether the copy was adopted.
     bool adopt(const TableState&, const SocketAddress& peer);
+    /// Takes the table as read from the store by another call, if it is newer.
+    /// @return whether it is newer.
+    bool adoptRead(Instant now, const TableState&);
 
     [[nodiscard]] const TableState& state() const { return m_state; }
     /// @return whether the table was read, or adopted from a peer, at least once.
--- a/tests/proxy/GroupServiceTests.cpp
+++ b/tests/proxy/GroupServiceTests.cpp
@@ -45,6 +45,7 @@
     }
     void readLease(const GroupName&) override { }
     void writeLease(const GroupName&, const PromotionLease&, RowVersion) override { }
+    void readMembers(const GroupName&) override { }
     void promote(const GroupName&, const TargetName&, RowVersion, Instant) override { }
     void statementFinished(const StatementResult& result) override { results.push_back(result); }
     void transactionLost(SessionId) override { }
--- a/tests/proxy/HandoverTests.cpp
+++ b/tests/proxy/HandoverTests.cpp
@@ -101,6 +101,7 @@
         group.tick(Promotion::handoverTimeout);
         REQUIRE(group.promotion.state() == "Fencing");
         CHECK(group.delegate.has("fence p"));
+        group.promotion.membersRead(group.now, group.watcher, true);
         group.reportStatus("p", makeStatus(false, 1, 9, 2));
         group.reportStatus("r", makeStatus(false, 1, 8, 2));
         group.reportStatus("s", makeStatus(false, 1, 8, 2));
@@ -151,6 +152,7 @@
         group.promotion.leaseRead(group.now, group.watcher, PromotionLeaseRow { RowVersion(7), {}, 2000 });
         group.promotion.leaseWritten(group.now, group.watcher, std::optional(RowVersion(8)));
         REQUIRE(group.promotion.state() == "Fencing");
+        group.promotion.membersRead(group.now, group.watcher, true);
         for (const auto* const name : { "p", "r", "s" })
             group.reportStatus(name, makeStatus(false, 1, 9, 2));
         group.tick(30ms);
--- a/tests/proxy/PromotionFixture.h
+++ b/tests/proxy/PromotionFixture.h
@@ -15,6 +15,7 @@
 struct PromotionRecorder final : PromotionDelegate {
     std::size_t reads { 0 };
     std::size_t writes { 0 };
+    std::size_t memberReads { 0 };
     std::vector<std::string> commands;
     Instant callBefore {};
     /// Moment before which the last resume command has to be sent.
@@ -24,6 +25,7 @@
 
     void readLease(const GroupName&) override { ++reads; }
     void writeLease(const GroupName&, const PromotionLease&, RowVersion) override { ++writes; }
+    void readMembers(const GroupName&) override { ++memberReads; }
     void promote(const GroupName&, const TargetName& target, RowVersion version, Instant sendBefore) override
     {
         callBefore = sendBefore;
@@ -110,6 +112,7 @@
     void verify()
     {
         acquireLease();
+        promotion.membersRead(now, watcher, true);
         reportFenced();
         tick(30ms);
         now += 10ms;
--- a/tests/proxy/PromotionLogTests.cpp
+++ b/tests/proxy/PromotionLogTests.cpp
@@ -17,6 +17,7 @@
 
     void readLease(const GroupName&) override { }
     void writeLease(const GroupName&, const PromotionLease&, RowVersion) override { }
+    void readMembers(const GroupName&) override { }
     void promote(const GroupName&, const TargetName&, RowVersion, Instant) override { }
     void sendCommand(const TargetName&, const TargetRequest&, Instant) override { }
     void log(const LogRecord& record) override { records.push_back(record); }
@@ -108,6 +109,7 @@
     void call()
     {
         acquireLease();
+        promotion.membersRead(now, watcher, true);
         reportFenced();
         tick(30ms);
         now += 10ms;
--- a/tests/proxy/PromotionTests.cpp
+++ b/tests/proxy/PromotionTests.cpp
@@ -9,6 +9,8 @@
     PromotionFixture group;
     group.acquireLease();
     CHECK(group.delegate.commands == std::vector<std::string> { "fence r", "fence s" });
+    CHECK(group.delegate.memberReads == 1);
+    group.promotion.membersRead(group.now, group.watcher, true);
 
     group.reportStatus("r", makeStatus(false, 1, 7, 2));
     group.tick(30ms);
--- a/tests/proxy/SimulatedHost.cpp
+++ b/tests/proxy/SimulatedHost.cpp
@@ -427,6 +427,16 @@
     });
 }
 
+void SimulatedHost::readMembers(const GroupName& group, const std::string&)
+{
+    deliverFromStore(m_simulation.now(), storeCallTimeout, [this, group](bool isAnswered) {
+        if (isAnswered)
+            m_proxy->membersRead(m_simulation.now(), group, page(StoreTable::Targets));
+        else
+            m_proxy->membersRead(m_simulation.now(), group, storeUnavailable());
+    });
+}
+
 void SimulatedHost::writeHost(const HostName&, const std::string&)
 {
     deliverFromStore(
--- a/tests/proxy/SimulatedHost.h
+++ b/tests/proxy/SimulatedHost.h
@@ -40,6 +40,7 @@
     void writeHost(const HostName&, const std::string& value) override;
     void readLease(const GroupName&) override;
     void writeLease(const GroupName&, const PromotionLease&, RowVersion expected) override;
+    void readMembers(const GroupName&, const std::string& fromKey) override;
     void promote(const GroupName&, const TargetName&, RowVersion token, Instant sendBefore) override;
     void queryPeer(const SocketAddress&) override;
     /// Prints the record if PROXY_TRACE is set.
--- a/tests/proxy/StateDumpTests.cpp
+++ b/tests/proxy/StateDumpTests.cpp
@@ -40,6 +40,7 @@
     void writeHost(const HostName&, const std::string&) override { }
     void readLease(const GroupName&) override { }
     void writeLease(const GroupName&, const PromotionLease&, RowVersion) override { }
+    void readMembers(const GroupName&, const std::string&) override { }
     void promote(const GroupName&, const TargetName&, RowVersion, Instant) override { }
     void queryPeer(const SocketAddress&) override { }
     void log(const LogRecord& record) override
--- a/tests/proxy/StoreFollowerTests.cpp
+++ b/tests/proxy/StoreFollowerTests.cpp
@@ -144,3 +144,50 @@
         CHECK(configuration.callTimeout(0) < configuration.callTimeout(1));
     }
 }
+
+namespace {
+
+/// A follower whose calls are answered by the test.
+struct AnsweredTable final : StoreDelegate {
+    StoreFollower follower { StoreTable::Targets, TableTimes::forTargets({}), *this };
+    RandomEngine random { 1 };
+
+    void readTable(StoreTable, const std::string&, Duration) override { }
+    void followTable(StoreTable, RowVersion, Duration, Duration) override { }
+    void writeHost(const HostName&, const std::string&) override { }
+};
+
+StoreRow makeRow(const std::string& key, std::uint64_t version, bool isDeleted = false)
+{
+    return { key, RowVersion(version), "", isDeleted };
+}
+
+} // namespace
+
+TEST_CASE("A poll that waited while the table was read anew changes nothing back", "[proxy][store]")
+{
+    AnsweredTable table;
+    constexpr Instant now { std::chrono::seconds(100) };
+    table.follower.tick(now);
+    table.follower.tableRead(now, table.random, StorePage { { makeRow("a", 3) }, RowVersion(5), false, false });
+    table.follower.tick(now);
+
+    // The row was changed and deleted before it was read anew.
+    CHECK(table.follower.adoptRead(now, { RowVersion(9), { { "b", makeRow("b", 8) } } }));
+    CHECK_FALSE(table.follower.tableFollowed(
+        now, table.random, StorePage { { makeRow("a", 6) }, RowVersion(6), false, false }));
+    CHECK_FALSE(table.follower.state().rows.contains("a"));
+    CHECK(table.follower.state().rows.contains("b"));
+
+    SECTION("but later changes are applied")
+    {
+        CHECK(table.follower.tableFollowed(
+            now, table.random, StorePage { { makeRow("b", 12, true) }, RowVersion(12), false, false }));
+        CHECK(table.follower.state().rows.empty());
+    }
+    SECTION("an older table is not adopted")
+    {
+        CHECK_FALSE(table.follower.adoptRead(now, { RowVersion(8), {} }));
+        CHECK(table.follower.state().rows.contains("b"));
+    }
+}
