--- a/tests/proxy/FakeTarget.cpp
+++ b/tests/proxy/FakeTarget.cpp
@@ -40,9 +40,13 @@
     if (!isRunning || isPrimary || fencedTerm != Term {} || primaryTerm < term)
         return false;
     term = primaryTerm;
-    const auto common = std::mismatch(log.begin(), log.end(), primaryLog.begin(), primaryLog.end()).first - log.begin();
-    applied = std::min(applied, static_cast<std::size_t>(common));
-    log = primaryLog;
+    // Logs that have an entry in common agree up to that entry.
+    auto common = std::min(log.size(), primaryLog.size());
+    while (common > 0 && log[common - 1] != primaryLog[common - 1])
+        --common;
+    applied = std::min(applied, common);
+    log.resize(common);
+    log.insert(log.end(), primaryLog.begin() + static_cast<std::ptrdiff_t>(common), primaryLog.end());
     return true;
 }
 
--- a/tests/proxy/ProxyChecker.cpp
+++ b/tests/proxy/ProxyChecker.cpp
@@ -1,7 +1,5 @@
 #include "proxy/ProxyChecker.h"
 
-#include <algorithm>
-
 namespace Auburnpost::Proxy {
 
 void ProxyChecker::recordViolation(const std::string& text)
@@ -10,19 +8,23 @@
         m_violation = text;
 }
 
-bool ProxyChecker::contains(const std::vector<LogEntry>& log, std::size_t count, const std::string& writeId)
+ProxyChecker::Writes ProxyChecker::writesOf(const std::vector<LogEntry>& log, std::size_t count)
 {
-    const auto end = log.begin() + static_cast<std::ptrdiff_t>(count);
-    return std::any_of(log.begin(), end, [&writeId](const LogEntry& entry) { return entry.write == writeId; });
+    Writes writes;
+    writes.reserve(count);
+    for (std::size_t index = 0; index < count; ++index)
+        writes.insert(log[index].write);
+    return writes;
 }
 
 void ProxyChecker::checkRead(Instant, const Unit& unit, const FakeTarget& target)
 {
     ++m_reads;
+    const auto writes = writesOf(target.log, target.applied);
     for (const auto& [writeId, acknowledged] : m_acknowledged) {
         const bool isOwn = unit.consistency == Consistency::ReadYourWrites && acknowledged.session == unit.session;
         const auto limit = unit.consistency == Consistency::Current || isOwn ? Duration {} : unit.maxStaleness;
-        if (acknowledged.at + limit < unit.begunAt && !contains(target.log, target.applied, writeId)) {
+        if (acknowledged.at + limit < unit.begunAt && !writes.contains(writeId)) {
             recordViolation("stale: a read on " + target.record.name.value() + " lacks " + writeId);
             return;
         }
@@ -59,8 +61,9 @@
 void ProxyChecker::checkPromotion(const FakeTarget& target)
 {
     ++m_promotions;
+    const auto writes = writesOf(target.log, target.log.size());
     for (const auto& [writeId, acknowledged] : m_acknowledged) {
-        if (contains(target.log, target.log.size(), writeId))
+        if (writes.contains(writeId))
             continue;
         m_lost.insert(writeId);
         recordViolation("lost: the promoted target lacks " + writeId);
@@ -69,12 +72,15 @@
 
 void ProxyChecker::checkFinalLog(const FakeTarget& primary)
 {
+    const auto writes = writesOf(primary.log, primary.log.size());
     for (const auto& [writeId, acknowledged] : m_acknowledged) {
-        if (!contains(primary.log, primary.log.size(), writeId))
-            recordViolation("the primary lacks an acknowledged write: " + writeId);
+        if (writes.contains(writeId))
+            continue;
+        m_lost.insert(writeId);
+        recordViolation("the primary lacks an acknowledged write: " + writeId);
     }
     for (const auto& writeId : m_notRun) {
-        if (contains(primary.log, primary.log.size(), writeId))
+        if (writes.contains(writeId))
             recordViolation("the primary has a write that was reported as not run: " + writeId);
     }
 }
--- a/tests/proxy/ProxyChecker.h
+++ b/tests/proxy/ProxyChecker.h
@@ -7,6 +7,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <unordered_set>
 
 namespace Auburnpost::Proxy {
 
@@ -43,17 +45,20 @@
     [[nodiscard]] std::size_t acknowledgedWrites() const { return m_acknowledged.size(); }
     [[nodiscard]] std::size_t reads() const { return m_reads; }
     [[nodiscard]] std::size_t promotions() const { return m_promotions; }
-    /// @return the number of acknowledged writes that a promoted target lacked.
+    /// @return the number of acknowledged writes that a promoted target or the last primary lacked.
     [[nodiscard]] std::size_t lostWrites() const { return m_lost.size(); }
 
 private:
+    using Writes = std::unordered_set<std::string_view>;
+
     struct Acknowledged {
         Instant at;
         std::uint64_t session;
     };
 
     void recordViolation(const std::string& text);
-    static bool contains(const std::vector<LogEntry>& log, std::size_t count, const std::string& writeId);
+    /// @return the writes of the first entries of the log.
+    static Writes writesOf(const std::vector<LogEntry>& log, std::size_t count);
 
     std::map<std::string, Acknowledged> m_acknowledged;
     std::set<std::string> m_notRun;
--- a/tests/proxy/ProxySimulation.cpp
+++ b/tests/proxy/ProxySimulation.cpp
@@ -232,6 +232,10 @@
             replica.applied = replica.log.size();
     }
     acknowledgeCommits();
+    if (!m_isViolationTraced && !m_checker.violation().empty()) {
+        m_isViolationTraced = true;
+        trace("violation: " + m_checker.violation());
+    }
     if (hasChangingMembers()) {
         m_replication.dropWithoutPrimary();
         m_membership.update();
--- a/tests/proxy/ProxySimulation.h
+++ b/tests/proxy/ProxySimulation.h
@@ -148,6 +148,7 @@
     std::optional<Duration> m_promotionCallerPause;
     std::function<void(std::size_t)> m_onNextPromotionCall;
     Term m_promotedTerm;
+    bool m_isViolationTraced { false };
     std::map<TargetName, Instant> m_newerPrimarySeenSince;
 };
 
--- a/tests/proxy/SimulatedMembership.cpp
+++ b/tests/proxy/SimulatedMembership.cpp
@@ -39,13 +39,16 @@
 
 void SimulatedMembership::release(std::vector<TargetName> names, Duration recordDelay, Duration drainTime)
 {
+    const auto running = staying();
+    std::erase_if(names, [&running](const TargetName& name) { return !std::ranges::count(running, name); });
     if (names.empty())
         return;
     const auto old = names.back();
     names.pop_back();
     join(recordDelay);
     m_simulation.after(recordDelay + checkInterval, [this, old, names, recordDelay, drainTime] {
-        leave(old, drainTime);
+        if (!m_simulation.target(old)->isGone)
+            leave(old, drainTime);
         m_simulation.after(drainTime + checkInterval,
             [this, names, recordDelay, drainTime] { release(names, recordDelay, drainTime); });
     });
