Simulate targets that come back under a new name

On the users' platform a target that crashed comes back under a new id at its address, with its log. The simulated one may now do so, with a record of a later start, while the old record lapses; a connection to the old name is refused as misrouted. Cuts apply to the address. Half of the random crashes use it.

--- a/tests/proxy/MembershipFaults.cpp
+++ b/tests/proxy/MembershipFaults.cpp
@@ -190,7 +190,7 @@
     if (!replica || m_simulation.membership().isCrashed() || !mayHideMember())
         return false;
     m_hidesMemberUntil = m_simulation.now() + length + followTime;
-    m_simulation.membership().crash(*replica, length);
+    m_simulation.membership().crash(*replica, length, m_simulation.chance(0.5));
     return true;
 }
 
@@ -199,7 +199,7 @@
     if (m_simulation.membership().isCrashed() || !mayHidePrimary())
         return false;
     m_hidesPrimaryUntil = m_simulation.now() + length + followTime;
-    m_simulation.membership().crash(*primary(), length);
+    m_simulation.membership().crash(*primary(), length, m_simulation.chance(0.5));
     return true;
 }
 
--- a/tests/proxy/MembershipScheduleTests.cpp
+++ b/tests/proxy/MembershipScheduleTests.cpp
@@ -217,6 +217,20 @@
     schedule.check();
 }
 
+// Guards against counting such a target twice: as one that left, and as a new one.
+TEST_CASE("A replica that came back under a new name does not delay a promotion", "[proxy][membership]")
+{
+    Schedule schedule;
+    auto& simulation = schedule.simulation;
+    simulation.membership().crash(first, 1s, true);
+    simulation.run(settleTime);
+    simulation.membership().crash(primary, 6s);
+    simulation.run(3s);
+    CHECK(simulation.currentPrimary());
+    simulation.run(3s);
+    schedule.check();
+}
+
 TEST_CASE("Guarantees hold in random schedules of changing members", "[proxy][membership]")
 {
     // The environment variables PROXY_SCHEDULES and PROXY_SEED set the number of schedules and the first seed.
--- a/tests/proxy/ProxySimulation.cpp
+++ b/tests/proxy/ProxySimulation.cpp
@@ -73,7 +73,7 @@
 
 bool ProxySimulation::isCut(std::size_t host, const TargetName& target) const
 {
-    return m_cutHosts.contains({ host, target }) || isIsolated(host);
+    return m_cutHosts.contains({ host, machineOf(target) }) || isIsolated(host);
 }
 
 void ProxySimulation::isolateHost(std::size_t host, Duration length)
@@ -97,13 +97,13 @@
 
 bool ProxySimulation::areCut(const TargetName& left, const TargetName& right) const
 {
-    return m_cutTargets.contains({ std::min(left, right), std::max(left, right) });
+    return m_cutTargets.contains(std::minmax(machineOf(left), machineOf(right)));
 }
 
 void ProxySimulation::setCut(const TargetName& left, const TargetName& right, bool isCut)
 {
     trace((isCut ? "cut of " : "cut ended of ") + left.value() + " and " + right.value());
-    const std::pair cut { std::min(left, right), std::max(left, right) };
+    const std::pair<TargetName, TargetName> cut = std::minmax(machineOf(left), machineOf(right));
     if (isCut)
         m_cutTargets.insert(cut);
     else
@@ -114,9 +114,9 @@
 {
     trace((isCut ? "cut of host " : "cut ended of host ") + std::to_string(host) + " and " + target.value());
     if (isCut)
-        m_cutHosts.insert({ host, target });
+        m_cutHosts.insert({ host, machineOf(target) });
     else
-        m_cutHosts.erase({ host, target });
+        m_cutHosts.erase({ host, machineOf(target) });
 }
 
 void ProxySimulation::addTarget(const TargetName& name, std::size_t number)
@@ -129,8 +129,37 @@
     target.record.incarnation = TargetIncarnation(1);
 }
 
+FakeTarget& ProxySimulation::renameTarget(const TargetName& from, const TargetName& to)
+{
+    auto& former = m_targets.at(from);
+    auto& target = m_targets[to];
+    target = former;
+    target.record.name = to;
+    target.record.incarnation = TargetIncarnation(former.record.incarnation.value() + 1);
+    former.end();
+    m_machines[to] = machineOf(from);
+    return target;
+}
+
+const TargetName& ProxySimulation::machineOf(const TargetName& name) const
+{
+    const auto machine = m_machines.find(name);
+    return machine == m_machines.end() ? name : machine->second;
+}
+
+FakeTarget* ProxySimulation::targetAtAddressOf(const TargetName& name)
+{
+    const auto found = std::find_if(m_targets.begin(), m_targets.end(), [this, &name](const auto& entry) {
+        return entry.second.isRunning && machineOf(entry.first) == machineOf(name);
+    });
+    return found == m_targets.end() ? nullptr : &found->second;
+}
+
 void ProxySimulation::restartHost(std::size_t host, Duration downTime)
 {
+    // A call that a killed host sent before may arrive while the host is being started again.
+    if (m_hosts.at(host)->isKilled())
+        return;
     trace("kill of host " + std::to_string(host));
     m_hosts.at(host)->kill();
     for (std::uint64_t session = 1; session <= callersPerHost; ++session)
--- a/tests/proxy/ProxySimulation.h
+++ b/tests/proxy/ProxySimulation.h
@@ -82,9 +82,15 @@
     [[nodiscard]] bool isIsolated(std::size_t host) const;
     /// @return whether a host was started so late that it may not have seen a target that left or lost its record.
     [[nodiscard]] bool hasNewHost() const;
+    /// @return the name of the first target at the address of the given one; cuts apply to the address.
+    [[nodiscard]] const TargetName& machineOf(const TargetName&) const;
     [[nodiscard]] bool areCut(const TargetName&, const TargetName&) const;
     /// Starts a target with an empty log.
     void addTarget(const TargetName&, std::size_t number);
+    /// Starts a target that ended again at its address, under a new name and with its log.
+    FakeTarget& renameTarget(const TargetName& from, const TargetName& to);
+    /// @return the target that runs at the address of the given one.
+    [[nodiscard]] FakeTarget* targetAtAddressOf(const TargetName&);
     /// @return the primary of the highest term; null when there is none.
     [[nodiscard]] FakeTarget* currentPrimary();
     /// @return the term of the last promotion that took effect.
@@ -134,6 +140,7 @@
     SimulatedMembership m_membership;
     ProxyChecker m_checker;
     std::map<TargetName, FakeTarget> m_targets;
+    std::map<TargetName, TargetName> m_machines;
     std::vector<std::unique_ptr<SimulatedHost>> m_hosts;
     /// Hosts that were killed; messages that they sent before are still on their way.
     std::vector<std::unique_ptr<SimulatedHost>> m_killedHosts;
--- a/tests/proxy/SimulatedHost.cpp
+++ b/tests/proxy/SimulatedHost.cpp
@@ -169,15 +169,18 @@
         return;
     auto& target = *m_simulation.target(connection->second.target);
     const bool isReachable = mayPass && target.isRunning;
+    const auto refusal = mayPass && target.isGone && m_simulation.targetAtAddressOf(target.record.name)
+        ? FailureCode::Misrouted
+        : FailureCode::Failed;
     if (isReachable)
         target.connections[connection->second.id] = {};
-    deliver([this, id, isReachable] {
+    deliver([this, id, isReachable, refusal] {
         if (!m_connections.contains(id))
             return;
         if (isReachable)
             m_proxy->connectionOpened(m_simulation.now(), id, {});
         else
-            m_proxy->connectionRefused(m_simulation.now(), id, FailureCode::Failed);
+            m_proxy->connectionRefused(m_simulation.now(), id, refusal);
     });
 }
 
--- a/tests/proxy/SimulatedHost.h
+++ b/tests/proxy/SimulatedHost.h
@@ -20,6 +20,7 @@
     void pause(Instant until) { m_pausedUntil = until; }
     /// @return whether the host does nothing, because it is paused or was killed.
     [[nodiscard]] bool isPaused() const;
+    [[nodiscard]] bool isKilled() const { return m_isKilled; }
     /// Ends the process: closes all connections and handles nothing from now on.
     void kill();
     /// Breaks the connections that another host relays.
--- a/tests/proxy/SimulatedMembership.cpp
+++ b/tests/proxy/SimulatedMembership.cpp
@@ -60,16 +60,19 @@
     m_simulation.trace("cut from the store: " + name.value());
 }
 
-void SimulatedMembership::crash(const TargetName& name, Duration length)
+void SimulatedMembership::crash(const TargetName& name, Duration length, bool isRenamed)
 {
     m_simulation.target(name)->crash();
     m_simulation.trace("crash of " + name.value());
-    m_simulation.after(length, [this, name] { restart(name); });
+    m_simulation.after(length, [this, name, isRenamed] { restart(name, isRenamed); });
 }
 
-void SimulatedMembership::restart(const TargetName& name)
+void SimulatedMembership::restart(const TargetName& name, bool isRenamed)
 {
-    auto& target = *m_simulation.target(name);
+    auto& former = *m_simulation.target(name);
+    auto& target = isRenamed
+        ? m_simulation.renameTarget(name, TargetName(name.value() + "-" + std::to_string(++m_renamed)))
+        : former;
     target.isRunning = true;
     if (m_simulation.promotedTerm() > target.term)
         target.isPrimary = false;
@@ -95,8 +98,6 @@
     auto& store = m_simulation.store();
     const auto now = m_simulation.now();
     for (const auto& [name, target] : m_simulation.targets()) {
-        if (target.isGone)
-            continue;
         auto& reports = m_reports[name];
         if (target.isRunning && store.isAnswering() && now >= reports.cutUntil) {
             reports.silentSince.reset();
--- a/tests/proxy/SimulatedMembership.h
+++ b/tests/proxy/SimulatedMembership.h
@@ -29,7 +29,8 @@
     /// Stops a target's reports to the store, so that its record disappears while the target works.
     void cutFromStore(const TargetName&, Duration);
     /// Crashes a target, which is started again with its log: as a replica if another target was promoted meanwhile.
-    void crash(const TargetName&, Duration);
+    /// @param isRenamed whether it then has a new name, at its address.
+    void crash(const TargetName&, Duration, bool isRenamed = false);
     /// Makes the targets report, and removes the records of those that are silent.
     void update();
 
@@ -54,11 +55,12 @@
 
     void report(const TargetName&, const FakeTarget&, Reports&);
     void end(const TargetName&);
-    void restart(const TargetName&);
+    void restart(const TargetName&, bool isRenamed);
 
     ProxySimulation& m_simulation;
     std::map<TargetName, Reports> m_reports;
     std::uint64_t m_joined { 0 };
+    std::uint64_t m_renamed { 0 };
 };
 
 } // namespace Auburnpost::Proxy
--- a/tests/proxy/SimulatedMembershipTests.cpp
+++ b/tests/proxy/SimulatedMembershipTests.cpp
@@ -67,6 +67,25 @@
     CHECK(members.holdsWrite(primary));
 }
 
+TEST_CASE("A simulated target may come back under a new name with its log", "[proxy][simulation]")
+{
+    Members members;
+    auto& simulation = members.simulation;
+    members.commit();
+    simulation.run(50ms);
+    simulation.membership().crash(first, 200ms, true);
+    simulation.run(250ms);
+    const auto* const renamed = simulation.targetAtAddressOf(first);
+    REQUIRE(renamed);
+    CHECK(renamed->record.name != first);
+    CHECK(renamed->record.address == simulation.target(first)->record.address);
+    CHECK(members.holdsWrite(renamed->record.name));
+    CHECK(simulation.store().find(renamed->record.name));
+    CHECK(simulation.store().find(first));
+    simulation.run(SimulatedMembership::lapseTimeout);
+    CHECK_FALSE(simulation.store().find(first));
+}
+
 TEST_CASE("What a demoted simulated primary sent arrives and is not acknowledged", "[proxy][simulation]")
 {
     Members members;
