Record the target of a promotion with the lease before the call

Or a second attempt promoted another member, which the first order replaced afterwards.

Cause: a call that was not seen to take effect was taken for one without effect after 3.5 s, and nobody but its host knew of it. The target is now recorded with the lease (the row's new version is the token of the call, so that the write also shows that the lease still holds). For ten seconds, or until a primary of a later term is seen, whoever holds the lease keeps the fences, does not drop the attempt because the primary is back, and calls for the same target again, as long as its log has all that can have been acknowledged: commits that only a demoted primary has, while every member is fenced, can't. A late order then changes nothing.

The write costs a call to the store and its answer time for each promotion.

--- a/src/base/LogEvent.cpp
+++ b/src/base/LogEvent.cpp
@@ -17,7 +17,7 @@
     constexpr std::size_t numberDigits = 4;
 
     /// Sorted by number.
-    constexpr std::array<Definition, 64> definitions { {
+    constexpr std::array<Definition, 65> definitions { {
         { LogEvent::Started, LogLevel::Info, "host started" },
         { LogEvent::ShutdownStarted, LogLevel::Info, "host shutdown started" },
         { LogEvent::ShutdownCompleted, LogLevel::Info, "host shutdown completed" },
@@ -60,6 +60,7 @@
             "fence of target gone before the requested promotion took effect" },
         { LogEvent::PromotionEffectLate, LogLevel::Warn, "promotion took effect after its attempt was abandoned" },
         { LogEvent::MemberReleased, LogLevel::Info, "member without a record no longer counts" },
+        { LogEvent::PendingPromotionFound, LogLevel::Warn, "promotion of an earlier lease may still take effect" },
         { LogEvent::HandoverStalled, LogLevel::Warn, "no member has the log of the demoted primary in time" },
         { LogEvent::TargetConnectFailed, LogLevel::Warn, "opening a connection to target failed" },
         { LogEvent::TargetConnectionLost, LogLevel::Warn, "connection to target lost during a request" },
--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -53,6 +53,7 @@
     PromotionFenceLost = 414,
     PromotionEffectLate = 415,
     MemberReleased = 420,
+    PendingPromotionFound = 421,
     HandoverStalled = 422,
 
     TargetConnectFailed = 500,
--- a/src/chart/EmbeddedCharts.cpp
+++ b/src/chart/EmbeddedCharts.cpp
@@ -31,19 +31,27 @@
   <state id="Attempt" initial="Fencing">
     <transition event="progress" cond="superseded" target="Finishing"/>
     <transition event="progress" cond="claimEnds" target="Delaying"><action name="giveUp"/></transition>
+    <transition event="claimRefused" target="Delaying"><action name="giveUp"/></transition>
     <state id="Demoting">
       <onentry><action name="startHandover"/></onentry>
-      <transition event="progress" cond="handoverReady" target="Calling"/>
+      <transition event="progress" cond="handoverReady" target="Recording"/>
       <transition event="progress" cond="handoverStalled" target="Fencing"/>
       <transition event="progress" cond="handoverPollDue"><action name="pollHandover"/></transition>
     </state>
     <state id="Fencing">
       <onentry><action name="fenceMembers"/></onentry>
-      <transition event="progress" cond="enoughFenced" target="Verifying"><action name="askFenced"/></transition>
+      <transition event="progress" cond="candidateRecorded" target="Verifying"><action name="askFenced"/></transition>
+      <transition event="progress" cond="enoughFenced" target="Recording"><action name="askFenced"/></transition>
       <transition event="progress" cond="retryDue"><action name="fenceMembers"/></transition>
       <transition event="listed"><action name="fenceMembers"/></transition>
     </state>
+    <state id="Recording">
+      <onentry><action name="recordCandidate"/></onentry>
+      <transition event="progress"/>
+      <transition event="recorded" target="Verifying"/>
+    </state>
     <state id="Verifying">
+      <transition event="progress" cond="handsOver" target="Calling"/>
       <transition event="progress" cond="fencesHold" target="Calling"/>
       <transition event="progress" cond="retryDue" target="Fencing"/>
     </state>
--- a/src/proxy/GroupWatcher.h
+++ b/src/proxy/GroupWatcher.h
@@ -54,6 +54,7 @@
         m_rules = rules;
         m_membership.setRules(rules);
     }
+    [[nodiscard]] const GroupRules& rules() const { return m_rules; }
     /// Stores where the list of targets came from.
     void setListOrigin(const TableOrigin& origin) { m_listOrigin = origin; }
 
--- a/src/proxy/Promotion.cpp
+++ b/src/proxy/Promotion.cpp
@@ -35,6 +35,7 @@
         { "renewalDue", &Promotion::isRenewalDue }, { "enoughFenced", &Promotion::hasEnoughFenced },
         { "canHandOver", &Promotion::canHandOver }, { "handoverReady", &Promotion::isHandoverReady },
         { "handoverStalled", &Promotion::hasHandoverStalled }, { "handoverPollDue", &Promotion::isHandoverPollDue },
+        { "handsOver", &Promotion::mayHandOver }, { "candidateRecorded", &Promotion::isCandidateRecorded },
         { "retryDue", &Promotion::isRetryDue }, { "fencesHold", &Promotion::areFencesVerified },
         { "promotedSeen", &Promotion::isPromotionSeen }, { "awaitLimitPassed", &Promotion::hasAwaitTimedOut },
         { "allJoined", &Promotion::haveAllJoined }, { "finishLimitPassed", &Promotion::hasFinishTimedOut } };
@@ -42,9 +43,10 @@
         { "readClaim", &Promotion::readLease }, { "writeClaim", &Promotion::writeLease },
         { "fenceMembers", &Promotion::fenceMembers }, { "askFenced", &Promotion::queryFenced },
         { "startHandover", &Promotion::startHandover }, { "pollHandover", &Promotion::pollHandover },
-        { "callPromotion", &Promotion::callPromotion }, { "demoteFormer", &Promotion::demoteFormerPrimary },
-        { "fenceAgain", &Promotion::refenceMembers }, { "joinMembers", &Promotion::joinMembers },
-        { "renewForRepairs", &Promotion::renewLeaseForResume }, { "giveUp", &Promotion::abandonAttempt } };
+        { "recordCandidate", &Promotion::recordCandidate }, { "callPromotion", &Promotion::callPromotion },
+        { "demoteFormer", &Promotion::demoteFormerPrimary }, { "fenceAgain", &Promotion::refenceMembers },
+        { "joinMembers", &Promotion::joinMembers }, { "renewForRepairs", &Promotion::renewLeaseForResume },
+        { "giveUp", &Promotion::abandonAttempt } };
     const auto chart = Chart::StateChart::parse("promotion", Chart::embeddedChart("promotion"));
     AUBURNPOST_INVARIANT(chart, "promotion.scxml could not be parsed");
     auto runner = Runner::bind(*chart, std::move(bindings));
@@ -124,13 +126,16 @@
     }
     m_leaseRow = *row;
     const bool isHeld = row->lease && row->lease->holder != m_self && row->lease->expiresAtMs > row->storeNowMs;
+    if (!isHeld)
+        adoptPending(context);
     fire(isHeld ? "claimHeld" : "claimFree", context);
 }
 
 void Promotion::leaseWritten(
     Instant now, const GroupWatcher& watcher, const Expected<std::optional<RowVersion>>& version)
 {
-    if (!m_runner.isIn("Writing"))
+    const bool isRecording = m_runner.isIn("Recording");
+    if (!isRecording && !m_runner.isIn("Writing"))
         return;
     Context context { now, watcher };
     if (!version || !*version) {
@@ -138,9 +143,17 @@
         return;
     }
     m_token = **version;
+    if (isRecording) {
+        m_recordedCandidate = m_pending->candidate;
+        fire("recorded", context);
+        fire("progress", context);
+        return;
+    }
     m_term = Term(watcher.highestTerm().value() + 1);
     m_enoughFencedSince.reset();
     m_candidate.reset();
+    m_recordedCandidate.reset();
+    m_hasRecorded = false;
     m_demoted.reset();
     m_isListFresh = false;
     std::vector<LogField> fields { { "token", std::to_string(m_token.value()) },
@@ -177,6 +190,9 @@
 {
     if (m_goal == PromotionGoal::ResumeMembers)
         return !context.watcher.hasFencedMemberFor(context.now, Duration {});
+    // A promotion that takes effect later would roll back what the present primary acknowledges until then.
+    if (isPromotionPending(context))
+        return false;
     if (m_hasDemotedPrimary && !context.watcher.primary())
         return false;
     return context.failoverReason == FailoverReason::None;
@@ -251,10 +267,28 @@
     // After a pause of this host the fences may look valid although another host holds the lease.
     if (!m_isListFresh || isLeaseEnding(context) || isSuperseded(context))
         return false;
-    std::size_t verified = 0;
-    for (const auto& name : fencedMembers(context.watcher))
-        verified += context.watcher.find(name)->queriedAt >= m_verifyStartedAt ? 1 : 0;
-    return verified >= context.watcher.fencesNeeded() && chooseFenced(context);
+    std::set<TargetName> verified;
+    for (const auto& name : fencedMembers(context.watcher)) {
+        if (context.watcher.find(name)->queriedAt >= m_verifyStartedAt)
+            verified.insert(name);
+    }
+    return verified.size() >= context.watcher.fencesNeeded() && m_recordedCandidate
+        && verified.contains(*m_recordedCandidate)
+        && context.watcher.find(*m_recordedCandidate)->status->received >= requiredLogEnd(context.watcher, verified);
+}
+
+LogPoint Promotion::requiredLogEnd(const GroupWatcher& watcher, const std::set<TargetName>& fenced) const
+{
+    std::vector<LogPoint> ends;
+    for (const auto& name : fenced)
+        ends.push_back(watcher.find(name)->status->received);
+    std::sort(ends.rbegin(), ends.rend());
+    // An acknowledged commit is on one member more than there are synchronous replicas. Those that are not fenced may
+    // all have it.
+    const auto holders = watcher.rules().syncReplicas + 1;
+    const auto unfenced = watcher.groupSize() - std::min(watcher.groupSize(), ends.size());
+    const auto fencedHolders = holders > unfenced ? holders - unfenced : 1;
+    return ends.at(std::min(fencedHolders, ends.size()) - 1);
 }
 
 bool Promotion::isPromotionSeen(const Context& context) const
@@ -305,7 +339,54 @@
 
 void Promotion::writeLease(Context&)
 {
-    m_delegate.writeLease(m_group, { m_self, m_leaseRow.storeNowMs + milliseconds(leaseLifetime) }, m_leaseRow.version);
+    m_delegate.writeLease(
+        m_group, { m_self, m_leaseRow.storeNowMs + milliseconds(leaseLifetime), m_pending }, m_leaseRow.version);
+}
+
+void Promotion::adoptPending(Context& context)
+{
+    const auto& lease = m_leaseRow.lease;
+    // Of a version that this process wrote, it knows whether the call was made.
+    if (lease && lease->pending && m_leaseRow.version != m_token) {
+        const auto age = m_leaseRow.storeNowMs - std::min(m_leaseRow.storeNowMs, lease->pending->recordedAtMs);
+        m_pending = lease->pending;
+        m_pendingUntil
+            = context.now + pendingLifetime - std::chrono::milliseconds(std::min(age, milliseconds(pendingLifetime)));
+    }
+    if (!isPromotionPending(context)) {
+        m_pending.reset();
+        return;
+    }
+    if (m_goal == PromotionGoal::ReplacePrimary)
+        return;
+    // The members that are still fenced would follow the present primary again before the promotion takes effect.
+    m_goal = PromotionGoal::ReplacePrimary;
+    log(LogEvent::PendingPromotionFound,
+        { { "target", m_pending->candidate.value() }, { "version", std::to_string(m_leaseRow.version.value()) },
+            { "left_ms", std::to_string(toMilliseconds(m_pendingUntil - context.now)) } });
+}
+
+bool Promotion::isPromotionPending(const Context& context) const
+{
+    const bool hasNewerPrimary
+        = m_pending && context.watcher.primary() && context.watcher.primaryTerm() > m_pending->replacedTerm;
+    return m_pending && !hasNewerPrimary && context.now < m_pendingUntil;
+}
+
+std::uint64_t Promotion::storeNowMs(Instant now) const
+{
+    return m_leaseRow.storeNowMs + milliseconds(now - m_leaseReadAt);
+}
+
+void Promotion::recordCandidate(Context& context)
+{
+    const auto candidate = m_demoted ? handoverCandidate(context) : chooseFenced(context);
+    if (!m_hasRecorded)
+        m_earlierPending = m_pending;
+    m_hasRecorded = true;
+    m_pending = { *candidate, m_replacedTerm, storeNowMs(context.now) };
+    m_pendingUntil = context.now + pendingLifetime;
+    m_delegate.writeLease(m_group, { m_self, m_leaseRow.storeNowMs + milliseconds(leaseLifetime), m_pending }, m_token);
 }
 
 bool Promotion::canHandOver(const Context& context) const
@@ -383,6 +464,20 @@
     return context.now - m_commandedAt >= interval;
 }
 
+bool Promotion::mayHandOver(const Context& context) const
+{
+    if (!m_demoted || isLeaseEnding(context) || isSuperseded(context))
+        return false;
+    const auto* const candidate = context.watcher.find(*m_recordedCandidate);
+    const auto end = demotedLogEnd(context.watcher);
+    return candidate && end && candidate->status->received >= *end;
+}
+
+bool Promotion::isCandidateRecorded(const Context& context) const
+{
+    return hasEnoughFenced(context) && m_recordedCandidate && chooseFenced(context) == m_recordedCandidate;
+}
+
 bool Promotion::mayFence(const GroupWatcher& watcher, const TargetName& name, const GroupWatcher::Member& member)
 {
     return name != watcher.primary() && (member.isListed() || !member.endedAt);
@@ -414,9 +509,11 @@
         m_delegate.sendCommand(name, QueryStatus {}, leaseUsableUntil());
 }
 
-std::tuple<bool, bool, bool> Promotion::suitability(const GroupWatcher::Member& member) const
+std::tuple<bool, bool, bool, bool> Promotion::suitability(const GroupWatcher::Member& member) const
 {
-    return { !m_notRunning.contains(member.record.name), member.isListed(), !member.record.isLeaving };
+    const auto& name = member.record.name;
+    const bool isPending = m_pending && m_pending->candidate == name;
+    return { isPending, !m_notRunning.contains(name), member.isListed(), !member.record.isLeaving };
 }
 
 std::optional<TargetName> Promotion::chooseFenced(const Context& context) const
@@ -424,6 +521,12 @@
     const auto fenced = fencedMembers(context.watcher);
     if (fenced.empty())
         return {};
+    // A promotion that may still take effect would undo that of another member.
+    if (m_pending && fenced.contains(m_pending->candidate)) {
+        const auto* const pending = context.watcher.find(m_pending->candidate);
+        if (pending->status->received >= requiredLogEnd(context.watcher, fenced))
+            return m_pending->candidate;
+    }
     const GroupWatcher::Member* best = nullptr;
     for (const auto& name : fenced) {
         const auto* const member = context.watcher.find(name);
@@ -438,7 +541,7 @@
 
 void Promotion::callPromotion(Context& context)
 {
-    m_candidate = m_demoted ? handoverCandidate(context) : chooseFenced(context);
+    m_candidate = m_recordedCandidate;
     const auto& status = *context.watcher.find(*m_candidate)->status;
     const auto fenced = fencedMembers(context.watcher);
     std::vector<LogField> fields { { "target", m_candidate->value() }, { "token", std::to_string(m_token.value()) },
@@ -478,6 +581,7 @@
     m_commandedAt = context.now;
     if (!m_finishingSince)
         m_finishingSince = context.now;
+    m_pending.reset();
     m_notRunning.clear();
     m_hasDemotedPrimary = false;
     // A member that is resumed while the former primary is still primary could follow it again and let it complete
@@ -498,8 +602,13 @@
 
 void Promotion::abandonAttempt(Context& context)
 {
-    for (const auto& name : fencedMembers(context.watcher))
-        m_delegate.sendCommand(name, ResumeReplica {}, leaseUsableUntil());
+    // What this attempt recorded was not called for.
+    if (m_hasRecorded)
+        m_pending = m_earlierPending;
+    if (!isPromotionPending(context)) {
+        for (const auto& name : fencedMembers(context.watcher))
+            m_delegate.sendCommand(name, ResumeReplica {}, leaseUsableUntil());
+    }
     delayRetry(context);
 }
 
--- a/src/proxy/Promotion.h
+++ b/src/proxy/Promotion.h
@@ -41,7 +41,8 @@
 /// Replaces the primary of one group, driven by the state chart promotion.scxml, under the group's promotion lease in
 /// the store. A primary that answers hands over: it is demoted, which ends its log, and a member that has this log is
 /// promoted. Otherwise enough members are fenced, the fences are verified, and the member with the longest log is
-/// promoted. At the end the other members are made to follow the new primary.
+/// promoted. The candidate is recorded with the lease before the call, as the call may take effect late. At the end the
+/// other members are made to follow the new primary.
 class Promotion {
 public:
     /// Lifetime of a lease, which has to cover fencing, verification, the promotion call and its effect.
@@ -64,12 +65,14 @@
     static constexpr Duration fenceGrace = std::chrono::milliseconds(120);
     /// Maximum time for reading or writing the lease's row.
     static constexpr Duration leaseStepTimeout = std::chrono::milliseconds(1200);
+    /// Time for which a call that is not seen to take effect may still do so.
+    static constexpr Duration pendingLifetime = std::chrono::seconds(10);
     /// Maximum time for demoting a primary and finding a member that has its log.
     static constexpr Duration handoverTimeout = std::chrono::milliseconds(600);
     /// Interval at which the members' logs are compared with that of the demoted primary.
     static constexpr Duration handoverPollInterval = std::chrono::milliseconds(60);
     /// Maximum time from an accepted call until the target reports that it is the primary; platforms take up to about a
-    /// second.
+    /// second. The call is repeated afterwards.
     static constexpr Duration awaitTimeout = std::chrono::milliseconds(3500);
     /// Maximum time for making the members follow the new primary, renewed leases included.
     static constexpr Duration finishTimeout = std::chrono::seconds(3);
@@ -121,7 +124,9 @@
     [[nodiscard]] bool isHandoverReady(const Context&) const;
     [[nodiscard]] bool hasHandoverStalled(const Context&) const;
     [[nodiscard]] bool isHandoverPollDue(const Context&) const;
+    [[nodiscard]] bool mayHandOver(const Context&) const;
     [[nodiscard]] bool hasEnoughFenced(const Context&) const;
+    [[nodiscard]] bool isCandidateRecorded(const Context&) const;
     [[nodiscard]] bool isRetryDue(const Context&) const;
     [[nodiscard]] bool areFencesVerified(const Context&) const;
     [[nodiscard]] bool isPromotionSeen(const Context&) const;
@@ -137,6 +142,8 @@
     void pollHandover(Context&);
     void fenceMembers(Context&);
     void queryFenced(Context&);
+    /// Writes the candidate to the lease's row, whose new version is the token of the call.
+    void recordCandidate(Context&);
     void callPromotion(Context&);
     void demoteFormerPrimary(Context&);
     /// Fences members again that lost their fence by a restart and do not follow the new primary yet.
@@ -146,12 +153,17 @@
     void renewLeaseForResume(Context&);
     void abandonAttempt(Context&);
 
+    /// Takes over a promotion that an earlier holder of the lease may have called for.
+    void adoptPending(Context&);
+    /// @return whether a call of this or an earlier lease may still take effect.
+    [[nodiscard]] bool isPromotionPending(const Context&) const;
     /// @return the end of the log of the primary that was demoted; empty until it has reported that it is no primary.
     [[nodiscard]] std::optional<LogPoint> demotedLogEnd(const GroupWatcher&) const;
     /// @return a member that has the whole log of the demoted primary; empty if there is none yet.
     [[nodiscard]] std::optional<TargetName> handoverCandidate(const Context&) const;
     /// @return whether the member may be fenced: it may answer, and is not the primary.
     [[nodiscard]] static bool mayFence(const GroupWatcher&, const TargetName&, const GroupWatcher::Member&);
+    [[nodiscard]] std::uint64_t storeNowMs(Instant now) const;
     void updateEnoughFenced(const Context&);
     /// @return the moment before which a command has to be sent to take effect before another host can hold the lease.
     [[nodiscard]] Instant leaseUsableUntil() const { return m_leaseReadAt + leaseLifetime - callTimeout; }
@@ -160,10 +172,13 @@
     /// @return whether the member's fence is of this attempt or an earlier one, so that this attempt may remove it.
     [[nodiscard]] bool mayResume(const GroupWatcher::Member&) const;
     [[nodiscard]] std::set<TargetName> fencedMembers(const GroupWatcher&) const;
-    /// @return the order in which members with equal logs are promoted; the highest goes first.
-    [[nodiscard]] std::tuple<bool, bool, bool> suitability(const GroupWatcher::Member&) const;
+    /// @return the order in which members with equal logs are promoted; the highest goes first. A promotion that may
+    /// still take effect would otherwise undo another.
+    [[nodiscard]] std::tuple<bool, bool, bool, bool> suitability(const GroupWatcher::Member&) const;
     /// @return the fenced member to be promoted; empty if none is fenced.
     [[nodiscard]] std::optional<TargetName> chooseFenced(const Context&) const;
+    /// @return the log point that includes every acknowledged commit, as far as the logs of fenced members tell.
+    [[nodiscard]] LogPoint requiredLogEnd(const GroupWatcher&, const std::set<TargetName>& fenced) const;
     /// Logs an attempt that ended without success.
     /// @param before the state that the event left.
     void logAbandonment(std::string_view event, std::string_view before, const Context&);
@@ -192,6 +207,14 @@
     std::optional<Instant> m_finishingSince;
     /// The target whose promotion this attempt requested; empty before that.
     std::optional<TargetName> m_candidate;
+    /// The target that is recorded with the lease of this attempt.
+    std::optional<TargetName> m_recordedCandidate;
+    /// The last promotion that was recorded and has not been seen to take effect.
+    std::optional<PendingPromotion> m_pending;
+    Instant m_pendingUntil {};
+    /// Whether this attempt has recorded a candidate, and what m_pending was before.
+    bool m_hasRecorded { false };
+    std::optional<PendingPromotion> m_earlierPending;
     /// Whether the members are those that the store listed after the lease was acquired.
     bool m_isListFresh { false };
     bool m_isReadingMembers { false };
--- a/src/proxy/PromotionLease.h
+++ b/src/proxy/PromotionLease.h
@@ -7,12 +7,24 @@
 
 namespace Auburnpost::Proxy {
 
+/// A promotion that a lease holder has called for, or is about to call for. The platform may carry it out seconds
+/// later.
+struct PendingPromotion {
+    TargetName candidate;
+    /// Term of the primary that is to be replaced.
+    Term replacedTerm;
+    /// When it was recorded, on the store's steady clock in milliseconds.
+    std::uint64_t recordedAtMs { 0 };
+};
+
 /// Grants one host the right to replace the primary of one group; stored as a row of the platform's store. The row's
-/// version is the fencing token: it is unique and increases with each lease.
+/// version is the fencing token: it is unique and increases with each write.
 struct PromotionLease {
     HostName holder;
     /// When the lease expires, on the store's steady clock in milliseconds.
     std::uint64_t expiresAtMs { 0 };
+    /// The group's last promotion that may still take effect; empty when there is none.
+    std::optional<PendingPromotion> pending;
 };
 
 /// A lease as read from the store.
--- a/tests/proxy/HandoverTests.cpp
+++ b/tests/proxy/HandoverTests.cpp
@@ -24,14 +24,14 @@
         now += 10ms;
         reportStatus("p", makeStatus(false, 1, position));
     }
-    /// Advances to the promotion call.
+    /// Advances to the write that records the candidate.
     void reachLogEnd()
     {
         startHandover();
         reportDemoted(9);
         reportStatus("s", makeStatus(false, 1, 9));
         tick(30ms);
-        REQUIRE(promotion.state() == "Calling");
+        REQUIRE(promotion.state() == "Recording");
     }
 };
 
@@ -49,9 +49,10 @@
         group.reportStatus("r", makeStatus(false, 1, 9));
         group.reportStatus("s", makeStatus(false, 1, 8));
         group.tick(30ms);
+        group.record();
         REQUIRE(group.delegate.promoted);
         CHECK(*group.delegate.promoted == TargetName("r"));
-        CHECK(group.delegate.token == 6);
+        CHECK(group.delegate.token == 7);
         CHECK_FALSE(group.delegate.has("fence r"));
     }
     SECTION("which is preferably not a leaving one")
@@ -66,6 +67,7 @@
         group.reportStatus("r", makeStatus(false, 1, 9));
         group.reportStatus("s", makeStatus(false, 1, 9));
         group.tick(30ms);
+        group.record();
         CHECK(group.delegate.promoted == TargetName("s"));
     }
 }
@@ -106,11 +108,8 @@
         group.reportStatus("r", makeStatus(false, 1, 8, 2));
         group.reportStatus("s", makeStatus(false, 1, 8, 2));
         group.tick(30ms);
-        group.now += 10ms;
-        for (const auto* const name : { "p", "r", "s" })
-            group.reportStatus(name, makeStatus(false, 1, name[0] == 'p' ? 9 : 8, 2));
-        group.tick(30ms);
-        CHECK(group.delegate.promoted == TargetName("p"));
+        REQUIRE(group.delegate.lease);
+        CHECK(group.delegate.lease->pending->candidate == TargetName("p"));
     }
     SECTION("nor one that follows a primary of a later term")
     {
@@ -141,6 +140,7 @@
 {
     HandoverFixture group;
     group.reachLogEnd();
+    group.record();
     group.promotion.promoteAnswered(group.now, group.watcher, PromotionOutcome::NotRunning);
     REQUIRE(group.promotion.state() == "Delaying");
     group.now += Promotion::retryDelay;
@@ -156,11 +156,8 @@
         for (const auto* const name : { "p", "r", "s" })
             group.reportStatus(name, makeStatus(false, 1, 9, 2));
         group.tick(30ms);
-        group.now += 10ms;
-        for (const auto* const name : { "p", "r", "s" })
-            group.reportStatus(name, makeStatus(false, 1, 9, 2));
-        group.tick(30ms);
-        CHECK(group.delegate.promoted != TargetName("s"));
+        REQUIRE(group.delegate.lease->pending);
+        CHECK(group.delegate.lease->pending->candidate != TargetName("s"));
     }
 }
 
@@ -169,6 +166,7 @@
 {
     HandoverFixture group;
     group.reachLogEnd();
+    group.record();
     group.promotion.promoteAnswered(group.now, group.watcher, PromotionOutcome::Accepted);
     group.reportDemoted(9);
     group.tick(Promotion::commandRetryInterval);
--- a/tests/proxy/MemberReadTests.cpp
+++ b/tests/proxy/MemberReadTests.cpp
@@ -12,7 +12,7 @@
     CHECK(group.delegate.memberReads == 1);
     group.reportFenced();
     group.tick(30ms);
-    group.now += 10ms;
+    group.record();
     group.reportFenced();
     group.tick(30ms);
     CHECK_FALSE(group.delegate.promoted);
--- /dev/null
+++ b/tests/proxy/PendingPromotionTests.cpp
@@ -0,0 +1,154 @@
+#include "proxy/PromotionFixture.h"
+#include "proxy/PromotionLeaseCodec.h"
+
+using namespace Auburnpost;
+using namespace Auburnpost::Proxy;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// The lease's row as another host left it after it recorded a promotion of the target.
+PromotionLeaseRow rowWithPending(const std::string& target, std::uint64_t recordedAtMs, std::uint64_t storeNowMs)
+{
+    PromotionLease lease { HostName("other"), 0, PendingPromotion { TargetName(target), Term(1), recordedAtMs } };
+    return { RowVersion(5), lease, storeNowMs };
+}
+
+} // namespace
+
+// Guards against lost commits: once the members are resumed, the present primary acknowledges commits that the target
+// lacks when its promotion takes effect after all.
+TEST_CASE("Fences are kept while a promotion of an earlier lease may still take effect", "[proxy][promotion]")
+{
+    PromotionFixture group;
+    group.reportStatus("p", makeStatus(true, 1, 9));
+    group.reportStatus("r", makeStatus(false, 1, 7, 2));
+    group.reportStatus("s", makeStatus(false, 1, 8, 2));
+    group.promotion.start(group.now, group.watcher, group.random, PromotionGoal::ResumeMembers, FailoverReason::None);
+    group.now += Promotion::startJitter;
+    group.promotion.tick(group.now, group.watcher, FailoverReason::None);
+
+    SECTION("and the promotion is finished instead")
+    {
+        group.promotion.leaseRead(group.now, group.watcher, rowWithPending("s", 1000, 6000));
+        REQUIRE(group.delegate.lease);
+        REQUIRE(group.delegate.lease->pending);
+        CHECK(group.delegate.lease->pending->candidate == TargetName("s"));
+        group.promotion.leaseWritten(group.now, group.watcher, std::optional(RowVersion(6)));
+        CHECK_FALSE(group.delegate.has("resume r"));
+        CHECK(group.promotion.state() != "Finishing");
+    }
+    SECTION("but not for ever")
+    {
+        const auto later = 1000 + static_cast<std::uint64_t>(toMilliseconds(Promotion::pendingLifetime));
+        group.promotion.leaseRead(group.now, group.watcher, rowWithPending("s", 1000, later));
+        group.promotion.leaseWritten(group.now, group.watcher, std::optional(RowVersion(6)));
+        CHECK(group.delegate.has("resume r"));
+    }
+    SECTION("nor after a primary of a later term was seen")
+    {
+        group.reportStatus("s", makeStatus(true, 2, 0));
+        group.promotion.leaseRead(group.now, group.watcher, rowWithPending("s", 1000, 6000));
+        group.promotion.leaseWritten(group.now, group.watcher, std::optional(RowVersion(6)));
+        CHECK(group.promotion.state() == "Finishing");
+    }
+}
+
+TEST_CASE("A call that was not seen to take effect is repeated although the primary is back", "[proxy][promotion]")
+{
+    PromotionFixture group;
+    group.call(PromotionOutcome::Unanswered);
+    group.reportStatus("p", makeStatus(true, 1, 9));
+    group.now += Promotion::awaitTimeout;
+    group.promotion.tick(group.now, group.watcher, FailoverReason::None);
+    REQUIRE(group.promotion.state() == "Delaying");
+    group.now += Promotion::retryDelay;
+    group.promotion.tick(group.now, group.watcher, FailoverReason::None);
+    CHECK(group.promotion.state() == "Reading");
+    CHECK_FALSE(group.delegate.has("resume r"));
+
+    SECTION("until it can't take effect any more")
+    {
+        group.promotion.leaseRead(group.now, group.watcher, fail(ErrorCode::PlatformUnavailable, "", "", ""));
+        group.now += Promotion::pendingLifetime;
+        group.promotion.tick(group.now, group.watcher, FailoverReason::None);
+        CHECK(group.promotion.isIdle());
+    }
+}
+
+TEST_CASE("Among equal logs the target of a promotion that may still take effect is promoted", "[proxy][promotion]")
+{
+    PromotionFixture group;
+    const auto candidateWith = [&group](std::uint64_t positionOfR) {
+        group.promotion.start(
+            group.now, group.watcher, group.random, PromotionGoal::ReplacePrimary, FailoverReason::Down);
+        group.tick(Promotion::startJitter);
+        group.promotion.leaseRead(group.now, group.watcher, rowWithPending("r", 1000, 2000));
+        group.promotion.leaseWritten(group.now, group.watcher, std::optional(RowVersion(6)));
+        group.promotion.membersRead(group.now, group.watcher, true);
+        group.reportStatus("r", makeStatus(false, 1, positionOfR, 2));
+        group.reportStatus("s", makeStatus(false, 1, 8, 2));
+        group.tick(30ms);
+        return group.delegate.lease->pending->candidate;
+    };
+    SECTION("if its log is as long as any")
+    {
+        CHECK(candidateWith(8) == TargetName("r"));
+    }
+    SECTION("and not if its log lacks what may have been acknowledged")
+    {
+        CHECK(candidateWith(7) == TargetName("s"));
+    }
+    SECTION("although the former primary has commits that no replica received")
+    {
+        group.reportStatus("p", makeStatus(false, 1, 20, 2));
+        CHECK(candidateWith(8) == TargetName("r"));
+    }
+}
+
+TEST_CASE("A call is made only once its target is recorded with the lease", "[proxy][promotion]")
+{
+    PromotionFixture group;
+    group.acquireLease();
+    group.reportFenced();
+    group.promotion.membersRead(group.now, group.watcher, true);
+    group.tick(30ms);
+    REQUIRE(group.promotion.state() == "Recording");
+    group.reportFenced();
+    group.tick(30ms);
+    CHECK_FALSE(group.delegate.promoted);
+
+    SECTION("and not if another host holds the lease by then")
+    {
+        group.promotion.leaseWritten(group.now, group.watcher, std::optional<RowVersion> {});
+        CHECK(group.promotion.state() == "Delaying");
+        CHECK_FALSE(group.delegate.promoted);
+        CHECK(group.delegate.has("resume r"));
+    }
+}
+
+TEST_CASE("A pending promotion is stored with the lease", "[proxy][promotion]")
+{
+    const PromotionLease lease { HostName("front-1"), 77, PendingPromotion { TargetName("t"), Term(3), 41 } };
+    const auto decoded = decodePromotionLease(encodePromotionLease(lease));
+    REQUIRE(decoded);
+    REQUIRE(decoded->pending);
+    CHECK(decoded->pending->candidate == TargetName("t"));
+    CHECK(decoded->pending->replacedTerm == Term(3));
+    CHECK(decoded->pending->recordedAtMs == 41);
+
+    SECTION("a lease of an earlier version has none")
+    {
+        const auto earlier = decodePromotionLease(R"({"holder": "front-1", "expires_at_ms": 77})");
+        REQUIRE(earlier);
+        CHECK_FALSE(earlier->pending);
+    }
+    SECTION("fields of a later version are ignored")
+    {
+        CHECK(decodePromotionLease(R"({"holder": "front-1", "expires_at_ms": 77, "more": [1]})"));
+    }
+    SECTION("one that can't be read makes the lease unreadable")
+    {
+        CHECK_FALSE(decodePromotionLease(R"({"holder": "front-1", "expires_at_ms": 77, "pending": {"candidate": 1}})"));
+    }
+}
--- a/tests/proxy/PromotionFixture.h
+++ b/tests/proxy/PromotionFixture.h
@@ -16,6 +16,7 @@
     std::size_t reads { 0 };
     std::size_t writes { 0 };
     std::size_t memberReads { 0 };
+    std::optional<PromotionLease> lease;
     std::vector<std::string> commands;
     Instant callBefore {};
     /// Moment before which the last resume command has to be sent.
@@ -24,7 +25,11 @@
     std::uint64_t token { 0 };
 
     void readLease(const GroupName&) override { ++reads; }
-    void writeLease(const GroupName&, const PromotionLease&, RowVersion) override { ++writes; }
+    void writeLease(const GroupName&, const PromotionLease& written, RowVersion) override
+    {
+        ++writes;
+        lease = written;
+    }
     void readMembers(const GroupName&) override { ++memberReads; }
     void promote(const GroupName&, const TargetName& target, RowVersion version, Instant sendBefore) override
     {
@@ -108,14 +113,21 @@
         reportStatus("r", makeStatus(false, 1, 7, 2));
         reportStatus("s", makeStatus(false, 1, 8, 2));
     }
+    /// Answers the write that records the candidate, after which the fences are verified.
+    void record()
+    {
+        REQUIRE(promotion.state() == "Recording");
+        now += 10ms;
+        promotion.leaseWritten(now, watcher, std::optional(RowVersion(7)));
+    }
     /// Advances to the state in which the fences are verified.
     void verify()
     {
         acquireLease();
-        promotion.membersRead(now, watcher, true);
         reportFenced();
+        promotion.membersRead(now, watcher, true);
         tick(30ms);
-        now += 10ms;
+        record();
         reportFenced();
     }
     /// Advances to the promotion call for s and its outcome.
--- a/tests/proxy/PromotionLogTests.cpp
+++ b/tests/proxy/PromotionLogTests.cpp
@@ -112,6 +112,7 @@
         promotion.membersRead(now, watcher, true);
         reportFenced();
         tick(30ms);
+        promotion.leaseWritten(now, watcher, std::optional(RowVersion(61)));
         now += 10ms;
         reportFenced();
         tick(0ms);
@@ -234,7 +235,7 @@
 
     const auto event = LogEvent::PromotionRequested;
     CHECK(group.field(event, "target") == "s");
-    CHECK(group.field(event, "token") == "60");
+    CHECK(group.field(event, "token") == "61");
     CHECK(group.field(event, "received") == "1.8");
     CHECK(group.field(event, "trouble") == "down");
     CHECK(group.field(event, "counted") == "3");
@@ -313,7 +314,7 @@
         CHECK(group.delegate.countOf(LogEvent::PromotionFenceLost) == 0);
         CHECK(group.delegate.countOf(event) == 1);
         CHECK(group.field(event, "target") == "s");
-        CHECK(group.field(event, "token") == "60");
+        CHECK(group.field(event, "token") == "61");
         CHECK(group.field(event, "call_ms") == "300");
         CHECK(group.field(event, "suspected_ms") == "490");
         CHECK(group.field(event, "received") == "1.8");
@@ -341,7 +342,7 @@
         CHECK(group.delegate.countOf(LogEvent::PromotionFenceLost) == 1);
         CHECK(group.field(LogEvent::PromotionFenceLost, "target") == "r");
         CHECK(group.field(LogEvent::PromotionFenceLost, "candidate") == "s");
-        CHECK(group.field(LogEvent::PromotionFenceLost, "token") == "60");
+        CHECK(group.field(LogEvent::PromotionFenceLost, "token") == "61");
         CHECK(group.field(LogEvent::PromotionFenceLost, "why") == "removed");
         CHECK(group.field(LogEvent::PromotionFenceLost, "call_ms") == "250");
         CHECK(group.field(LogEvent::PromotionFenceLost, "received") == "1.9");
@@ -391,8 +392,10 @@
     group.callAndAnswer(PromotionOutcome::Unanswered);
     group.tick(Promotion::awaitTimeout);
     REQUIRE(group.promotion.state() == "Delaying");
-    // The primary is back, so that the attempt ends.
+    // The primary is back, and the store can't be reached until the call can't be expected to take effect any more.
     group.tick(Promotion::retryDelay, FailoverReason::None);
+    group.promotion.leaseRead(group.now, group.watcher, fail(ErrorCode::PlatformUnavailable, "", "", ""));
+    group.tick(Promotion::pendingLifetime, FailoverReason::None);
     REQUIRE(group.promotion.isIdle());
     group.reportStatus("r", makeStatus(false, 1, 10));
     group.confirmFences();
@@ -405,10 +408,10 @@
         CHECK(group.delegate.countOf(LogEvent::PromotionEffectSeen) == 0);
         CHECK(group.delegate.countOf(LogEvent::PromotionEffectLate) == 1);
         CHECK(group.field(LogEvent::PromotionEffectLate, "target") == "s");
-        CHECK(group.field(LogEvent::PromotionEffectLate, "token") == "60");
-        CHECK(group.field(LogEvent::PromotionEffectLate, "call_ms") == "3900");
-        CHECK(group.field(LogEvent::PromotionEffectLate, "given_up_ms") == "400");
-        CHECK(group.field(LogEvent::PromotionEffectLate, "fences") == "r/gone/3750ms,s/held");
+        CHECK(group.field(LogEvent::PromotionEffectLate, "token") == "61");
+        CHECK(group.field(LogEvent::PromotionEffectLate, "call_ms") == "13900");
+        CHECK(group.field(LogEvent::PromotionEffectLate, "given_up_ms") == "10400");
+        CHECK(group.field(LogEvent::PromotionEffectLate, "fences") == "r/gone/13750ms,s/held");
         CHECK(group.promotion.trace().calls().empty());
     }
     SECTION("but not the promotion of another target")
--- a/tests/proxy/PromotionTests.cpp
+++ b/tests/proxy/PromotionTests.cpp
@@ -4,7 +4,7 @@
 using namespace Auburnpost::Proxy;
 using namespace std::chrono_literals;
 
-TEST_CASE("A promotion acquires the lease, fences, verifies and calls, in this order", "[proxy][promotion]")
+TEST_CASE("A promotion acquires the lease, fences, records, verifies and calls, in this order", "[proxy][promotion]")
 {
     PromotionFixture group;
     group.acquireLease();
@@ -18,6 +18,10 @@
     group.reportStatus("s", makeStatus(false, 1, 8, 2));
     group.tick(30ms);
     CHECK(group.delegate.has("query r"));
+    REQUIRE(group.delegate.lease);
+    REQUIRE(group.delegate.lease->pending);
+    CHECK(group.delegate.lease->pending->candidate == TargetName("s"));
+    group.record();
     CHECK_FALSE(group.delegate.promoted);
 
     group.now += 10ms;
@@ -26,7 +30,7 @@
     group.tick(30ms);
     REQUIRE(group.delegate.promoted);
     CHECK(*group.delegate.promoted == TargetName("s"));
-    CHECK(group.delegate.token == 6);
+    CHECK(group.delegate.token == 7);
 
     SECTION("other members are resumed only once the former primary is demoted")
     {
@@ -67,7 +71,7 @@
     group.promotion.start(group.now, group.watcher, group.random, PromotionGoal::ReplacePrimary, FailoverReason::Down);
     group.tick(Promotion::startJitter);
     group.promotion.leaseRead(group.now, group.watcher,
-        PromotionLeaseRow { RowVersion(5), PromotionLease { HostName("other"), 2500 }, 1000 });
+        PromotionLeaseRow { RowVersion(5), PromotionLease { HostName("other"), 2500, {} }, 1000 });
     CHECK(group.delegate.writes == 0);
     group.tick(1400ms);
     CHECK(group.delegate.reads == 1);
--- a/tests/proxy/StateDumpTests.cpp
+++ b/tests/proxy/StateDumpTests.cpp
@@ -176,13 +176,15 @@
     test.run(200ms);
     test.proxy.leaseRead(test.now, GroupName("group"), PromotionLeaseRow {});
     test.proxy.leaseWritten(test.now, GroupName("group"), std::optional(RowVersion(20)));
-    test.run(400ms);
+    test.run(300ms);
+    test.proxy.leaseWritten(test.now, GroupName("group"), std::optional(RowVersion(21)));
+    test.run(100ms);
     const auto group = test.group();
     REQUIRE(group.at("promotion") == "Calling");
     const auto& calls = group.at("promotion_calls");
     REQUIRE(calls.size() == 1);
     CHECK(calls.front().at("candidate") == "r");
-    CHECK(calls.front().at("token") == 20);
+    CHECK(calls.front().at("token") == 21);
     CHECK(calls.front().at("log_end") == "2.9");
     CHECK(calls.front().at("call_ms") <= 400);
     CHECK(calls.front().at("given_up") == false);
--- a/tests/proxy/TablesTests.cpp
+++ b/tests/proxy/TablesTests.cpp
@@ -150,7 +150,7 @@
         (void)decodeSnapshot(bytes);
         (void)decodePromotionLease(bytes);
     });
-    const auto lease = decodePromotionLease(encodePromotionLease({ HostName("front-1"), 77 }));
+    const auto lease = decodePromotionLease(encodePromotionLease({ HostName("front-1"), 77, {} }));
     REQUIRE(lease);
     CHECK(lease->holder == HostName("front-1"));
     CHECK(lease->expiresAtMs == 77);
