Neither demote nor fence what follows the promotion that is awaited

While a host waited for the effect of its call, it demoted each primary and fenced each replica of a term below that of its fences. The platform counts terms of primaries only, so after a few attempts its next term may be lower: the promoted target itself was demoted, and the group had no primary for another attempt. Both now go by the term of the primary that is replaced, and the candidate is left alone.

--- a/src/proxy/Promotion.cpp
+++ b/src/proxy/Promotion.cpp
@@ -557,8 +557,9 @@
 {
     m_commandedAt = context.now;
     for (const auto& [name, member] : context.watcher.members()) {
-        const bool isFormerPrimary = member.status && member.status->isPrimary && member.status->term < m_term;
-        if (isFormerPrimary && !member.health.isSuspect(context.now))
+        // The platform's next term may be lower than the term of the fences.
+        const bool isFormerPrimary = member.status && member.status->isPrimary && member.status->term <= m_replacedTerm;
+        if (isFormerPrimary && name != m_candidate && !member.health.isSuspect(context.now))
             m_delegate.sendCommand(name, DemotePrimary { m_term }, Instant::max());
     }
 }
@@ -571,7 +572,8 @@
     for (const auto& [name, member] : context.watcher.members()) {
         const auto& status = member.status;
         const bool isCandidateOrPrimary = name == m_candidate || name == context.watcher.primary();
-        if (!isCandidateOrPrimary && status && !status->isPrimary && !status->isFenced() && status->term < m_term)
+        if (!isCandidateOrPrimary && status && !status->isPrimary && !status->isFenced()
+            && status->term <= m_replacedTerm)
             m_delegate.sendCommand(name, FenceReplica { m_term }, leaseUsableUntil());
     }
 }
