Postpone a planned switch while an earlier call may undo it

A call that was not seen to take effect is repeated. If the second one takes effect first and its target announces its shutdown soon after, a planned switch replaced it, and then the first call promoted it again without what had been acknowledged since.

The record of the pending promotion now says whether an earlier call was pending too. A planned switch away from its target waits until that can't take effect any more, at most 4 s from the announcement, as the target then may shut down; a primary that is down is replaced at once.

--- a/src/chart/EmbeddedCharts.cpp
+++ b/src/chart/EmbeddedCharts.cpp
@@ -16,6 +16,7 @@
   <state id="Claiming" initial="Reading">
     <transition event="claimHeld" target="Delaying"><action name="waitForHolder"/></transition>
     <transition event="claimRefused" target="Delaying"><action name="delayRetry"/></transition>
+    <transition event="handoverPostponed" target="Delaying"><action name="postponeHandover"/></transition>
     <transition event="progress" cond="claimLate" target="Delaying"><action name="delayRetry"/></transition>
     <state id="Reading">
       <onentry><action name="readClaim"/></onentry>
--- a/src/proxy/Promotion.cpp
+++ b/src/proxy/Promotion.cpp
@@ -43,10 +43,10 @@
         { "readClaim", &Promotion::readLease }, { "writeClaim", &Promotion::writeLease },
         { "fenceMembers", &Promotion::fenceMembers }, { "askFenced", &Promotion::queryFenced },
         { "startHandover", &Promotion::startHandover }, { "pollHandover", &Promotion::pollHandover },
-        { "recordCandidate", &Promotion::recordCandidate }, { "callPromotion", &Promotion::callPromotion },
-        { "demoteFormer", &Promotion::demoteFormerPrimary }, { "fenceAgain", &Promotion::refenceMembers },
-        { "joinMembers", &Promotion::joinMembers }, { "renewForRepairs", &Promotion::renewLeaseForResume },
-        { "giveUp", &Promotion::abandonAttempt } };
+        { "recordCandidate", &Promotion::recordCandidate }, { "postponeHandover", &Promotion::postponeHandover },
+        { "callPromotion", &Promotion::callPromotion }, { "demoteFormer", &Promotion::demoteFormerPrimary },
+        { "fenceAgain", &Promotion::refenceMembers }, { "joinMembers", &Promotion::joinMembers },
+        { "renewForRepairs", &Promotion::renewLeaseForResume }, { "giveUp", &Promotion::abandonAttempt } };
     const auto chart = Chart::StateChart::parse("promotion", Chart::embeddedChart("promotion"));
     AUBURNPOST_INVARIANT(chart, "promotion.scxml could not be parsed");
     auto runner = Runner::bind(*chart, std::move(bindings));
@@ -126,9 +126,12 @@
     }
     m_leaseRow = *row;
     const bool isHeld = row->lease && row->lease->holder != m_self && row->lease->expiresAtMs > row->storeNowMs;
-    if (!isHeld)
-        adoptPending(context);
-    fire(isHeld ? "claimHeld" : "claimFree", context);
+    if (isHeld) {
+        fire("claimHeld", context);
+        return;
+    }
+    adoptPending(context);
+    fire(isHandoverPostponed(context) ? "handoverPostponed" : "claimFree", context);
 }
 
 void Promotion::leaseWritten(
@@ -326,6 +329,27 @@
             { "left_ms", std::to_string(left) } });
 }
 
+bool Promotion::isHandoverPostponed(const Context& context) const
+{
+    const auto& lease = m_leaseRow.lease;
+    const auto& primary = context.watcher.primary();
+    if (!lease || !lease->pending || !lease->pending->isRepeated || lease->pending->candidate != primary)
+        return false;
+    // An earlier call for the present primary changes nothing now, and would undo its replacement.
+    const auto& leavingSince = context.watcher.find(*primary)->leavingSince;
+    return context.watcher.failoverReason(context.now) == FailoverReason::Leaving && leavingSince
+        && context.now - *leavingSince < maxHandoverDelay
+        && m_leaseRow.storeNowMs < lease->pending->recordedAtMs + milliseconds(pendingLifetime);
+}
+
+void Promotion::postponeHandover(Context& context)
+{
+    const auto until = m_leaseRow.lease->pending->recordedAtMs + milliseconds(pendingLifetime);
+    const auto left = std::chrono::milliseconds(until - m_leaseRow.storeNowMs);
+    const auto& primary = *context.watcher.find(*context.watcher.primary());
+    m_delayUntil = std::min<Instant>(context.now + left, *primary.leavingSince + maxHandoverDelay);
+}
+
 void Promotion::delayRetry(Context& context)
 {
     m_delayUntil = context.now + retryDelay;
@@ -382,9 +406,9 @@
 {
     const auto candidate = m_demoted ? handoverCandidate(context) : chooseFenced(context);
     if (!m_hasRecorded)
-        m_earlierPending = m_pending;
+        m_earlierPending = isPromotionPending(context) ? m_pending : std::nullopt;
     m_hasRecorded = true;
-    m_pending = { *candidate, m_replacedTerm, storeNowMs(context.now) };
+    m_pending = { *candidate, m_replacedTerm, storeNowMs(context.now), m_earlierPending.has_value() };
     m_pendingUntil = context.now + pendingLifetime;
     m_delegate.writeLease(m_group, { m_self, m_leaseRow.storeNowMs + milliseconds(leaseLifetime), m_pending }, m_token);
 }
--- a/src/proxy/Promotion.h
+++ b/src/proxy/Promotion.h
@@ -67,6 +67,8 @@
     static constexpr Duration leaseStepTimeout = std::chrono::milliseconds(1200);
     /// Time for which a call that is not seen to take effect may still do so.
     static constexpr Duration pendingLifetime = std::chrono::seconds(10);
+    /// Maximum time for which the replacement of a leaving primary is postponed; after that it may shut down.
+    static constexpr Duration maxHandoverDelay = std::chrono::milliseconds(4000);
     /// Maximum time for demoting a primary and finding a member that has its log.
     static constexpr Duration handoverTimeout = std::chrono::milliseconds(600);
     /// Interval at which the members' logs are compared with that of the demoted primary.
@@ -135,6 +137,7 @@
     [[nodiscard]] bool hasFinishTimedOut(const Context&) const;
 
     void waitForLeaseHolder(Context&);
+    void postponeHandover(Context&);
     void delayRetry(Context&);
     void readLease(Context&);
     void writeLease(Context&);
@@ -155,6 +158,8 @@
 
     /// Takes over a promotion that an earlier holder of the lease may have called for.
     void adoptPending(Context&);
+    /// @return whether the replacement of the leaving primary has to wait for an earlier call for the same target.
+    [[nodiscard]] bool isHandoverPostponed(const Context&) const;
     /// @return whether a call of this or an earlier lease may still take effect.
     [[nodiscard]] bool isPromotionPending(const Context&) const;
     /// @return the end of the log of the primary that was demoted; empty until it has reported that it is no primary.
--- a/src/proxy/PromotionLease.h
+++ b/src/proxy/PromotionLease.h
@@ -15,6 +15,8 @@
     Term replacedTerm;
     /// When it was recorded, on the store's steady clock in milliseconds.
     std::uint64_t recordedAtMs { 0 };
+    /// Whether an earlier call, which may also still take effect, was pending then.
+    bool isRepeated { false };
 };
 
 /// Grants one host the right to replace the primary of one group; stored as a row of the platform's store. The row's
--- a/src/proxy/PromotionLeaseCodec.cpp
+++ b/src/proxy/PromotionLeaseCodec.cpp
@@ -11,13 +11,14 @@
     Json encodePending(const PendingPromotion& pending)
     {
         return { { "candidate", pending.candidate.value() }, { "replaced_term", pending.replacedTerm.value() },
-            { "recorded_at_ms", pending.recordedAtMs } };
+            { "recorded_at_ms", pending.recordedAtMs }, { "repeated", pending.isRepeated } };
     }
 
     PendingPromotion decodePending(const Json& encoded)
     {
         return { TargetName(encoded.at("candidate").get<std::string>()),
-            Term(encoded.at("replaced_term").get<std::uint64_t>()), encoded.at("recorded_at_ms").get<std::uint64_t>() };
+            Term(encoded.at("replaced_term").get<std::uint64_t>()), encoded.at("recorded_at_ms").get<std::uint64_t>(),
+            encoded.value("repeated", false) };
     }
 
 } // namespace
--- a/tests/proxy/PendingPromotionTests.cpp
+++ b/tests/proxy/PendingPromotionTests.cpp
@@ -10,7 +10,8 @@
 /// The lease's row as another host left it after it recorded a promotion of the target.
 PromotionLeaseRow rowWithPending(const std::string& target, std::uint64_t recordedAtMs, std::uint64_t storeNowMs)
 {
-    PromotionLease lease { HostName("other"), 0, PendingPromotion { TargetName(target), Term(1), recordedAtMs } };
+    PromotionLease lease { HostName("other"), 0,
+        PendingPromotion { TargetName(target), Term(1), recordedAtMs, false } };
     return { RowVersion(5), lease, storeNowMs };
 }
 
@@ -127,15 +128,63 @@
     }
 }
 
+// Guards against lost commits: once the target of two calls has been replaced, the later effect of the other call
+// promotes it again, without what was acknowledged since.
+TEST_CASE(
+    "A planned switch waits while another call for the present primary may still take effect", "[proxy][promotion]")
+{
+    PromotionFixture group;
+    auto leaving = group.watcher.find(TargetName("p"))->record;
+    leaving.isLeaving = true;
+    group.reportStatus("p", makeStatus(true, 2, 9));
+    group.watcher.setMembers(group.now,
+        { leaving, group.watcher.find(TargetName("r"))->record, group.watcher.find(TargetName("s"))->record });
+    auto row = rowWithPending("p", 1000, 5000);
+    row.lease->pending->isRepeated = true;
+    const auto read = [&group, &row] {
+        group.promotion.start(
+            group.now, group.watcher, group.random, PromotionGoal::ReplacePrimary, FailoverReason::Leaving);
+        group.now += Promotion::startJitter;
+        group.promotion.tick(group.now, group.watcher, FailoverReason::Leaving);
+        group.promotion.leaseRead(group.now, group.watcher, row);
+        return group.promotion.state();
+    };
+    SECTION("for a time")
+    {
+        CHECK(read() == "Delaying");
+        group.now += Promotion::maxHandoverDelay;
+        group.promotion.tick(group.now, group.watcher, FailoverReason::Leaving);
+        group.promotion.leaseRead(group.now, group.watcher, row);
+        CHECK(group.promotion.state() == "Writing");
+    }
+    SECTION("but not if there was one call")
+    {
+        row.lease->pending->isRepeated = false;
+        CHECK(read() == "Writing");
+    }
+    SECTION("nor once the call can't take effect any more")
+    {
+        row.storeNowMs = 1000 + static_cast<std::uint64_t>(toMilliseconds(Promotion::pendingLifetime));
+        CHECK(read() == "Writing");
+    }
+    SECTION("nor if the primary is down")
+    {
+        for (std::size_t count = 0; count < TargetHealth::refusalsUntilDown; ++count)
+            group.watcher.health(TargetName("p"))->recordRefusal(group.now);
+        CHECK(read() == "Writing");
+    }
+}
+
 TEST_CASE("A pending promotion is stored with the lease", "[proxy][promotion]")
 {
-    const PromotionLease lease { HostName("front-1"), 77, PendingPromotion { TargetName("t"), Term(3), 41 } };
+    const PromotionLease lease { HostName("front-1"), 77, PendingPromotion { TargetName("t"), Term(3), 41, true } };
     const auto decoded = decodePromotionLease(encodePromotionLease(lease));
     REQUIRE(decoded);
     REQUIRE(decoded->pending);
     CHECK(decoded->pending->candidate == TargetName("t"));
     CHECK(decoded->pending->replacedTerm == Term(3));
     CHECK(decoded->pending->recordedAtMs == 41);
+    CHECK(decoded->pending->isRepeated);
 
     SECTION("a lease of an earlier version has none")
     {
