--- a/tests/platform/RecordingDelegate.h
+++ b/tests/platform/RecordingDelegate.h
@@ -41,6 +41,7 @@
     void send(ConnectionId, const std::vector<Proxy::TargetRequest>&) override { }
     void readLease(const Proxy::GroupName&) override { }
     void writeLease(const Proxy::GroupName&, const Proxy::PromotionLease&, Proxy::RowVersion) override { }
+    void readMembers(const Proxy::GroupName&, const std::string&) override { }
     void promote(const Proxy::GroupName&, const TargetName&, Proxy::RowVersion, Instant) override { }
     void queryPeer(const SocketAddress&) override { }
     void log(const LogRecord& record) override { records.push_back(record); }
--- a/tests/platform/StoreCallsTests.cpp
+++ b/tests/platform/StoreCallsTests.cpp
@@ -54,7 +54,7 @@
 TEST_CASE("A promotion lease is written under a version condition and read back with its version", "[platform]")
 {
     const GroupName group("finy74a");
-    const auto call = makeLeaseWriteCall(group, { HostName("front-1"), 5000 }, RowVersion(18));
+    const auto call = makeLeaseWriteCall(group, { HostName("front-1"), 5000, {} }, RowVersion(18));
     CHECK(call.method == PlatformMethod::Post);
     const auto body = json::parse(call.body);
     CHECK(body.at("Precondition").at(0).at("RecordVersion") == 18);
