Confirm no log point from fences alone

While enough members were fenced, each host took the longest of their logs for the end of what had been acknowledged, and served reads of stated age behind it. Like the promotion it counted the members that it knew: with a primary that was not fenced and a member that the host did not know, or with an old list, commits went on being acknowledged, and reads lacked them (STALE).

A planned switch fences nobody any more, so that this was of use in unplanned ones only, where a confirmation from before the loss lasts for most of the time without a primary. It is taken out.

Test changed: "While enough members are fenced the longest of their logs has every acknowledged commit" stated what does not hold; the same set-up now checks that nothing is confirmed, as does the property test.

--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -131,28 +131,8 @@
     return member ? &member->health : nullptr;
 }
 
-void GroupWatcher::confirmFencedLogEnd()
-{
-    std::vector<const Member*> fenced;
-    for (const auto& [name, member] : members()) {
-        const bool isFenced = member.status && member.status->isFenced() && !member.status->isPrimary;
-        if (isFenced && member.status->term <= m_primaryTerm)
-            fenced.push_back(&member);
-    }
-    const auto needed = fencesNeeded();
-    if (m_rules.syncReplicas == 0 || fenced.size() < needed)
-        return;
-    std::sort(fenced.begin(), fenced.end(),
-        [](const Member* left, const Member* right) { return left->queriedAt > right->queriedAt; });
-    LogPoint end;
-    for (std::size_t index = 0; index < needed; ++index)
-        end = std::max(end, fenced[index]->status->received);
-    m_confirmations.add(fenced[needed - 1]->queriedAt, {}, end);
-}
-
 void GroupWatcher::confirmPrimary()
 {
-    confirmFencedLogEnd();
     if (!m_primary)
         return;
     const auto& primary = m_membership.members().at(*m_primary);
--- a/src/proxy/GroupWatcher.h
+++ b/src/proxy/GroupWatcher.h
@@ -104,9 +104,6 @@
 private:
     /// Adds a confirmation if the primary and enough other members report no fence and no higher term.
     void confirmPrimary();
-    /// Adds a log position without a primary if enough members are fenced: no commit can be acknowledged meanwhile, and
-    /// at least one of these members has every acknowledged commit.
-    void confirmFencedLogEnd();
     void updateBehindSince(Instant now, Member&, Instant queriedAt, const TargetStatus&);
     [[nodiscard]] bool isBlocked(Instant now, const Member& primary) const;
     void updateFencedSince(Instant now);
--- a/src/proxy/PrimaryConfirmations.h
+++ b/src/proxy/PrimaryConfirmations.h
@@ -17,7 +17,6 @@
 
     /// Adds a confirmation unless a newer one is known.
     /// @param requestedAt no later than the sending of the first request that the confirmation relies on.
-    /// @param primary empty when members are fenced and only the log position is known.
     void add(Instant requestedAt, const TargetName& primary, const LogPoint& primaryEnd);
 
     /// @return whether a read that arrived at @p arrival sees every acknowledged commit when it runs on @p primary.
--- a/tests/proxy/GroupWatcherTests.cpp
+++ b/tests/proxy/GroupWatcherTests.cpp
@@ -102,14 +102,15 @@
     }
 }
 
-TEST_CASE("While enough members are fenced the longest of their logs has every acknowledged commit", "[proxy][watcher]")
+// Guards against stale reads: a member that this host does not know may go on acknowledging with the primary.
+TEST_CASE("Fenced members alone confirm no log point", "[proxy][watcher]")
 {
     auto watcher = threeMembers();
     watcher.recordStatus(start, p, start, makeStatus(true, 1, 9));
     watcher.recordStatus(start + 1s, r, start + 1s, makeStatus(false, 1, 7, 2));
     CHECK_FALSE(watcher.confirmations().logPointAt(start + 1s));
     watcher.recordStatus(start + 1s, s, start + 1s, makeStatus(false, 1, 8, 2));
-    CHECK(watcher.confirmations().logPointAt(start + 1s) == LogPoint { Term(1), Position(8) });
+    CHECK_FALSE(watcher.confirmations().logPointAt(start + 1s));
 }
 
 TEST_CASE("A primary is blocked only when no replica catches up with its earlier status", "[proxy][watcher]")
@@ -302,8 +303,8 @@
         // alone.
         if (sync > 0 && count >= fenced.fencesNeeded())
             CHECK(size - count < quorum);
-        const bool hasLogEnd = fenced.confirmations().logPointAt(start).has_value();
-        CHECK_FALSE((hasLogEnd && size - count >= quorum));
+        if (count > 0)
+            CHECK_FALSE(fenced.confirmations().logPointAt(start));
     }
     // If the primary alone is lost, the others are enough for a promotion.
     GroupWatcher watcher;
