--- a/src/proxy/Promotion.cpp
+++ b/src/proxy/Promotion.cpp
@@ -283,6 +283,7 @@
 LogPoint Promotion::requiredLogEnd(const GroupWatcher& watcher, const std::set<TargetName>& fenced) const
 {
     std::vector<LogPoint> ends;
+    ends.reserve(fenced.size());
     for (const auto& name : fenced)
         ends.push_back(watcher.find(name)->status->received);
     std::sort(ends.rbegin(), ends.rend());
@@ -543,8 +544,6 @@
 std::optional<TargetName> Promotion::chooseFenced(const Context& context) const
 {
     const auto fenced = fencedMembers(context.watcher);
-    if (fenced.empty())
-        return {};
     // A promotion that may still take effect would undo that of another member.
     if (m_pending && fenced.contains(m_pending->candidate)) {
         const auto* const pending = context.watcher.find(m_pending->candidate);
@@ -560,6 +559,8 @@
         if (!best || rank(*member) > rank(*best))
             best = member;
     }
+    if (!best)
+        return {};
     return best->record.name;
 }
 
