Demote a blocked primary that answers before another target is called for

A primary whose replicas lag is replaced by counting fences, and was demoted only once the call had been accepted. A replica that started after the fences, or whose record came after the list was read, acknowledged with it until the promotion took effect, and these commits were rolled back.

The primary is now demoted beside the verification of the fences, and the members are read from the store again; the call waits for both. Between the demotion and the effect nobody acknowledges, however late the effect. A read that began before the lease, or before the demotion, does not count. What stays open is a replica that acknowledged before the demotion and has no record in the store by then.

--- a/src/chart/EmbeddedCharts.cpp
+++ b/src/chart/EmbeddedCharts.cpp
@@ -41,8 +41,8 @@
     </state>
     <state id="Fencing">
       <onentry><action name="fenceMembers"/></onentry>
-      <transition event="progress" cond="candidateRecorded" target="Verifying"><action name="askFenced"/></transition>
-      <transition event="progress" cond="enoughFenced" target="Recording"><action name="askFenced"/></transition>
+      <transition event="progress" cond="candidateRecorded" target="Verifying"><action name="closePrimaryLog"/><action name="askFenced"/></transition>
+      <transition event="progress" cond="enoughFenced" target="Recording"><action name="closePrimaryLog"/><action name="askFenced"/></transition>
       <transition event="progress" cond="retryDue"><action name="fenceMembers"/></transition>
       <transition event="listed"><action name="fenceMembers"/></transition>
     </state>
--- a/src/proxy/Promotion.cpp
+++ b/src/proxy/Promotion.cpp
@@ -42,11 +42,12 @@
     bindings.actions = { { "waitForHolder", &Promotion::waitForLeaseHolder }, { "delayRetry", &Promotion::delayRetry },
         { "readClaim", &Promotion::readLease }, { "writeClaim", &Promotion::writeLease },
         { "fenceMembers", &Promotion::fenceMembers }, { "askFenced", &Promotion::queryFenced },
-        { "startHandover", &Promotion::startHandover }, { "pollHandover", &Promotion::pollHandover },
-        { "recordCandidate", &Promotion::recordCandidate }, { "postponeHandover", &Promotion::postponeHandover },
-        { "callPromotion", &Promotion::callPromotion }, { "demoteFormer", &Promotion::demoteFormerPrimary },
-        { "fenceAgain", &Promotion::refenceMembers }, { "joinMembers", &Promotion::joinMembers },
-        { "renewForRepairs", &Promotion::renewLeaseForResume }, { "giveUp", &Promotion::abandonAttempt } };
+        { "closePrimaryLog", &Promotion::closePrimaryLog }, { "startHandover", &Promotion::startHandover },
+        { "pollHandover", &Promotion::pollHandover }, { "recordCandidate", &Promotion::recordCandidate },
+        { "postponeHandover", &Promotion::postponeHandover }, { "callPromotion", &Promotion::callPromotion },
+        { "demoteFormer", &Promotion::demoteFormerPrimary }, { "fenceAgain", &Promotion::refenceMembers },
+        { "joinMembers", &Promotion::joinMembers }, { "renewForRepairs", &Promotion::renewLeaseForResume },
+        { "giveUp", &Promotion::abandonAttempt } };
     const auto chart = Chart::StateChart::parse("promotion", Chart::embeddedChart("promotion"));
     AUBURNPOST_INVARIANT(chart, "promotion.scxml could not be parsed");
     auto runner = Runner::bind(*chart, std::move(bindings));
@@ -159,6 +160,7 @@
     m_hasRecorded = false;
     m_demoted.reset();
     m_isListFresh = false;
+    m_isReadOutdated = m_isReadingMembers;
     std::vector<LogField> fields { { "token", std::to_string(m_token.value()) },
         { "term", std::to_string(m_term.value()) },
         { "trouble", m_goal == PromotionGoal::ResumeMembers ? "fences" : std::string(toString(m_failoverReason)) } };
@@ -170,7 +172,13 @@
 void Promotion::membersRead(Instant now, const GroupWatcher& watcher, bool isKnown)
 {
     m_isReadingMembers = false;
-    if (!isKnown || isIdle())
+    if (isIdle())
+        return;
+    if (std::exchange(m_isReadOutdated, false)) {
+        readMembers();
+        return;
+    }
+    if (!isKnown)
         return;
     m_isListFresh = true;
     Context context { now, watcher };
@@ -270,6 +278,9 @@
     // After a pause of this host the fences may look valid although another host holds the lease.
     if (!m_isListFresh || isLeaseEnding(context) || isSuperseded(context))
         return false;
+    const auto& primary = context.watcher.primary();
+    if (primary && !context.watcher.find(*primary)->health.isDown(context.now))
+        return false;
     std::set<TargetName> verified;
     for (const auto& name : fencedMembers(context.watcher)) {
         if (context.watcher.find(name)->queriedAt >= m_verifyStartedAt)
@@ -508,6 +519,15 @@
     return name != watcher.primary() && (member.isListed() || !member.endedAt);
 }
 
+void Promotion::readMembers()
+{
+    m_isReadOutdated = m_isReadingMembers;
+    if (m_isReadingMembers)
+        return;
+    m_isReadingMembers = true;
+    m_delegate.readMembers(m_group);
+}
+
 void Promotion::fenceMembers(Context& context)
 {
     m_commandedAt = context.now;
@@ -515,10 +535,8 @@
         log(LogEvent::HandoverStalled,
             { { "primary", m_demoted->value() }, { "token", std::to_string(m_token.value()) } });
     m_demoted.reset();
-    if (!m_isListFresh && !m_isReadingMembers) {
-        m_isReadingMembers = true;
-        m_delegate.readMembers(m_group);
-    }
+    if (!m_isListFresh && !m_isReadingMembers)
+        readMembers();
     for (const auto& [name, member] : context.watcher.members()) {
         const bool isFenced = member.status && member.status->fencedTerm == m_term;
         if (mayFence(context.watcher, name, member) && !isFenced)
@@ -526,6 +544,18 @@
     }
 }
 
+void Promotion::closePrimaryLog(Context& context)
+{
+    const auto& primary = context.watcher.primary();
+    if (!primary || context.watcher.find(*primary)->health.isDown(context.now))
+        return;
+    // A member that joined meanwhile may acknowledge with the primary, and is listed only later.
+    m_hasDemotedPrimary = true;
+    m_delegate.sendCommand(*primary, DemotePrimary { m_term }, leaseUsableUntil());
+    m_isListFresh = false;
+    readMembers();
+}
+
 void Promotion::queryFenced(Context& context)
 {
     m_commandedAt = context.now;
--- a/src/proxy/Promotion.h
+++ b/src/proxy/Promotion.h
@@ -145,6 +145,8 @@
     void pollHandover(Context&);
     void fenceMembers(Context&);
     void queryFenced(Context&);
+    /// Demotes a primary that answers, and reads the members again.
+    void closePrimaryLog(Context&);
     /// Writes the candidate to the lease's row, whose new version is the token of the call.
     void recordCandidate(Context&);
     void callPromotion(Context&);
@@ -156,6 +158,7 @@
     void renewLeaseForResume(Context&);
     void abandonAttempt(Context&);
 
+    void readMembers();
     /// Takes over a promotion that an earlier holder of the lease may have called for.
     void adoptPending(Context&);
     /// @return whether the replacement of the leaving primary has to wait for an earlier call for the same target.
@@ -223,6 +226,8 @@
     /// Whether the members are those that the store listed after the lease was acquired.
     bool m_isListFresh { false };
     bool m_isReadingMembers { false };
+    /// Whether the read in progress began too early.
+    bool m_isReadOutdated { false };
     /// The primary that this attempt demoted, and when; empty unless it hands over.
     std::optional<TargetName> m_demoted;
     Instant m_demotedAt {};
--- a/tests/proxy/MemberReadTests.cpp
+++ b/tests/proxy/MemberReadTests.cpp
@@ -17,6 +17,18 @@
     group.tick(30ms);
     CHECK_FALSE(group.delegate.promoted);
 
+    SECTION("a read that began before the lease was acquired is repeated")
+    {
+        group.tick(Promotion::leaseLifetime);
+        group.tick(30ms);
+        REQUIRE(group.promotion.state() == "Delaying");
+        group.tick(Promotion::retryDelay);
+        group.promotion.leaseRead(group.now, group.watcher, PromotionLeaseRow { RowVersion(7), {}, 9000 });
+        group.promotion.leaseWritten(group.now, group.watcher, std::optional(RowVersion(8)));
+        CHECK(group.delegate.memberReads == 1);
+        group.promotion.membersRead(group.now, group.watcher, true);
+        CHECK(group.delegate.memberReads == 2);
+    }
     SECTION("a failed read is repeated")
     {
         group.promotion.membersRead(group.now, group.watcher, false);
@@ -40,3 +52,33 @@
         CHECK(group.delegate.has("fence t"));
     }
 }
+
+// Guards against lost commits: until the call takes effect, a primary that answers may acknowledge with a member that
+// joined after the list was read.
+TEST_CASE(
+    "A blocked primary that answers is demoted, and the members are read again, before the call", "[proxy][promotion]")
+{
+    PromotionFixture group;
+    group.now += 100ms;
+    group.reportStatus("p", makeStatus(true, 1, 20));
+    group.now += 100ms;
+    for (const auto* const name : { "r", "s" })
+        group.reportStatus(name, makeStatus(false, 1, 8));
+    group.acquireLease();
+    REQUIRE(group.promotion.state() == "Fencing");
+    group.promotion.membersRead(group.now, group.watcher, true);
+    group.reportFenced();
+    group.tick(30ms);
+    CHECK(group.delegate.has("demote p"));
+    CHECK(group.delegate.memberReads == 2);
+    group.record();
+    group.reportFenced();
+    group.tick(30ms);
+    CHECK_FALSE(group.delegate.promoted);
+    group.promotion.membersRead(group.now, group.watcher, true);
+    group.tick(30ms);
+    CHECK_FALSE(group.delegate.promoted);
+    group.reportStatus("p", makeStatus(false, 1, 20));
+    group.tick(30ms);
+    CHECK(group.delegate.promoted == TargetName("s"));
+}
