Believe a restart at an address from what answers there

A record at the address of a working replica hid it: of several records with one address only that of the latest start counted, whoever wrote it, whatever group it named.

TargetDirectory keeps every record now, and a record that lapses stays in use for its time even if another one has its address. GroupMembership replaces a member by another of its group at the same address, with a later start, once that one has reported a status; members at one address count once, as before.

--- a/src/proxy/GroupMembership.cpp
+++ b/src/proxy/GroupMembership.cpp
@@ -15,8 +15,9 @@
 {
     const bool isFirstList = m_members.empty();
     GroupMembers next;
-    std::set<SocketAddress> addresses;
     for (const auto& record : records) {
+        if (isSuperseded(record))
+            continue;
         const auto known = m_members.find(record.name);
         auto& member = next[record.name];
         if (known != m_members.end() && known->second.record.incarnation == record.incarnation)
@@ -34,13 +35,12 @@
             member.leavingSince.reset();
         else if (!member.leavingSince)
             member.leavingSince = now;
-        addresses.insert(record.address);
     }
     std::vector<MemberRelease> released;
     for (auto& [name, member] : m_members) {
         if (next.contains(name))
             continue;
-        if (addresses.contains(member.record.address)) {
+        if (isSuperseded(member.record)) {
             released.push_back({ name, MemberReleaseReason::Superseded });
         } else if (!member.mayHaveLog()) {
             released.push_back({ name, MemberReleaseReason::NeverAnswered });
@@ -54,10 +54,23 @@
     return released;
 }
 
-std::vector<MemberRelease> GroupMembership::releaseUnlisted(Instant now, const GroupMember* primary)
+bool GroupMembership::isSuperseded(const TargetRecord& record) const
+{
+    return std::any_of(m_members.begin(), m_members.end(), [&record](const auto& entry) {
+        const auto& other = entry.second;
+        return other.record.address == record.address && record.incarnation < other.record.incarnation
+            && other.isListed() && other.status;
+    });
+}
+
+std::vector<MemberRelease> GroupMembership::releaseMembers(Instant now, const GroupMember* primary)
 {
     std::vector<MemberRelease> released;
     for (auto& [name, member] : m_members) {
+        if (isSuperseded(member.record)) {
+            released.push_back({ name, MemberReleaseReason::Superseded });
+            continue;
+        }
         if (member.isListed())
             continue;
         if (const auto reason = releaseReason(now, member, primary))
--- a/src/proxy/GroupMembership.h
+++ b/src/proxy/GroupMembership.h
@@ -13,7 +13,7 @@
     LogsCaughtUp,
     /// It never answered this host.
     NeverAnswered,
-    /// Another record stands for the log at its address.
+    /// A target that started later at its address answers there, with its log.
     Superseded,
     /// The limit for the wait has passed.
     GivenUp,
@@ -48,10 +48,11 @@
     /// Forgets all members, of a group that is no longer watched.
     void clear() { m_members.clear(); }
 
-    /// Updates what is known of members without a record, after a status or a failed connection.
+    /// Updates what is known of members without a record, after a status or a failed connection, and releases members
+    /// that restarted under a new name.
     /// @param primary the current primary; null when none is known.
     /// @return the members that no longer count.
-    std::vector<MemberRelease> releaseUnlisted(Instant now, const GroupMember* primary);
+    std::vector<MemberRelease> releaseMembers(Instant now, const GroupMember* primary);
 
     [[nodiscard]] GroupMembers& members() { return m_members; }
     [[nodiscard]] const GroupMembers& members() const { return m_members; }
@@ -74,6 +75,9 @@
     [[nodiscard]] bool awaitsEvidence() const;
 
 private:
+    /// @return whether a target that started later answers at the address of the record. A record alone may be another
+    /// writer's.
+    [[nodiscard]] bool isSuperseded(const TargetRecord&) const;
     /// @return whether enough listed members besides the primary have the log up to the point.
     [[nodiscard]] bool isHeldByListed(const LogPoint&, const GroupMember& primary) const;
     [[nodiscard]] std::optional<MemberReleaseReason> releaseReason(
--- a/src/proxy/GroupService.cpp
+++ b/src/proxy/GroupService.cpp
@@ -74,7 +74,7 @@
 
 void GroupService::forgetReleasedMembers(Instant now)
 {
-    for (const auto& release : m_watcher.releaseUnlisted(now))
+    for (const auto& release : m_watcher.releaseMembers(now))
         log({ LogEvent::MemberReleased,
             { { "group", m_name.value() }, { "target", release.name.value() },
                 { "reason", std::string(toString(release.reason)) },
--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -52,10 +52,14 @@
     m_fencedSince.reset();
 }
 
-std::vector<MemberRelease> GroupWatcher::releaseUnlisted(Instant now)
+std::vector<MemberRelease> GroupWatcher::releaseMembers(Instant now)
 {
-    const auto released = m_membership.releaseUnlisted(now, m_primary ? find(*m_primary) : nullptr);
+    const auto released = m_membership.releaseMembers(now, m_primary ? find(*m_primary) : nullptr);
     m_released.insert(m_released.end(), released.begin(), released.end());
+    if (m_primary && !find(*m_primary)) {
+        m_primary.reset();
+        m_primaryMissingSince = now;
+    }
     if (!released.empty())
         updateFencedSince(now);
     return std::exchange(m_released, {});
--- a/src/proxy/GroupWatcher.h
+++ b/src/proxy/GroupWatcher.h
@@ -46,9 +46,9 @@
     void setMembers(Instant now, const std::vector<TargetRecord>&);
     /// Forgets the members of a group that this host no longer serves.
     void stopWatching();
-    /// Releases the members without a record that no longer count.
+    /// Releases the members that no longer count.
     /// @return the members released since the last call.
-    std::vector<MemberRelease> releaseUnlisted(Instant now);
+    std::vector<MemberRelease> releaseMembers(Instant now);
     void setRules(const GroupRules& rules)
     {
         m_rules = rules;
--- a/src/proxy/TargetDirectory.cpp
+++ b/src/proxy/TargetDirectory.cpp
@@ -7,27 +7,6 @@
 
 namespace Auburnpost::Proxy {
 
-namespace {
-
-    /// @return the records without those superseded by a later start of a target at the same address.
-    std::vector<TargetRecord> withoutSuperseded(const std::vector<TargetRecord>& listed)
-    {
-        std::map<SocketAddress, const TargetRecord*> latest;
-        for (const auto& record : listed) {
-            auto& known = latest[record.address];
-            if (!known || known->incarnation < record.incarnation)
-                known = &record;
-        }
-        std::vector<TargetRecord> records;
-        for (const auto& record : listed) {
-            if (latest.at(record.address) == &record)
-                records.push_back(record);
-        }
-        return records;
-    }
-
-} // namespace
-
 void TargetDirectory::setBounds(const TimeBounds& bounds)
 {
     m_missingTimeout = std::clamp(
@@ -37,12 +16,9 @@
 TargetDirectory::Changes TargetDirectory::update(Instant now, const std::vector<TargetRecord>& rows)
 {
     Changes changes;
-    const auto listed = withoutSuperseded(rows);
     std::set<TargetName> names;
-    std::set<SocketAddress> addresses;
-    for (const auto& record : listed) {
+    for (const auto& record : rows) {
         names.insert(record.name);
-        addresses.insert(record.address);
         auto& entry = m_targets[record.name];
         const bool hasChanged = entry.record != record;
         if (hasChanged)
@@ -51,8 +27,7 @@
     }
     for (auto next = m_targets.begin(); next != m_targets.end();) {
         auto& [name, entry] = *next;
-        const bool isSuperseded = addresses.contains(entry.record.address);
-        if (!names.contains(name) && (entry.record.isLeaving || isSuperseded)) {
+        if (!names.contains(name) && entry.record.isLeaving) {
             changes.removed.push_back(entry.record);
             next = m_targets.erase(next);
             continue;
--- a/src/proxy/TargetDirectory.h
+++ b/src/proxy/TargetDirectory.h
@@ -35,8 +35,7 @@
         [[nodiscard]] bool isEmpty() const { return listed.empty() && removed.empty(); }
     };
 
-    /// Replaces the listed targets. Of several records with one address only that of the latest start counts, as a
-    /// target that crashed restarts under a new name.
+    /// Replaces the listed targets.
     Changes update(Instant now, const std::vector<TargetRecord>& rows);
     /// Removes targets whose record has been missing for missingTimeout().
     Changes expire(Instant now);
--- a/tests/proxy/GroupServiceTests.cpp
+++ b/tests/proxy/GroupServiceTests.cpp
@@ -404,6 +404,7 @@
 
     // Another target stands for the log at its address.
     group.records[0].name = TargetName("restarted");
+    group.records[0].incarnation = TargetIncarnation(99);
     group.service.setMembers(group.now, group.records);
     for (const auto& [id, target] : group.delegate.targets) {
         if (target == formerPrimary && !group.delegate.closed.contains(id))
