--- a/src/proxy/Promotion.h
+++ b/src/proxy/Promotion.h
@@ -103,6 +103,8 @@
     }
     [[nodiscard]] const std::string& state() const { return m_runner.state(); }
     [[nodiscard]] const PromotionTrace& trace() const { return m_trace; }
+    /// @return the last promotion that was recorded and not seen to take effect, for dumps.
+    [[nodiscard]] const std::optional<PendingPromotion>& pending() const { return m_pending; }
 
 private:
     struct Context {
--- a/src/proxy/StateDump.cpp
+++ b/src/proxy/StateDump.cpp
@@ -15,7 +15,14 @@
         Json described { { "data_centre", member.record.dataCentre.value() }, { "leaving", member.record.isLeaving },
             { "doubtful", member.health.isSuspect(now) },
             { "round_trip_ms", toMilliseconds(member.health.roundTrip()) }, { "connections", connections },
-            { "role", "unknown" } };
+            { "role", "unknown" }, { "listed", member.isListed() } };
+        if (member.unlistedSince) {
+            described["unlisted_ms"] = toMilliseconds(now - *member.unlistedSince);
+            described["ended"] = member.endedAt.has_value();
+        }
+        // The log end that members which stay have to reach before this one no longer counts.
+        if (member.lastDependentEnd)
+            described["awaited_log_end"] = PromotionLog::describe(*member.lastDependentEnd);
         if (const auto& status = member.status) {
             described["role"] = status->isPrimary ? "primary" : "replica";
             described["term"] = status->term.value();
@@ -61,6 +68,9 @@
         { "promotion_calls", describeCalls(now, group.promotion().trace()) }, { "members", std::move(members) },
         { "departed", PromotionLog::describeDepartures(now, watcher) }, { "counted", watcher.groupSize() },
         { "fences_needed", watcher.fencesNeeded() } };
+    if (const auto& pending = group.promotion().pending())
+        described["pending_promotion"]
+            = { { "candidate", pending->candidate.value() }, { "replaced_term", pending->replacedTerm.value() } };
     if (const auto& log = watcher.history().primaryLog()) {
         described["primary_end"] = PromotionLog::describe(log->end);
         described["primary_end_age_ms"] = toMilliseconds(now - log->knownAt);
--- a/tests/proxy/StateDumpTests.cpp
+++ b/tests/proxy/StateDumpTests.cpp
@@ -189,6 +189,7 @@
     CHECK(calls.front().at("call_ms") <= 400);
     CHECK(calls.front().at("given_up") == false);
     CHECK(group.at("members").at("p").at("role") == "replica");
+    CHECK(group.at("pending_promotion").at("candidate") == "r");
     CHECK(group.at("members").at("p").at("leaving") == true);
 }
 
@@ -203,6 +204,11 @@
     CHECK(test.delegate.removals.at("r").fields.at(3).value == "13");
     test.run(TargetDirectory::maxMissingTimeout + 100ms);
     CHECK(test.delegate.removals.at("s").fields.at(2).value == "no");
+    const auto group = test.group();
+    const auto& lapsed = group.at("members").at("s");
+    CHECK(lapsed.at("listed") == false);
+    CHECK(lapsed.at("unlisted_ms") <= 100);
+    CHECK(lapsed.at("ended") == false);
     CHECK(test.group().at("departed").get<std::string>().find("r/left/2.8/") == 0);
     CHECK(test.group().at("departed").get<std::string>().find("s/lapsed/2.8/") != std::string::npos);
 }
