--- /dev/null
+++ b/src/proxy/PromotionFencing.cpp
@@ -0,0 +1,168 @@
+#include "proxy/Promotion.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace Auburnpost::Proxy {
+
+std::set<TargetName> Promotion::fencedMembers(const GroupWatcher& watcher) const
+{
+    std::set<TargetName> names;
+    for (const auto& [name, member] : watcher.members()) {
+        if (member.status && !member.status->isPrimary && member.status->fencedTerm == m_term)
+            names.insert(name);
+    }
+    return names;
+}
+
+bool Promotion::hasEnoughFenced(const Context& context) const
+{
+    if (!m_enoughFencedSince || isLeaseEnding(context) || isSuperseded(context))
+        return false;
+    const auto& members = context.watcher.members();
+    const auto others = static_cast<std::size_t>(std::count_if(members.begin(), members.end(),
+        [&context](const auto& entry) { return mayFence(context.watcher, entry.first, entry.second); }));
+    return fencedMembers(context.watcher).size() >= others || context.now - *m_enoughFencedSince >= fenceGrace;
+}
+
+bool Promotion::areFencesVerified(const Context& context) const
+{
+    // After a pause of this host the fences may look valid although another host holds the lease.
+    if (!m_isListFresh || isLeaseEnding(context) || isSuperseded(context))
+        return false;
+    const auto& primary = context.watcher.primary();
+    if (primary && !context.watcher.find(*primary)->health.isDown(context.now))
+        return false;
+    std::set<TargetName> verified;
+    for (const auto& name : fencedMembers(context.watcher)) {
+        if (context.watcher.find(name)->queriedAt >= m_verifyStartedAt)
+            verified.insert(name);
+    }
+    return verified.size() >= context.watcher.fencesNeeded() && m_recordedCandidate
+        && verified.contains(*m_recordedCandidate)
+        && context.watcher.find(*m_recordedCandidate)->status->received >= requiredLogEnd(context.watcher, verified);
+}
+
+LogPoint Promotion::requiredLogEnd(const GroupWatcher& watcher, const std::set<TargetName>& fenced) const
+{
+    std::vector<LogPoint> ends;
+    ends.reserve(fenced.size());
+    for (const auto& name : fenced)
+        ends.push_back(watcher.find(name)->status->received);
+    std::sort(ends.rbegin(), ends.rend());
+    // An acknowledged commit is on one member more than there are synchronous replicas. Those that are not fenced may
+    // all have it.
+    const auto holders = watcher.rules().syncReplicas + 1;
+    const auto unfenced = watcher.groupSize() - std::min(watcher.groupSize(), ends.size());
+    const auto fencedHolders = holders > unfenced ? holders - unfenced : 1;
+    return ends.at(std::min(fencedHolders, ends.size()) - 1);
+}
+
+bool Promotion::isCandidateRecorded(const Context& context) const
+{
+    return hasEnoughFenced(context) && m_recordedCandidate && chooseFenced(context) == m_recordedCandidate;
+}
+
+bool Promotion::mayFence(const GroupWatcher& watcher, const TargetName& name, const GroupWatcher::Member& member)
+{
+    return name != watcher.primary() && (member.isListed() || !member.endedAt);
+}
+
+void Promotion::readMembers()
+{
+    m_isReadOutdated = m_isReadingMembers;
+    if (m_isReadingMembers)
+        return;
+    m_isReadingMembers = true;
+    m_delegate.readMembers(m_group);
+}
+
+void Promotion::fenceMembers(Context& context)
+{
+    m_commandedAt = context.now;
+    if (m_demoted)
+        log(LogEvent::HandoverStalled,
+            { { "primary", m_demoted->value() }, { "token", std::to_string(m_token.value()) } });
+    m_demoted.reset();
+    if (!m_isListFresh && !m_isReadingMembers)
+        readMembers();
+    for (const auto& [name, member] : context.watcher.members()) {
+        const bool isFenced = member.status && member.status->fencedTerm == m_term;
+        if (mayFence(context.watcher, name, member) && !isFenced)
+            m_delegate.sendCommand(name, FenceReplica { m_term }, leaseUsableUntil());
+    }
+}
+
+void Promotion::closePrimaryLog(Context& context)
+{
+    const auto& primary = context.watcher.primary();
+    if (!primary || context.watcher.find(*primary)->health.isDown(context.now))
+        return;
+    // A member that joined meanwhile may acknowledge with the primary, and is listed only later.
+    m_hasDemotedPrimary = true;
+    m_delegate.sendCommand(*primary, DemotePrimary { m_term }, leaseUsableUntil());
+    m_isListFresh = false;
+    readMembers();
+}
+
+void Promotion::queryFenced(Context& context)
+{
+    m_commandedAt = context.now;
+    m_verifyStartedAt = context.now;
+    for (const auto& name : fencedMembers(context.watcher))
+        m_delegate.sendCommand(name, QueryStatus {}, leaseUsableUntil());
+}
+
+std::tuple<bool, bool, bool, bool> Promotion::suitability(const GroupWatcher::Member& member) const
+{
+    const auto& name = member.record.name;
+    const bool isPending = m_pending && m_pending->candidate == name;
+    return { isPending, !m_notRunning.contains(name), member.isListed(), !member.record.isLeaving };
+}
+
+std::optional<TargetName> Promotion::chooseFenced(const Context& context) const
+{
+    const auto fenced = fencedMembers(context.watcher);
+    // A promotion that may still take effect would undo that of another member.
+    if (m_pending && fenced.contains(m_pending->candidate)) {
+        const auto* const pending = context.watcher.find(m_pending->candidate);
+        if (pending->status->received >= requiredLogEnd(context.watcher, fenced))
+            return m_pending->candidate;
+    }
+    const GroupWatcher::Member* best = nullptr;
+    for (const auto& name : fenced) {
+        const auto* const member = context.watcher.find(name);
+        const auto rank = [this](const GroupWatcher::Member& ranked) {
+            return std::tuple(ranked.status->received, suitability(ranked));
+        };
+        if (!best || rank(*member) > rank(*best))
+            best = member;
+    }
+    if (!best)
+        return {};
+    return best->record.name;
+}
+
+void Promotion::refenceMembers(Context& context)
+{
+    // After a handover nothing can be acknowledged while the former primary answers that it is no primary.
+    if (m_demoted && demotedLogEnd(context.watcher) && !context.watcher.find(*m_demoted)->health.isSuspect(context.now))
+        return;
+    for (const auto& [name, member] : context.watcher.members()) {
+        const auto& status = member.status;
+        const bool isCandidateOrPrimary = name == m_candidate || name == context.watcher.primary();
+        if (!isCandidateOrPrimary && status && !status->isPrimary && !status->isFenced()
+            && status->term <= m_replacedTerm)
+            m_delegate.sendCommand(name, FenceReplica { m_term }, leaseUsableUntil());
+    }
+}
+
+void Promotion::updateEnoughFenced(const Context& context)
+{
+    if (fencedMembers(context.watcher).size() < context.watcher.fencesNeeded())
+        m_enoughFencedSince.reset();
+    else if (!m_enoughFencedSince)
+        m_enoughFencedSince = context.now;
+}
+
+} // namespace Auburnpost::Proxy
--- /dev/null
+++ b/src/proxy/PromotionLeases.cpp
@@ -0,0 +1,104 @@
+#include "proxy/Promotion.h"
+
+#include <algorithm>
+
+namespace Auburnpost::Proxy {
+
+namespace {
+
+    std::uint64_t milliseconds(Duration duration)
+    {
+        return static_cast<std::uint64_t>(toMilliseconds(duration));
+    }
+
+} // namespace
+
+void Promotion::waitForLeaseHolder(Context& context)
+{
+    const auto left = m_leaseRow.lease->expiresAtMs - m_leaseRow.storeNowMs;
+    m_delayUntil = context.now + std::chrono::milliseconds(std::min(left, milliseconds(leaseLifetime)));
+    log(LogEvent::PromotionLeaseHeld,
+        { { "holder", m_leaseRow.lease->holder.value() }, { "version", std::to_string(m_leaseRow.version.value()) },
+            { "left_ms", std::to_string(left) } });
+}
+
+bool Promotion::isHandoverPostponed(const Context& context) const
+{
+    const auto& lease = m_leaseRow.lease;
+    const auto& primary = context.watcher.primary();
+    if (!lease || !lease->pending || !lease->pending->isRepeated || lease->pending->candidate != primary)
+        return false;
+    // An earlier call for the present primary changes nothing now, and would undo its replacement.
+    const auto& leavingSince = context.watcher.find(*primary)->leavingSince;
+    return context.watcher.failoverReason(context.now) == FailoverReason::Leaving && leavingSince
+        && context.now - *leavingSince < maxHandoverDelay
+        && m_leaseRow.storeNowMs < lease->pending->recordedAtMs + milliseconds(pendingLifetime);
+}
+
+void Promotion::postponeHandover(Context& context)
+{
+    const auto until = m_leaseRow.lease->pending->recordedAtMs + milliseconds(pendingLifetime);
+    const auto left = std::chrono::milliseconds(until - m_leaseRow.storeNowMs);
+    const auto& primary = *context.watcher.find(*context.watcher.primary());
+    m_delayUntil = std::min<Instant>(context.now + left, *primary.leavingSince + maxHandoverDelay);
+}
+
+void Promotion::readLease(Context& context)
+{
+    m_leaseReadAt = context.now;
+    m_delegate.readLease(m_group);
+}
+
+void Promotion::writeLease(Context&)
+{
+    m_delegate.writeLease(
+        m_group, { m_self, m_leaseRow.storeNowMs + milliseconds(leaseLifetime), m_pending }, m_leaseRow.version);
+}
+
+void Promotion::adoptPending(Context& context)
+{
+    const auto& lease = m_leaseRow.lease;
+    // Of a version that this process wrote, it knows whether the call was made.
+    if (lease && lease->pending && m_leaseRow.version != m_token) {
+        const auto age = m_leaseRow.storeNowMs - std::min(m_leaseRow.storeNowMs, lease->pending->recordedAtMs);
+        m_pending = lease->pending;
+        m_pendingUntil
+            = context.now + pendingLifetime - std::chrono::milliseconds(std::min(age, milliseconds(pendingLifetime)));
+    }
+    if (!isPromotionPending(context)) {
+        m_pending.reset();
+        return;
+    }
+    if (m_goal == PromotionGoal::ReplacePrimary)
+        return;
+    // The members that are still fenced would follow the present primary again before the promotion takes effect.
+    m_goal = PromotionGoal::ReplacePrimary;
+    log(LogEvent::PendingPromotionFound,
+        { { "target", m_pending->candidate.value() }, { "version", std::to_string(m_leaseRow.version.value()) },
+            { "left_ms", std::to_string(toMilliseconds(m_pendingUntil - context.now)) } });
+}
+
+bool Promotion::isPromotionPending(const Context& context) const
+{
+    const bool hasNewerPrimary
+        = m_pending && context.watcher.primary() && context.watcher.primaryTerm() > m_pending->replacedTerm;
+    return m_pending && !hasNewerPrimary && context.now < m_pendingUntil;
+}
+
+std::uint64_t Promotion::storeNowMs(Instant now) const
+{
+    return m_leaseRow.storeNowMs + milliseconds(now - m_leaseReadAt);
+}
+
+void Promotion::recordCandidate(Context& context)
+{
+    const auto candidate = m_demoted ? handoverCandidate(context) : chooseFenced(context);
+    if (!m_hasRecorded)
+        m_earlierPending = isPromotionPending(context) ? m_pending : std::nullopt;
+    m_hasRecorded = true;
+    m_pending = { *candidate, m_replacedTerm, storeNowMs(context.now), m_earlierPending.has_value() };
+    m_pendingUntil = context.now + pendingLifetime;
+    m_delegate.writeLease(m_group, { m_self, m_leaseRow.storeNowMs + milliseconds(leaseLifetime), m_pending }, m_token);
+}
+
+} // namespace Auburnpost::Proxy
