Record the term that members report when no primary was seen

A host that starts after the primary was lost knows no term of it, and recorded its call as one that replaces term zero. When the former primary came back, its term was higher than that, so every host took the promotion for done: the fences were removed, the primary acknowledged, and the late order rolled that back (LOST). What is recorded is now the highest term that any member has joined, and a primary of no later term than what is pending ends no attempt.

--- a/src/proxy/Promotion.cpp
+++ b/src/proxy/Promotion.cpp
@@ -213,7 +213,9 @@
 
 bool Promotion::isSuperseded(const Context& context) const
 {
-    return context.watcher.primary() && context.watcher.primaryTerm() > m_replacedTerm;
+    // What is pending is known to replace a primary of this term, though this host may have started without one.
+    const auto replaced = std::max(m_replacedTerm, m_pending ? m_pending->replacedTerm : Term {});
+    return context.watcher.primary() && context.watcher.primaryTerm() > replaced;
 }
 
 bool Promotion::isLeaseEnding(const Context& context) const
@@ -290,7 +292,7 @@
     m_commandedAt = context.now;
     for (const auto& [name, member] : context.watcher.members()) {
         // The platform's next term may be lower than the term of the fences.
-        const bool isFormerPrimary = member.status && member.status->isPrimary && member.status->term <= m_replacedTerm;
+        const bool isFormerPrimary = member.status && member.status->isPrimary && member.status->term <= m_formerTerm;
         if (isFormerPrimary && name != m_candidate && !member.health.isSuspect(context.now))
             m_delegate.sendCommand(name, DemotePrimary { m_term }, Instant::max());
     }
--- a/src/proxy/Promotion.h
+++ b/src/proxy/Promotion.h
@@ -201,8 +201,10 @@
     PromotionGoal m_goal { PromotionGoal::ReplacePrimary };
     /// When the current state of the chart was entered.
     Instant m_stateEnteredAt {};
-    /// Term of the primary that is being replaced.
+    /// Term of the primary that is being replaced; zero if this host has seen none.
     Term m_replacedTerm;
+    /// The highest term that a member has joined, as known when the candidate was recorded.
+    Term m_formerTerm;
     Instant m_delayUntil {};
     Instant m_commandedAt {};
     /// When the read of the lease's row was sent; the lifetime of the lease starts no earlier.
--- a/src/proxy/PromotionFencing.cpp
+++ b/src/proxy/PromotionFencing.cpp
@@ -152,7 +152,7 @@
         const auto& status = member.status;
         const bool isCandidateOrPrimary = name == m_candidate || name == context.watcher.primary();
         if (!isCandidateOrPrimary && status && !status->isPrimary && !status->isFenced()
-            && status->term <= m_replacedTerm)
+            && status->term <= m_formerTerm)
             m_delegate.sendCommand(name, FenceReplica { m_term }, leaseUsableUntil());
     }
 }
--- a/src/proxy/PromotionLeases.cpp
+++ b/src/proxy/PromotionLeases.cpp
@@ -96,7 +96,10 @@
     if (!m_hasRecorded)
         m_earlierPending = isPromotionPending(context) ? m_pending : std::nullopt;
     m_hasRecorded = true;
-    m_pending = { *candidate, m_replacedTerm, storeNowMs(context.now), m_earlierPending.has_value() };
+    m_formerTerm = m_replacedTerm;
+    for (const auto& [name, member] : context.watcher.members())
+        m_formerTerm = std::max(m_formerTerm, member.status ? member.status->term : Term {});
+    m_pending = { *candidate, m_formerTerm, storeNowMs(context.now), m_earlierPending.has_value() };
     m_pendingUntil = context.now + pendingLifetime;
     m_delegate.writeLease(m_group, { m_self, m_leaseRow.storeNowMs + milliseconds(leaseLifetime), m_pending }, m_token);
 }
--- a/tests/proxy/MembershipScheduleTests.cpp
+++ b/tests/proxy/MembershipScheduleTests.cpp
@@ -198,6 +198,22 @@
     schedule.check();
 }
 
+// The host that calls has started after the primary was lost.
+TEST_CASE("Hosts that start without a primary keep a late promotion pending", "[proxy][membership]")
+{
+    const auto downTime = GENERATE(4000ms, 5000ms, 6000ms);
+    const auto lateness = GENERATE(6000ms, 8000ms);
+    INFO("down " << downTime.count() << " ms, effect after " << lateness.count() << " ms");
+    Schedule schedule;
+    auto& simulation = schedule.simulation;
+    simulation.orders().set({ lateness, true });
+    simulation.membership().crash(primary, downTime);
+    for (std::size_t host = 0; host < ProxySimulation::hostCount; ++host)
+        simulation.restartHost(host, 100ms);
+    simulation.run(14s);
+    schedule.check();
+}
+
 // A fence that an abandoned attempt left behind has a higher term than the next primary. When a call was not answered,
 // its target counted as a former primary of a lower term.
 TEST_CASE("A host whose promotion call is not answered does not demote the promoted target", "[proxy][membership]")
--- a/tests/proxy/PendingPromotionTests.cpp
+++ b/tests/proxy/PendingPromotionTests.cpp
@@ -201,3 +201,42 @@
         CHECK_FALSE(decodePromotionLease(R"({"holder": "front-1", "expires_at_ms": 77, "pending": {"candidate": 1}})"));
     }
 }
+
+// Guards against lost commits: with an unknown term the former primary ended the wait for the promotion's effect.
+TEST_CASE("A host that never saw the primary records the term that the members report", "[proxy][promotion]")
+{
+    PromotionRecorder delegate;
+    GroupWatcher watcher;
+    RandomEngine random { 1 };
+    Promotion promotion { HostName("host"), GroupName("group"), delegate };
+    Instant now { 100s };
+    watcher.setRules({ 50, 1 });
+    std::vector<TargetRecord> records(3);
+    for (std::size_t index = 0; index < records.size(); ++index) {
+        records[index].name = TargetName(std::string(1, "prs"[index]));
+        records[index].address = { "10.0.0.1", static_cast<std::uint16_t>(index + 1) };
+    }
+    watcher.setMembers(now, records);
+    const auto report = [&watcher, &now](std::uint64_t fenced) {
+        for (const auto* const name : { "r", "s" }) {
+            watcher.health(TargetName(name))->recordResponse(now, {});
+            watcher.recordStatus(now, TargetName(name), now, makeStatus(false, 4, 8, fenced));
+        }
+    };
+    report(0);
+    now += GroupWatcher::missingTimeout;
+    promotion.start(now, watcher, random, PromotionGoal::ReplacePrimary, FailoverReason::Missing);
+    now += Promotion::startJitter;
+    promotion.tick(now, watcher, FailoverReason::Missing);
+    promotion.leaseRead(now, watcher, PromotionLeaseRow { RowVersion(5), {}, 1000 });
+    promotion.leaseWritten(now, watcher, std::optional(RowVersion(6)));
+    promotion.membersRead(now, watcher, true);
+    report(5);
+    promotion.tick(now, watcher, FailoverReason::Missing);
+    now += Promotion::fenceGrace;
+    report(5);
+    promotion.tick(now, watcher, FailoverReason::Missing);
+    REQUIRE(delegate.lease);
+    REQUIRE(delegate.lease->pending);
+    CHECK(delegate.lease->pending->replacedTerm == Term(4));
+}
