Hand over only with the members that confirm a primary for reads

A handover trusted the word of the primary that it demoted. If that one had been replaced before, by a primary that this host does not reach, or if a pending promotion took effect at a member that nobody fenced, the member promoted next rolled back what the other primary had acknowledged.

A handover now needs as many members beside the demoted one, queried since and of no later term, as a confirmation for reads, and none starts while another promotion may still take effect; the members are then fenced and counted. In a group of three nothing changes, as the new primary itself is one such member.

--- a/src/proxy/PromotionHandover.cpp
+++ b/src/proxy/PromotionHandover.cpp
@@ -5,7 +5,8 @@
 bool Promotion::canHandOver(const Context& context) const
 {
     const auto& primary = context.watcher.primary();
-    return primary && context.watcher.primaryTerm() == m_replacedTerm
+    // A pending promotion may take effect at a target that a handover would not stop.
+    return primary && !isPromotionPending(context) && context.watcher.primaryTerm() == m_replacedTerm
         && !context.watcher.find(*primary)->health.isDown(context.now)
         && context.watcher.hasCaughtUpReplica(context.now);
 }
@@ -45,18 +46,20 @@
     if (!end)
         return {};
     const GroupWatcher::Member* best = nullptr;
+    std::size_t confirmations = 0;
     for (const auto& [name, member] : context.watcher.members()) {
-        const bool isUsable = name != m_demoted && member.isListed() && member.status && !member.status->isPrimary
-            && !member.health.isDown(context.now);
-        if (!isUsable || member.queriedAt < m_demotedAt)
-            continue;
+        const bool isCurrent = name != m_demoted && member.status && member.queriedAt >= m_demotedAt;
         // A member of a later term follows a primary that this host does not know.
-        if (member.status->term > m_replacedTerm || member.status->received < *end)
+        if (!isCurrent || member.status->isPrimary || member.status->term > m_replacedTerm)
+            continue;
+        ++confirmations;
+        if (!member.isListed() || member.health.isDown(context.now) || member.status->received < *end)
             continue;
         if (!best || suitability(member) > suitability(*best))
             best = &member;
     }
-    if (!best)
+    // The demoted primary may have been replaced before by one that this host does not reach.
+    if (!best || confirmations < context.watcher.confirmationsNeeded())
         return {};
     return best->record.name;
 }
--- a/tests/proxy/HandoverTests.cpp
+++ b/tests/proxy/HandoverTests.cpp
@@ -180,3 +180,69 @@
         CHECK(group.delegate.has("demote p"));
     }
 }
+
+namespace {
+
+/// A group of four whose host reaches only the leaving primary p and r.
+struct PartlyReachedFixture : PromotionFixture {
+    explicit PartlyReachedFixture(bool isOtherPrimaryListed)
+    {
+        std::vector<TargetRecord> records(4);
+        for (std::size_t index = 0; index < records.size(); ++index) {
+            records[index].name = TargetName(std::string(1, "prsq"[index]));
+            records[index].address = { "10.0.0.1", static_cast<std::uint16_t>(index + 1) };
+        }
+        records[0].isLeaving = true;
+        watcher.setMembers(now, records);
+        for (const auto* const name : { "q", "s" }) {
+            reportStatus(name, makeStatus(false, 1, 9));
+            watcher.health(TargetName(name))->recordRequest(now);
+            watcher.health(TargetName(name))->recordConnectAttempt(now);
+        }
+        now += 2s;
+        records[3].reportsPrimary = isOtherPrimaryListed;
+        watcher.setMembers(now, records);
+        reportReached(true);
+    }
+    void reportReached(bool isPrimary)
+    {
+        reportStatus("p", makeStatus(isPrimary, 1, 9));
+        reportStatus("r", makeStatus(false, 1, 9));
+    }
+    /// Runs an attempt until it records a candidate, calls, or can't go on.
+    void attempt(const PromotionLeaseRow& row)
+    {
+        promotion.start(now, watcher, random, PromotionGoal::ReplacePrimary, FailoverReason::Leaving);
+        now += Promotion::startJitter;
+        promotion.tick(now, watcher, FailoverReason::Leaving);
+        promotion.leaseRead(now, watcher, row);
+        promotion.leaseWritten(now, watcher, std::optional(RowVersion(6)));
+        now += 10ms;
+        reportReached(false);
+        now += 30ms;
+        promotion.tick(now, watcher, FailoverReason::None);
+        if (promotion.state() == "Recording")
+            promotion.leaseWritten(now, watcher, std::optional(RowVersion(7)));
+    }
+};
+
+} // namespace
+
+// Guards against lost commits: the demoted primary may have been replaced by one that this host does not reach.
+TEST_CASE("A handover needs as many members as confirm a primary for reads", "[proxy][promotion]")
+{
+    PartlyReachedFixture group(true);
+    CHECK(group.watcher.confirmationsNeeded() == 2);
+    group.attempt({ RowVersion(5), {}, 90'000 });
+    CHECK_FALSE(group.delegate.promoted);
+}
+
+// Guards against lost commits: the pending promotion takes effect at a member that is not fenced.
+TEST_CASE("No handover starts while another promotion may still take effect", "[proxy][promotion]")
+{
+    PartlyReachedFixture group(false);
+    const PromotionLease lease { HostName("other"), 0, PendingPromotion { TargetName("q"), Term(1), 86'000, false } };
+    group.attempt({ RowVersion(5), lease, 90'000 });
+    CHECK(group.promotion.state() == "Fencing");
+    CHECK_FALSE(group.delegate.promoted);
+}
