Bound what an attempt and a departed member cost

Members are polled at once only when one has just lost its record, not at each change of the table. - The end of the lease now ends an attempt before another round of commands does: with ticks of 120 ms or more it never ended.

--- a/src/proxy/GroupMembership.cpp
+++ b/src/proxy/GroupMembership.cpp
@@ -175,10 +175,12 @@
     return std::max(count - std::min(count, fencesNeeded()), running > quorum ? running - quorum : 0);
 }
 
-bool GroupMembership::awaitsEvidence() const
+bool GroupMembership::awaitsEvidence(Instant now) const
 {
-    return std::any_of(m_members.begin(), m_members.end(),
-        [](const auto& entry) { return !entry.second.isListed() && entry.second.endedAt; });
+    return std::any_of(m_members.begin(), m_members.end(), [now](const auto& entry) {
+        const auto& member = entry.second;
+        return !member.isListed() && member.endedAt && now - *member.endedAt < urgentTime;
+    });
 }
 
 } // namespace Auburnpost::Proxy
--- a/src/proxy/GroupMembership.h
+++ b/src/proxy/GroupMembership.h
@@ -37,6 +37,8 @@
     static constexpr Duration silenceTimeout = std::chrono::seconds(8);
     /// The same for one that had announced its shutdown.
     static constexpr Duration leavingSilenceTimeout = std::chrono::seconds(1);
+    /// Time for which the evidence on an ended member is looked for more often than members are queried otherwise.
+    static constexpr Duration urgentTime = std::chrono::seconds(3);
     /// Maximum time for which an ended or silent member without a record counts. A target that crashed is back before.
     static constexpr Duration retentionLimit = std::chrono::seconds(20);
 
@@ -71,8 +73,8 @@
     [[nodiscard]] std::size_t fencesNeeded() const;
     /// @return how many members besides the primary have to report that they are not fenced to confirm the primary.
     [[nodiscard]] std::size_t confirmationsNeeded() const;
-    /// @return whether the log of a member that ended is not yet known to be on members that stay.
-    [[nodiscard]] bool awaitsEvidence() const;
+    /// @return whether a member has ended a short time ago whose log is not yet known to be on members that stay.
+    [[nodiscard]] bool awaitsEvidence(Instant now) const;
 
 private:
     /// @return whether a target that started later answers at the address of the record. A record alone may be another
--- a/src/proxy/GroupService.cpp
+++ b/src/proxy/GroupService.cpp
@@ -52,10 +52,11 @@
     }
     for (const auto& name : replaced)
         discardUnusedConnections(name);
+    const auto unlistedBefore = m_watcher.members().size() - m_watcher.membership().listedCount();
     m_watcher.setMembers(now, records);
     forgetReleasedMembers(now);
     // What an unlisted member can have acknowledged is compared with the members' status from now on.
-    if (m_watcher.membership().listedCount() < m_watcher.members().size())
+    if (m_watcher.members().size() - m_watcher.membership().listedCount() > unlistedBefore)
         m_polledAt.clear();
     for (const auto& record : records) {
         m_pools[record.name].setLimit(m_rules.connectionLimit);
@@ -181,7 +182,7 @@
 
 Duration GroupService::pollIntervalOf(Instant now, const GroupWatcher::Member& member) const
 {
-    const bool awaitsEvidence = m_watcher.membership().awaitsEvidence();
+    const bool awaitsEvidence = m_watcher.membership().awaitsEvidence(now);
     if (!member.isListed() && member.endedAt)
         return idlePollInterval;
     const bool isUrgent = !m_promotion.isIdle() || !m_watcher.primary() || awaitsEvidence;
--- a/src/proxy/Promotion.cpp
+++ b/src/proxy/Promotion.cpp
@@ -161,14 +161,14 @@
     m_isReadingMembers = false;
     if (isIdle())
         return;
+    Context context { now, watcher };
     if (std::exchange(m_isReadOutdated, false)) {
-        readMembers();
+        readMembers(context);
         return;
     }
     if (!isKnown)
         return;
     m_isListFresh = true;
-    Context context { now, watcher };
     fire("listed", context);
 }
 
@@ -239,7 +239,9 @@
 
 bool Promotion::isRetryDue(const Context& context) const
 {
-    return context.now - m_commandedAt >= commandRetryInterval;
+    // The end of the lease ends the attempt, however late the ticks are.
+    const bool isEnding = m_runner.isIn("Attempt") && isLeaseEnding(context);
+    return !isEnding && context.now - m_commandedAt >= commandRetryInterval;
 }
 
 bool Promotion::isPromotionSeen(const Context& context) const
--- a/src/proxy/Promotion.h
+++ b/src/proxy/Promotion.h
@@ -57,6 +57,8 @@
     /// the lease already held.
     static constexpr Duration startJitter = std::chrono::milliseconds(150);
     static constexpr Duration retryDelay = std::chrono::milliseconds(250);
+    /// Minimum interval between failed reads of the members.
+    static constexpr Duration membersRetryInterval = std::chrono::milliseconds(500);
     /// Interval at which an unanswered command is sent again.
     static constexpr Duration commandRetryInterval = std::chrono::milliseconds(120);
     /// Time reserved at the end of a lease for sending the last commands of an attempt.
@@ -160,7 +162,7 @@
     void renewLeaseForResume(Context&);
     void abandonAttempt(Context&);
 
-    void readMembers();
+    void readMembers(Context&);
     /// Takes over a promotion that an earlier holder of the lease may have called for.
     void adoptPending(Context&);
     /// @return whether the replacement of the leaving primary has to wait for an earlier call for the same target.
@@ -230,6 +232,7 @@
     /// Whether the members are those that the store listed after the lease was acquired.
     bool m_isListFresh { false };
     bool m_isReadingMembers { false };
+    Instant m_membersReadAt {};
     /// Whether the read in progress began too early.
     bool m_isReadOutdated { false };
     /// The primary that this attempt demoted, and when; empty unless it hands over.
--- a/src/proxy/PromotionFencing.cpp
+++ b/src/proxy/PromotionFencing.cpp
@@ -68,12 +68,13 @@
     return name != watcher.primary() && (member.isListed() || !member.endedAt);
 }
 
-void Promotion::readMembers()
+void Promotion::readMembers(Context& context)
 {
     m_isReadOutdated = m_isReadingMembers;
     if (m_isReadingMembers)
         return;
     m_isReadingMembers = true;
+    m_membersReadAt = context.now;
     m_delegate.readMembers(m_group);
 }
 
@@ -84,8 +85,8 @@
         log(LogEvent::HandoverStalled,
             { { "primary", m_demoted->value() }, { "token", std::to_string(m_token.value()) } });
     m_demoted.reset();
-    if (!m_isListFresh && !m_isReadingMembers)
-        readMembers();
+    if (!m_isListFresh && !m_isReadingMembers && context.now - m_membersReadAt >= membersRetryInterval)
+        readMembers(context);
     for (const auto& [name, member] : context.watcher.members()) {
         const bool isFenced = member.status && member.status->fencedTerm == m_term;
         if (mayFence(context.watcher, name, member) && !isFenced)
@@ -102,7 +103,7 @@
     m_hasDemotedPrimary = true;
     m_delegate.sendCommand(*primary, DemotePrimary { m_term }, leaseUsableUntil());
     m_isListFresh = false;
-    readMembers();
+    readMembers(context);
 }
 
 void Promotion::queryFenced(Context& context)
@@ -117,14 +118,14 @@
 {
     const auto& name = member.record.name;
     const bool isPending = m_pending && m_pending->candidate == name;
-    return { isPending, !m_notRunning.contains(name), member.isListed(), !member.record.isLeaving };
+    return { !m_notRunning.contains(name), isPending, member.isListed(), !member.record.isLeaving };
 }
 
 std::optional<TargetName> Promotion::chooseFenced(const Context& context) const
 {
     const auto fenced = fencedMembers(context.watcher);
     // A promotion that may still take effect would undo that of another member.
-    if (m_pending && fenced.contains(m_pending->candidate)) {
+    if (m_pending && fenced.contains(m_pending->candidate) && !m_notRunning.contains(m_pending->candidate)) {
         const auto* const pending = context.watcher.find(m_pending->candidate);
         if (pending->status->received >= requiredLogEnd(context.watcher, fenced))
             return m_pending->candidate;
--- a/src/proxy/PromotionHandover.cpp
+++ b/src/proxy/PromotionHandover.cpp
@@ -77,7 +77,7 @@
 bool Promotion::isHandoverPollDue(const Context& context) const
 {
     const auto interval = demotedLogEnd(context.watcher) ? handoverPollInterval : commandRetryInterval;
-    return context.now - m_commandedAt >= interval;
+    return !isLeaseEnding(context) && context.now - m_commandedAt >= interval;
 }
 
 bool Promotion::mayHandOver(const Context& context) const
--- a/tests/proxy/GroupMembershipTests.cpp
+++ b/tests/proxy/GroupMembershipTests.cpp
@@ -113,6 +113,13 @@
         }
         CHECK(group.size() == 4);
     }
+    SECTION("for which the members are not queried urgently for ever")
+    {
+        group.pass(10ms);
+        CHECK(group.watcher.membership().awaitsEvidence(group.now));
+        group.pass(GroupMembership::urgentTime);
+        CHECK_FALSE(group.watcher.membership().awaitsEvidence(group.now));
+    }
     SECTION("but not for ever when the primary is lost as well")
     {
         group.pass(10ms);
--- a/tests/proxy/MemberReadTests.cpp
+++ b/tests/proxy/MemberReadTests.cpp
@@ -32,7 +32,7 @@
     SECTION("a failed read is repeated")
     {
         group.promotion.membersRead(group.now, group.watcher, false);
-        group.tick(Promotion::commandRetryInterval);
+        group.tick(Promotion::membersRetryInterval);
         CHECK(group.delegate.memberReads == 2);
     }
     SECTION("a member that only the store lists has to be fenced")
@@ -82,3 +82,23 @@
     group.tick(30ms);
     CHECK(group.delegate.promoted == TargetName("s"));
 }
+
+TEST_CASE("A failing read of the members is not repeated at the rate of the fences", "[proxy][promotion]")
+{
+    PromotionFixture group;
+    group.acquireLease();
+    while (group.promotion.state() == "Fencing") {
+        group.promotion.membersRead(group.now, group.watcher, false);
+        group.tick(Promotion::commandRetryInterval / 2);
+    }
+    CHECK(group.delegate.memberReads <= 4);
+}
+
+TEST_CASE("Fencing ends with the lease however late the ticks are", "[proxy][promotion]")
+{
+    PromotionFixture group;
+    group.acquireLease();
+    for (int step = 0; step < 100; ++step)
+        group.tick(Promotion::commandRetryInterval);
+    CHECK(group.promotion.state() != "Fencing");
+}
--- a/tests/proxy/PendingPromotionTests.cpp
+++ b/tests/proxy/PendingPromotionTests.cpp
@@ -240,3 +240,35 @@
     REQUIRE(delegate.lease->pending);
     CHECK(delegate.lease->pending->replacedTerm == Term(4));
 }
+
+TEST_CASE("A pending target that the platform reports as not running is not called again", "[proxy][promotion]")
+{
+    PromotionFixture group;
+    std::uint64_t version = 5;
+    const auto attempt = [&group, &version](const PromotionLeaseRow& row) {
+        group.promotion.leaseRead(group.now, group.watcher, row);
+        group.promotion.leaseWritten(group.now, group.watcher, std::optional(RowVersion(++version)));
+        group.promotion.membersRead(group.now, group.watcher, true);
+        const auto fence = group.watcher.highestTerm().value() + 1;
+        const auto report = [&group, fence] {
+            group.reportStatus("r", makeStatus(false, 1, 8, fence));
+            group.reportStatus("s", makeStatus(false, 1, 8, fence));
+        };
+        report();
+        group.tick(30ms);
+        group.now += 10ms;
+        group.promotion.leaseWritten(group.now, group.watcher, std::optional(RowVersion(++version)));
+        report();
+        group.tick(30ms);
+    };
+    group.promotion.start(group.now, group.watcher, group.random, PromotionGoal::ReplacePrimary, FailoverReason::Down);
+    group.tick(Promotion::startJitter);
+    attempt(rowWithPending("r", 1000, 2000));
+    REQUIRE(group.delegate.promoted == TargetName("r"));
+    group.promotion.promoteAnswered(group.now, group.watcher, PromotionOutcome::NotRunning);
+    group.delegate.promoted.reset();
+    group.tick(Promotion::retryDelay);
+    REQUIRE(group.promotion.state() == "Reading");
+    attempt({ RowVersion(version), group.delegate.lease, 2600 });
+    CHECK(group.delegate.promoted == TargetName("s"));
+}
