--- a/src/proxy/Promotion.h
+++ b/src/proxy/Promotion.h
@@ -57,6 +57,8 @@
     /// the lease already held.
     static constexpr Duration startJitter = std::chrono::milliseconds(150);
     static constexpr Duration retryDelay = std::chrono::milliseconds(250);
+    /// Minimum interval between failed reads of the members.
+    static constexpr Duration membersRetryInterval = std::chrono::milliseconds(500);
     /// Interval at which an unanswered command is sent again.
     static constexpr Duration commandRetryInterval = std::chrono::milliseconds(120);
     /// Time reserved at the end of a lease for sending the last commands of an attempt.
@@ -160,7 +162,7 @@
     void renewLeaseForResume(Context&);
     void abandonAttempt(Context&);
 
-    void readMembers();
+    void readMembers(Context&);
     /// Takes over a promotion that an earlier holder of the lease may have called for.
     void adoptPending(Context&);
     /// @return whether the replacement of the leaving primary has to wait for an earlier call for the same target.
@@ -201,8 +203,10 @@
     PromotionGoal m_goal { PromotionGoal::ReplacePrimary };
     /// When the current state of the chart was entered.
     Instant m_stateEnteredAt {};
-    /// Term of the primary that is being replaced.
+    /// Term of the primary that is being replaced; zero if this host has seen none.
     Term m_replacedTerm;
+    /// The highest term that a member has joined, as known when the candidate was recorded.
+    Term m_formerTerm;
     Instant m_delayUntil {};
     Instant m_commandedAt {};
     /// When the read of the lease's row was sent; the lifetime of the lease starts no earlier.
@@ -228,6 +232,7 @@
     /// Whether the members are those that the store listed after the lease was acquired.
     bool m_isListFresh { false };
     bool m_isReadingMembers { false };
+    Instant m_membersReadAt {};
     /// Whether the read in progress began too early.
     bool m_isReadOutdated { false };
     /// The primary that this attempt demoted, and when; empty unless it hands over.
