--- a/src/proxy/GroupMember.h
+++ b/src/proxy/GroupMember.h
@@ -29,10 +29,11 @@
     std::optional<Instant> leavingSince;
     /// Since when the member's record has been missing; empty for a listed member.
     std::optional<Instant> unlistedSince;
-    /// When the process of an unlisted member was first known to have ended.
-    std::optional<Instant> endedAt;
-    /// End of the primary's log after an unlisted member could last acknowledge a commit.
-    std::optional<LogPoint> lastDependentEnd;
+    /// Since when the process of an unlisted member is taken to have ended: it refuses connections or is silent.
+    std::optional<Instant> presumedEndedAt;
+    /// Log end that other members must have before this one is released: the end of the primary's log after this
+    /// member could last acknowledge a commit.
+    std::optional<LogPoint> requiredEnd;
     /// Whether the member was listed when the group was first watched, and so may have a log before it answers.
     bool isInitial { false };
 
--- a/src/proxy/GroupMembership.cpp
+++ b/src/proxy/GroupMembership.cpp
@@ -24,8 +24,8 @@
             member = known->second;
         member.record = record;
         member.unlistedSince.reset();
-        member.endedAt.reset();
-        member.lastDependentEnd.reset();
+        member.presumedEndedAt.reset();
+        member.requiredEnd.reset();
         member.isInitial = member.isInitial || isFirstList;
         if (!record.reportsPrimary)
             member.reportsPrimarySince.reset();
@@ -90,15 +90,15 @@
     const bool hasEnded = member.health.hasRefused() || now - silentSince >= timeout;
     if (!hasEnded) {
         // It answers, or may still receive and acknowledge commits.
-        member.endedAt.reset();
-        member.lastDependentEnd.reset();
+        member.presumedEndedAt.reset();
+        member.requiredEnd.reset();
         return {};
     }
-    if (!member.endedAt)
-        member.endedAt = now;
-    if (primary && !member.lastDependentEnd && primary->queriedAt >= *member.endedAt)
-        member.lastDependentEnd = primary->status->received;
-    if (primary && member.lastDependentEnd && isHeldByListed(*member.lastDependentEnd, *primary))
+    if (!member.presumedEndedAt)
+        member.presumedEndedAt = now;
+    if (primary && !member.requiredEnd && primary->queriedAt >= *member.presumedEndedAt)
+        member.requiredEnd = primary->status->received;
+    if (primary && member.requiredEnd && isHeldByListed(*member.requiredEnd, *primary))
         return MemberReleaseReason::LogsCaughtUp;
     // A primary that answers has the whole log, so nothing is given up while there is one.
     const bool hasPrimary = primary && !primary->health.isDown(now);
@@ -141,7 +141,7 @@
 {
     std::set<SocketAddress> addresses;
     for (const auto& [name, member] : m_members) {
-        if (!member.endedAt)
+        if (!member.presumedEndedAt)
             addresses.insert(member.record.address);
     }
     return addresses.size();
@@ -179,7 +179,7 @@
 {
     return std::any_of(m_members.begin(), m_members.end(), [now](const auto& entry) {
         const auto& member = entry.second;
-        return !member.isListed() && member.endedAt && now - *member.endedAt < urgentTime;
+        return !member.isListed() && member.presumedEndedAt && now - *member.presumedEndedAt < urgentTime;
     });
 }
 
--- a/src/proxy/GroupService.cpp
+++ b/src/proxy/GroupService.cpp
@@ -183,7 +183,7 @@
 Duration GroupService::pollIntervalOf(Instant now, const GroupWatcher::Member& member) const
 {
     const bool awaitsEvidence = m_watcher.membership().awaitsEvidence(now);
-    if (!member.isListed() && member.endedAt)
+    if (!member.isListed() && member.presumedEndedAt)
         return idlePollInterval;
     const bool isUrgent = !m_promotion.isIdle() || !m_watcher.primary() || awaitsEvidence;
     if (isUrgent || member.health.isSuspect(now) || !member.status)
--- a/src/proxy/Promotion.h
+++ b/src/proxy/Promotion.h
@@ -67,7 +67,8 @@
     static constexpr Duration fenceGrace = std::chrono::milliseconds(120);
     /// Maximum time for reading or writing the lease's row.
     static constexpr Duration leaseStepTimeout = std::chrono::milliseconds(1200);
-    /// Time for which a call that is not seen to take effect may still do so.
+    /// Time for which a call that is not seen to take effect may still do so. Platforms usually take less than
+    /// effectTimeout.
     static constexpr Duration pendingLifetime = std::chrono::seconds(10);
     /// Maximum time for which the replacement of a leaving primary is postponed; after that it may shut down.
     static constexpr Duration maxHandoverDelay = std::chrono::milliseconds(4000);
@@ -172,7 +173,7 @@
     /// @return the end of the log of the primary that was demoted; empty until it has reported that it is no primary.
     [[nodiscard]] std::optional<LogPoint> demotedLogEnd(const GroupWatcher&) const;
     /// @return a member that has the whole log of the demoted primary; empty if there is none yet.
-    [[nodiscard]] std::optional<TargetName> handoverCandidate(const Context&) const;
+    [[nodiscard]] std::optional<TargetName> chooseHandoverTarget(const Context&) const;
     /// @return whether the member may be fenced: it may answer, and is not the primary.
     [[nodiscard]] static bool mayFence(const GroupWatcher&, const TargetName&, const GroupWatcher::Member&);
     [[nodiscard]] std::uint64_t storeNowMs(Instant now) const;
@@ -188,7 +189,7 @@
     /// still take effect would otherwise undo another.
     [[nodiscard]] std::tuple<bool, bool, bool, bool> suitability(const GroupWatcher::Member&) const;
     /// @return the fenced member to be promoted; empty if none is fenced.
-    [[nodiscard]] std::optional<TargetName> chooseFenced(const Context&) const;
+    [[nodiscard]] std::optional<TargetName> chooseFencedTarget(const Context&) const;
     /// @return the log point that includes every acknowledged commit, as far as the logs of fenced members tell.
     [[nodiscard]] LogPoint requiredLogEnd(const GroupWatcher&, const std::set<TargetName>& fenced) const;
     /// Logs an attempt that ended without success.
@@ -235,7 +236,7 @@
     Instant m_membersReadAt {};
     /// Whether the read in progress began too early.
     bool m_isReadOutdated { false };
-    /// The primary that this attempt demoted, and when; empty unless it hands over.
+    /// The primary that hands over, and when it was first commanded to; empty unless this attempt is a handover.
     std::optional<TargetName> m_demoted;
     Instant m_demotedAt {};
     /// Targets that the platform reported as not running since the last primary was lost.
--- a/src/proxy/PromotionFencing.cpp
+++ b/src/proxy/PromotionFencing.cpp
@@ -60,12 +60,12 @@
 
 bool Promotion::isCandidateRecorded(const Context& context) const
 {
-    return hasEnoughFenced(context) && m_recordedCandidate && chooseFenced(context) == m_recordedCandidate;
+    return hasEnoughFenced(context) && m_recordedCandidate && chooseFencedTarget(context) == m_recordedCandidate;
 }
 
 bool Promotion::mayFence(const GroupWatcher& watcher, const TargetName& name, const GroupWatcher::Member& member)
 {
-    return name != watcher.primary() && (member.isListed() || !member.endedAt);
+    return name != watcher.primary() && (member.isListed() || !member.presumedEndedAt);
 }
 
 void Promotion::readMembers(Context& context)
@@ -121,7 +121,7 @@
     return { !m_notRunning.contains(name), isPending, member.isListed(), !member.record.isLeaving };
 }
 
-std::optional<TargetName> Promotion::chooseFenced(const Context& context) const
+std::optional<TargetName> Promotion::chooseFencedTarget(const Context& context) const
 {
     const auto fenced = fencedMembers(context.watcher);
     // A promotion that may still take effect would undo that of another member.
--- a/src/proxy/PromotionHandover.cpp
+++ b/src/proxy/PromotionHandover.cpp
@@ -40,7 +40,7 @@
     return member->status->received;
 }
 
-std::optional<TargetName> Promotion::handoverCandidate(const Context& context) const
+std::optional<TargetName> Promotion::chooseHandoverTarget(const Context& context) const
 {
     const auto end = demotedLogEnd(context.watcher);
     if (!end)
@@ -66,7 +66,7 @@
 
 bool Promotion::isHandoverReady(const Context& context) const
 {
-    return !isLeaseEnding(context) && !isSuperseded(context) && handoverCandidate(context);
+    return !isLeaseEnding(context) && !isSuperseded(context) && chooseHandoverTarget(context);
 }
 
 bool Promotion::hasHandoverStalled(const Context& context) const
--- a/src/proxy/PromotionLeases.cpp
+++ b/src/proxy/PromotionLeases.cpp
@@ -92,7 +92,7 @@
 
 void Promotion::recordCandidate(Context& context)
 {
-    const auto candidate = m_demoted ? handoverCandidate(context) : chooseFenced(context);
+    const auto candidate = m_demoted ? chooseHandoverTarget(context) : chooseFencedTarget(context);
     if (!m_hasRecorded)
         m_earlierPending = isPromotionPending(context) ? m_pending : std::nullopt;
     m_hasRecorded = true;
--- a/src/proxy/StateDump.cpp
+++ b/src/proxy/StateDump.cpp
@@ -18,11 +18,11 @@
             { "role", "unknown" }, { "listed", member.isListed() } };
         if (member.unlistedSince) {
             described["unlisted_ms"] = toMilliseconds(now - *member.unlistedSince);
-            described["ended"] = member.endedAt.has_value();
+            described["ended"] = member.presumedEndedAt.has_value();
         }
         // The log end that members which stay have to reach before this one no longer counts.
-        if (member.lastDependentEnd)
-            described["awaited_log_end"] = PromotionLog::describe(*member.lastDependentEnd);
+        if (member.requiredEnd)
+            described["awaited_log_end"] = PromotionLog::describe(*member.requiredEnd);
         if (const auto& status = member.status) {
             described["role"] = status->isPrimary ? "primary" : "replica";
             described["term"] = status->term.value();
