--- /dev/null
+++ b/tests/proxy/ExplorationResult.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "proxy/ModelChoice.h"
+#include "proxy/ProtocolModel.h"
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+
+namespace Auburnpost::Proxy {
+
+/// What an exploration found.
+struct ExplorationResult {
+    struct Finding {
+        /// Number of states, or of random schedules, in which the check failed.
+        std::size_t count { 0 };
+        /// A shortest schedule that leads to such a state.
+        ModelSchedule schedule;
+    };
+
+    /// Distinct states that were reached, or random schedules that were played.
+    std::size_t states { 0 };
+    /// Number of steps to which every schedule was explored.
+    std::size_t completeDepth { 0 };
+    /// Number of states whose recovery was played.
+    std::size_t recoveries { 0 };
+    std::chrono::milliseconds duration {};
+    /// Findings by check.
+    std::array<Finding, ProtocolModel::checkCount> findings;
+
+    void add(ProtocolModel::Check, const ModelSchedule&);
+    [[nodiscard]] const Finding& of(ProtocolModel::Check check) const
+    {
+        return findings[static_cast<std::size_t>(check)];
+    }
+};
+
+} // namespace Auburnpost::Proxy
--- /dev/null
+++ b/tests/proxy/ModelHost.cpp
@@ -0,0 +1,244 @@
+#include "proxy/ModelHost.h"
+
+#include "proxy/GroupService.h"
+
+#include <algorithm>
+
+namespace Auburnpost::Proxy {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    /// Time without a tick after which Proxy counts the process as paused.
+    constexpr Duration pauseThreshold = 300ms;
+    /// Interval of polls while nothing is suspected.
+    constexpr Duration quietPollInterval = 500ms;
+    /// Ages beyond every timeout of the product are equal.
+    constexpr std::uint64_t maxAge = 90;
+
+} // namespace
+
+ModelHost::ModelHost(std::size_t index, const GroupRules& rules)
+    : m_name("host-" + std::to_string(index))
+    , m_promotion(m_name, GroupName("group"), *this)
+    , m_random(index + 1)
+{
+    m_watcher.setRules(rules);
+}
+
+void ModelHost::applyList(Instant now, const std::vector<TargetRecord>& records)
+{
+    m_now = now;
+    m_directory.update(now, records);
+    m_watcher.setMembers(now, m_directory.members(GroupName("group")));
+    for (const auto& [name, member] : m_watcher.members()) {
+        m_listedAt[member.record.address] = now;
+        m_missingSince.try_emplace(name, now);
+    }
+    for (const auto& record : records)
+        m_missingSince.erase(record.name);
+    updateTimers(now);
+}
+
+void ModelHost::beginTick(Instant now)
+{
+    m_now = now;
+    if (m_lastTickAt && now - *m_lastTickAt >= pauseThreshold)
+        m_watcher.discountPause(now);
+    m_lastTickAt = now;
+    if (!m_directory.expire(now).isEmpty())
+        m_watcher.setMembers(now, m_directory.members(GroupName("group")));
+    for (const auto& [name, member] : m_watcher.members())
+        m_listedAt[member.record.address] = now;
+}
+
+bool ModelHost::isPollDue(Instant now) const
+{
+    const auto& members = m_watcher.members();
+    const bool isUrgent = !m_promotion.isIdle() || !m_watcher.primary()
+        || std::any_of(members.begin(), members.end(),
+            [now](const auto& entry) { return !entry.second.status || entry.second.health.isSuspect(now); });
+    return isUrgent || now - m_polledAt >= quietPollInterval;
+}
+
+void ModelHost::pollUnanswered(Instant now, const TargetName& name)
+{
+    auto* const health = m_watcher.health(name);
+    health->recordRequest(now);
+    if (health->needsConnectProbe(now))
+        health->recordConnectAttempt(now);
+}
+
+void ModelHost::pollRefused(Instant now, const TargetName& name)
+{
+    if (auto* const health = m_watcher.health(name))
+        health->recordRefusal(now);
+}
+
+void ModelHost::statusReceived(Instant now, const TargetName& name, Instant queriedAt, const TargetStatus& status)
+{
+    m_now = now;
+    auto* const health = m_watcher.health(name);
+    if (!health)
+        return;
+    health->recordResponse(now, now - queriedAt);
+    m_watcher.recordStatus(now, name, queriedAt, status);
+    updateTimers(now);
+}
+
+void ModelHost::endTick(Instant now)
+{
+    const auto reason = m_watcher.failoverReason(now);
+    if (m_promotion.isIdle()) {
+        m_replacedTerm = m_watcher.primaryTerm();
+        if (reason != FailoverReason::None)
+            m_promotion.start(now, m_watcher, m_random, PromotionGoal::ReplacePrimary, reason);
+        else if (m_watcher.hasFencedMemberFor(now, GroupService::abandonedFenceTimeout))
+            m_promotion.start(now, m_watcher, m_random, PromotionGoal::ResumeMembers, reason);
+    }
+    updateTimers(now);
+    m_promotion.tick(now, m_watcher, reason);
+    updateTimers(now);
+}
+
+void ModelHost::commitAcknowledged(Instant sentAt, const TargetName& name, const LogPoint& end)
+{
+    if (!m_promotion.isFencing())
+        m_watcher.recordCommit(name, sentAt, end);
+}
+
+void ModelHost::leaseRead(Instant now, const PromotionLeaseRow& row)
+{
+    m_now = now;
+    const bool isHeld = row.lease && row.lease->expiresAtMs > row.storeNowMs;
+    m_leaseLeftMs = isHeld ? row.lease->expiresAtMs - row.storeNowMs : 0;
+    m_promotion.leaseRead(now, m_watcher, row);
+    updateTimers(now);
+}
+
+void ModelHost::leaseWritten(Instant now, std::optional<RowVersion> version)
+{
+    m_now = now;
+    m_token = version.value_or(RowVersion {});
+    m_promotion.leaseWritten(now, m_watcher, version);
+    updateTimers(now);
+}
+
+void ModelHost::promoteAnswered(Instant now, PromotionOutcome outcome)
+{
+    m_now = now;
+    m_promotion.promoteAnswered(now, m_watcher, outcome);
+    updateTimers(now);
+}
+
+std::vector<ModelRequest> ModelHost::takeRequests()
+{
+    return std::exchange(m_requests, {});
+}
+
+void ModelHost::readLease(const GroupName&)
+{
+    m_leaseReadAt = m_now;
+    m_requests.emplace_back(LeaseReadRequest {});
+}
+
+void ModelHost::writeLease(const GroupName&, const PromotionLease& lease, RowVersion expected)
+{
+    m_requests.emplace_back(LeaseWriteRequest { lease, expected });
+}
+
+void ModelHost::promote(const GroupName&, const TargetName& target, RowVersion token, Instant sendBefore)
+{
+    m_candidate = target;
+    m_requests.emplace_back(PromotionRequest { target, token, m_now >= sendBefore });
+}
+
+void ModelHost::sendCommand(const TargetName& target, const TargetRequest& request, Instant sendBefore)
+{
+    m_commandedAt = m_now;
+    if (const auto* const fence = std::get_if<FenceReplica>(&request))
+        m_commandTerm = fence->term;
+    if (m_now < sendBefore)
+        m_requests.emplace_back(CommandRequest { target, request });
+}
+
+void ModelHost::updateTimers(Instant now)
+{
+    if (m_state != m_promotion.state()) {
+        m_previousState = m_state;
+        m_state = m_promotion.state();
+        m_stateEnteredAt = now;
+        if (m_state == "Finishing")
+            m_attemptFinishedAt = now;
+    }
+    if (m_primary != m_watcher.primary()) {
+        m_primary = m_watcher.primary();
+        m_primaryChangedAt = now;
+    }
+    std::size_t fenced = 0;
+    for (const auto& [name, member] : m_watcher.members())
+        fenced += member.status && member.status->isFenced() ? 1 : 0;
+    const auto update = [now](std::optional<Instant>& since, bool holds) {
+        if (!holds)
+            since.reset();
+        else if (!since)
+            since = now;
+    };
+    update(m_fencedSince, fenced > 0);
+    update(m_enoughFencedSince, fenced >= m_watcher.fencesNeeded());
+}
+
+std::uint64_t ModelHost::age(Instant now, Instant moment)
+{
+    return std::min<std::uint64_t>(static_cast<std::uint64_t>((now - moment) / tickLength), maxAge);
+}
+
+void ModelHost::addMemberTo(Fingerprint& fingerprint, Instant now, const GroupWatcher::Member& member) const
+{
+    fingerprint.add(member.record.name.value());
+    fingerprint.add((member.record.isLeaving ? 1U : 0U) | (member.record.reportsPrimary ? 2U : 0U));
+    if (member.status) {
+        const auto& status = *member.status;
+        fingerprint.add(status.isPrimary ? 1 : 0);
+        fingerprint.add(status.term.value());
+        fingerprint.add(status.received.term.value());
+        fingerprint.add(status.received.position.value());
+        fingerprint.add(status.fencedTerm.value());
+        fingerprint.add(age(now, member.queriedAt));
+    }
+    fingerprint.add((member.health.isDown(now) ? 1U : 0U) | (member.health.isSuspect(now) ? 2U : 0U));
+    if (const auto respondedAt = member.health.lastResponseAt())
+        fingerprint.add(age(now, *respondedAt));
+    for (const auto& since : { member.behindSince, member.reportsPrimarySince, member.leavingSince })
+        fingerprint.add(since ? age(now, *since) : maxAge + 1);
+}
+
+void ModelHost::addTo(Fingerprint& fingerprint, Instant now) const
+{
+    fingerprint.add(m_state);
+    fingerprint.add(m_previousState);
+    for (const auto moment : { m_stateEnteredAt, m_leaseReadAt, m_commandedAt, m_attemptFinishedAt, m_polledAt,
+             m_primaryChangedAt, m_lastTickAt.value_or(Instant {}), m_fencedSince.value_or(Instant {}),
+             m_enoughFencedSince.value_or(Instant {}) })
+        fingerprint.add(age(now, moment));
+    for (const auto value : { m_leaseLeftMs, m_commandTerm.value(), m_replacedTerm.value(), m_token.value(),
+             m_watcher.primaryTerm().value(), m_watcher.highestTerm().value() })
+        fingerprint.add(value);
+    fingerprint.add(m_candidate ? m_candidate->value() : "");
+    fingerprint.add(m_primary ? m_primary->value() : "");
+    fingerprint.add(static_cast<std::uint64_t>(m_watcher.failoverReason(now)));
+    fingerprint.add(m_watcher.fencesNeeded());
+    if (const auto confirmedAt = m_watcher.confirmations().newestRequestedAt())
+        fingerprint.add(age(now, *confirmedAt));
+    for (const auto& [name, member] : m_watcher.members())
+        addMemberTo(fingerprint, now, member);
+    for (const auto& [address, listedAt] : m_listedAt) {
+        fingerprint.add(address.port);
+        fingerprint.add(age(now, listedAt));
+    }
+    for (const auto& [name, since] : m_missingSince)
+        fingerprint.add(age(now, since));
+}
+
+} // namespace Auburnpost::Proxy
--- /dev/null
+++ b/tests/proxy/ProtocolModel.cpp
@@ -0,0 +1,409 @@
+#include "proxy/ProtocolModel.h"
+
+#include <algorithm>
+
+namespace Auburnpost::Proxy {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr Instant startOfTime { 1000s };
+    /// Two steps never happen at the same moment.
+    constexpr Duration stepLength = 1ms;
+    constexpr GroupRules groupRules { 50, 1 };
+    /// Longest time that a step passes without anything happening.
+    constexpr std::size_t maxWaitTicks = 60;
+
+} // namespace
+
+std::string_view toString(ProtocolModel::Check check)
+{
+    constexpr std::string_view texts[] { "none", "lost commit", "wrong confirmation", "wrong token", "no primary" };
+    return texts[static_cast<std::size_t>(check)];
+}
+
+ProtocolModel::ProtocolModel(const ModelScenario& scenario, bool isTraced)
+    : m_scenario(scenario)
+    , m_isTraced(isTraced)
+    , m_now(startOfTime)
+{
+    m_targets.reserve(maxMembers);
+    for (std::size_t index = 0; index < scenario.members; ++index) {
+        auto& target = m_targets.emplace_back(index);
+        target.isPrimary = index == 0;
+        target.isLeaving = index + scenario.leaving >= scenario.members;
+        target.leavingTicks = target.isLeaving ? drainTicks : 0;
+        m_store.setRecord(target.record());
+    }
+    for (std::size_t host = 0; host < hostCount; ++host) {
+        m_hosts[host] = std::make_unique<ModelHost>(host, groupRules);
+        m_hosts[host]->applyList(m_now, m_store.records());
+    }
+    passTick();
+    passTick();
+    switch (scenario.start) {
+    case ModelScenario::Start::Established:
+        break;
+    case ModelScenario::Start::PrimaryCrashed:
+        applyCrash(0);
+        break;
+    case ModelScenario::Start::PrimaryLeaving:
+        applyLeave(0);
+        break;
+    case ModelScenario::Start::PrimaryCut:
+        applyCutStaying(0);
+        break;
+    }
+    m_faultsLeft = scenario.faults;
+    m_commitsLeft = scenario.commits;
+    m_delaysLeft = scenario.delays;
+}
+
+std::uint64_t ProtocolModel::nowMs() const
+{
+    return static_cast<std::uint64_t>(toMilliseconds(m_now.time_since_epoch()));
+}
+
+void ProtocolModel::trace(const std::string& text)
+{
+    if (m_isTraced)
+        m_trace.push_back(std::to_string(toMilliseconds(m_now - startOfTime)) + " ms: " + text);
+}
+
+void ProtocolModel::fail(Check check, const std::string& text)
+{
+    trace("FAILED, " + std::string(toString(check)) + ": " + text);
+    if (m_failedCheck == Check::None)
+        m_failedCheck = check;
+}
+
+void ProtocolModel::apply(const ModelChoice& choice)
+{
+    constexpr void (ProtocolModel::*actions[])(std::size_t) { &ProtocolModel::applyStep, &ProtocolModel::applyTick,
+        &ProtocolModel::applyHold, &ProtocolModel::applyRelease, &ProtocolModel::applyCommit,
+        &ProtocolModel::applyCommitAlone, &ProtocolModel::applyCrash, &ProtocolModel::applyReturn,
+        &ProtocolModel::applyCut, &ProtocolModel::applyCutStaying, &ProtocolModel::applyCutHost,
+        &ProtocolModel::applyHeal, &ProtocolModel::applyJoin, &ProtocolModel::applyLeave, &ProtocolModel::applyEnd,
+        &ProtocolModel::applyLapse, &ProtocolModel::applyRestartHost, &ProtocolModel::applyPauseHost,
+        &ProtocolModel::applyContinueHost };
+    m_now += stepLength;
+    ++m_step;
+    (this->*actions[static_cast<std::size_t>(choice.kind)])(choice.index);
+    check();
+}
+
+void ProtocolModel::applyStep(std::size_t)
+{
+    const auto batch = oldestBatch();
+    if (batch.empty()) {
+        const auto before = visibleState();
+        for (std::size_t count = 0; count < maxWaitTicks && visibleState() == before && oldestBatch().empty(); ++count)
+            passTick();
+        return;
+    }
+    std::vector<ModelMessage> messages;
+    for (const auto index : batch)
+        messages.push_back(m_messages[index]);
+    std::erase_if(m_messages, [batchNumber = messages.front().batch, tick = m_tick](const ModelMessage& message) {
+        return message.batch == batchNumber && !message.heldSince && message.dueTick <= tick;
+    });
+    for (const auto& message : messages)
+        deliver(message);
+}
+
+void ProtocolModel::applyTick(std::size_t)
+{
+    --m_delaysLeft;
+    passTick();
+}
+
+void ProtocolModel::applyHold(std::size_t index)
+{
+    --m_delaysLeft;
+    auto& message = m_messages[index];
+    message.heldSince = m_tick;
+    trace("held back: " + describe(message));
+}
+
+void ProtocolModel::applyRelease(std::size_t index)
+{
+    const auto message = m_messages[index];
+    m_messages.erase(m_messages.begin() + static_cast<std::ptrdiff_t>(index));
+    deliver(message);
+}
+
+void ProtocolModel::applyCommit(std::size_t index)
+{
+    auto& replica = m_targets[index];
+    auto& primary = m_targets[sourceOf(replica)->index];
+    --m_commitsLeft;
+    const auto id = ++m_commits;
+    primary.append(id);
+    trace(primary.name().value() + " completes commit " + std::to_string(id) + " with " + replica.name().value());
+    receive(replica, primary);
+    m_hosts[0]->commitAcknowledged(m_now, primary.name(), primary.logEnd());
+}
+
+void ProtocolModel::applyCommitAlone(std::size_t)
+{
+    auto& primary = m_targets[currentPrimary()->index];
+    --m_commitsLeft;
+    primary.append(++m_commits);
+    trace(primary.name().value() + " appends commit " + std::to_string(m_commits) + ", not acknowledged");
+}
+
+void ProtocolModel::applyCrash(std::size_t)
+{
+    auto& primary = m_targets[currentPrimary()->index];
+    --m_faultsLeft;
+    trace(primary.name().value() + " crashes");
+    primary.crash();
+    ModelMessage expiry;
+    expiry.kind = Kind::Expiry;
+    expiry.target = primary.name();
+    expiry.dueTick = m_tick + 30;
+    send(std::move(expiry));
+}
+
+void ProtocolModel::applyReturn(std::size_t index)
+{
+    auto& target = m_targets[index];
+    // It returns as a replica if another target was promoted meanwhile.
+    const auto* const newer = currentPrimary();
+    target.isPrimary = target.isPrimary && (!newer || newer->term <= target.term);
+    target.restart();
+    trace(target.name().value() + " starts again as " + (target.isPrimary ? "primary" : "replica"));
+    ModelMessage registration;
+    registration.kind = Kind::Registration;
+    registration.target = target.name();
+    registration.dueTick = m_tick + 2;
+    send(std::move(registration));
+}
+
+void ProtocolModel::applyCut(std::size_t index)
+{
+    --m_faultsLeft;
+    trace("cut between " + currentPrimary()->name().value() + " and " + m_targets[index].name().value());
+    m_cuts.insert(std::minmax(currentPrimary()->index, index));
+}
+
+void ProtocolModel::applyCutStaying(std::size_t)
+{
+    --m_faultsLeft;
+    const auto* const primary = currentPrimary();
+    trace("cut between " + primary->name().value() + " and all replicas that stay");
+    for (const auto& target : m_targets) {
+        if (&target != primary && !target.isLeaving)
+            m_cuts.insert(std::minmax(primary->index, target.index));
+    }
+}
+
+void ProtocolModel::applyCutHost(std::size_t index)
+{
+    --m_faultsLeft;
+    trace("cut between " + m_hosts[index]->name().value() + " and " + currentPrimary()->name().value());
+    m_hostCuts.insert({ index, currentPrimary()->index });
+}
+
+void ProtocolModel::applyHeal(std::size_t)
+{
+    trace("all cuts end");
+    m_cuts.clear();
+    m_hostCuts.clear();
+}
+
+void ProtocolModel::applyJoin(std::size_t)
+{
+    --m_faultsLeft;
+    const auto* const primary = currentPrimary();
+    auto& target = m_targets.emplace_back(m_targets.size());
+    if (const auto* const source = sourceOf(target))
+        receive(target, *source);
+    trace(target.name().value() + " joins as a replica" + (primary ? " of " + primary->name().value() : ""));
+    ModelMessage registration;
+    registration.kind = Kind::Registration;
+    registration.target = target.name();
+    registration.dueTick = m_tick + 3;
+    send(std::move(registration));
+}
+
+void ProtocolModel::applyLeave(std::size_t index)
+{
+    --m_faultsLeft;
+    auto& target = m_targets[index];
+    target.isLeaving = true;
+    trace(target.name().value() + " announces its shutdown");
+    updateRecord(target);
+}
+
+void ProtocolModel::applyEnd(std::size_t index)
+{
+    --m_faultsLeft;
+    auto& target = m_targets[index];
+    trace("the process of " + target.name().value() + " ends after its shutdown");
+    target.leave();
+    m_store.removeRecord(target.name());
+    sendLists();
+}
+
+void ProtocolModel::applyLapse(std::size_t index)
+{
+    --m_faultsLeft;
+    const auto& target = m_targets[index];
+    trace("the record of " + target.name().value() + " expires although it runs");
+    m_store.removeRecord(target.name());
+    sendLists();
+    ModelMessage registration;
+    registration.kind = Kind::Registration;
+    registration.target = target.name();
+    registration.dueTick = m_tick + 30;
+    send(std::move(registration));
+}
+
+void ProtocolModel::applyRestartHost(std::size_t index)
+{
+    --m_faultsLeft;
+    trace(m_hosts[index]->name().value() + " starts again");
+    ++m_hostRestarts[index];
+    m_hosts[index] = std::make_unique<ModelHost>(index, groupRules);
+    m_checkedConfirmation[index].reset();
+    m_hosts[index]->applyList(m_now, m_store.records());
+}
+
+void ProtocolModel::applyPauseHost(std::size_t index)
+{
+    --m_faultsLeft;
+    trace(m_hosts[index]->name().value() + " is paused");
+    m_isPaused[index] = true;
+}
+
+void ProtocolModel::applyContinueHost(std::size_t index)
+{
+    trace(m_hosts[index]->name().value() + " continues");
+    m_isPaused[index] = false;
+}
+
+void ProtocolModel::recover()
+{
+    trace("all faults end");
+    m_isPaused = {};
+    applyHeal(0);
+    for (auto& target : m_targets) {
+        if (!target.isRunning && !target.hasLeft)
+            applyReturn(target.index);
+    }
+    for (auto& message : m_messages)
+        message.heldSince.reset();
+    const auto end = m_tick + recoveryTicks;
+    while (m_tick < end && m_failedCheck == Check::None && !hasRecovered()) {
+        m_now += stepLength;
+        ++m_step;
+        if (oldestBatch().empty())
+            passTick();
+        else
+            applyStep(0);
+        check();
+    }
+    if (m_failedCheck == Check::None && !hasRecovered())
+        fail(Check::NoPrimary, std::to_string(recoveryTicks) + " ticks after the end of all faults");
+}
+
+bool ProtocolModel::hasRecovered() const
+{
+    const auto* const primary = currentPrimary();
+    if (!primary)
+        return false;
+    const auto others = std::count_if(m_targets.begin(), m_targets.end(),
+        [primary](const ModelTarget& target) { return &target != primary && target.isRunning; });
+    const auto followers = std::count_if(m_targets.begin(), m_targets.end(),
+        [this, primary](const ModelTarget& target) { return sourceOf(target) == primary; });
+    const auto isKnown = std::all_of(m_hosts.begin(), m_hosts.end(),
+        [primary](const auto& host) { return host->watcher().primary() == primary->name(); });
+    return isKnown && (others == 0 || followers > 0);
+}
+
+void ProtocolModel::check()
+{
+    for (std::size_t host = 0; host < hostCount; ++host)
+        checkConfirmations(host);
+}
+
+void ProtocolModel::checkConfirmations(std::size_t host)
+{
+    const auto& confirmations = m_hosts[host]->watcher().confirmations();
+    const auto newest = confirmations.newestRequestedAt();
+    if (!newest || newest == m_checkedConfirmation[host])
+        return;
+    m_checkedConfirmation[host] = newest;
+    const auto end = confirmations.logPointAt(*newest);
+    for (const auto& [id, acknowledgement] : m_acknowledged) {
+        if (acknowledgement.at >= *newest)
+            continue;
+        if (*end < acknowledgement.point)
+            fail(Check::WrongConfirmation,
+                m_hosts[host]->name().value() + " confirms a log end before commit " + std::to_string(id));
+        for (const auto& target : m_targets) {
+            if (target.isPrimary && confirmations.covers(*newest, target.name()) && !target.holds(id))
+                fail(Check::WrongConfirmation,
+                    m_hosts[host]->name().value() + " confirms " + target.name().value() + ", which lacks commit "
+                        + std::to_string(id));
+        }
+    }
+}
+
+std::uint64_t ProtocolModel::visibleState() const
+{
+    Fingerprint fingerprint;
+    for (const auto& host : m_hosts) {
+        fingerprint.add(host->promotion().state());
+        fingerprint.add(static_cast<std::uint64_t>(host->watcher().failoverReason(m_now)));
+        fingerprint.add(host->watcher().primary() ? host->watcher().primary()->value() : "");
+        fingerprint.add(host->watcher().fencesNeeded());
+    }
+    for (const auto& target : m_targets)
+        fingerprint.add(target.isPrimary ? 1 : 0);
+    return fingerprint.value();
+}
+
+std::uint64_t ProtocolModel::fingerprint() const
+{
+    Fingerprint fingerprint;
+    for (const auto& target : m_targets)
+        target.addTo(fingerprint);
+    m_store.addTo(fingerprint, nowMs());
+    for (std::size_t host = 0; host < hostCount; ++host) {
+        fingerprint.add(m_hostRestarts[host]);
+        fingerprint.add(m_isPaused[host] ? 1 : 0);
+        m_hosts[host]->addTo(fingerprint, m_now);
+    }
+    for (const auto& message : m_messages) {
+        fingerprint.add(static_cast<std::uint64_t>(message.kind));
+        fingerprint.add(message.host);
+        fingerprint.add(message.target.value());
+        fingerprint.add(message.command.index());
+        fingerprint.add(message.status.received.position.value());
+        fingerprint.add(message.status.fencedTerm.value());
+        fingerprint.add(message.status.isPrimary ? 1 : 0);
+        fingerprint.add(message.version.value());
+        fingerprint.add(message.written ? message.written->value() : 0);
+        fingerprint.add(message.leaseRequest == m_leaseRequests[message.host] ? 1 : 0);
+        fingerprint.add(message.dueTick > m_tick ? message.dueTick - m_tick : 0);
+        fingerprint.add(message.heldSince ? m_tick - *message.heldSince + 1 : 0);
+    }
+    for (const auto& cuts : { m_cuts, m_hostCuts }) {
+        fingerprint.add(cuts.size());
+        for (const auto& [left, right] : cuts) {
+            fingerprint.add(left);
+            fingerprint.add(right);
+        }
+    }
+    for (const auto& [id, acknowledgement] : m_acknowledged)
+        fingerprint.add(id);
+    for (const auto left : { m_faultsLeft, m_commitsLeft, m_delaysLeft })
+        fingerprint.add(left);
+    fingerprint.add(m_lastToken.value());
+    return fingerprint.value();
+}
+
+} // namespace Auburnpost::Proxy
