--- a/tests/proxy/ModelScenario.h
+++ b/tests/proxy/ModelScenario.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "proxy/ModelChoice.h"
+
 #include <cstddef>
 #include <cstdint>
+#include <set>
 #include <string>
 
 namespace Auburnpost::Proxy {
@@ -26,8 +29,12 @@
     std::size_t leaving { 0 };
     std::size_t faults { 1 };
     std::size_t commits { 1 };
-    /// Number of messages that are held back, or of single ticks.
+    /// Number of accepted calls whose effect is held back.
+    std::size_t lateOrders { 0 };
+    /// Number of messages of any kind that are held back, or of single ticks.
     std::size_t delays { 0 };
+    /// The faults that are played; all when empty.
+    std::set<ModelChoice::Kind> faultKinds {};
     /// Maximum number of steps.
     std::size_t depth { 20 };
 };
