--- a/tests/proxy/ExplorationResult.h
+++ b/tests/proxy/ExplorationResult.h
@@ -16,6 +16,8 @@
         std::size_t count { 0 };
         /// A shortest schedule that leads to such a state.
         ModelSchedule schedule;
+        /// Whether the check fails in the recovery after this schedule.
+        bool isInRecovery { false };
     };
 
     /// Distinct states that were reached, or random schedules that were played.
@@ -30,8 +32,10 @@
     /// Findings by check.
     std::array<Finding, ProtocolModel::checkCount> findings;
 
-    /// Adds the checks that failed at the end of a schedule.
-    void add(const ProtocolModel::FailedChecks&, const ModelSchedule&);
+    /// Adds the checks that failed at the end of a schedule, or in the recovery after it.
+    void add(const ProtocolModel::FailedChecks&, const ModelSchedule&, bool isInRecovery);
+    /// @return whether a schedule replaces the shortest one; one without the recovery is preferred.
+    [[nodiscard]] static bool isShorter(const Finding&, const ModelSchedule&, bool isInRecovery);
     [[nodiscard]] const Finding& of(ProtocolModel::Check check) const
     {
         return findings[static_cast<std::size_t>(check)];
--- a/tests/proxy/ModelScenario.h
+++ b/tests/proxy/ModelScenario.h
@@ -37,6 +37,8 @@
     std::set<ModelChoice::Kind> faultKinds {};
     /// Maximum number of steps.
     std::size_t depth { 20 };
+    /// Number of ticks by which a promotion takes effect late at most.
+    std::size_t maxLateTicks { 100 };
 };
 
 } // namespace Auburnpost::Proxy
--- a/tests/proxy/ProtocolExplorationTests.cpp
+++ b/tests/proxy/ProtocolExplorationTests.cpp
@@ -31,9 +31,9 @@
               << std::setprecision(1) << static_cast<double>(result.duration.count()) / millisecondsPerSecond;
     for (const auto check : checks) {
         const auto& finding = result.of(check);
-        const auto text = finding.count == 0
-            ? std::string("-")
-            : std::to_string(finding.count) + " (" + std::to_string(finding.schedule.size()) + " steps)";
+        const auto text = finding.count == 0 ? std::string("-")
+                                             : std::to_string(finding.count) + " ("
+                + std::to_string(finding.schedule.size()) + (finding.isInRecovery ? " + recovery)" : " steps)");
         std::cout << std::setw(21) << text;
     }
     std::cout << std::endl;
@@ -89,8 +89,79 @@
     return scenarios;
 }
 
+/// Explores a scenario completely.
+/// @return the result; the shortest schedules that fail are added to the messages of the next assertion.
+ExplorationResult explore(const ModelScenario& scenario)
+{
+    const ProtocolExplorer explorer(scenario, SIZE_MAX, std::chrono::seconds(60));
+    auto result = explorer.explore();
+    REQUIRE(result.completeDepth == scenario.depth);
+    for (const auto check : checks) {
+        if (result.of(check).count > 0)
+            UNSCOPED_INFO(toString(check) << "\n" << explorer.describe(result.of(check).schedule));
+    }
+    return result;
+}
+
+void checkCommits(const ModelScenario& scenario)
+{
+    const auto result = explore(scenario);
+    CHECK(result.of(Check::LostCommit).count == 0);
+}
+
+void checkTokensAndRecovery(const ModelScenario& scenario)
+{
+    const auto result = explore(scenario);
+    CHECK(result.of(Check::WrongToken).count == 0);
+    CHECK(result.of(Check::NoPrimary).count == 0);
+    CHECK(result.recoveries > 0);
+}
+
 } // namespace
 
+// Guards against docs/incidents/lost-while-members-change.md, hypothesis 2.
+TEST_CASE("No schedule of a planned switch with a member that joins loses a commit", "[proxy][exploration]")
+{
+    checkCommits({ "planned, join", Start::PrimaryLeaving, 3, 0, 1, 1, 0, 0, { Kind::Join }, 24 });
+}
+
+// Guards against docs/incidents/lost-while-members-change.md, hypothesis 2.
+TEST_CASE("No schedule of a crash with a member that joins loses a commit", "[proxy][exploration]")
+{
+    checkCommits({ "crash, join", Start::PrimaryCrashed, 3, 0, 1, 1, 0, 0, { Kind::Join }, 20 });
+}
+
+// Guards against docs/incidents/lost-while-members-change.md, hypothesis 1.
+TEST_CASE("No schedule of a planned switch with a member that departs loses a commit", "[proxy][exploration]")
+{
+    checkCommits({ "planned, departure", Start::PrimaryLeaving, 4, 1, 1, 1, 0, 0, { Kind::End }, 24 });
+}
+
+// Guards against docs/incidents/lost-while-members-change.md, hypothesis 1.
+TEST_CASE("No schedule of a cut primary with a member that departs loses a commit", "[proxy][exploration]")
+{
+    checkCommits({ "cut, departure", Start::PrimaryCut, 4, 1, 1, 1, 0, 0, { Kind::End }, 22 });
+}
+
+// Guards against docs/incidents/lost-while-members-change.md, hypothesis 3.
+TEST_CASE("No schedule with an order that takes effect late loses a commit", "[proxy][exploration]")
+{
+    checkCommits({ "crash, late order", Start::PrimaryCrashed, 3, 0, 0, 1, 1, 0, {}, 58 });
+}
+
+// A host that starts while a record has lapsed takes the shorter list for the whole group.
+TEST_CASE("No schedule with a lapsed record and a host that starts loses a commit", "[proxy][exploration]")
+{
+    checkCommits({ "planned, lapse and restart", Start::PrimaryLeaving, 4, 0, 2, 1, 0, 0,
+        { Kind::Lapse, Kind::RestartHost }, 12 });
+}
+
+TEST_CASE("In every schedule with a host fault tokens increase and a primary is known again", "[proxy][exploration]")
+{
+    checkTokensAndRecovery({ "crash, host fault", Start::PrimaryCrashed, 3, 0, 1, 0, 0, 0,
+        { Kind::RestartHost, Kind::PauseHost, Kind::CutHost }, 22 });
+}
+
 TEST_CASE("Exploration of promotions, long run", "[.explore]")
 {
     const std::chrono::seconds maxDuration(setting("EXPLORE_SECONDS", 10));
--- a/tests/proxy/ProtocolExplorer.cpp
+++ b/tests/proxy/ProtocolExplorer.cpp
@@ -23,18 +23,6 @@
 
 } // namespace
 
-void ExplorationResult::add(const ProtocolModel::FailedChecks& failed, const ModelSchedule& schedule)
-{
-    for (std::size_t check = 0; check < findings.size(); ++check) {
-        if (!failed.test(check))
-            continue;
-        auto& finding = findings[check];
-        if (finding.count == 0 || schedule.size() < finding.schedule.size())
-            finding.schedule = schedule;
-        ++finding.count;
-    }
-}
-
 ProtocolExplorer::ProtocolExplorer(ModelScenario scenario, std::size_t maxStates, std::chrono::seconds maxDuration)
     : m_scenario(std::move(scenario))
     , m_maxStates(maxStates)
@@ -92,7 +80,7 @@
         auto longer = schedule;
         longer.push_back(choice);
         if (isNew)
-            result.add(model->failedChecks() & ~failedBefore, longer);
+            result.add(model->failedChecks() & ~failedBefore, longer, false);
         if (isNew && !model->isOver())
             next.push_back(std::move(longer));
         model.reset();
@@ -110,7 +98,7 @@
     const auto failedBefore = model.failedChecks();
     model.recover();
     ++result.recoveries;
-    result.add(model.failedChecks() & ~failedBefore, schedule);
+    result.add(model.failedChecks() & ~failedBefore, schedule, true);
 }
 
 ExplorationResult ProtocolExplorer::playRandom(std::size_t schedules, std::size_t steps, std::uint64_t seed) const
@@ -128,11 +116,14 @@
             schedule.push_back(choices[other]);
             model.apply(schedule.back());
         }
-        if (!model.isOver())
-            model.recover();
-        ++result.recoveries;
         ++result.states;
-        result.add(model.failedChecks(), schedule);
+        const auto failed = model.failedChecks();
+        result.add(failed, schedule, false);
+        if (model.isOver())
+            continue;
+        model.recover();
+        ++result.recoveries;
+        result.add(model.failedChecks() & ~failed, schedule, true);
     }
     result.duration = since(start);
     return result;
--- a/tests/proxy/ProtocolModelMessages.cpp
+++ b/tests/proxy/ProtocolModelMessages.cpp
@@ -101,6 +101,10 @@
 
 void ProtocolModel::expireHeldMessages()
 {
+    for (auto& message : m_messages) {
+        if (message.kind == Kind::Effect && message.heldSince && m_tick >= *message.heldSince + m_scenario.maxLateTicks)
+            message.heldSince.reset();
+    }
     std::vector<ModelMessage> unanswered;
     std::erase_if(m_messages, [&](const ModelMessage& message) {
         const bool isConnected = message.kind == Kind::Command || message.kind == Kind::Reply
