--- a/tests/proxy/ProtocolModel.cpp
+++ b/tests/proxy/ProtocolModel.cpp
@@ -110,6 +110,7 @@
         return;
     }
     std::vector<ModelMessage> messages;
+    messages.reserve(batch.size());
     for (const auto index : batch)
         messages.push_back(m_messages[index]);
     for (auto index = batch.rbegin(); index != batch.rend(); ++index)
