--- a/tests/proxy/ProtocolExplorationTests.cpp
+++ b/tests/proxy/ProtocolExplorationTests.cpp
@@ -154,6 +154,8 @@
         { Check::WrongToken, Check::NoPrimary });
 }
 
+// Prints a table of the states in which each check fails, and a shortest schedule for each. EXPLORE_SECONDS limits the
+// time for each row; EXPLORE_ONLY selects the rows whose name contains a text.
 TEST_CASE("Exploration of promotions, long run", "[.explore]")
 {
     const std::chrono::seconds maxDuration(setting("EXPLORE_SECONDS", 10));
--- a/tests/proxy/ProtocolExplorer.h
+++ b/tests/proxy/ProtocolExplorer.h
@@ -17,7 +17,8 @@
 ///   until its connection is reset.
 /// - Time passes while nothing is due, until something happens; a single tick counts against the budget of delays.
 /// - A fault is played on one of the replicas that nothing distinguishes.
-/// - A state that was reached before is not continued. States are compared by a hash in which ages count in ticks.
+/// - A state that was reached before is not continued. States are compared by a hash in which ages count in ticks and
+///   timers that the product keeps to itself are derived from its calls.
 class ProtocolExplorer {
 public:
     /// @param maxStates number of states after which the exploration ends.
--- a/tests/proxy/ProtocolModel.cpp
+++ b/tests/proxy/ProtocolModel.cpp
@@ -374,6 +374,23 @@
     return fingerprint.value();
 }
 
+void ProtocolModel::addAcknowledgement(
+    Fingerprint& fingerprint, std::size_t id, const Acknowledgement& acknowledgement) const
+{
+    // Confirmations made from queries that were sent later have to cover the commit.
+    std::uint64_t later = 0;
+    const auto addQuery
+        = [&later, &acknowledgement](Instant sentAt) { later = 2 * later + (sentAt > acknowledgement.at ? 1 : 0); };
+    for (const auto& host : m_hosts) {
+        for (const auto& [name, member] : host->watcher().members())
+            addQuery(member.queriedAt);
+    }
+    for (const auto& message : m_messages)
+        addQuery(message.sentAt);
+    fingerprint.add(id);
+    fingerprint.add(later);
+}
+
 std::uint64_t ProtocolModel::fingerprint() const
 {
     Fingerprint fingerprint;
@@ -407,7 +424,7 @@
         }
     }
     for (const auto& [id, acknowledgement] : m_acknowledged)
-        fingerprint.add(id);
+        addAcknowledgement(fingerprint, id, acknowledgement);
     for (const auto left : { m_faultsLeft, m_commitsLeft, m_lateOrdersLeft, m_delaysLeft })
         fingerprint.add(left);
     fingerprint.add(m_lastToken.value());
--- a/tests/proxy/ProtocolModel.h
+++ b/tests/proxy/ProtocolModel.h
@@ -141,6 +141,9 @@
     /// @return a hash of what distinguishes the target from others in the same role.
     [[nodiscard]] std::uint64_t symmetryClass(const ModelTarget&) const;
 
+    /// Adds the commit, and which queries were sent after its acknowledgement.
+    void addAcknowledgement(Fingerprint&, std::size_t id, const Acknowledgement&) const;
+
     // Checks
     void check();
     void checkConfirmations(std::size_t host);
