--- a/tests/proxy/ModelMessage.h
+++ b/tests/proxy/ModelMessage.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <string>
 
 namespace Auburnpost::Proxy {
 
@@ -54,4 +55,7 @@
     std::optional<std::size_t> heldSince;
 };
 
+/// @return what the delivery of the message means, in words.
+std::string toString(const ModelMessage&);
+
 } // namespace Auburnpost::Proxy
--- a/tests/proxy/ProtocolModel.h
+++ b/tests/proxy/ProtocolModel.h
@@ -62,6 +62,8 @@
 
 private:
     using Kind = ModelMessage::Kind;
+    /// Two steps never happen at the same moment.
+    static constexpr Duration stepLength = std::chrono::milliseconds(1);
     struct Acknowledgement {
         LogPoint point;
         Instant at;
@@ -127,7 +129,6 @@
     void deliverEffect(const ModelMessage&);
     void deliverRegistration(const ModelMessage&);
     void deliverExpiry(const ModelMessage&);
-    [[nodiscard]] static std::string describe(const ModelMessage&);
 
     // Targets
     [[nodiscard]] ModelTarget* find(const TargetName&);
--- a/tests/proxy/ProtocolModelMessages.cpp
+++ b/tests/proxy/ProtocolModelMessages.cpp
@@ -6,25 +6,10 @@
 
 namespace {
 
-    /// Time between the queries of two members, which are never sent at the same moment.
-    constexpr Duration pollGap { 1 };
     /// Time from an accepted call to its effect.
     constexpr std::size_t effectTicks = 3;
-    /// Connections to targets and to the platform are reset after this time without an answer.
-    constexpr std::size_t callTimeoutTicks = 6;
-    /// Time for which a primary that reaches one of a higher term stays primary.
-    constexpr std::size_t stepDownTicks = 10;
     constexpr auto kindCount = static_cast<std::size_t>(ModelMessage::Kind::Expiry) + 1;
 
-    std::string commandText(const TargetRequest& command)
-    {
-        if (const auto* const fence = std::get_if<FenceReplica>(&command))
-            return "fence of term " + std::to_string(fence->term.value());
-        if (const auto* const demote = std::get_if<DemotePrimary>(&command))
-            return "demotion of term " + std::to_string(demote->term.value());
-        return std::holds_alternative<ResumeReplica>(command) ? "resume" : "status query";
-    }
-
 } // namespace
 
 void ProtocolModel::send(ModelMessage message)
@@ -101,29 +86,6 @@
     return batch;
 }
 
-void ProtocolModel::expireHeldMessages()
-{
-    for (auto& message : m_messages) {
-        if (message.kind == Kind::Effect && message.heldSince && m_tick >= *message.heldSince + m_scenario.maxLateTicks)
-            message.heldSince.reset();
-    }
-    std::vector<ModelMessage> unanswered;
-    std::erase_if(m_messages, [&](const ModelMessage& message) {
-        const bool isConnected = message.kind == Kind::Command || message.kind == Kind::Reply
-            || message.kind == Kind::Call || message.kind == Kind::CallAnswer;
-        const bool isExpired = isConnected && message.heldSince && m_tick >= *message.heldSince + callTimeoutTicks;
-        if (isExpired && (message.kind == Kind::Call || message.kind == Kind::CallAnswer))
-            unanswered.push_back(message);
-        return isExpired;
-    });
-    for (auto& message : unanswered) {
-        message.kind = Kind::CallAnswer;
-        message.outcome = PromotionOutcome::Unanswered;
-        message.heldSince.reset();
-        send(std::move(message));
-    }
-}
-
 void ProtocolModel::deliver(const ModelMessage& message)
 {
     constexpr void (ProtocolModel::*actions[])(const ModelMessage&) { &ProtocolModel::deliverList,
@@ -132,49 +94,11 @@
         &ProtocolModel::deliverLeaseWriteAnswer, &ProtocolModel::deliverCall, &ProtocolModel::deliverCallAnswer,
         &ProtocolModel::deliverEffect, &ProtocolModel::deliverRegistration, &ProtocolModel::deliverExpiry };
     if (m_isTraced)
-        trace(describe(message));
+        trace(toString(message));
     (this->*actions[static_cast<std::size_t>(message.kind)])(message);
     sendRequests(message.host);
 }
 
-std::string ProtocolModel::describe(const ModelMessage& message)
-{
-    const auto host = "host-" + std::to_string(message.host);
-    const auto& target = message.target.value();
-    const auto version = std::to_string(message.version.value());
-    switch (message.kind) {
-    case Kind::List:
-        return host + " receives the list of targets";
-    case Kind::Command:
-        return target + " receives the " + commandText(message.command) + " of " + host;
-    case Kind::Reply:
-        return host + " receives the status of " + target + (message.status.isPrimary ? ", primary" : ", replica")
-            + " of term " + std::to_string(message.status.term.value()) + ", log end "
-            + std::to_string(message.status.received.term.value()) + "."
-            + std::to_string(message.status.received.position.value()) + ", fence "
-            + std::to_string(message.status.fencedTerm.value());
-    case Kind::LeaseRead:
-        return "the store receives the read of the lease of " + host;
-    case Kind::LeaseReadAnswer:
-        return host + " receives the lease's row, version " + std::to_string(message.row.version.value());
-    case Kind::LeaseWrite:
-        return "the store receives the write of the lease of " + host + " on version " + version;
-    case Kind::LeaseWriteAnswer:
-        return host + (message.written ? " holds the lease" : " does not get the lease");
-    case Kind::Call:
-        return "the platform receives the call of " + host + " for " + target + " with token " + version;
-    case Kind::CallAnswer:
-        return host + " learns the outcome of its call";
-    case Kind::Effect:
-        return "the promotion of " + target + " takes effect";
-    case Kind::Registration:
-        return target + " writes its record";
-    case Kind::Expiry:
-        return "the record of " + target + " expires";
-    }
-    return {};
-}
-
 void ProtocolModel::deliverList(const ModelMessage& message)
 {
     m_hosts[message.host]->applyList(m_now, m_store.records());
@@ -304,126 +228,4 @@
     sendLists();
 }
 
-void ProtocolModel::passTick()
-{
-    ++m_tick;
-    const auto passed = (m_now.time_since_epoch() / ModelHost::tickLength + 1) * ModelHost::tickLength;
-    m_now = Instant(passed);
-    for (auto& target : m_targets) {
-        if (target.isLeaving)
-            ++target.leavingTicks;
-    }
-    replicate();
-    expireHeldMessages();
-    for (std::size_t host = 0; host < hostCount; ++host) {
-        if (!m_isPaused[host])
-            passHostTick(host);
-    }
-}
-
-void ProtocolModel::passHostTick(std::size_t host)
-{
-    auto& self = *m_hosts[host];
-    const auto state = self.promotion().state();
-    const auto reason = self.watcher().failoverReason(m_now);
-    self.beginTick(m_now);
-    if (self.isPollDue(m_now)) {
-        self.pollStarted(m_now);
-        std::vector<TargetName> names;
-        for (const auto& [name, member] : self.watcher().members())
-            names.push_back(name);
-        for (const auto& name : names) {
-            m_now += pollGap;
-            poll(host, name);
-        }
-    }
-    self.endTick(m_now);
-    sendRequests(host);
-    if (m_isTraced && state != self.promotion().state())
-        trace(self.name().value() + " goes from " + state + " to " + self.promotion().state() + ", reason "
-            + std::string(toString(reason)) + ", fences needed " + std::to_string(self.watcher().fencesNeeded()));
-}
-
-void ProtocolModel::poll(std::size_t host, const TargetName& name)
-{
-    const auto* const target = find(name);
-    if (target && m_hostCuts.contains({ host, target->index }))
-        m_hosts[host]->pollUnanswered(m_now, name);
-    else if (!target || !target->isRunning)
-        m_hosts[host]->pollRefused(m_now, name);
-    else
-        m_hosts[host]->statusReceived(m_now, name, m_now, target->status());
-}
-
-void ProtocolModel::replicate()
-{
-    for (auto& target : m_targets) {
-        if (const auto* const source = sourceOf(target))
-            receive(target, *source);
-    }
-    for (auto& target : m_targets) {
-        const auto reachesNewer = [&](const ModelTarget& other) {
-            return other.isRunning && other.isPrimary && other.term > target.term && !isCut(other.index, target.index);
-        };
-        const bool isFormer
-            = target.isRunning && target.isPrimary && std::any_of(m_targets.begin(), m_targets.end(), reachesNewer);
-        target.newerPrimaryTicks = isFormer ? target.newerPrimaryTicks + 1 : 0;
-        if (target.newerPrimaryTicks <= stepDownTicks)
-            continue;
-        trace(target.name().value() + " steps down");
-        target.isPrimary = false;
-        target.newerPrimaryTicks = 0;
-        updateRecord(target);
-    }
-}
-
-void ProtocolModel::receive(ModelTarget& replica, const ModelTarget& primary)
-{
-    replica.follow(primary);
-    for (const auto& commit : primary.log)
-        m_acknowledged.try_emplace(commit.id, Acknowledgement { commit.point, m_now });
-}
-
-ModelTarget* ProtocolModel::find(const TargetName& name)
-{
-    const auto found = std::find_if(m_targets.begin(), m_targets.end(),
-        [&name](const ModelTarget& target) { return !target.hasLeft && target.name() == name; });
-    return found == m_targets.end() ? nullptr : &*found;
-}
-
-const ModelTarget* ProtocolModel::currentPrimary() const
-{
-    const ModelTarget* best = nullptr;
-    for (const auto& target : m_targets) {
-        if (target.isRunning && target.isPrimary && (!best || target.term > best->term))
-            best = &target;
-    }
-    return best;
-}
-
-const ModelTarget* ProtocolModel::sourceOf(const ModelTarget& replica) const
-{
-    const ModelTarget* best = nullptr;
-    for (const auto& target : m_targets) {
-        const bool isSource
-            = target.index != replica.index && replica.canFollow(target) && !isCut(target.index, replica.index);
-        if (isSource && (!best || target.term > best->term))
-            best = &target;
-    }
-    return best;
-}
-
-bool ProtocolModel::isCut(std::size_t left, std::size_t right) const
-{
-    return m_cuts.contains(std::minmax(left, right));
-}
-
-void ProtocolModel::updateRecord(const ModelTarget& target)
-{
-    if (!m_store.hasRecord(target.name()))
-        return;
-    m_store.setRecord(target.record());
-    sendLists();
-}
-
 } // namespace Auburnpost::Proxy
