Leave schedules that no rule prevents out of the case on joins

A member that starts after the call, beside a crashed primary that returns after it, can acknowledge before the order takes effect, whatever the host decided. The case now starts with a member whose commit and the crash precede the attempt, and whose record one host may receive late; the other schedules stay in the long run.

--- a/tests/proxy/ModelScenario.h
+++ b/tests/proxy/ModelScenario.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "proxy/ModelChoice.h"
+#include "proxy/ModelMessage.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -16,6 +17,8 @@
         Established,
         /// The primary has just crashed.
         PrimaryCrashed,
+        /// A replica has just started and received a commit, and the primary has crashed.
+        PrimaryCrashedAfterJoin,
         /// The primary has just announced its shutdown.
         PrimaryLeaving,
         /// The primary has just been cut off from the replicas that stay.
@@ -41,6 +44,10 @@
     std::size_t maxLateTicks { 100 };
     /// Whether the recovery after schedules is played.
     bool playsRecovery { true };
+    /// Whether a target that crashed may start again before the recovery.
+    bool hasReturns { true };
+    /// The messages that are held back, apart from late orders; all when empty.
+    std::set<ModelMessage::Kind> delayKinds {};
 };
 
 } // namespace Auburnpost::Proxy
--- a/tests/proxy/ProtocolModel.cpp
+++ b/tests/proxy/ProtocolModel.cpp
@@ -46,6 +46,11 @@
     case ModelScenario::Start::PrimaryCrashed:
         applyCrash(0);
         break;
+    case ModelScenario::Start::PrimaryCrashedAfterJoin:
+        applyJoin(0);
+        applyCommit(scenario.members);
+        applyCrash(0);
+        break;
     case ModelScenario::Start::PrimaryLeaving:
         applyLeave(0);
         break;
