--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -49,6 +49,12 @@
     PromotionLeaseHeld = 410,
     PromotionCommandSent = 411,
     PromotionCommandDropped = 412,
+    PromotionEffectSeen = 413,
+    PromotionFenceLost = 414,
+    PromotionEffectLate = 415,
+    MemberReleased = 420,
+    PendingPromotionFound = 421,
+    HandoverStalled = 422,
 
     TargetConnectFailed = 500,
     TargetConnectionLost = 501,
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -45,6 +45,10 @@
 
     void setRules(const GroupRules&);
     void setMembers(Instant now, const std::vector<TargetRecord>&);
+    /// Forgets the members of a group that this host no longer serves.
+    void stopWatching(Instant now);
+    /// Stores where the list of targets came from, for logs and dumps.
+    void setListOrigin(const TableOrigin& origin) { m_watcher.setListOrigin(origin); }
     void tick(Instant now);
     /// Restarts the timeouts of all members after a pause of this process.
     void resumedAfterPause(Instant now) { m_watcher.discountPause(now); }
@@ -71,6 +75,8 @@
     {
         m_promotion.leaseWritten(now, m_watcher, version);
     }
+    /// @param isKnown whether setMembers() was given what the store lists; false if the store could not be read.
+    void membersRead(Instant now, bool isKnown) { m_promotion.membersRead(now, m_watcher, isKnown); }
     void promoteAnswered(Instant now, PromotionOutcome outcome)
     {
         m_promotion.promoteAnswered(now, m_watcher, outcome);
@@ -120,6 +126,8 @@
     void probePaths(Instant now);
     /// Closes idle connections that may have gone dead, or whose path is no longer used.
     void discardIdleConnections(const TargetName&, ConnectionId except);
+    /// Closes the connections on which no reply is expected.
+    void discardUnusedConnections(const TargetName&);
     TargetConnection* findIdleOrOpen(Instant now, const TargetName&, const PendingStatement&);
 
     // Replies.
@@ -153,14 +161,19 @@
     void checkConnections(Instant now);
     [[nodiscard]] bool isOverdue(Instant now, const ExpectedReply&) const;
     void watchPrimary(Instant now);
+    /// Releases the members without a record that no longer count, and drops what is kept for targets that are no
+    /// members.
+    void forgetReleasedMembers(Instant now);
     void logSuspicionChanges(Instant now);
 
     // PromotionDelegate.
     void readLease(const GroupName&) override;
     void writeLease(const GroupName&, const PromotionLease&, RowVersion expected) override;
+    void readMembers(const GroupName&) override;
     void promote(const GroupName&, const TargetName&, RowVersion token, Instant sendBefore) override;
     void sendCommand(const TargetName&, const TargetRequest&, Instant sendBefore) override;
     void log(const LogRecord&) override;
+    void measure(std::string_view series, double sample) override;
     void sendQueuedCommands(Instant now);
 
     HostName m_self;
--- a/src/proxy/GroupServiceDelegate.h
+++ b/src/proxy/GroupServiceDelegate.h
@@ -33,11 +33,15 @@
     virtual void send(ConnectionId, const std::vector<TargetRequest>&) = 0;
     virtual void readLease(const GroupName&) = 0;
     virtual void writeLease(const GroupName&, const PromotionLease&, RowVersion expected) = 0;
+    /// Reads the members of the group from the store; GroupService::membersRead() follows.
+    virtual void readMembers(const GroupName&) = 0;
     virtual void promote(const GroupName&, const TargetName&, RowVersion token, Instant sendBefore) = 0;
     virtual void statementFinished(const StatementResult&) = 0;
     /// Reports that the connection of a session's transaction ended between two statements.
     virtual void transactionLost(SessionId) = 0;
     virtual void log(const LogRecord&) = 0;
+    /// Adds a sample to a metrics series.
+    virtual void measure(std::string_view series, double sample) = 0;
     /// @return an id that was never used for a connection.
     virtual ConnectionId nextConnectionId() = 0;
     virtual RandomEngine& random() = 0;
--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -1,8 +1,10 @@
 #include "proxy/Proxy.h"
+#include "proxy/StateDump.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace Auburnpost::Proxy {
 
@@ -19,6 +21,7 @@
     }
     const auto before = follower(table).calls();
     const bool hasChanged = follower(table).tableRead(now, m_random, page);
+    updateListOrigin();
     logStoreCall(now, table, before, page);
     if (hasChanged)
         tableChanged(now, table);
@@ -30,12 +33,46 @@
     m_now = now;
     const auto before = follower(table).calls();
     const bool hasChanged = follower(table).tableFollowed(now, m_random, page);
+    updateListOrigin();
     logStoreCall(now, table, before, page);
     if (hasChanged)
         tableChanged(now, table);
     follower(table).tick(now);
 }
 
+void Proxy::readMembers(const GroupName& group)
+{
+    m_memberReads[group] = {};
+    m_delegate.readMembers(group, {});
+}
+
+void Proxy::membersRead(Instant now, const GroupName& name, const Expected<StorePage>& page)
+{
+    m_now = now;
+    auto* const group = findGroup(name);
+    if (!group)
+        return;
+    if (!page) {
+        group->membersRead(now, false);
+        return;
+    }
+    auto& read = m_memberReads[name];
+    for (const auto& row : page->rows)
+        read.rows[row.key] = row;
+    // The pages of one read may have different versions; the first one is the version from which changes are followed.
+    if (read.asOf == RowVersion {})
+        read.asOf = page->asOf;
+    if (page->hasMore && !page->rows.empty()) {
+        m_delegate.readMembers(name, keyAfter(page->rows.back().key));
+        return;
+    }
+    const auto whole = std::exchange(read, {});
+    if (follower(StoreTable::Targets).adoptRead(now, whole))
+        tableChanged(now, StoreTable::Targets);
+    updateListOrigin();
+    group->membersRead(now, true);
+}
+
 void Proxy::logStoreCall(
     Instant now, StoreTable table, const StoreFollower::CallHistory& before, const Expected<StorePage>& page)
 {
@@ -103,6 +140,7 @@
             group = std::make_unique<GroupService>(m_settings.host, name, delegate);
         group->setRules(rules);
     }
+    updateListOrigin();
     updateGroupMembers(now);
     std::vector<SessionId> waiting;
     for (const auto& [id, session] : m_sessions) {
@@ -136,8 +174,19 @@
 
 void Proxy::updateGroupMembers(Instant now)
 {
+    for (auto& [name, group] : m_groups) {
+        if (servesGroup(now, name))
+            group->setMembers(now, m_directory.members(name));
+        else
+            group->stopWatching(now);
+    }
+}
+
+void Proxy::updateListOrigin()
+{
+    const auto origin = follower(StoreTable::Targets).origin();
     for (auto& [name, group] : m_groups)
-        group->setMembers(now, servesGroup(now, name) ? m_directory.members(name) : std::vector<TargetRecord> {});
+        group->setListOrigin(origin);
 }
 
 bool Proxy::servesGroup(Instant now, const GroupName& name) const
@@ -171,14 +220,17 @@
 
 void Proxy::logTargetChanges(const TargetDirectory::Changes& changes)
 {
+    const auto asOf = std::to_string(follower(StoreTable::Targets).state().asOf.value());
     for (const auto& record : changes.listed)
         log({ record.isLeaving ? LogEvent::TargetLeaving : LogEvent::TargetListed,
             { { "group", record.group.value() }, { "target", record.name.value() },
                 { "address", record.address.toString() }, { "data_centre", record.dataCentre.value() },
                 { "primary", record.reportsPrimary ? "yes" : "no" },
-                { "incarnation", std::to_string(record.incarnation.value()) } } });
+                { "incarnation", std::to_string(record.incarnation.value()) }, { "as_of", asOf } } });
     for (const auto& record : changes.removed)
-        log({ LogEvent::TargetRemoved, { { "group", record.group.value() }, { "target", record.name.value() } } });
+        log({ LogEvent::TargetRemoved,
+            { { "group", record.group.value() }, { "target", record.name.value() },
+                { "leaving", record.isLeaving ? "yes" : "no" }, { "as_of", asOf } } });
 }
 
 void Proxy::queryPeers(Instant now)
@@ -208,8 +260,9 @@
         return;
     }
     for (const auto& [table, state] : *tables) {
-        if (!follower(table).adopt(state))
+        if (!follower(table).adopt(state, peer))
             continue;
+        updateListOrigin();
         log({ LogEvent::PeerStateAdopted,
             { { "peer", peer.toString() }, { "table", std::string(toString(table)) },
                 { "as_of", std::to_string(state.asOf.value()) } } });
@@ -229,22 +282,13 @@
 {
     using Json = nlohmann::json;
     Json groups = Json::object();
-    for (const auto& [name, group] : m_groups) {
-        Json members = Json::object();
-        for (const auto& [target, member] : group->watcher().members()) {
-            const auto pool = group->pools().find(target);
-            members[target.value()] = { { "data_centre", member.record.dataCentre.value() },
-                { "leaving", member.record.isLeaving }, { "doubtful", member.health.isSuspect(now) },
-                { "round_trip_ms", toMilliseconds(member.health.roundTrip()) },
-                { "connections", pool == group->pools().end() ? 0 : pool->second.connections().size() } };
-        }
-        groups[name.value()] = { { "primary", group->watcher().primary() ? group->watcher().primary()->value() : "" },
-            { "term", group->watcher().primaryTerm().value() }, { "waiting", group->waiting() },
-            { "promotion", group->promotion().state() }, { "members", std::move(members) } };
-    }
+    for (const auto& [name, group] : m_groups)
+        groups[name.value()] = describeGroup(now, *group);
     const Json state { { "host", m_settings.host.value() }, { "ready", isReady() },
         { "configuration", m_catalog ? m_catalog->version.value() : 0 }, { "sessions", m_sessions.size() },
-        { "statements", statements() }, { "groups", std::move(groups) } };
+        { "statements", statements() },
+        { "targets_list", describeOrigin(now, m_followers[static_cast<std::size_t>(StoreTable::Targets)].origin()) },
+        { "groups", std::move(groups) } };
     return state.dump(2);
 }
 
--- a/src/proxy/StoreFollower.cpp
+++ b/src/proxy/StoreFollower.cpp
@@ -50,6 +50,7 @@
     if (m_partialRead.asOf < m_state.asOf)
         return false;
     m_state = std::move(m_partialRead);
+    recordConfirmation(now);
     return true;
 }
 
@@ -65,13 +66,24 @@
         m_needsRead = true;
         return false;
     }
+    if (page->asOf >= m_state.asOf)
+        recordConfirmation(now);
     return mergeChanges(*page);
 }
 
+void StoreFollower::recordConfirmation(Instant now)
+{
+    m_confirmedAt = now;
+    m_peer.reset();
+}
+
 bool StoreFollower::mergeChanges(const StorePage& page)
 {
     bool hasChanged = false;
     for (const auto& row : page.rows) {
+        // A table that was adopted while the poll waited may already reflect the change, or a later one.
+        if (row.version <= m_state.asOf)
+            continue;
         const auto known = m_state.rows.find(row.key);
         if (known != m_state.rows.end() && known->second.version >= row.version)
             continue;
@@ -85,11 +97,23 @@
     return hasChanged;
 }
 
-bool StoreFollower::adopt(const TableState& peers)
+bool StoreFollower::adopt(const TableState& peers, const SocketAddress& peer)
 {
     if (peers.asOf <= m_state.asOf)
         return false;
     m_state = peers;
+    m_peer = peer;
+    return true;
+}
+
+bool StoreFollower::adoptRead(Instant now, const TableState& read)
+{
+    if (read.asOf < m_state.asOf)
+        return false;
+    recordConfirmation(now);
+    if (read.asOf == m_state.asOf)
+        return false;
+    m_state = read;
     return true;
 }
 
