Adapt the exploration of promotions to the read of members and to former members

A promotion now reads the table of targets: a request to the store, and its answer, which the host applies unless it knows a newer table, as Proxy::membersRead() does. Each tick releases members that no longer count; a change of members that leaves one unlisted queries all of them. Commands to a process that has ended are refused. A host that is paused or cut off from the primary no longer learns of the primary's commits, which matters now that these show that the primary isn't blocked.

States are told apart by what the new rules depend on: unlisted members and the evidence on them, the recorded promotion, and the read of members.

--- a/tests/proxy/ModelHost.cpp
+++ b/tests/proxy/ModelHost.cpp
@@ -27,11 +27,21 @@
     m_watcher.setRules(rules);
 }
 
-void ModelHost::applyList(Instant now, const std::vector<TargetRecord>& records)
+void ModelHost::setMembers(Instant now)
+{
+    m_watcher.setMembers(now, m_directory.members(GroupName("group")));
+    m_watcher.releaseUnlisted(now);
+    // GroupService queries all members when one is no longer listed.
+    if (m_watcher.membership().listedCount() < m_watcher.members().size())
+        m_polledAt = {};
+}
+
+void ModelHost::applyList(Instant now, const std::vector<TargetRecord>& records, std::size_t version)
 {
     m_now = now;
+    m_listVersion = version;
     m_directory.update(now, records);
-    m_watcher.setMembers(now, m_directory.members(GroupName("group")));
+    setMembers(now);
     for (const auto& [name, member] : m_watcher.members()) {
         m_listedAt[member.record.address] = now;
         m_missingSince.try_emplace(name, now);
@@ -48,7 +58,8 @@
         m_watcher.discountPause(now);
     m_lastTickAt = now;
     if (!m_directory.expire(now).isEmpty())
-        m_watcher.setMembers(now, m_directory.members(GroupName("group")));
+        setMembers(now);
+    m_watcher.releaseUnlisted(now);
     for (const auto& [name, member] : m_watcher.members())
         m_listedAt[member.record.address] = now;
 }
@@ -56,7 +67,7 @@
 bool ModelHost::isPollDue(Instant now) const
 {
     const auto& members = m_watcher.members();
-    const bool isUrgent = !m_promotion.isIdle() || !m_watcher.primary()
+    const bool isUrgent = !m_promotion.isIdle() || !m_watcher.primary() || m_watcher.membership().awaitsEvidence()
         || std::any_of(members.begin(), members.end(),
             [now](const auto& entry) { return !entry.second.status || entry.second.health.isSuspect(now); });
     return isUrgent || now - m_polledAt >= quietPollInterval;
@@ -65,6 +76,8 @@
 void ModelHost::pollUnanswered(Instant now, const TargetName& name)
 {
     auto* const health = m_watcher.health(name);
+    if (!health)
+        return;
     health->recordRequest(now);
     if (health->needsConnectProbe(now))
         health->recordConnectAttempt(now);
@@ -104,8 +117,10 @@
 
 void ModelHost::commitAcknowledged(Instant sentAt, const TargetName& name, const LogPoint& end)
 {
-    if (!m_promotion.isFencing())
-        m_watcher.recordCommit(name, sentAt, end);
+    if (m_promotion.isFencing())
+        return;
+    m_commitAcknowledgedAt = sentAt;
+    m_watcher.recordCommit(name, sentAt, end);
 }
 
 void ModelHost::leaseRead(Instant now, const PromotionLeaseRow& row)
@@ -113,6 +128,10 @@
     m_now = now;
     const bool isHeld = row.lease && row.lease->expiresAtMs > row.storeNowMs;
     m_leaseLeftMs = isHeld ? row.lease->expiresAtMs - row.storeNowMs : 0;
+    if (!isHeld && row.lease && row.lease->pending && row.version != m_token) {
+        m_pending = row.lease->pending;
+        m_pendingSince = now - std::chrono::milliseconds(row.storeNowMs - m_pending->recordedAtMs);
+    }
     m_promotion.leaseRead(now, m_watcher, row);
     updateTimers(now);
 }
@@ -121,10 +140,23 @@
 {
     m_now = now;
     m_token = version.value_or(RowVersion {});
+    if (m_promotion.state() == "Writing")
+        m_isListFresh = false;
     m_promotion.leaseWritten(now, m_watcher, version);
     updateTimers(now);
 }
 
+void ModelHost::membersRead(Instant now, const std::vector<TargetRecord>& records, std::size_t version)
+{
+    m_now = now;
+    if (version > m_listVersion)
+        applyList(now, records, version);
+    m_isReadingMembers = false;
+    m_isListFresh = m_isListFresh || !m_promotion.isIdle();
+    m_promotion.membersRead(now, m_watcher, true);
+    updateTimers(now);
+}
+
 void ModelHost::promoteAnswered(Instant now, PromotionOutcome outcome)
 {
     m_now = now;
@@ -143,8 +175,19 @@
     m_requests.emplace_back(LeaseReadRequest {});
 }
 
+void ModelHost::readMembers(const GroupName&)
+{
+    m_isReadingMembers = true;
+    m_requests.emplace_back(MembersReadRequest {});
+}
+
 void ModelHost::writeLease(const GroupName&, const PromotionLease& lease, RowVersion expected)
 {
+    const bool isRecording = m_promotion.state() != "Reading" && m_promotion.state() != "Writing";
+    if (isRecording) {
+        m_pending = lease.pending;
+        m_pendingSince = m_now;
+    }
     m_requests.emplace_back(LeaseWriteRequest { lease, expected });
 }
 
@@ -207,10 +250,16 @@
         fingerprint.add(status.fencedTerm.value());
         fingerprint.add(age(now, member.queriedAt));
     }
-    fingerprint.add((member.health.isDown(now) ? 1U : 0U) | (member.health.isSuspect(now) ? 2U : 0U));
+    fingerprint.add((member.health.isDown(now) ? 1U : 0U) | (member.health.isSuspect(now) ? 2U : 0U)
+        | (member.health.hasRefused() ? 4U : 0U) | (member.mayHaveLog() ? 8U : 0U));
+    if (const auto& end = member.lastDependentEnd) {
+        fingerprint.add(end->term.value());
+        fingerprint.add(end->position.value());
+    }
     if (const auto respondedAt = member.health.lastResponseAt())
         fingerprint.add(age(now, *respondedAt));
-    for (const auto& since : { member.behindSince, member.reportsPrimarySince, member.leavingSince })
+    for (const auto& since :
+        { member.behindSince, member.reportsPrimarySince, member.leavingSince, member.unlistedSince, member.endedAt })
         fingerprint.add(since ? age(now, *since) : maxAge + 1);
 }
 
@@ -220,12 +269,19 @@
     fingerprint.add(m_previousState);
     for (const auto moment : { m_stateEnteredAt, m_leaseReadAt, m_commandedAt, m_attemptFinishedAt, m_polledAt,
              m_primaryChangedAt, m_lastTickAt.value_or(Instant {}), m_fencedSince.value_or(Instant {}),
-             m_enoughFencedSince.value_or(Instant {}) })
+             m_enoughFencedSince.value_or(Instant {}), m_commitAcknowledgedAt })
         fingerprint.add(age(now, moment));
     for (const auto value : { m_leaseLeftMs, m_commandTerm.value(), m_replacedTerm.value(), m_token.value(),
              m_watcher.primaryTerm().value(), m_watcher.highestTerm().value() })
         fingerprint.add(value);
     fingerprint.add(m_candidate ? m_candidate->value() : "");
+    fingerprint.add((m_isListFresh ? 1U : 0U) | (m_isReadingMembers ? 2U : 0U));
+    if (m_pending) {
+        fingerprint.add(m_pending->candidate.value());
+        fingerprint.add(m_pending->replacedTerm.value());
+        fingerprint.add(m_pending->isRepeated ? 1 : 0);
+        fingerprint.add(age(now, m_pendingSince));
+    }
     fingerprint.add(m_primary ? m_primary->value() : "");
     fingerprint.add(static_cast<std::uint64_t>(m_watcher.failoverReason(now)));
     fingerprint.add(m_watcher.fencesNeeded());
--- a/tests/proxy/ModelHost.h
+++ b/tests/proxy/ModelHost.h
@@ -24,8 +24,11 @@
     [[nodiscard]] const GroupWatcher& watcher() const { return m_watcher; }
     [[nodiscard]] const Promotion& promotion() const { return m_promotion; }
 
-    void applyList(Instant now, const std::vector<TargetRecord>&);
-    /// Begins a tick: discounts a pause and removes targets whose record has been missing for too long.
+    /// Applies the table of targets.
+    /// @param version number of changes of the table until then.
+    void applyList(Instant now, const std::vector<TargetRecord>&, std::size_t version);
+    /// Begins a tick: discounts a pause, removes targets whose record has been missing for too long, and releases
+    /// members that no longer count.
     void beginTick(Instant now);
     [[nodiscard]] bool isPollDue(Instant now) const;
     void pollStarted(Instant now) { m_polledAt = now; }
@@ -37,6 +40,8 @@
     void commitAcknowledged(Instant sentAt, const TargetName&, const LogPoint& end);
     void leaseRead(Instant now, const PromotionLeaseRow&);
     void leaseWritten(Instant now, std::optional<RowVersion>);
+    /// Applies the table of targets as the promotion read it, unless a newer one is known.
+    void membersRead(Instant now, const std::vector<TargetRecord>&, std::size_t version);
     void promoteAnswered(Instant now, PromotionOutcome);
 
     /// @return what was requested since the last call.
@@ -47,13 +52,16 @@
 
     void readLease(const GroupName&) override;
     void writeLease(const GroupName&, const PromotionLease&, RowVersion expected) override;
+    void readMembers(const GroupName&) override;
     void promote(const GroupName&, const TargetName&, RowVersion token, Instant sendBefore) override;
     void sendCommand(const TargetName&, const TargetRequest&, Instant sendBefore) override;
     void log(const LogRecord&) override { }
+    void measure(std::string_view, double) override { }
 
 private:
     /// Notes when states and conditions began that Promotion and GroupWatcher measure from.
     void updateTimers(Instant now);
+    void setMembers(Instant now);
     static std::uint64_t age(Instant now, Instant moment);
     void addMemberTo(Fingerprint&, Instant now, const GroupWatcher::Member&) const;
 
@@ -76,6 +84,14 @@
     Term m_commandTerm;
     Term m_replacedTerm;
     RowVersion m_token;
+    std::size_t m_listVersion { 0 };
+    /// Whether the members were read since the lease was acquired, and whether they are being read.
+    bool m_isListFresh { false };
+    bool m_isReadingMembers { false };
+    /// The last promotion that this host recorded or found with the lease.
+    std::optional<PendingPromotion> m_pending;
+    Instant m_pendingSince {};
+    Instant m_commitAcknowledgedAt {};
     std::optional<TargetName> m_candidate;
     Instant m_primaryChangedAt {};
     std::optional<TargetName> m_primary;
--- a/tests/proxy/ModelMessage.cpp
+++ b/tests/proxy/ModelMessage.cpp
@@ -39,6 +39,10 @@
         return "the store receives the write of the lease of " + host + " on version " + version;
     case ModelMessage::Kind::LeaseWriteAnswer:
         return host + (message.written ? " holds the lease" : " does not get the lease");
+    case ModelMessage::Kind::MembersRead:
+        return "the store receives the read of the members of " + host;
+    case ModelMessage::Kind::MembersReadAnswer:
+        return host + " receives the members that it read";
     case ModelMessage::Kind::Call:
         return "the platform receives the call of " + host + " for " + target + " with token " + version;
     case ModelMessage::Kind::CallAnswer:
--- a/tests/proxy/ModelMessage.h
+++ b/tests/proxy/ModelMessage.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "proxy/ModelRequest.h"
+#include "proxy/TargetRecord.h"
 #include "proxy/TargetStatus.h"
 
 #include <cstddef>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Auburnpost::Proxy {
 
@@ -20,6 +22,9 @@
         LeaseReadAnswer,
         LeaseWrite,
         LeaseWriteAnswer,
+        /// The store reads the table of targets for a lease holder.
+        MembersRead,
+        MembersReadAnswer,
         Call,
         CallAnswer,
         /// An accepted promotion takes effect.
@@ -46,6 +51,9 @@
     RowVersion version;
     PromotionLeaseRow row;
     std::optional<RowVersion> written;
+    /// The table of targets at the time of the store's answer.
+    std::vector<TargetRecord> records;
+    std::size_t listVersion { 0 };
     PromotionOutcome outcome { PromotionOutcome::Accepted };
     /// Messages of one batch were sent in the same step and are delivered together.
     std::size_t batch { 0 };
--- a/tests/proxy/ModelRequest.h
+++ b/tests/proxy/ModelRequest.h
@@ -12,6 +12,8 @@
     PromotionLease lease;
     RowVersion expected;
 };
+/// Asks for the table of targets.
+struct MembersReadRequest { };
 struct PromotionRequest {
     TargetName target;
     RowVersion token;
@@ -24,6 +26,7 @@
 };
 
 /// What a ModelHost asks of the store, the platform or a target.
-using ModelRequest = std::variant<LeaseReadRequest, LeaseWriteRequest, PromotionRequest, CommandRequest>;
+using ModelRequest
+    = std::variant<LeaseReadRequest, LeaseWriteRequest, MembersReadRequest, PromotionRequest, CommandRequest>;
 
 } // namespace Auburnpost::Proxy
--- a/tests/proxy/ModelStore.cpp
+++ b/tests/proxy/ModelStore.cpp
@@ -1,5 +1,7 @@
 #include "proxy/ModelStore.h"
 
+#include <algorithm>
+
 namespace Auburnpost::Proxy {
 
 PromotionLeaseRow ModelStore::readLease(std::uint64_t nowMs) const
@@ -21,11 +23,13 @@
 void ModelStore::setRecord(const TargetRecord& record)
 {
     m_records[record.name] = record;
+    ++m_listVersion;
 }
 
 void ModelStore::removeRecord(const TargetName& name)
 {
     m_records.erase(name);
+    ++m_listVersion;
 }
 
 std::vector<TargetRecord> ModelStore::records() const
@@ -44,6 +48,12 @@
         const auto expiresAt = m_leaseRow.lease->expiresAtMs;
         fingerprint.add(m_leaseRow.lease->holder.value());
         fingerprint.add(expiresAt > nowMs ? (expiresAt - nowMs) / msPerTick + 1 : 0);
+        if (const auto& pending = m_leaseRow.lease->pending) {
+            fingerprint.add(pending->candidate.value());
+            fingerprint.add(pending->replacedTerm.value());
+            fingerprint.add((nowMs - std::min(nowMs, pending->recordedAtMs)) / msPerTick);
+            fingerprint.add(pending->isRepeated ? 1 : 0);
+        }
     }
     for (const auto& [name, record] : m_records) {
         fingerprint.add(name.value());
--- a/tests/proxy/ModelStore.h
+++ b/tests/proxy/ModelStore.h
@@ -20,6 +20,8 @@
     void removeRecord(const TargetName&);
     [[nodiscard]] bool hasRecord(const TargetName& name) const { return m_records.contains(name); }
     [[nodiscard]] std::vector<TargetRecord> records() const;
+    /// @return the number of changes of the table of targets.
+    [[nodiscard]] std::size_t listVersion() const { return m_listVersion; }
     void addTo(Fingerprint&, std::uint64_t nowMs) const;
 
 private:
@@ -27,6 +29,7 @@
     /// Counter of versions; the same one for all rows.
     std::uint64_t m_version { 10 };
     std::map<TargetName, TargetRecord> m_records;
+    std::size_t m_listVersion { 0 };
 };
 
 } // namespace Auburnpost::Proxy
--- a/tests/proxy/ProtocolModel.cpp
+++ b/tests/proxy/ProtocolModel.cpp
@@ -36,7 +36,7 @@
     }
     for (std::size_t host = 0; host < hostCount; ++host) {
         m_hosts[host] = std::make_unique<ModelHost>(host, groupRules);
-        m_hosts[host]->applyList(m_now, m_store.records());
+        m_hosts[host]->applyList(m_now, m_store.records(), m_store.listVersion());
     }
     passTick();
     passTick();
@@ -147,7 +147,8 @@
     primary.append(id);
     trace(primary.name().value() + " completes commit " + std::to_string(id) + " with " + replica.name().value());
     receive(replica, primary);
-    m_hosts[0]->commitAcknowledged(m_now, primary.name(), primary.logEnd());
+    if (!m_isPaused[0] && !m_hostCuts.contains({ 0, primary.index }))
+        m_hosts[0]->commitAcknowledged(m_now, primary.name(), primary.logEnd());
 }
 
 void ProtocolModel::applyCommitAlone(std::size_t)
@@ -273,7 +274,7 @@
     ++m_hostRestarts[index];
     m_hosts[index] = std::make_unique<ModelHost>(index, groupRules);
     m_checkedConfirmation[index].reset();
-    m_hosts[index]->applyList(m_now, m_store.records());
+    m_hosts[index]->applyList(m_now, m_store.records(), m_store.listVersion());
 }
 
 void ProtocolModel::applyPauseHost(std::size_t index)
--- a/tests/proxy/ProtocolModel.h
+++ b/tests/proxy/ProtocolModel.h
@@ -124,6 +124,8 @@
     void deliverLeaseReadAnswer(const ModelMessage&);
     void deliverLeaseWrite(const ModelMessage&);
     void deliverLeaseWriteAnswer(const ModelMessage&);
+    void deliverMembersRead(const ModelMessage&);
+    void deliverMembersReadAnswer(const ModelMessage&);
     void deliverCall(const ModelMessage&);
     void deliverCallAnswer(const ModelMessage&);
     void deliverEffect(const ModelMessage&);
--- a/tests/proxy/ProtocolModelChecks.cpp
+++ b/tests/proxy/ProtocolModelChecks.cpp
@@ -129,6 +129,11 @@
         fingerprint.add(message.status.fencedTerm.value());
         fingerprint.add(message.status.isPrimary ? 1 : 0);
         fingerprint.add(message.version.value());
+        fingerprint.add(message.records.size());
+        for (const auto& record : message.records) {
+            fingerprint.add(record.name.value());
+            fingerprint.add((record.isLeaving ? 1U : 0U) | (record.reportsPrimary ? 2U : 0U));
+        }
         fingerprint.add(message.written ? message.written->value() : 0);
         fingerprint.add(message.leaseRequest == m_leaseRequests[message.host] ? 1 : 0);
         fingerprint.add(message.dueTick > m_tick ? message.dueTick - m_tick : 0);
--- a/tests/proxy/ProtocolModelMessages.cpp
+++ b/tests/proxy/ProtocolModelMessages.cpp
@@ -51,6 +51,8 @@
             message.leaseRequest = ++m_leaseRequests[host];
             message.lease = write->lease;
             message.version = write->expected;
+        } else if (std::holds_alternative<MembersReadRequest>(request)) {
+            message.kind = Kind::MembersRead;
         } else if (const auto* const call = std::get_if<PromotionRequest>(&request)) {
             message.kind = call->isLate ? Kind::CallAnswer : Kind::Call;
             message.outcome = call->isLate ? PromotionOutcome::NotDone : PromotionOutcome::Accepted;
@@ -71,7 +73,7 @@
     const auto canDeliver = [this](const ModelMessage& message) {
         const bool isHostsOwn = message.kind != Kind::Effect && message.kind != Kind::Registration
             && message.kind != Kind::Expiry && message.kind != Kind::Call && message.kind != Kind::Command
-            && message.kind != Kind::LeaseRead && message.kind != Kind::LeaseWrite;
+            && message.kind != Kind::LeaseRead && message.kind != Kind::LeaseWrite && message.kind != Kind::MembersRead;
         return !message.heldSince && message.dueTick <= m_tick && !(isHostsOwn && m_isPaused[message.host]);
     };
     for (const auto& message : m_messages) {
@@ -91,7 +93,8 @@
     constexpr void (ProtocolModel::*actions[])(const ModelMessage&) { &ProtocolModel::deliverList,
         &ProtocolModel::deliverCommand, &ProtocolModel::deliverReply, &ProtocolModel::deliverLeaseRead,
         &ProtocolModel::deliverLeaseReadAnswer, &ProtocolModel::deliverLeaseWrite,
-        &ProtocolModel::deliverLeaseWriteAnswer, &ProtocolModel::deliverCall, &ProtocolModel::deliverCallAnswer,
+        &ProtocolModel::deliverLeaseWriteAnswer, &ProtocolModel::deliverMembersRead,
+        &ProtocolModel::deliverMembersReadAnswer, &ProtocolModel::deliverCall, &ProtocolModel::deliverCallAnswer,
         &ProtocolModel::deliverEffect, &ProtocolModel::deliverRegistration, &ProtocolModel::deliverExpiry };
     if (m_isTraced)
         trace(toString(message));
@@ -101,15 +104,19 @@
 
 void ProtocolModel::deliverList(const ModelMessage& message)
 {
-    m_hosts[message.host]->applyList(m_now, m_store.records());
+    m_hosts[message.host]->applyList(m_now, m_store.records(), m_store.listVersion());
 }
 
 void ProtocolModel::deliverCommand(const ModelMessage& message)
 {
     auto* const target = find(message.target);
     const bool isReachable = target && !m_hostCuts.contains({ message.host, target->index });
-    if (!isReachable || !target->isRunning)
+    if (!isReachable || !target->isRunning) {
+        const bool isCutOff = target && !isReachable;
+        if (!isCutOff && !m_isPaused[message.host] && message.hostRestarts == m_hostRestarts[message.host])
+            m_hosts[message.host]->pollRefused(m_now, message.target);
         return;
+    }
     const bool wasPrimary = target->isPrimary;
     target->execute(message.command);
     if (wasPrimary != target->isPrimary)
@@ -165,6 +172,24 @@
         m_hosts[message.host]->leaseWritten(m_now, message.written);
 }
 
+void ProtocolModel::deliverMembersRead(const ModelMessage& message)
+{
+    if (message.hostRestarts != m_hostRestarts[message.host])
+        return;
+    auto answer = message;
+    answer.kind = Kind::MembersReadAnswer;
+    answer.records = m_store.records();
+    answer.listVersion = m_store.listVersion();
+    answer.heldSince.reset();
+    send(std::move(answer));
+}
+
+void ProtocolModel::deliverMembersReadAnswer(const ModelMessage& message)
+{
+    if (message.hostRestarts == m_hostRestarts[message.host])
+        m_hosts[message.host]->membersRead(m_now, message.records, message.listVersion);
+}
+
 void ProtocolModel::deliverCall(const ModelMessage& message)
 {
     if (message.version < m_lastToken)
