Let the exploration of late orders and lapsed records reach the call on the fixed code

The case on late orders begins once the wait for the effect has ended, and the one on lapsed records once the record has lapsed; both play more steps from there.

New and known red: a primary that answers but is cut off from the replicas that stay, an expired record, and a host that starts. The host counts too few members, and fences instead of demoting, as no replica has caught up. 31 steps.

--- a/tests/proxy/ModelScenario.h
+++ b/tests/proxy/ModelScenario.h
@@ -23,6 +23,16 @@
         PrimaryLeaving,
         /// The primary has just been cut off from the replicas that stay.
         PrimaryCut,
+        /// The record of the last replica has just expired, the primary has been cut off from the replicas that stay,
+        /// and a host has started again.
+        PrimaryCutAfterLapse,
+        /// One host has just been cut off from the primary.
+        HostCut,
+        /// The record of the last replica has just expired, and the primary has announced its shutdown.
+        PrimaryLeavingAfterLapse,
+        /// The primary crashed and returned after a promotion was called for, which has not taken effect when the wait
+        /// for it ends.
+        PromotionLate,
     };
 
     std::string name;
--- a/tests/proxy/ProtocolModel.cpp
+++ b/tests/proxy/ProtocolModel.cpp
@@ -57,6 +57,22 @@
     case ModelScenario::Start::PrimaryCut:
         applyCutStaying(0);
         break;
+    case ModelScenario::Start::PrimaryCutAfterLapse:
+        applyLapse(scenario.members - 1);
+        applyCutStaying(0);
+        applyRestartHost(0);
+        break;
+    case ModelScenario::Start::HostCut:
+        applyCutHost(1);
+        break;
+    case ModelScenario::Start::PrimaryLeavingAfterLapse:
+        applyLapse(scenario.members - 1);
+        applyLeave(0);
+        break;
+    case ModelScenario::Start::PromotionLate:
+        applyCrash(0);
+        playLatePromotion();
+        break;
     }
     m_faultsLeft = scenario.faults;
     m_commitsLeft = scenario.commits;
@@ -64,6 +80,24 @@
     m_delaysLeft = scenario.delays;
 }
 
+void ProtocolModel::playLatePromotion()
+{
+    const auto holdEffect = [this] {
+        const auto effect = std::find_if(m_messages.begin(), m_messages.end(),
+            [](const ModelMessage& message) { return message.kind == Kind::Effect && !message.heldSince; });
+        if (effect == m_messages.end())
+            return false;
+        effect->heldSince = m_tick;
+        return true;
+    };
+    while (!holdEffect())
+        apply({});
+    applyReturn(0);
+    const auto isAwaiting = [](const auto& host) { return host->promotion().state() == "Awaiting"; };
+    while (std::any_of(m_hosts.begin(), m_hosts.end(), isAwaiting) || m_hosts[0]->promotion().state() == "Calling")
+        apply({});
+}
+
 std::uint64_t ProtocolModel::nowMs() const
 {
     return static_cast<std::uint64_t>(toMilliseconds(m_now.time_since_epoch()));
--- a/tests/proxy/ProtocolModel.h
+++ b/tests/proxy/ProtocolModel.h
@@ -70,6 +70,9 @@
     };
 
     [[nodiscard]] std::uint64_t nowMs() const;
+    /// Plays the default steps until a host no longer waits for the effect of its call, which is held back. The crashed
+    /// primary returns meanwhile.
+    void playLatePromotion();
     void trace(const std::string&);
     void fail(Check, const std::string& text);
 
