--- a/tests/proxy/ModelHost.cpp
+++ b/tests/proxy/ModelHost.cpp
@@ -30,7 +30,7 @@
 void ModelHost::setMembers(Instant now)
 {
     m_watcher.setMembers(now, m_directory.members(GroupName("group")));
-    m_watcher.releaseUnlisted(now);
+    m_watcher.releaseMembers(now);
     // GroupService queries all members when one is no longer listed.
     if (m_watcher.membership().listedCount() < m_watcher.members().size())
         m_polledAt = {};
@@ -59,7 +59,7 @@
     m_lastTickAt = now;
     if (!m_directory.expire(now).isEmpty())
         setMembers(now);
-    m_watcher.releaseUnlisted(now);
+    m_watcher.releaseMembers(now);
     for (const auto& [name, member] : m_watcher.members())
         m_listedAt[member.record.address] = now;
 }
@@ -67,7 +67,7 @@
 bool ModelHost::isPollDue(Instant now) const
 {
     const auto& members = m_watcher.members();
-    const bool isUrgent = !m_promotion.isIdle() || !m_watcher.primary() || m_watcher.membership().awaitsEvidence()
+    const bool isUrgent = !m_promotion.isIdle() || !m_watcher.primary() || m_watcher.membership().awaitsEvidence(now)
         || std::any_of(members.begin(), members.end(),
             [now](const auto& entry) { return !entry.second.status || entry.second.health.isSuspect(now); });
     return isUrgent || now - m_polledAt >= quietPollInterval;
@@ -252,14 +252,14 @@
     }
     fingerprint.add((member.health.isDown(now) ? 1U : 0U) | (member.health.isSuspect(now) ? 2U : 0U)
         | (member.health.hasRefused() ? 4U : 0U) | (member.mayHaveLog() ? 8U : 0U));
-    if (const auto& end = member.lastDependentEnd) {
+    if (const auto& end = member.requiredEnd) {
         fingerprint.add(end->term.value());
         fingerprint.add(end->position.value());
     }
     if (const auto respondedAt = member.health.lastResponseAt())
         fingerprint.add(age(now, *respondedAt));
-    for (const auto& since :
-        { member.behindSince, member.reportsPrimarySince, member.leavingSince, member.unlistedSince, member.endedAt })
+    for (const auto& since : { member.behindSince, member.reportsPrimarySince, member.leavingSince,
+             member.unlistedSince, member.presumedEndedAt })
         fingerprint.add(since ? age(now, *since) : maxAge + 1);
 }
 
