--- a/src/app/ProxyAssembly.cpp
+++ b/src/app/ProxyAssembly.cpp
@@ -96,7 +96,8 @@
         m_targets.send(id,
             pendingConnection.awaitsRelayReply
                 ? Wire::RelayServer::request(pendingConnection.target.address, pendingConnection.target.name)
-                : Platform::TargetCodec::writeConnectionRequest(pendingConnection.target));
+                : Platform::TargetCodec::writeConnectionRequest(
+                    pendingConnection.target, pendingConnection.organisation));
     });
     m_targets.lineReceived().connect([this](ConnectionId id, std::string_view line) { onTargetLine(id, line); });
     m_targets.disconnected().connect([this](ConnectionId id, Wire::DisconnectReason end) { onTargetEnded(id, end); });
@@ -209,7 +210,8 @@
         return;
     }
     pendingConnection.awaitsRelayReply = false;
-    m_targets.send(id, Platform::TargetCodec::writeConnectionRequest(pendingConnection.target));
+    m_targets.send(
+        id, Platform::TargetCodec::writeConnectionRequest(pendingConnection.target, pendingConnection.organisation));
 }
 
 void ProxyAssembly::onTargetEnded(ConnectionId id, Wire::DisconnectReason end)
@@ -223,10 +225,10 @@
         m_proxy.connectionLost(now(), id);
 }
 
-void ProxyAssembly::openConnection(
-    ConnectionId id, const Proxy::TargetRecord& target, const std::optional<SocketAddress>& relay)
+void ProxyAssembly::openConnection(ConnectionId id, const Proxy::TargetRecord& target,
+    const OrganisationName& organisation, const std::optional<SocketAddress>& relay)
 {
-    m_pendingConnections.emplace(id, PendingConnection { target, relay.has_value() });
+    m_pendingConnections.emplace(id, PendingConnection { target, organisation, relay.has_value() });
     m_codecs.emplace(id, Platform::TargetCodec());
     m_targets.open(id, relay ? *relay : target.address);
 }
--- a/src/app/ProxyAssembly.h
+++ b/src/app/ProxyAssembly.h
@@ -43,6 +43,7 @@
     /// A connection that the target has not accepted yet.
     struct PendingConnection {
         Proxy::TargetRecord target;
+        OrganisationName organisation;
         /// Whether the connection goes through a relay that has not answered yet.
         bool awaitsRelayReply { false };
     };
@@ -70,7 +71,8 @@
     void onSessionLine(Proxy::SessionId, std::string_view line);
     void onCallerEnded(Wire::AcceptedConnectionId, Wire::DisconnectReason);
     void acceptSession(Proxy::SessionId) override;
-    void forwardSession(Proxy::SessionId, const DatabaseName&, const Proxy::HostEntry&) override;
+    void forwardSession(Proxy::SessionId, const Proxy::SessionRequest&, const Proxy::HostEntry&) override;
+    void endForwardedSession(Proxy::SessionId) override;
     void onForwardFailed(Proxy::SessionId, const DatabaseName&, const HostName&);
     void onForwardEnded(Proxy::SessionId, const DatabaseName&, const HostName&, bool hasOpenRequest);
     void refuseSession(Proxy::SessionId, const Session::Failure&) override;
@@ -83,7 +85,8 @@
     void onTargetLine(ConnectionId, std::string_view line);
     void onRelayLine(ConnectionId, PendingConnection&, std::string_view line);
     void onTargetEnded(ConnectionId, Wire::DisconnectReason);
-    void openConnection(ConnectionId, const Proxy::TargetRecord&, const std::optional<SocketAddress>& relay) override;
+    void openConnection(ConnectionId, const Proxy::TargetRecord&, const OrganisationName&,
+        const std::optional<SocketAddress>& relay) override;
     void closeConnection(ConnectionId) override;
     void send(ConnectionId, const std::vector<Proxy::TargetRequest>&) override;
 
--- a/src/app/ProxyAssemblyCallers.cpp
+++ b/src/app/ProxyAssemblyCallers.cpp
@@ -61,7 +61,7 @@
         if (isForwarded && m_shutdownAnnouncedAt)
             m_forwardedSessions.close(clientOf(session));
         else
-            m_proxy.sessionOpened(now(), session, open->database, isForwarded);
+            m_proxy.sessionOpened(now(), session, Platform::sessionRequestOf(*open, isForwarded));
         return;
     }
     if (const auto* const sent = std::get_if<Platform::SendStatement>(&line); sent && isOpen) {
@@ -102,9 +102,15 @@
     serverOf(id).resume(clientOf(id));
 }
 
-void ProxyAssembly::forwardSession(Proxy::SessionId id, const DatabaseName& database, const Proxy::HostEntry& host)
+void ProxyAssembly::forwardSession(
+    Proxy::SessionId id, const Proxy::SessionRequest& request, const Proxy::HostEntry& host)
 {
-    m_forwarder.open(now(), id, database, host);
+    m_forwarder.open(now(), id, request, host);
+}
+
+void ProxyAssembly::endForwardedSession(Proxy::SessionId id)
+{
+    m_forwarder.endAfterRequest(id);
 }
 
 void ProxyAssembly::onForwardFailed(Proxy::SessionId id, const DatabaseName& database, const HostName& host)
@@ -112,7 +118,7 @@
     log({ LogEvent::SessionForwardFailed,
         { { "session", std::to_string(id.value()) }, { "database", database.value() }, { "host", host.value() },
             { "reason", "the host refused the session or did not open it in time" } } });
-    m_proxy.forwardFailed(now(), id, database, host);
+    m_proxy.forwardFailed(now(), id, host);
 }
 
 void ProxyAssembly::onForwardEnded(
@@ -123,6 +129,7 @@
             { "open", hasOpenRequest ? "yes" : "no" } } });
     if (hasOpenRequest)
         m_proxy.forwardLost(now(), host);
+    m_proxy.sessionClosed(now(), id);
     m_callers.close(clientOf(id));
 }
 
--- a/src/app/ProxyAssemblyPlatform.cpp
+++ b/src/app/ProxyAssemblyPlatform.cpp
@@ -11,6 +11,14 @@
     constexpr auto snapshotPath = "/v1/snapshot";
     constexpr int statusOk = 200;
 
+    Expected<Proxy::StorePage> readPage(Proxy::StoreTable table, const Expected<PlatformReply>& reply)
+    {
+        auto page = Platform::readPage(reply);
+        if (page && table == Proxy::StoreTable::Configuration)
+            Platform::redactKeys(*page);
+        return page;
+    }
+
 } // namespace
 
 Wire::PlatformClientLimits ProxyAssembly::clientLimits(const Proxy::ProxySettings& settings, std::size_t connections)
@@ -32,7 +40,7 @@
 {
     call(m_storeClient, Platform::makeTableReadCall(table, fromKey, timeout),
         [this, table](const Expected<PlatformReply>& reply) {
-            const auto page = Platform::readPage(reply);
+            const auto page = readPage(table, reply);
             m_storeCalls.recordRead(table, page);
             m_proxy.tableRead(now(), table, page);
         });
@@ -42,7 +50,7 @@
 {
     call(m_storeClient, Platform::makeTableFollowCall(table, after, wait, timeout),
         [this, table](const Expected<PlatformReply>& reply) {
-            const auto page = Platform::readPage(reply);
+            const auto page = readPage(table, reply);
             m_storeCalls.recordPoll(table, page);
             m_proxy.tableFollowed(now(), table, page);
         });
--- a/src/app/SessionForwarder.cpp
+++ b/src/app/SessionForwarder.cpp
@@ -15,12 +15,12 @@
 }
 
 void SessionForwarder::open(
-    Instant now, Proxy::SessionId id, const DatabaseName& database, const Proxy::HostEntry& host)
+    Instant now, Proxy::SessionId id, const Proxy::SessionRequest& request, const Proxy::HostEntry& host)
 {
     const ConnectionId connection(++m_lastConnectionId);
     auto& forward = m_forwards[id];
     forward.connection = connection;
-    forward.database = database;
+    forward.request = request;
     forward.host = host.name;
     forward.openedAt = now;
     m_sessionIds[connection] = id;
@@ -29,7 +29,7 @@
 
 void SessionForwarder::onConnected(ConnectionId connection)
 {
-    m_connections.send(connection, Platform::writeSessionRequest(m_forwards.at(m_sessionIds.at(connection)).database));
+    m_connections.send(connection, Platform::writeSessionRequest(m_forwards.at(m_sessionIds.at(connection)).request));
 }
 
 void SessionForwarder::send(Proxy::SessionId id, std::string_view line)
@@ -64,7 +64,10 @@
     // The signal resumes the caller, whose next line may arrive at once, so the forward is looked up again.
     m_answerCompleted.emit(id);
     const auto found = m_forwards.find(id);
-    if (m_isClosingIdle && found != m_forwards.end() && found->second.isIdle())
+    if (found == m_forwards.end())
+        return;
+    const bool endsNow = found->second.isEnding && !found->second.hasOpenRequest;
+    if (endsNow || (m_isClosingIdle && found->second.isIdle()))
         end(id, false);
 }
 
@@ -80,7 +83,7 @@
 
 void SessionForwarder::fail(Proxy::SessionId id)
 {
-    const auto database = m_forwards.at(id).database;
+    const auto database = m_forwards.at(id).request.database;
     const auto host = m_forwards.at(id).host;
     close(id);
     m_openFailed.emit(id, database, host);
@@ -88,7 +91,7 @@
 
 void SessionForwarder::end(Proxy::SessionId id, bool hasOpenRequest)
 {
-    const auto database = m_forwards.at(id).database;
+    const auto database = m_forwards.at(id).request.database;
     const auto host = m_forwards.at(id).host;
     close(id);
     m_sessionEnded.emit(id, database, host, hasOpenRequest);
@@ -105,6 +108,16 @@
         fail(id);
 }
 
+void SessionForwarder::endAfterRequest(Proxy::SessionId id)
+{
+    const auto found = m_forwards.find(id);
+    if (found == m_forwards.end())
+        return;
+    found->second.isEnding = true;
+    if (found->second.isAnswered && !found->second.hasOpenRequest)
+        end(id, false);
+}
+
 void SessionForwarder::closeIdle()
 {
     m_isClosingIdle = true;
--- a/src/app/SessionForwarder.h
+++ b/src/app/SessionForwarder.h
@@ -2,6 +2,7 @@
 
 #include "proxy/CallerSession.h"
 #include "proxy/HostEntry.h"
+#include "proxy/SessionRequest.h"
 #include "wire/LineClients.h"
 
 #include <sigc++/signal.h>
@@ -19,7 +20,7 @@
 
     explicit SessionForwarder(event_base*);
 
-    void open(Instant now, Proxy::SessionId, const DatabaseName&, const Proxy::HostEntry&);
+    void open(Instant now, Proxy::SessionId, const Proxy::SessionRequest&, const Proxy::HostEntry&);
     [[nodiscard]] bool has(Proxy::SessionId id) const { return m_forwards.contains(id); }
     [[nodiscard]] std::size_t size() const { return m_forwards.size(); }
     void send(Proxy::SessionId, std::string_view line);
@@ -27,6 +28,8 @@
     void close(Proxy::SessionId);
     /// Fails the sessions that are not opened within openTimeout.
     void tick(Instant now);
+    /// Ends the session, also inside a transaction, once no request of it is open.
+    void endAfterRequest(Proxy::SessionId);
     /// Ends the idle sessions now, and each other session as soon as it is idle.
     void closeIdle();
     /// Ends the sessions without an open request, also inside a transaction.
@@ -48,12 +51,14 @@
 private:
     struct Forward {
         ConnectionId connection;
-        DatabaseName database;
+        Proxy::SessionRequest request;
         HostName host;
         Instant openedAt;
         /// The other host has answered the request to open the session, also by a refusal.
         bool isAnswered { false };
         bool hasOpenRequest { false };
+        /// Whether the session ends with the answer to the open request.
+        bool isEnding { false };
         Session::TransactionState state { Session::TransactionState::Idle };
 
         [[nodiscard]] bool isIdle() const
--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -78,6 +78,7 @@
     SessionForwardFailed = 615,
     SessionForwardEnded = 616,
     CallerMessageRefused = 617,
+    SessionRevoked = 618,
 
     PeerMessageRejected = 700,
     PeerMessageNotSent = 701,
--- a/src/platform/CallerCodec.cpp
+++ b/src/platform/CallerCodec.cpp
@@ -17,6 +17,8 @@
     constexpr std::string_view lineEnd = "\r\n";
     /// The id of the proxy's own statements, which callers may not use.
     constexpr std::string_view proxyStatementId = "-";
+    /// Stands for the organisation in a forwarded request whose caller has none.
+    constexpr std::string_view noOrganisation = "-";
 
     /// Stores the arguments of a statement.
     /// @return whether they are well-formed.
@@ -125,7 +127,9 @@
         const auto database = nextField(line);
         if (database.empty())
             return malformed("the database is missing");
-        return OpenSession { DatabaseName(std::string(database)) };
+        OpenSession open { DatabaseName(std::string(database)), std::string(nextField(line)), {} };
+        open.version = ConfigVersion(readNumber(nextField(line)).value_or(0));
+        return open;
     }
     if (keyword != "QUERY")
         return malformed("unknown message");
@@ -146,9 +150,30 @@
     return "READY I -" + std::string(lineEnd);
 }
 
-std::string writeSessionRequest(const DatabaseName& database)
+Proxy::SessionRequest sessionRequestOf(const OpenSession& open, bool isForwarded)
 {
-    return "START " + database.value() + std::string(lineEnd);
+    Proxy::SessionRequest request;
+    request.database = open.database;
+    request.isForwarded = isForwarded;
+    if (isForwarded) {
+        if (open.credential != noOrganisation)
+            request.organisation = OrganisationName(open.credential);
+        request.version = open.version;
+    } else if (!open.credential.empty()) {
+        request.key = Config::KeyDigest::of(open.credential);
+    }
+    return request;
+}
+
+std::string writeSessionRequest(const Proxy::SessionRequest& request)
+{
+    auto line = "START " + request.database.value();
+    if (request.version != ConfigVersion {}) {
+        const auto& organisation = request.organisation.value();
+        line.append(" ").append(organisation.empty() ? noOrganisation : organisation);
+        line.append(" ").append(std::to_string(request.version.value()));
+    }
+    return line.append(lineEnd);
 }
 
 std::optional<Session::TransactionState> readAnswerEnd(std::string_view line)
--- a/src/platform/CallerCodec.h
+++ b/src/platform/CallerCodec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Ids.h"
+#include "proxy/SessionRequest.h"
 #include "session/Answer.h"
 #include "session/Statement.h"
 
@@ -14,6 +15,10 @@
 /// A caller opens a session.
 struct OpenSession {
     DatabaseName database;
+    /// The second field: the caller's key, and for a forwarded session the organisation; empty if there is none.
+    std::string credential;
+    /// The third field, of forwarded sessions: the version of the configuration; zero if there is none.
+    ConfigVersion version;
 };
 /// A caller sends a statement.
 struct SendStatement {
@@ -35,8 +40,10 @@
 std::string writeAnswer(const Session::Answer&);
 /// @return the line that accepts a session.
 std::string writeSessionAccepted();
-/// @return the line that requests a session on the database.
-std::string writeSessionRequest(const DatabaseName&);
+/// @return the session that a caller requests, or that another host forwards.
+Proxy::SessionRequest sessionRequestOf(const OpenSession&, bool isForwarded);
+/// @return the line that forwards a session to another host. It names the organisation, never the caller's key.
+std::string writeSessionRequest(const Proxy::SessionRequest&);
 /// @return the session's transaction state if the line ends an answer; empty otherwise.
 std::optional<Session::TransactionState> readAnswerEnd(std::string_view line);
 /// @return the line that refuses a session.
--- a/src/platform/FailureKeywords.cpp
+++ b/src/platform/FailureKeywords.cpp
@@ -13,7 +13,7 @@
         std::string_view keyword;
     };
 
-    constexpr std::array<Entry, 13> entries { {
+    constexpr std::array<Entry, 14> entries { {
         { FailureCode::Busy, "BUSY" },
         { FailureCode::Aborted, "ABORTED" },
         { FailureCode::Lagging, "LAGGING" },
@@ -27,6 +27,7 @@
         { FailureCode::TooLarge, "TOOLARGE" },
         { FailureCode::Malformed, "MALFORMED" },
         { FailureCode::InDoubt, "INDOUBT" },
+        { FailureCode::UnknownKey, "UNKNOWNKEY" },
     } };
 
 } // namespace
--- a/src/platform/RowDecoder.cpp
+++ b/src/platform/RowDecoder.cpp
@@ -17,6 +17,11 @@
 
     /// Key of the row in the operators' table that holds the configuration.
     constexpr std::string_view configurationKey = "config";
+    constexpr auto keysField = "ApiKeys";
+    /// Takes the place of a configuration with keys that is not JSON.
+    constexpr auto unreadableText = "unreadable";
+    /// Takes the place of an organisation's keys in the copy of the configuration that peers are given.
+    constexpr auto keyDigestsField = "KeyDigests";
 
     Duration milliseconds(const Json& json, const char* name)
     {
@@ -44,9 +49,39 @@
         route.priority = json.value("Priority", 0U);
         if (json.contains("MaxStalenessMs"))
             route.maxStaleness = milliseconds(json, "MaxStalenessMs");
+        if (json.contains("LatencyTargetMs"))
+            route.latencyTarget = milliseconds(json, "LatencyTargetMs");
+        route.isPublic = json.value("Public", false);
         return route;
     }
 
+    void readOrganisation(const Json& json, Proxy::Organisations& organisations)
+    {
+        const auto name = json.at("Name").get<std::string>();
+        // The name becomes a field of the line that opens a connection to a target.
+        if (!isField(name))
+            throw std::invalid_argument("the name of an organisation is not a name");
+        Proxy::OrganisationRules rules;
+        rules.priority = json.value("Priority", 0U);
+        if (json.contains("RatePerS")) {
+            const auto rate = json.at("RatePerS").get<double>();
+            const auto burst = json.value("Burst", rate);
+            if (!(rate >= 0) || !(burst >= 0))
+                throw std::invalid_argument("the limit of organisation " + name + " is negative");
+            rules.allotment = Limit::AllotmentLimit { rate, burst };
+        }
+        std::vector<Config::KeyDigest> keys;
+        for (const auto& key : json.value(keysField, Json::array()))
+            keys.push_back(Config::KeyDigest::of(key.get<std::string>()));
+        for (const auto& digest : json.value(keyDigestsField, Json::array())) {
+            const auto key = Config::KeyDigest::parse(digest.get<std::string>());
+            if (!key)
+                throw std::invalid_argument("a key digest of organisation " + name + " can't be read");
+            keys.push_back(*key);
+        }
+        organisations.add(OrganisationName(name), rules, keys);
+    }
+
     /// Replicas that certainly have an acknowledged commit, whatever higher number is configured: targets acknowledge
     /// once the first replica has received the commit.
     constexpr std::size_t guaranteedSyncReplicas = 1;
@@ -63,6 +98,8 @@
             group.connectionLimit = service.at("ConnectionLimit").get<std::size_t>();
             group.syncReplicas = std::min(service.value("SyncReplicas", std::size_t { 0 }), guaranteedSyncReplicas);
         }
+        for (const auto& organisation : json.value("Tenants", Json::array()))
+            readOrganisation(organisation, catalog.organisations);
         const auto& limits = json.at("Limits");
         if (limits.contains("TxIdleMs"))
             catalog.transactionIdleLimit = milliseconds(limits, "TxIdleMs");
@@ -148,6 +185,34 @@
 
 } // namespace
 
+void redactKeys(Proxy::StorePage& page)
+{
+    for (auto& row : page.rows) {
+        if (row.key != configurationKey || row.value.find(keysField) == std::string::npos)
+            continue;
+        auto json = Json::parse(row.value, nullptr, false);
+        if (json.is_discarded()) {
+            // The texts of parse errors quote the input.
+            row.value = unreadableText;
+            continue;
+        }
+        const auto organisations = json.is_object() ? json.find("Tenants") : json.end();
+        if (organisations == json.end() || !organisations->is_array())
+            continue;
+        for (auto& organisation : *organisations) {
+            if (!organisation.is_object() || !organisation.contains(keysField))
+                continue;
+            const auto keys = organisation.at(keysField);
+            organisation.erase(keysField);
+            auto& digests = organisation[keyDigestsField];
+            digests = Json::array();
+            for (const auto& key : keys)
+                digests.push_back(key.is_string() ? Config::KeyDigest::of(key.get<std::string>()).toString() : "");
+        }
+        row.value = json.dump();
+    }
+}
+
 Expected<std::optional<Proxy::Catalog>> RowDecoder::readCatalog(const Proxy::StoreRow& row) const
 {
     if (row.key != configurationKey)
--- a/src/platform/TargetCodec.cpp
+++ b/src/platform/TargetCodec.cpp
@@ -12,6 +12,8 @@
     constexpr std::string_view lineEnd = "\r\n";
     /// Replaces a missing id or signature.
     constexpr std::string_view placeholder = "-";
+    /// The client's name on connections that belong to no organisation.
+    constexpr std::string_view proxyName = "auburnpost";
 
     std::string afterText(const std::optional<LogPoint>& requiredLogPoint)
     {
@@ -92,10 +94,11 @@
 
 } // namespace
 
-std::string TargetCodec::writeConnectionRequest(const Proxy::TargetRecord& target)
+std::string TargetCodec::writeConnectionRequest(const Proxy::TargetRecord& target, const OrganisationName& organisation)
 {
-    // The field between the group and the target is the client's name, which may be any text.
-    return "START " + target.group.value() + " auburnpost " + target.name.value() + std::string(lineEnd);
+    // The field between the group and the target names the client.
+    const auto client = organisation.value().empty() ? std::string(proxyName) : organisation.value();
+    return "START " + target.group.value() + " " + client + " " + target.name.value() + std::string(lineEnd);
 }
 
 std::string TargetCodec::write(const std::vector<Proxy::TargetRequest>& requests)
--- a/src/platform/TargetCodec.h
+++ b/src/platform/TargetCodec.h
@@ -31,7 +31,9 @@
 class TargetCodec {
 public:
     /// @return the line that opens a connection to the target; any other target refuses it.
-    static std::string writeConnectionRequest(const Proxy::TargetRecord&);
+    /// @param organisation the organisation whose statements the connection serves; empty if the deployment has none,
+    /// and for connections that serve only the proxy's own requests.
+    static std::string writeConnectionRequest(const Proxy::TargetRecord&, const OrganisationName& organisation);
     /// Encodes requests, whose replies read() expects afterwards in the same order.
     std::string write(const std::vector<Proxy::TargetRequest>&);
     /// Decodes the next line. The last line of a reply returns the whole reply.
--- a/src/proxy/CallerSession.h
+++ b/src/proxy/CallerSession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "config/KeyDigest.h"
 #include "proxy/PendingStatement.h"
 #include "session/SessionState.h"
 
@@ -14,6 +15,14 @@
     Session::SessionState state;
     /// Whether another host forwarded the session to this one.
     bool isForwarded { false };
+    /// Digest of the caller's key; empty if it presented none, and for a forwarded session.
+    std::optional<Config::KeyDigest> key;
+    /// Empty if the deployment has no organisations.
+    OrganisationName organisation;
+    /// Forwarded sessions: the version of the configuration by which the other host authorised the session.
+    ConfigVersion forwardedVersion;
+    /// Whether the caller's key was removed while a statement was in progress; the session ends with the answer.
+    bool isRevoked { false };
     /// Whether the session was reported open to the caller.
     bool isAccepted { false };
     /// Whether a message of the session was refused, which is logged once.
--- a/src/proxy/Catalog.h
+++ b/src/proxy/Catalog.h
@@ -2,6 +2,7 @@
 
 #include "base/Time.h"
 #include "proxy/Ids.h"
+#include "proxy/Organisations.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -29,6 +30,10 @@
     std::uint32_t priority { 0 };
     /// The staleness allowance, for reads that need not be current.
     Duration maxStaleness {};
+    /// Time within which callers expect an operation to be answered; zero if the configuration states none.
+    Duration latencyTarget {};
+    /// Whether callers are served whatever key they present.
+    bool isPublic { false };
 };
 
 struct GroupRules {
@@ -38,12 +43,13 @@
     std::size_t syncReplicas { 0 };
 };
 
-/// The part of the operators' configuration that the proxy uses: the routes of the databases and the rules of the
-/// groups.
+/// The part of the operators' configuration that the proxy uses: the routes of the databases, the rules of the
+/// groups, and the organisations.
 struct Catalog {
     ConfigVersion version;
     std::map<DatabaseName, Route> routes;
     std::map<GroupName, GroupRules> groups;
+    Organisations organisations;
     /// Time without a statement after which an open transaction is rolled back; zero for no limit.
     Duration transactionIdleLimit {};
 };
--- a/src/proxy/ConnectionPool.cpp
+++ b/src/proxy/ConnectionPool.cpp
@@ -4,9 +4,14 @@
 
 namespace Auburnpost::Proxy {
 
+bool ConnectionPool::mayAttemptOpen(Instant now) const
+{
+    return now >= m_nextOpenAt && count(ConnectionStage::Opening) < maxOpening;
+}
+
 bool ConnectionPool::mayOpen(Instant now) const
 {
-    if (now < m_nextOpenAt || count(ConnectionStage::Opening) >= maxOpening)
+    if (!mayAttemptOpen(now))
         return false;
     const auto own = m_connections.size();
     if (own < minConnections)
@@ -36,11 +41,11 @@
     m_nextOpenAt = now + m_backoff.recordFailure(random);
 }
 
-TargetConnection* ConnectionPool::findIdle(const Session::SessionValues& values)
+TargetConnection* ConnectionPool::findIdle(const Session::SessionValues& values, const OrganisationName& organisation)
 {
     TargetConnection* found = nullptr;
     for (auto& [id, connection] : m_connections) {
-        if (connection.stage != ConnectionStage::Idle)
+        if (connection.stage != ConnectionStage::Idle || connection.organisation != organisation)
             continue;
         if (connection.values == values)
             return &connection;
@@ -49,6 +54,24 @@
     return found;
 }
 
+TargetConnection* ConnectionPool::findIdleForCommand()
+{
+    const auto idle = std::find_if(m_connections.begin(), m_connections.end(),
+        [](const auto& entry) { return entry.second.stage == ConnectionStage::Idle; });
+    return idle == m_connections.end() ? nullptr : &idle->second;
+}
+
+std::optional<ConnectionId> ConnectionPool::findEvictable(const OrganisationName& organisation) const
+{
+    const TargetConnection* oldest = nullptr;
+    for (const auto& [id, connection] : m_connections) {
+        const bool isOther = connection.stage == ConnectionStage::Idle && connection.organisation != organisation;
+        if (isOther && (!oldest || connection.stageEnteredAt < oldest->stageEnteredAt))
+            oldest = &connection;
+    }
+    return oldest ? std::optional(oldest->id) : std::nullopt;
+}
+
 TargetConnection* ConnectionPool::findForStatusQuery()
 {
     TargetConnection* best = nullptr;
@@ -73,8 +96,10 @@
     std::vector<ConnectionId> ids;
     if (m_connections.size() <= 1)
         return ids;
-    const auto timeout = hasRoom() || !m_reportedCount ? idleTimeout : crowdedIdleTimeout;
+    const bool isCrowded = m_reportedCount && !hasRoom();
     for (const auto& [id, connection] : m_connections) {
+        const auto calmTimeout = connection.organisation == OrganisationName {} ? idleTimeout : organisationIdleTimeout;
+        const auto timeout = isCrowded ? crowdedIdleTimeout : calmTimeout;
         if (connection.stage == ConnectionStage::Idle && now - connection.stageEnteredAt >= timeout)
             ids.push_back(id);
     }
--- a/src/proxy/ConnectionPool.h
+++ b/src/proxy/ConnectionPool.h
@@ -23,6 +23,9 @@
     static constexpr std::size_t maxOpening = 3;
     /// Idle time after which a spare connection is closed.
     static constexpr Duration idleTimeout = std::chrono::seconds(4);
+    /// The same for a connection of an organisation. An organisation with few statements would otherwise wait for a
+    /// connection with most of them; connections beyond the host's share are closed for others that need one.
+    static constexpr Duration organisationIdleTimeout = std::chrono::seconds(20);
     /// The same while the target has no room for connections of other hosts.
     static constexpr Duration crowdedIdleTimeout = std::chrono::milliseconds(300);
     /// Timeout of a connection attempt; across regions one takes about 0.1 s.
@@ -35,15 +38,22 @@
     /// @param count connections that the target last reported, from all hosts together.
     void setReportedCount(std::size_t count) { m_reportedCount = count; }
 
-    /// @return whether a connection attempt may start now.
+    /// @return whether a connection attempt may start now, as far as earlier attempts are concerned.
+    [[nodiscard]] bool mayAttemptOpen(Instant now) const;
+    /// @return whether a connection attempt may start now, which adds a connection to the target.
     [[nodiscard]] bool mayOpen(Instant now) const;
     TargetConnection& add(Instant now, ConnectionId, const TargetName&);
     /// Records that the target refused a connection or could not be reached.
     void recordRefusal(Instant now, RandomEngine&);
     void recordOpened() { m_backoff.recordSuccess(); }
 
-    /// @return an idle connection, preferably one with exactly these values; null when there is none.
-    [[nodiscard]] TargetConnection* findIdle(const Session::SessionValues&);
+    /// @return an idle connection of the organisation, preferably one with exactly these values; null when there is
+    /// none.
+    [[nodiscard]] TargetConnection* findIdle(const Session::SessionValues&, const OrganisationName&);
+    /// @return an idle connection of any organisation; null when there is none.
+    [[nodiscard]] TargetConnection* findIdleForCommand();
+    /// @return the connection of another organisation that has been idle for longest; empty when there is none.
+    [[nodiscard]] std::optional<ConnectionId> findEvictable(const OrganisationName&) const;
     /// @return a connection for a status query: of those that belong to no transaction and have no unanswered status
     /// query, the one with the fewest expected replies; null when there is none.
     [[nodiscard]] TargetConnection* findForStatusQuery();
--- a/src/proxy/GroupDispatch.cpp
+++ b/src/proxy/GroupDispatch.cpp
@@ -172,34 +172,58 @@
     return false;
 }
 
-TargetConnection* GroupService::findIdleOrOpen(Instant now, const TargetName& target, const PendingStatement& pending)
+TargetConnection* GroupService::findIdleOrOpen(Instant now, const TargetName& target, PendingStatement& pending)
 {
     auto& pool = m_pools[target];
-    if (auto* const idle = pool.findIdle(pending.values))
+    if (auto* const idle = pool.findIdle(pending.values, pending.organisation))
         return idle;
-    if (pool.mayOpen(now))
+    if (!pending.organisation.value().empty())
+        openForOrganisation(now, target, pending);
+    else if (pool.mayOpen(now))
         open(now, target);
     return nullptr;
 }
 
-void GroupService::open(Instant now, const TargetName& target)
+void GroupService::openForOrganisation(Instant now, const TargetName& target, PendingStatement& pending)
+{
+    const auto* const awaited = pending.awaitedConnection ? findConnection(*pending.awaitedConnection) : nullptr;
+    if ((awaited && awaited->stage == ConnectionStage::Opening) || !m_watcher.find(target))
+        return;
+    auto& pool = m_pools[target];
+    if (!pool.mayAttemptOpen(now))
+        return;
+    if (!pool.mayOpen(now)) {
+        const auto evicted = pool.findEvictable(pending.organisation);
+        if (!evicted)
+            return;
+        discardConnection(*evicted);
+    }
+    pending.awaitedConnection = open(now, target, pending.organisation);
+}
+
+std::optional<ConnectionId> GroupService::open(
+    Instant now, const TargetName& target, const OrganisationName& organisation)
 {
     const auto* const member = m_watcher.find(target);
     if (!member)
-        return;
-    const auto relay = m_paths[target].relay();
-    open(now, target, relay);
+        return {};
+    const auto id = open(now, target, organisation, m_paths[target].relay());
     auto* const health = m_watcher.health(target);
     health->recordRequest(now);
     health->recordConnectAttempt(now);
+    return id;
 }
 
-void GroupService::open(Instant now, const TargetName& target, const std::optional<SocketAddress>& relay)
+ConnectionId GroupService::open(Instant now, const TargetName& target, const OrganisationName& organisation,
+    const std::optional<SocketAddress>& relay)
 {
     const auto id = m_delegate.nextConnectionId();
-    m_pools[target].add(now, id, target).relay = relay;
+    auto& connection = m_pools[target].add(now, id, target);
+    connection.organisation = organisation;
+    connection.relay = relay;
     m_targetOf[id] = target;
-    m_delegate.openConnection(id, m_watcher.find(target)->record, relay);
+    m_delegate.openConnection(id, m_watcher.find(target)->record, organisation, relay);
+    return id;
 }
 
 void GroupService::assignToConnection(Instant now, TargetConnection& connection, PendingStatement& pending)
--- a/src/proxy/GroupService.cpp
+++ b/src/proxy/GroupService.cpp
@@ -134,14 +134,14 @@
     for (const auto& [name, member] : m_watcher.members()) {
         auto& path = m_paths[name];
         if (path.shouldTryDirect(now))
-            open(now, name, std::nullopt);
+            open(now, name, {}, std::nullopt);
         // A refused connection means that the target's process is down, so that no other host reaches it either.
         if (!member.health.isSuspect(now) || member.health.isRefusing())
             continue;
         path.dropRelay();
         const auto start = std::hash<HostName> {}(m_self);
         if (const auto relay = path.nextRelay(now, m_delegate.relays(), start))
-            open(now, name, relay);
+            open(now, name, {}, relay);
     }
 }
 
@@ -397,7 +397,7 @@
             continue;
         }
         auto& pool = m_pools[target];
-        auto* const connection = pool.findIdle({});
+        auto* const connection = pool.findIdleForCommand();
         if (!connection) {
             if (pool.count(ConnectionStage::Opening) == 0)
                 open(now, target);
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -120,15 +120,21 @@
     void startConfirmationRound(Instant now);
     void assignToConnection(Instant now, TargetConnection&, PendingStatement&);
     void sendStatement(Instant now, TargetConnection&, const PendingStatement&);
-    void open(Instant now, const TargetName&);
-    void open(Instant now, const TargetName&, const std::optional<SocketAddress>& relay);
+    /// @param organisation empty for a connection that serves the proxy's own requests or a deployment without
+    /// organisations.
+    /// @return the connection; nothing if the target is no member.
+    std::optional<ConnectionId> open(Instant now, const TargetName&, const OrganisationName& organisation = {});
+    ConnectionId open(
+        Instant now, const TargetName&, const OrganisationName&, const std::optional<SocketAddress>& relay);
+    /// Opens a connection for a statement of an organisation, if necessary in place of an idle one of another.
+    void openForOrganisation(Instant now, const TargetName&, PendingStatement&);
     /// Tries to reach targets that don't respond through other hosts, and relayed targets directly again.
     void probePaths(Instant now);
     /// Closes idle connections that may have gone dead, or whose path is no longer used.
     void discardIdleConnections(const TargetName&, ConnectionId except);
     /// Closes the connections on which no reply is expected.
     void discardUnusedConnections(const TargetName&);
-    TargetConnection* findIdleOrOpen(Instant now, const TargetName&, const PendingStatement&);
+    TargetConnection* findIdleOrOpen(Instant now, const TargetName&, PendingStatement&);
 
     // Replies.
     void handleStatusReply(Instant now, TargetConnection&, const ExpectedReply&, const TargetReply&);
--- a/src/proxy/GroupServiceDelegate.h
+++ b/src/proxy/GroupServiceDelegate.h
@@ -27,8 +27,11 @@
 class GroupServiceDelegate {
 public:
     virtual ~GroupServiceDelegate() = default;
+    /// @param organisation the organisation whose statements the connection serves; empty for none.
     /// @param relay the host to connect through; empty for a direct connection.
-    virtual void openConnection(ConnectionId, const TargetRecord&, const std::optional<SocketAddress>& relay) = 0;
+    virtual void openConnection(
+        ConnectionId, const TargetRecord&, const OrganisationName&, const std::optional<SocketAddress>& relay)
+        = 0;
     virtual void closeConnection(ConnectionId) = 0;
     virtual void send(ConnectionId, const std::vector<TargetRequest>&) = 0;
     virtual void readLease(const GroupName&) = 0;
--- a/src/proxy/PendingStatement.h
+++ b/src/proxy/PendingStatement.h
@@ -38,6 +38,8 @@
 struct PendingStatement {
     PendingStatementId id;
     SessionId session;
+    /// The organisation under whose name it runs; empty if the deployment has none.
+    OrganisationName organisation;
     Session::StatementId statementId;
     Session::Statement statement;
     /// Execute: the prepared statement that it runs.
@@ -64,6 +66,8 @@
     /// Earliest time of the next attempt.
     Instant retryNotBefore {};
     std::size_t attempts { 0 };
+    /// The connection that was last opened for it; at most one is being opened for each statement of an organisation.
+    std::optional<ConnectionId> awaitedConnection;
     /// Connections on which an attempt is unanswered.
     std::set<ConnectionId> sentOn;
     /// The log point that the last attempt required.
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -136,9 +136,10 @@
         group->promoteAnswered(now, outcome);
 }
 
-void Proxy::openConnection(ConnectionId id, const TargetRecord& target, const std::optional<SocketAddress>& relay)
+void Proxy::openConnection(ConnectionId id, const TargetRecord& target, const OrganisationName& organisation,
+    const std::optional<SocketAddress>& relay)
 {
-    m_delegate.openConnection(id, target, relay);
+    m_delegate.openConnection(id, target, organisation, relay);
 }
 
 bool Proxy::mayRelay(Instant now, const TargetName& target) const
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -36,10 +36,9 @@
     void tick(Instant now);
 
     // Callers.
-    /// @param isForwarded whether another host forwarded the session to this one.
-    void sessionOpened(Instant now, SessionId, const DatabaseName&, bool isForwarded = false);
+    void sessionOpened(Instant now, SessionId, const SessionRequest&);
     /// A session could not be forwarded to the host; opens it again so that another host or this one serves it.
-    void forwardFailed(Instant now, SessionId, const DatabaseName&, const HostName&);
+    void forwardFailed(Instant now, SessionId, const HostName&);
     /// The connection to a host that sessions were forwarded to was lost.
     void forwardLost(Instant now, const HostName& host) { m_homes.recordFailure(now, host); }
     void statementArrived(Instant now, SessionId, const Session::StatementId&, const Session::Statement&);
@@ -89,7 +88,8 @@
 
 private:
     // GroupServiceDelegate.
-    void openConnection(ConnectionId, const TargetRecord&, const std::optional<SocketAddress>& relay) override;
+    void openConnection(
+        ConnectionId, const TargetRecord&, const OrganisationName&, const std::optional<SocketAddress>& relay) override;
     void closeConnection(ConnectionId) override;
     void send(ConnectionId, const std::vector<TargetRequest>&) override;
     void readLease(const GroupName&) override;
@@ -109,6 +109,17 @@
     /// @return the host to forward the session to; empty when this host serves it.
     [[nodiscard]] std::optional<HostEntry> homeForSession(const CallerSession&, const Route&);
     void forward(const CallerSession&, const HostEntry&);
+    /// @param forwarded the organisation that another host found for the session; empty unless it is forwarded.
+    /// @return the organisation under whose name the caller is served, empty without organisations; nothing if the
+    /// caller's key gives no access.
+    [[nodiscard]] std::optional<OrganisationName> authorise(
+        const std::optional<Config::KeyDigest>&, const Route&, const std::optional<OrganisationName>& forwarded) const;
+    [[nodiscard]] std::optional<OrganisationName> authorise(const CallerSession&, const Route&) const;
+    void refuseKey(const CallerSession&);
+    /// Ends the sessions whose key was removed from the configuration or is now another organisation's.
+    void endRevokedSessions(Instant now);
+    void endRevokedSession(Instant now, SessionId);
+    void logRevocation(SessionId, const OrganisationName&);
     void serveStatement(Instant now, CallerSession&, const Session::Statement&);
     [[nodiscard]] PendingStatement makePendingStatement(
         Instant now, const CallerSession&, const Session::Statement&, const Route&);
@@ -159,6 +170,8 @@
     std::set<GroupName> m_servedGroups;
     std::map<GroupName, std::unique_ptr<GroupService>> m_groups;
     std::unordered_map<SessionId, CallerSession> m_sessions;
+    /// The sessions of this host's callers that other hosts serve.
+    std::unordered_map<SessionId, SessionRequest> m_forwardedSessions;
     std::uint64_t m_lastConnection { 0 };
     std::uint64_t m_lastStatement { 0 };
     /// Index in m_settings.seeds of the peer that was queried last.
--- a/src/proxy/ProxyDelegate.h
+++ b/src/proxy/ProxyDelegate.h
@@ -3,6 +3,7 @@
 #include "base/SocketAddress.h"
 #include "proxy/GroupServiceDelegate.h"
 #include "proxy/HostEntry.h"
+#include "proxy/SessionRequest.h"
 #include "proxy/StoreFollower.h"
 
 namespace Auburnpost::Proxy {
@@ -16,10 +17,14 @@
     virtual void refuseSession(SessionId, const Session::Failure&) = 0;
     virtual void answer(SessionId, const Session::Answer&) = 0;
     /// Forwards the session to another host, which answers its statements from then on.
-    virtual void forwardSession(SessionId, const DatabaseName&, const HostEntry&) = 0;
+    virtual void forwardSession(SessionId, const SessionRequest&, const HostEntry&) = 0;
+    /// Ends a session that is forwarded to another host once no request of it is in progress.
+    virtual void endForwardedSession(SessionId) = 0;
     /// Closes an idle session.
     virtual void closeSession(SessionId) = 0;
-    virtual void openConnection(ConnectionId, const TargetRecord&, const std::optional<SocketAddress>& relay) = 0;
+    virtual void openConnection(
+        ConnectionId, const TargetRecord&, const OrganisationName&, const std::optional<SocketAddress>& relay)
+        = 0;
     virtual void closeConnection(ConnectionId) = 0;
     virtual void send(ConnectionId, const std::vector<TargetRequest>&) = 0;
     virtual void readLease(const GroupName&) = 0;
--- /dev/null
+++ b/src/proxy/ProxyOrganisations.cpp
@@ -0,0 +1,86 @@
+#include "proxy/Proxy.h"
+
+namespace Auburnpost::Proxy {
+
+std::optional<OrganisationName> Proxy::authorise(const std::optional<Config::KeyDigest>& key, const Route& route,
+    const std::optional<OrganisationName>& forwarded) const
+{
+    const auto& organisations = m_catalog->organisations;
+    if (organisations.isEmpty())
+        return OrganisationName {};
+    std::optional<OrganisationName> found;
+    if (forwarded)
+        found = organisations.contains(*forwarded) ? forwarded : std::nullopt;
+    else if (key)
+        found = organisations.findByKey(*key);
+    if (!found && route.isPublic)
+        return OrganisationName {};
+    return found;
+}
+
+std::optional<OrganisationName> Proxy::authorise(const CallerSession& session, const Route& route) const
+{
+    return authorise(session.key, route, session.isForwarded ? std::optional(session.organisation) : std::nullopt);
+}
+
+void Proxy::refuseKey(const CallerSession& session)
+{
+    log({ LogEvent::SessionRefused,
+        { { "database", session.database.value() }, { "reason", "unknown_key" },
+            { "version", std::to_string(m_catalog->version.value()) } } });
+    const auto id = session.id;
+    const bool isForwarded = session.isForwarded;
+    m_sessions.erase(id);
+    // The forwarding host knows the organisation from a configuration that differs from this host's.
+    if (isForwarded)
+        m_delegate.closeSession(id);
+    else
+        m_delegate.refuseSession(id, { Session::FailureCode::UnknownKey, "no organisation has this key" });
+}
+
+void Proxy::endRevokedSessions(Instant now)
+{
+    std::vector<SessionId> revoked;
+    for (const auto& [id, session] : m_sessions) {
+        const auto* const route = findRoute(session.database);
+        if (session.isAccepted && route && authorise(session, *route) != session.organisation)
+            revoked.push_back(id);
+    }
+    for (const auto id : revoked) {
+        logRevocation(id, m_sessions.at(id).organisation);
+        endRevokedSession(now, id);
+    }
+    std::vector<SessionId> forwarded;
+    for (const auto& [id, request] : m_forwardedSessions) {
+        const auto* const route = findRoute(request.database);
+        if (route && authorise(request.key, *route, {}) != request.organisation)
+            forwarded.push_back(id);
+    }
+    for (const auto id : forwarded) {
+        logRevocation(id, m_forwardedSessions.at(id).organisation);
+        m_forwardedSessions.erase(id);
+        m_delegate.endForwardedSession(id);
+    }
+}
+
+void Proxy::endRevokedSession(Instant now, SessionId id)
+{
+    auto* const session = findSession(id);
+    if (!session)
+        return;
+    session->isRevoked = true;
+    if (session->pendingId)
+        return;
+    endTransaction(now, *session);
+    m_sessions.erase(id);
+    m_delegate.closeSession(id);
+}
+
+void Proxy::logRevocation(SessionId id, const OrganisationName& organisation)
+{
+    log({ LogEvent::SessionRevoked,
+        { { "session", std::to_string(id.value()) }, { "organisation", organisation.value() },
+            { "version", std::to_string(m_catalog->version.value()) } } });
+}
+
+} // namespace Auburnpost::Proxy
--- a/src/proxy/ProxySessions.cpp
+++ b/src/proxy/ProxySessions.cpp
@@ -47,13 +47,16 @@
     return found == m_catalog->routes.end() ? nullptr : &found->second;
 }
 
-void Proxy::sessionOpened(Instant now, SessionId id, const DatabaseName& database, bool isForwarded)
+void Proxy::sessionOpened(Instant now, SessionId id, const SessionRequest& request)
 {
     m_now = now;
     auto& session = m_sessions[id];
     session.id = id;
-    session.database = database;
-    session.isForwarded = isForwarded;
+    session.database = request.database;
+    session.isForwarded = request.isForwarded;
+    session.key = request.key;
+    session.organisation = request.organisation;
+    session.forwardedVersion = request.version;
     session.openedAt = now;
     session.idleSince = now;
     routeSession(session);
@@ -61,9 +64,16 @@
 
 void Proxy::routeSession(CallerSession& session)
 {
-    if (session.isAccepted || !m_catalog)
+    // A forwarded session is not handled by an older configuration than that of the host that forwards it.
+    if (session.isAccepted || !m_catalog || session.forwardedVersion > m_catalog->version)
         return;
     if (const auto* const route = findRoute(session.database)) {
+        const auto organisation = authorise(session, *route);
+        if (!organisation) {
+            refuseKey(session);
+            return;
+        }
+        session.organisation = *organisation;
         if (const auto home = homeForSession(session, *route)) {
             forward(session, *home);
             return;
@@ -102,15 +112,25 @@
         { { "session", std::to_string(session.id.value()) }, { "database", session.database.value() },
             { "host", home.name.value() } } });
     const auto id = session.id;
-    const auto database = session.database;
+    SessionRequest request { session.database, session.key, false, session.organisation, {} };
+    if (!m_catalog->organisations.isEmpty())
+        request.version = m_catalog->version;
     m_sessions.erase(id);
-    m_delegate.forwardSession(id, database, home);
+    m_forwardedSessions[id] = request;
+    m_delegate.forwardSession(id, request, home);
 }
 
-void Proxy::forwardFailed(Instant now, SessionId id, const DatabaseName& database, const HostName& host)
+void Proxy::forwardFailed(Instant now, SessionId id, const HostName& host)
 {
     m_homes.recordFailure(now, host);
-    sessionOpened(now, id, database);
+    const auto forwarded = m_forwardedSessions.extract(id);
+    if (!forwarded)
+        return;
+    auto request = forwarded.mapped();
+    // The session is authorised again by this host's present configuration.
+    request.organisation = {};
+    request.version = {};
+    sessionOpened(now, id, request);
 }
 
 void Proxy::statementArrived(
@@ -200,6 +220,7 @@
     PendingStatement pending;
     pending.id = PendingStatementId(++m_lastStatement);
     pending.session = session.id;
+    pending.organisation = session.organisation;
     pending.statementId = session.statementId;
     pending.statement = statement;
     if (statement.kind == StatementKind::Execute)
@@ -258,6 +279,8 @@
         fields.push_back({ "term", std::to_string(group->watcher().primaryTerm().value()) });
         fields.push_back({ "proof_age_ms", confirmedAt ? std::to_string(toMilliseconds(m_now - *confirmedAt)) : "-" });
     }
+    if (!session.organisation.value().empty())
+        fields.push_back({ "organisation", session.organisation.value() });
     if (failure)
         fields.push_back({ "reason", failure->text });
     const bool isUnknown = failure && failure->code == FailureCode::InDoubt;
@@ -291,15 +314,19 @@
 {
     session.idleSince = m_now;
     const auto id = session.id;
+    const bool isRevoked = session.isRevoked;
     // The session's next statement may arrive from within this call, so the session must not be used after it.
     m_delegate.answer(id, answer);
-    if (m_isClosingIdleSessions)
+    if (isRevoked)
+        endRevokedSession(m_now, id);
+    else if (m_isClosingIdleSessions)
         closeIfIdle(id);
 }
 
 void Proxy::sessionClosed(Instant now, SessionId id)
 {
     m_now = now;
+    m_forwardedSessions.erase(id);
     auto* const session = findSession(id);
     if (!session)
         return;
--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -142,13 +142,16 @@
     }
     updateListOrigin();
     updateGroupMembers(now);
+    endRevokedSessions(now);
     std::vector<SessionId> waiting;
     for (const auto& [id, session] : m_sessions) {
         if (!session.isAccepted)
             waiting.push_back(id);
     }
-    for (const auto id : waiting)
-        routeSession(m_sessions.at(id));
+    for (const auto id : waiting) {
+        if (auto* const session = findSession(id))
+            routeSession(*session);
+    }
 }
 
 void Proxy::updateTargets(Instant now)
--- /dev/null
+++ b/src/proxy/SessionRequest.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "base/Ids.h"
+#include "config/KeyDigest.h"
+
+#include <optional>
+
+namespace Auburnpost::Proxy {
+
+/// The request of a caller, or of a host that forwards a caller's session, to open a session.
+struct SessionRequest {
+    DatabaseName database {};
+    /// Digest of the caller's key; empty if the caller presented none, and for a forwarded session.
+    std::optional<Config::KeyDigest> key {};
+    /// Whether another host forwards the session.
+    bool isForwarded { false };
+    /// Forwarded sessions: the organisation that the other host found by the caller's key; empty if there is none.
+    OrganisationName organisation {};
+    /// Forwarded sessions: the version of the configuration by which the other host authorised the session.
+    ConfigVersion version {};
+};
+
+} // namespace Auburnpost::Proxy
--- a/src/proxy/TargetConnection.h
+++ b/src/proxy/TargetConnection.h
@@ -49,6 +49,9 @@
 struct TargetConnection {
     ConnectionId id;
     TargetName target;
+    /// The organisation whose statements the connection may carry, which the target learns when it is opened. Empty if
+    /// the deployment has none, and for connections that carry only the proxy's own requests.
+    OrganisationName organisation;
     ConnectionStage stage { ConnectionStage::Opening };
     /// The host that relays the connection; empty for a direct one.
     std::optional<SocketAddress> relay;
--- a/src/session/Answer.cpp
+++ b/src/session/Answer.cpp
@@ -12,7 +12,7 @@
     };
 
     /// Indexed by FailureCode.
-    constexpr std::array<CodeProperties, 13> codeProperties { {
+    constexpr std::array<CodeProperties, 14> codeProperties { {
         { "busy", true },
         { "aborted", true },
         { "lagging", true },
@@ -26,6 +26,7 @@
         { "too_large", false },
         { "malformed", false },
         { "in_doubt", false },
+        { "unknown_key", false },
     } };
 
     const CodeProperties& propertiesOf(FailureCode code)
--- a/src/session/Answer.h
+++ b/src/session/Answer.h
@@ -32,6 +32,8 @@
     Malformed,
     /// The statement may or may not have taken effect.
     InDoubt,
+    /// No organisation has the caller's key.
+    UnknownKey,
 };
 
 /// @return the name of the code for logs, such as "busy".
--- a/tests/app/SessionForwarderTests.cpp
+++ b/tests/app/SessionForwarderTests.cpp
@@ -38,7 +38,7 @@
         Proxy::HostEntry host;
         host.name = HostName("home");
         host.sessions = remoteHost.address();
-        forwarder.open(start, session, DatabaseName("orders"), host);
+        forwarder.open(start, session, { DatabaseName("orders") }, host);
     }
     /// Opens a session and waits until the host has accepted it.
     void openAndAccept()
--- a/tests/platform/CallerCodecTests.cpp
+++ b/tests/platform/CallerCodecTests.cpp
@@ -99,7 +99,7 @@
 
 TEST_CASE("The lines that request a forwarded session and end its answers", "[platform]")
 {
-    CHECK(writeSessionRequest(DatabaseName("orders")) == "START orders\r\n");
+    CHECK(writeSessionRequest({ DatabaseName("orders") }) == "START orders\r\n");
     CHECK(readAnswerEnd("READY I -") == Session::TransactionState::Idle);
     CHECK(readAnswerEnd("READY T 3.7") == Session::TransactionState::Open);
     CHECK(readAnswerEnd("READY E 3.7") == Session::TransactionState::Failed);
--- a/tests/platform/CallerMessageTests.cpp
+++ b/tests/platform/CallerMessageTests.cpp
@@ -36,7 +36,7 @@
     Proxy::Proxy proxy(start, Proxy::ProxySettings {}, decoder, delegate, 1);
     proxy.tableRead(start, Proxy::StoreTable::Configuration, configurationPage());
     for (const auto session : { Proxy::SessionId(7), Proxy::SessionId(8) }) {
-        proxy.sessionOpened(start, session, DatabaseName("database"));
+        proxy.sessionOpened(start, session, { DatabaseName("database") });
         for (int count = 0; count < 3; ++count)
             proxy.malformedStatementArrived(start, session, { Session::FailureCode::Malformed, "unknown message" });
     }
--- a/tests/platform/RecordingDelegate.h
+++ b/tests/platform/RecordingDelegate.h
@@ -30,10 +30,11 @@
     void acceptSession(Proxy::SessionId) override { }
     void refuseSession(Proxy::SessionId, const Session::Failure&) override { }
     void answer(Proxy::SessionId, const Session::Answer&) override { }
-    void forwardSession(Proxy::SessionId, const DatabaseName&, const Proxy::HostEntry&) override { }
+    void forwardSession(Proxy::SessionId, const Proxy::SessionRequest&, const Proxy::HostEntry&) override { }
+    void endForwardedSession(Proxy::SessionId) override { }
     void closeSession(Proxy::SessionId) override { }
-    void openConnection(
-        ConnectionId id, const Proxy::TargetRecord& target, const std::optional<SocketAddress>&) override
+    void openConnection(ConnectionId id, const Proxy::TargetRecord& target, const OrganisationName&,
+        const std::optional<SocketAddress>&) override
     {
         connections[id] = target;
     }
--- /dev/null
+++ b/tests/platform/SessionRecorder.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "proxy/ProxyDelegate.h"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace Auburnpost::Platform {
+
+/// Records what a proxy tells its callers, and what it logs.
+class SessionRecorder final : public Proxy::ProxyDelegate {
+public:
+    std::set<Proxy::SessionId> accepted;
+    std::set<Proxy::SessionId> closed;
+    std::map<Proxy::SessionId, Session::FailureCode> refused;
+    std::map<Proxy::SessionId, std::size_t> answers;
+    std::vector<LogRecord> records;
+
+    void readTable(Proxy::StoreTable, const std::string&, Duration) override { }
+    void followTable(Proxy::StoreTable, Proxy::RowVersion, Duration, Duration) override { }
+    void writeHost(const HostName&, const std::string&) override { }
+    void acceptSession(Proxy::SessionId id) override { accepted.insert(id); }
+    void refuseSession(Proxy::SessionId id, const Session::Failure& failure) override { refused[id] = failure.code; }
+    void answer(Proxy::SessionId id, const Session::Answer&) override { ++answers[id]; }
+    void forwardSession(Proxy::SessionId, const Proxy::SessionRequest&, const Proxy::HostEntry&) override { }
+    void endForwardedSession(Proxy::SessionId) override { }
+    void closeSession(Proxy::SessionId id) override { closed.insert(id); }
+    void openConnection(
+        ConnectionId, const Proxy::TargetRecord&, const OrganisationName&, const std::optional<SocketAddress>&) override
+    {
+    }
+    void closeConnection(ConnectionId) override { }
+    void send(ConnectionId, const std::vector<Proxy::TargetRequest>&) override { }
+    void readLease(const Proxy::GroupName&) override { }
+    void writeLease(const Proxy::GroupName&, const Proxy::PromotionLease&, Proxy::RowVersion) override { }
+    void readMembers(const Proxy::GroupName&, const std::string&) override { }
+    void promote(const Proxy::GroupName&, const TargetName&, Proxy::RowVersion, Instant) override { }
+    void queryPeer(const SocketAddress&) override { }
+    void log(const LogRecord& record) override { records.push_back(record); }
+    void measure(std::string_view, double) override { }
+};
+
+} // namespace Auburnpost::Platform
--- a/tests/platform/TargetCodecTests.cpp
+++ b/tests/platform/TargetCodecTests.cpp
@@ -30,7 +30,9 @@
     TargetRecord target;
     target.name = TargetName("i-7f3a91c2");
     target.group = GroupName("huvo11a");
-    CHECK(TargetCodec::writeConnectionRequest(target) == "START huvo11a auburnpost i-7f3a91c2\r\n");
+    CHECK(TargetCodec::writeConnectionRequest(target, {}) == "START huvo11a auburnpost i-7f3a91c2\r\n");
+    CHECK(TargetCodec::writeConnectionRequest(target, OrganisationName("miny420"))
+        == "START huvo11a miny420 i-7f3a91c2\r\n");
 
     TargetCodec codec;
     const auto line = codec.read("ERROR TOOMANY i-7f3a91c2");
--- a/tests/proxy/GroupServiceTests.cpp
+++ b/tests/proxy/GroupServiceTests.cpp
@@ -31,7 +31,8 @@
     std::uint64_t lastConnection { 0 };
     RandomEngine engine { 1 };
 
-    void openConnection(ConnectionId id, const TargetRecord& target, const std::optional<SocketAddress>& relay) override
+    void openConnection(ConnectionId id, const TargetRecord& target, const OrganisationName&,
+        const std::optional<SocketAddress>& relay) override
     {
         targets[id] = target.name;
         relayOf[id] = relay;
--- a/tests/proxy/ProxyScheduleTests.cpp
+++ b/tests/proxy/ProxyScheduleTests.cpp
@@ -112,8 +112,8 @@
     simulation.run(1s);
     const SessionId own(1001);
     const SessionId forwarded(1002);
-    simulation.hostProxy(0).sessionOpened(simulation.now(), own, DatabaseName("unknown"));
-    simulation.hostProxy(0).sessionOpened(simulation.now(), forwarded, DatabaseName("unknown"), true);
+    simulation.hostProxy(0).sessionOpened(simulation.now(), own, { DatabaseName("unknown") });
+    simulation.hostProxy(0).sessionOpened(simulation.now(), forwarded, { DatabaseName("unknown"), {}, true });
     CHECK(simulation.host(0).endingOf(own) == "refused");
     CHECK(simulation.host(0).endingOf(forwarded) == "closed");
 }
--- a/tests/proxy/ProxySimulation.cpp
+++ b/tests/proxy/ProxySimulation.cpp
@@ -42,7 +42,7 @@
             after(1s, [this, host, id] {
                 const auto database = std::next(SimulatedCaller::routes().begin(),
                     static_cast<std::ptrdiff_t>(id.value() % SimulatedCaller::routes().size()));
-                hostProxy(host).sessionOpened(now(), id, DatabaseName(database->first));
+                hostProxy(host).sessionOpened(now(), id, { DatabaseName(database->first) });
             });
         }
     }
--- a/tests/proxy/SimulatedCaller.cpp
+++ b/tests/proxy/SimulatedCaller.cpp
@@ -44,7 +44,7 @@
 
 void SimulatedCaller::connect()
 {
-    m_simulation.hostProxy(m_host).sessionOpened(m_simulation.now(), m_id, DatabaseName(m_database));
+    m_simulation.hostProxy(m_host).sessionOpened(m_simulation.now(), m_id, { DatabaseName(m_database) });
 }
 
 void SimulatedCaller::refused()
--- a/tests/proxy/SimulatedHost.cpp
+++ b/tests/proxy/SimulatedHost.cpp
@@ -144,7 +144,7 @@
 }
 
 void SimulatedHost::openConnection(
-    ConnectionId id, const TargetRecord& record, const std::optional<SocketAddress>& relay)
+    ConnectionId id, const TargetRecord& record, const OrganisationName&, const std::optional<SocketAddress>& relay)
 {
     auto& connection = m_connections[id];
     connection.target = record.name;
--- a/tests/proxy/SimulatedHost.h
+++ b/tests/proxy/SimulatedHost.h
@@ -31,9 +31,11 @@
     void acceptSession(SessionId) override;
     void refuseSession(SessionId, const Session::Failure&) override;
     void answer(SessionId, const Session::Answer&) override;
-    void forwardSession(SessionId, const DatabaseName&, const HostEntry&) override { }
+    void forwardSession(SessionId, const SessionRequest&, const HostEntry&) override { }
+    void endForwardedSession(SessionId) override { }
     void closeSession(SessionId id) override { m_endings[id] = "closed"; }
-    void openConnection(ConnectionId, const TargetRecord&, const std::optional<SocketAddress>& relay) override;
+    void openConnection(
+        ConnectionId, const TargetRecord&, const OrganisationName&, const std::optional<SocketAddress>& relay) override;
     void closeConnection(ConnectionId) override;
     void send(ConnectionId, const std::vector<TargetRequest>&) override;
     void readTable(StoreTable, const std::string& fromKey, Duration timeout) override;
--- a/tests/proxy/StateDumpTests.cpp
+++ b/tests/proxy/StateDumpTests.cpp
@@ -23,9 +23,11 @@
     void acceptSession(SessionId) override { }
     void refuseSession(SessionId, const Session::Failure&) override { }
     void answer(SessionId, const Session::Answer&) override { }
-    void forwardSession(SessionId, const DatabaseName&, const HostEntry&) override { }
+    void forwardSession(SessionId, const SessionRequest&, const HostEntry&) override { }
+    void endForwardedSession(SessionId) override { }
     void closeSession(SessionId) override { }
-    void openConnection(ConnectionId id, const TargetRecord& target, const std::optional<SocketAddress>&) override
+    void openConnection(ConnectionId id, const TargetRecord& target, const OrganisationName&,
+        const std::optional<SocketAddress>&) override
     {
         opened[id] = target.name;
     }
