Rate limits over all hosts: permits of shares that are lent and granted

Cause: an organisation's limit holds over all hosts together, also over those that cannot reach each other, and a static part of it on each of 139 hosts would refuse callers far below the limit.

Change: Limit::Allotments. Each host owns 1/N of every limit. It lends its share to one coordinator for all organisations; the coordinator grants permits to hosts by demand, and each host keeps a stock. Shares start without permits when they change hands; granted permits count against the capacity until their use is reported or they have expired; lifetimes are counted from the request on the recipient's side and from the echoed stamp on the coordinator's, so no clocks of two hosts are compared.

--- /dev/null
+++ b/src/limit/AllotmentPeers.cpp
@@ -0,0 +1,116 @@
+#include "limit/AllotmentPeers.h"
+
+#include "member/RendezvousScore.h"
+
+#include <algorithm>
+
+namespace Auburnpost::Limit {
+
+namespace {
+
+    /// Rendezvous key of the coordinator. There is one for all organisations, so that a host needs one datagram for
+    /// all.
+    constexpr std::uint64_t coordinatorKey = 0x616c6c6f746d656eULL;
+    /// The first unusable peers of the ranking that are probed each time.
+    constexpr std::size_t firstProbed = 3;
+    /// Further ones, in turn, while no peer above this host is usable.
+    constexpr std::size_t furtherProbed = 3;
+
+    double scoreOf(const AllotmentHost& host)
+    {
+        return Member::rendezvousScore(Member::rendezvousHash(host.name.value(), 0), coordinatorKey, host.weight);
+    }
+
+} // namespace
+
+AllotmentPeers::AllotmentPeers(HostName self, AllotmentTimes times)
+    : m_self(std::move(self))
+    , m_times(times)
+{
+}
+
+void AllotmentPeers::setHosts(const std::vector<AllotmentHost>& hosts)
+{
+    std::vector<Peer> ranking;
+    for (const auto& host : hosts) {
+        const auto known = std::find_if(m_ranking.begin(), m_ranking.end(),
+            [&host](const Peer& peer) { return peer.host.name == host.name && peer.host.address == host.address; });
+        ranking.push_back(known == m_ranking.end() ? Peer {} : *known);
+        ranking.back().host = host;
+    }
+    std::sort(ranking.begin(), ranking.end(), [](const Peer& left, const Peer& right) {
+        const auto leftScore = scoreOf(left.host);
+        const auto rightScore = scoreOf(right.host);
+        return leftScore != rightScore ? leftScore > rightScore : left.host.name < right.host.name;
+    });
+    m_ranking = std::move(ranking);
+    m_probeAt = {};
+}
+
+AllotmentPeers::Peer* AllotmentPeers::coordinator()
+{
+    for (auto& peer : m_ranking) {
+        if (peer.host.name == m_self)
+            return nullptr;
+        if (peer.isUsable)
+            return &peer;
+    }
+    return nullptr;
+}
+
+AllotmentPeers::Peer* AllotmentPeers::find(const SocketAddress& address)
+{
+    const auto found = std::find_if(
+        m_ranking.begin(), m_ranking.end(), [&address](const Peer& peer) { return peer.host.address == address; });
+    return found == m_ranking.end() ? nullptr : &*found;
+}
+
+void AllotmentPeers::recordSilence(Peer& peer)
+{
+    peer.isUsable = false;
+    peer.wasSilent = true;
+    peer.successiveReplies = 0;
+    peer.probe = {};
+    m_probeAt = {};
+}
+
+void AllotmentPeers::recordReply(const AllotmentReply& reply, Peer& peer) const
+{
+    if (peer.isProbeAnswered || peer.probe != reply.number)
+        return;
+    peer.isProbeAnswered = true;
+    peer.start = reply.coordinatorStart;
+    peer.stamp = reply.stamp;
+    ++peer.successiveReplies;
+    peer.isUsable = !peer.wasSilent || peer.successiveReplies >= m_times.probesToReturn;
+    if (peer.isUsable)
+        peer.wasSilent = false;
+}
+
+std::vector<AllotmentPeers::Peer*> AllotmentPeers::peersToProbe(Instant now)
+{
+    if (now < m_probeAt)
+        return {};
+    m_probeAt = now + m_times.probeInterval;
+    std::vector<Peer*> unusable;
+    bool isAnyUsable = false;
+    for (auto& peer : m_ranking) {
+        isAnyUsable = isAnyUsable || peer.isUsable;
+        if (peer.isUsable || peer.host.name == m_self)
+            break;
+        unusable.push_back(&peer);
+    }
+    const auto first = std::min(unusable.size(), firstProbed);
+    std::vector<Peer*> probed(unusable.begin(), unusable.begin() + static_cast<std::ptrdiff_t>(first));
+    const auto further = isAnyUsable ? 0 : std::min(furtherProbed, unusable.size() - first);
+    for (std::size_t count = 0; count < further; ++count)
+        probed.push_back(unusable[first + m_nextProbed++ % (unusable.size() - first)]);
+    for (auto* const peer : probed) {
+        if (!peer->isProbeAnswered)
+            peer->successiveReplies = 0;
+        peer->isProbeAnswered = false;
+    }
+    return probed;
+}
+
+} // namespace Auburnpost::Limit
