Allotments: keep a coordinator that holds more than half of the shares

Cause: a host of the highest rank that returned took over all shares at once, and shares yield nothing while they change hands; each such return cost as much as the failure before it.

Change: replies tell the share that a host holds and its own coordinator. A host that replies and holds more than half is kept, and found by hosts that have another one; without such a host the ranking decides.

--- a/src/limit/AllotmentCodec.cpp
+++ b/src/limit/AllotmentCodec.cpp
@@ -13,7 +13,7 @@
     constexpr std::uint64_t requestKind = 1;
     constexpr std::uint64_t replyKind = 2;
     constexpr std::uint32_t requestFields = 10;
-    constexpr std::uint32_t replyFields = 8;
+    constexpr std::uint32_t replyFields = 10;
     constexpr std::uint32_t claimNumbers = 4;
     constexpr std::uint32_t grantNumbers = 2;
     constexpr std::size_t maxNameBytes = 128;
@@ -54,6 +54,8 @@
         packer.pack_uint64(reply.number.value());
         packer.pack_uint64(reply.stamp.value());
         packer.pack_uint64(reply.listedHosts);
+        packer.pack_uint64(reply.sharePermille);
+        packer.pack_uint64(reply.coordinatorHash);
         packer.pack_array(static_cast<std::uint32_t>(reply.grants.size()) * grantNumbers);
         for (const auto& grant : reply.grants) {
             packer.pack_uint64(grant.organisation.value());
@@ -127,6 +129,8 @@
         reply.number = RequestNumber(numberOf(*field++));
         reply.stamp = ClockStamp(numberOf(*field++));
         reply.listedHosts = smallNumberOf(*field++);
+        reply.sharePermille = smallNumberOf(*field++);
+        reply.coordinatorHash = smallNumberOf(*field++);
         const auto entries = entriesOf(*field, grantNumbers);
         const auto* number = field->via.array.ptr;
         for (std::uint32_t entry = 0; entry < entries; ++entry, number += grantNumbers) {
--- a/src/limit/AllotmentMessage.h
+++ b/src/limit/AllotmentMessage.h
@@ -68,6 +68,10 @@
     ClockStamp stamp;
     /// Maximum number of hosts that the coordinator or a requesting host has in its list.
     std::uint32_t listedHosts { 0 };
+    /// Thousandths of all shares that the replying host holds.
+    std::uint32_t sharePermille { 0 };
+    /// Hash of the name of the replying host's own coordinator.
+    std::uint32_t coordinatorHash { 0 };
     std::vector<AllotmentGrant> grants;
 
     bool operator==(const AllotmentReply&) const = default;
--- a/src/limit/Allotments.cpp
+++ b/src/limit/Allotments.cpp
@@ -25,6 +25,7 @@
     /// Part of a stock at which a new request is sent before the interval has passed.
     constexpr std::uint32_t urgentPart = 4;
     constexpr std::uint32_t maxHosts = 100'000;
+    constexpr double permille = 1000;
     constexpr double minRetrySeconds = 0.1;
     constexpr double maxRetrySeconds = 2;
 
@@ -181,6 +182,7 @@
 
 void Allotments::updateCoordinator(Instant now)
 {
+    m_peers.choose(m_pool.share());
     const auto* const chosen = m_peers.coordinator();
     const auto& name = chosen ? chosen->host.name : m_self;
     const auto start = chosen ? chosen->start : m_start;
@@ -329,7 +331,8 @@
     noteReportedHosts(now, request.listedHosts);
     AllotmentReply reply { m_start, request.hostStart, request.number,
         ClockStamp(static_cast<std::uint64_t>(now.time_since_epoch().count())),
-        std::max(static_cast<std::uint32_t>(m_peers.listed()), m_reportedHosts), {} };
+        std::max(static_cast<std::uint32_t>(m_peers.listed()), m_reportedHosts),
+        static_cast<std::uint32_t>(permille * m_pool.share()), AllotmentPeers::hashOf(m_coordinator), {} };
     // A request for an earlier start of this host reports permits that this one knows nothing of.
     if (request.coordinatorStart != m_start || !m_pool.acceptRequest(now, request))
         return reply;
--- a/tests/limit/AllotmentCodecTests.cpp
+++ b/tests/limit/AllotmentCodecTests.cpp
@@ -22,7 +22,7 @@
 
 AllotmentReply someReply()
 {
-    return { HostStart(7), HostStart(8), RequestNumber(9), ClockStamp(10), 11,
+    return { HostStart(7), HostStart(8), RequestNumber(9), ClockStamp(10), 11, 980, 0xfffffff0,
         { { AllotmentId(12), std::numeric_limits<std::uint32_t>::max(), true }, { AllotmentId(13), 0, false } } };
 }
 
