Enforce organisations' rate limits in the proxy

Cause: the configuration's limits were read and not applied.

Change: AllotmentService beside the sessions. Proxy::serveStatement asks it before a statement outside a transaction or the first of one is submitted; a refusal is BUSY with the time to wait. Datagrams go over UDP on the address for relays; the socket is opened once an organisation has a limit.

Not run yet: two processes over UDP.

--- a/src/app/ProxyAssembly.cpp
+++ b/src/app/ProxyAssembly.cpp
@@ -146,6 +146,7 @@
 void ProxyAssembly::onTick()
 {
     const auto moment = now();
+    listenForDatagrams();
     m_proxy.tick(moment);
     m_forwarder.tick(moment);
     m_shutdown.tick(moment);
@@ -161,6 +162,22 @@
     m_forwardedSessions.closeStalled(moment, stalledInputTimeout);
 }
 
+void ProxyAssembly::listenForDatagrams()
+{
+    if (m_datagrams || !m_proxy.usesDatagrams())
+        return;
+    auto datagrams = std::make_unique<Wire::GossipSocket>(m_base, m_settings.relay);
+    if (const auto outcome = datagrams->listen(); !outcome) {
+        if (!std::exchange(m_isDatagramFailureLogged, true))
+            log({ LogEvent::ListenFailed, { { "reason", outcome.error().describe() } } });
+        return;
+    }
+    datagrams->received().connect([this](const SocketAddress& from, std::string_view datagram) {
+        m_proxy.datagramReceived(now(), from, datagram);
+    });
+    m_datagrams = std::move(datagrams);
+}
+
 void ProxyAssembly::reload()
 {
     const auto settings = m_loadSettings();
--- a/src/app/ProxyAssembly.h
+++ b/src/app/ProxyAssembly.h
@@ -7,6 +7,7 @@
 #include "proxy/DescriptorShares.h"
 #include "proxy/Proxy.h"
 #include "proxy/StoreCallCounts.h"
+#include "wire/GossipSocket.h"
 #include "wire/HttpServer.h"
 #include "wire/LineClients.h"
 #include "wire/LineServer.h"
@@ -101,6 +102,9 @@
     void readMembers(const Proxy::GroupName&, const std::string& fromKey) override;
     void promote(const Proxy::GroupName&, const TargetName&, Proxy::RowVersion token, Instant sendBefore) override;
     void queryPeer(const SocketAddress&) override;
+    void sendDatagram(const SocketAddress&, std::string_view) override;
+    /// Opens the socket for datagrams once it is needed.
+    void listenForDatagrams();
     void servePeer(const Wire::HttpRequest&);
 
     void log(const LogRecord&) override;
@@ -136,6 +140,9 @@
     Proxy::StoreCallCounts m_storeCalls;
     Proxy::Proxy m_proxy;
     Shutdown m_shutdown;
+    /// Beside the relay server on the same port number; null while no datagrams are exchanged.
+    std::unique_ptr<Wire::GossipSocket> m_datagrams;
+    bool m_isDatagramFailureLogged { false };
     std::unordered_map<ConnectionId, Platform::TargetCodec> m_codecs;
     std::unordered_map<ConnectionId, PendingConnection> m_pendingConnections;
     std::array<std::uint64_t, std::variant_size_v<Proxy::TargetRequest>> m_requestCounts {};
--- a/src/app/ProxyAssemblyPlatform.cpp
+++ b/src/app/ProxyAssemblyPlatform.cpp
@@ -125,6 +125,13 @@
     client->call(snapshotCall);
 }
 
+void ProxyAssembly::sendDatagram(const SocketAddress& peer, std::string_view datagram)
+{
+    // A datagram that is not sent counts as lost.
+    if (m_datagrams)
+        static_cast<void>(m_datagrams->send(peer, datagram));
+}
+
 void ProxyAssembly::servePeer(const Wire::HttpRequest& request)
 {
     const bool isStateRequest = !request.path.empty() && request.path.back() == "state";
--- a/src/platform/SettingsReader.cpp
+++ b/src/platform/SettingsReader.cpp
@@ -41,6 +41,25 @@
         return bounds;
     }
 
+    /// @return the rules for rate limits; empty unless the deployment sets all of them.
+    /// @throws std::invalid_argument for a window that is not positive or a negative excess.
+    std::optional<Limit::AllotmentRules> readAllotments(const Json& json)
+    {
+        constexpr auto windowField = "QuotaWindowS";
+        constexpr auto overageField = "QuotaOverage";
+        constexpr auto slackField = "QuotaSlack";
+        if (!json.contains(windowField) || !json.contains(overageField) || !json.contains(slackField))
+            return {};
+        const std::chrono::duration<double> window(json.at(windowField).get<double>());
+        Limit::AllotmentRules rules;
+        rules.window = std::chrono::duration_cast<Duration>(window);
+        rules.overage = json.at(overageField).get<double>();
+        rules.slack = json.at(slackField).get<double>();
+        if (window.count() <= 0 || rules.overage < 0 || rules.slack < 0)
+            throw std::invalid_argument("QuotaWindowS, QuotaOverage or QuotaSlack is out of range");
+        return rules;
+    }
+
     Proxy::ProxySettings read(const Json& json, std::uint16_t metricsPort)
     {
         Proxy::ProxySettings settings;
@@ -61,6 +80,7 @@
             settings.seeds.push_back(readAddress(seed));
         settings.descriptors = json.at("Limits").at("FileDescriptors").get<std::size_t>();
         settings.bounds = readBounds(json.at("Bounds"));
+        settings.allotments = readAllotments(json.at("Bounds"));
         const std::chrono::duration<double> grace(json.at("Bounds").at("GraceS").get<double>());
         settings.stopTimeout = std::chrono::duration_cast<Duration>(grace);
         return settings;
--- a/src/proxy/HostDirectory.cpp
+++ b/src/proxy/HostDirectory.cpp
@@ -75,6 +75,7 @@
         m_delegate.readTable(StoreTable::Hosts, keyAfter(page.rows.back().key), readTimeout);
         return false;
     }
+    m_hasRead = true;
     auto hosts = std::exchange(m_partialRead, { m_self });
     std::sort(hosts.begin(), hosts.end(),
         [](const HostEntry& left, const HostEntry& right) { return left.name < right.name; });
--- a/src/proxy/HostDirectory.h
+++ b/src/proxy/HostDirectory.h
@@ -30,6 +30,8 @@
     bool updateHosts(Instant now, const StorePage&);
     /// @return all hosts, including this one.
     [[nodiscard]] const std::vector<HostEntry>& hosts() const { return m_hosts; }
+    /// @return whether all records were read once.
+    [[nodiscard]] bool hasRead() const { return m_hasRead; }
     /// @return the addresses at which other hosts relay connections.
     [[nodiscard]] const std::vector<SocketAddress>& relays() const { return m_relays; }
 
@@ -44,6 +46,7 @@
     /// The hosts on the pages received so far by the read in progress.
     std::vector<HostEntry> m_partialRead;
     bool m_isRecordWritten { false };
+    bool m_hasRead { false };
     Instant m_writeAt {};
     Instant m_readAt {};
 };
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -19,6 +19,10 @@
     , m_homes(m_settings.host, m_settings.dataCentre)
     , m_peerQueriedAt(now)
 {
+    if (m_settings.allotments) {
+        const Limit::HostStart start(static_cast<std::uint32_t>(m_random() >> 33U) + 1);
+        m_allotments.emplace(now, m_settings.host, *m_settings.allotments, start, m_delegate);
+    }
 }
 
 void Proxy::tick(Instant now)
@@ -34,6 +38,8 @@
     for (auto& follower : m_followers)
         follower.tick(now);
     m_hosts.tick(now);
+    if (m_allotments)
+        m_allotments->tick(now);
     queryPeers(now);
     const auto removed = m_directory.expire(now);
     if (!removed.isEmpty()) {
@@ -67,6 +73,13 @@
     m_directory.setBounds(bounds);
 }
 
+void Proxy::datagramReceived(Instant now, const SocketAddress& from, std::string_view datagram)
+{
+    m_now = now;
+    if (m_allotments)
+        m_allotments->datagramReceived(now, from, datagram);
+}
+
 bool Proxy::isReady() const
 {
     return m_catalog && m_directory.size() > 0;
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "proxy/AllotmentService.h"
 #include "proxy/CallerSession.h"
 #include "proxy/GroupHomes.h"
 #include "proxy/GroupService.h"
@@ -68,6 +69,10 @@
     void peerAnswered(Instant now, const SocketAddress&, const Expected<TableStates>&);
     [[nodiscard]] TableStates tables() const;
 
+    /// @return whether the host exchanges datagrams with others.
+    [[nodiscard]] bool usesDatagrams() const { return m_allotments && m_allotments->isEnabled(); }
+    void datagramReceived(Instant now, const SocketAddress& from, std::string_view datagram);
+
     void setSeeds(std::vector<SocketAddress> seeds) { m_settings.seeds = std::move(seeds); }
     void setBounds(const TimeBounds&);
 
@@ -121,6 +126,9 @@
     void endRevokedSession(Instant now, SessionId);
     void logRevocation(SessionId, const OrganisationName&);
     void serveStatement(Instant now, CallerSession&, const Session::Statement&);
+    /// @return the refusal of a statement that begins an operation over the organisation's rate limit; empty if the
+    /// statement may run.
+    [[nodiscard]] std::optional<Session::Failure> rateLimitRefusal(Instant now, const CallerSession&);
     [[nodiscard]] PendingStatement makePendingStatement(
         Instant now, const CallerSession&, const Session::Statement&, const Route&);
     void sendAnswer(CallerSession&, const Session::Answer&);
@@ -164,6 +172,8 @@
     /// Why each invalid target record was refused, by its key, so that each problem is logged once.
     std::map<std::string, std::string> m_invalidRecords;
     HostDirectory m_hosts;
+    /// Empty if rate limits are not enforced.
+    std::optional<AllotmentService> m_allotments;
     GroupHomes m_homes;
     /// When this host last had a session on the group.
     std::map<GroupName, Instant> m_groupUsedAt;
--- a/src/proxy/ProxyDelegate.h
+++ b/src/proxy/ProxyDelegate.h
@@ -35,6 +35,8 @@
     virtual void promote(const GroupName&, const TargetName&, RowVersion token, Instant sendBefore) = 0;
     /// Requests a peer's copies of the store's tables.
     virtual void queryPeer(const SocketAddress&) = 0;
+    /// Sends a datagram to another host's Proxy::datagramReceived(). It may be lost.
+    virtual void sendDatagram(const SocketAddress&, std::string_view) = 0;
     virtual void log(const LogRecord&) = 0;
     /// Adds a sample to a metrics series.
     virtual void measure(std::string_view series, double sample) = 0;
--- a/src/proxy/ProxySessions.cpp
+++ b/src/proxy/ProxySessions.cpp
@@ -81,6 +81,8 @@
         m_groupUsedAt[route->group] = m_now;
         updateServedGroups(m_now);
         session.isAccepted = true;
+        if (m_allotments)
+            m_allotments->expect(m_now, session.organisation);
         m_delegate.acceptSession(session.id);
         return;
     }
@@ -175,6 +177,14 @@
     sendAnswer(*session, { failure, session->state.transaction(), {} });
 }
 
+std::optional<Session::Failure> Proxy::rateLimitRefusal(Instant now, const CallerSession& session)
+{
+    // A transaction is one operation, which its first statement begins.
+    if (!m_allotments || session.pinned || session.organisation == OrganisationName {})
+        return {};
+    return m_allotments->refusal(now, session.organisation);
+}
+
 void Proxy::serveStatement(Instant now, CallerSession& session, const Session::Statement& statement)
 {
     if (statement.kind == StatementKind::Rollback) {
@@ -195,6 +205,12 @@
             { Session::Failure { FailureCode::Busy, "the group is not known yet; retry after 500 ms" }, state, {} });
         return;
     }
+    if (const auto refusal = rateLimitRefusal(now, session)) {
+        const auto state = isOpen ? TransactionState::Failed : TransactionState::Idle;
+        session.state.setTransaction(state);
+        sendAnswer(session, { *refusal, state, {} });
+        return;
+    }
     const auto route = isOpen ? *session.transactionRoute : *current;
     auto pending = makePendingStatement(now, session, statement, route);
     session.pendingId = pending.id;
--- a/src/proxy/ProxySettings.h
+++ b/src/proxy/ProxySettings.h
@@ -2,9 +2,11 @@
 
 #include "base/SocketAddress.h"
 #include "base/Time.h"
+#include "limit/AllotmentRules.h"
 #include "proxy/Ids.h"
 #include "proxy/TimeBounds.h"
 
+#include <optional>
 #include <vector>
 
 namespace Auburnpost::Proxy {
@@ -34,6 +36,8 @@
     /// Maximum number of file descriptors that the process may have open.
     std::size_t descriptors { 0 };
     TimeBounds bounds;
+    /// The tolerated excess over the organisations' rate limits; empty if limits are not enforced.
+    std::optional<Limit::AllotmentRules> allotments;
     /// Time from the shutdown request until the process is killed.
     Duration stopTimeout {};
 };
--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -17,6 +17,8 @@
             m_homes.setHosts(m_hosts.hosts());
             updateServedGroups(now);
         }
+        if (m_allotments && m_hosts.hasRead())
+            m_allotments->setHosts(now, m_hosts.hosts());
         return;
     }
     const auto before = follower(table).calls();
@@ -140,6 +142,8 @@
             group = std::make_unique<GroupService>(m_settings.host, name, delegate);
         group->setRules(rules);
     }
+    if (m_allotments)
+        m_allotments->setOrganisations(now, m_catalog->organisations);
     updateListOrigin();
     updateGroupMembers(now);
     endRevokedSessions(now);
@@ -287,11 +291,13 @@
     Json groups = Json::object();
     for (const auto& [name, group] : m_groups)
         groups[name.value()] = describeGroup(now, *group);
-    const Json state { { "host", m_settings.host.value() }, { "ready", isReady() },
+    Json state { { "host", m_settings.host.value() }, { "ready", isReady() },
         { "configuration", m_catalog ? m_catalog->version.value() : 0 }, { "sessions", m_sessions.size() },
         { "statements", statements() },
         { "targets_list", describeOrigin(now, m_followers[static_cast<std::size_t>(StoreTable::Targets)].origin()) },
         { "groups", std::move(groups) } };
+    if (usesDatagrams())
+        state["rate_limits"] = m_allotments->describe(now);
     return state.dump(2);
 }
 
--- a/tests/platform/RowDecoderTests.cpp
+++ b/tests/platform/RowDecoderTests.cpp
@@ -165,4 +165,20 @@
         REQUIRE_FALSE(empty);
         CHECK(empty.error().message.find("DrainMs") != std::string::npos);
     }
+    SECTION("rate limits are enforced where the deployment sets all their rules")
+    {
+        CHECK_FALSE(read->allotments);
+        auto limited = settings;
+        limited["Bounds"]["QuotaWindowS"] = 5;
+        limited["Bounds"]["QuotaOverage"] = 0.1;
+        const auto partial = readSettings(limited.dump(), metricsPort);
+        REQUIRE(partial);
+        CHECK_FALSE(partial->allotments);
+        limited["Bounds"]["QuotaSlack"] = 20;
+        const auto whole = readSettings(limited.dump(), metricsPort);
+        REQUIRE(whole);
+        CHECK(whole->allotments == Limit::AllotmentRules { std::chrono::seconds(5), 0.1, 20 });
+        limited["Bounds"]["QuotaWindowS"] = 0;
+        CHECK_FALSE(readSettings(limited.dump(), metricsPort));
+    }
 }
--- a/tests/platform/SessionRecorder.h
+++ b/tests/platform/SessionRecorder.h
@@ -15,6 +15,8 @@
     std::set<Proxy::SessionId> closed;
     std::map<Proxy::SessionId, Session::FailureCode> refused;
     std::map<Proxy::SessionId, std::size_t> answers;
+    std::map<Proxy::SessionId, Session::Answer> lastAnswers;
+    std::vector<SocketAddress> datagrams;
     std::vector<LogRecord> records;
 
     void readTable(Proxy::StoreTable, const std::string&, Duration) override { }
@@ -22,7 +24,11 @@
     void writeHost(const HostName&, const std::string&) override { }
     void acceptSession(Proxy::SessionId id) override { accepted.insert(id); }
     void refuseSession(Proxy::SessionId id, const Session::Failure& failure) override { refused[id] = failure.code; }
-    void answer(Proxy::SessionId id, const Session::Answer&) override { ++answers[id]; }
+    void answer(Proxy::SessionId id, const Session::Answer& answer) override
+    {
+        ++answers[id];
+        lastAnswers[id] = answer;
+    }
     void forwardSession(Proxy::SessionId, const Proxy::SessionRequest&, const Proxy::HostEntry&) override { }
     void endForwardedSession(Proxy::SessionId) override { }
     void closeSession(Proxy::SessionId id) override { closed.insert(id); }
@@ -37,6 +43,7 @@
     void readMembers(const Proxy::GroupName&, const std::string&) override { }
     void promote(const Proxy::GroupName&, const TargetName&, Proxy::RowVersion, Instant) override { }
     void queryPeer(const SocketAddress&) override { }
+    void sendDatagram(const SocketAddress& to, std::string_view) override { datagrams.push_back(to); }
     void log(const LogRecord& record) override { records.push_back(record); }
     void measure(std::string_view, double) override { }
 };
--- a/tests/proxy/SimulatedHost.h
+++ b/tests/proxy/SimulatedHost.h
@@ -46,6 +46,7 @@
     void readMembers(const GroupName&, const std::string& fromKey) override;
     void promote(const GroupName&, const TargetName&, RowVersion token, Instant sendBefore) override;
     void queryPeer(const SocketAddress&) override;
+    void sendDatagram(const SocketAddress&, std::string_view) override { }
     /// Prints the record if PROXY_TRACE is set.
     void log(const LogRecord&) override;
     void measure(std::string_view, double) override { }
--- a/tests/proxy/StateDumpTests.cpp
+++ b/tests/proxy/StateDumpTests.cpp
@@ -45,6 +45,7 @@
     void readMembers(const GroupName&, const std::string&) override { }
     void promote(const GroupName&, const TargetName&, RowVersion, Instant) override { }
     void queryPeer(const SocketAddress&) override { }
+    void sendDatagram(const SocketAddress&, std::string_view) override { }
     void log(const LogRecord& record) override
     {
         if (record.event == LogEvent::TargetRemoved)
