Follow the store's tables through two feeders in each data centre

With ten hosts or more in a data centre, two of them, chosen by rendezvous hashing, follow the store, and the others follow one of these by long polls. An answer states the age of the feeder's copy; a feeder that fails or is behind is left for the store at once, so that the delay of a change stays the sum of two hops, each with half of the limit.

--- a/src/app/ProxyAssembly.cpp
+++ b/src/app/ProxyAssembly.cpp
@@ -115,13 +115,8 @@
         server->requestRefused().connect([server](RequestId id, const Error&) {
             server->reply(id, { statusNotFound, {}, {} });
         });
-    const auto answered = [this](const PlatformAnswer& answer) {
-        const auto handler = m_replyHandlers.extract(answer.id);
-        if (handler)
-            handler.mapped()(answer.reply);
-    };
-    m_storeClient.answered().connect(answered);
-    m_promotionClient.answered().connect(answered);
+    m_storeClient.answered().connect([this](const PlatformAnswer& answer) { onPlatformAnswer(answer); });
+    m_promotionClient.answered().connect([this](const PlatformAnswer& answer) { onPlatformAnswer(answer); });
 }
 
 void ProxyAssembly::watchProcessSignals()
@@ -275,6 +270,7 @@
 void ProxyAssembly::announceLeave(Instant now)
 {
     m_shutdownAnnouncedAt = now;
+    m_proxy.stopFeeding();
     log({ LogEvent::ShutdownStarted, { { "requests", std::to_string(m_proxy.statements()) } } });
 }
 
--- a/src/app/ProxyAssembly.h
+++ b/src/app/ProxyAssembly.h
@@ -95,6 +95,9 @@
     void call(Wire::PlatformClient&, PlatformCall, ReplyHandler);
     void readTable(Proxy::StoreTable, const std::string& fromKey, Duration timeout) override;
     void followTable(Proxy::StoreTable, Proxy::RowVersion after, Duration wait, Duration timeout) override;
+    void followFeeder(const SocketAddress& feeder, Proxy::StoreTable, Proxy::RowVersion after, Duration wait,
+        Duration timeout) override;
+    void answerFeed(RequestId, const std::optional<Proxy::FeedPage>&) override;
     void writeHost(const HostName&, const std::string& value) override;
     void readLease(const Proxy::GroupName&) override;
     void writeLease(const Proxy::GroupName&, const Proxy::PromotionLease&, Proxy::RowVersion expected) override;
@@ -102,6 +105,9 @@
     void promote(const Proxy::GroupName&, const TargetName&, Proxy::RowVersion token, Instant sendBefore) override;
     void queryPeer(const SocketAddress&) override;
     void servePeer(const Wire::HttpRequest&);
+    /// Serves a request of another host for the changes of a table.
+    void serveFeed(const Wire::HttpRequest&);
+    void onPlatformAnswer(const PlatformAnswer&);
 
     void log(const LogRecord&) override;
     void measure(std::string_view series, double sample) override;
@@ -132,6 +138,7 @@
     Wire::PlatformClient m_storeClient;
     Wire::PlatformClient m_promotionClient;
     std::map<SocketAddress, std::unique_ptr<Wire::PlatformClient>> m_peerClients;
+    std::map<SocketAddress, std::unique_ptr<Wire::PlatformClient>> m_feederClients;
     Wire::Metrics m_metrics;
     Proxy::StoreCallCounts m_storeCalls;
     Proxy::Proxy m_proxy;
--- a/src/app/ProxyAssemblyPlatform.cpp
+++ b/src/app/ProxyAssemblyPlatform.cpp
@@ -1,4 +1,5 @@
 #include "app/ProxyAssembly.h"
+#include "platform/Fields.h"
 #include "platform/StoreCalls.h"
 #include "proxy/PeerSnapshot.h"
 
@@ -10,6 +11,23 @@
     constexpr Duration membersTimeout = std::chrono::milliseconds(900);
     constexpr auto snapshotPath = "/v1/snapshot";
     constexpr int statusOk = 200;
+    constexpr int statusNotFound = 404;
+    constexpr int statusUnavailable = 503;
+    /// Followers request "/v1/tables/TABLE/VERSION/WAIT", with the version that they have and the wait in milliseconds.
+    constexpr auto feedFolder = "tables";
+    constexpr std::size_t feedPathSegments = 5;
+    constexpr std::uint64_t maxFeedWaitMs = 60'000;
+    /// One for each followed table.
+    constexpr std::size_t feederConnections = 2;
+
+    std::optional<Proxy::StoreTable> readTableName(std::string_view name)
+    {
+        for (const auto table : Proxy::followedTables) {
+            if (toString(table) == name)
+                return table;
+        }
+        return {};
+    }
 
     Expected<Proxy::StorePage> readPage(Proxy::StoreTable table, const Expected<PlatformReply>& reply)
     {
@@ -125,8 +143,66 @@
     client->call(snapshotCall);
 }
 
+void ProxyAssembly::onPlatformAnswer(const PlatformAnswer& answer)
+{
+    const auto handler = m_replyHandlers.extract(answer.id);
+    if (handler)
+        handler.mapped()(answer.reply);
+}
+
+void ProxyAssembly::followFeeder(
+    const SocketAddress& feeder, Proxy::StoreTable table, Proxy::RowVersion after, Duration wait, Duration timeout)
+{
+    // The feeder changes seldom; clients of earlier ones have no call in progress and are dropped.
+    std::erase_if(m_feederClients,
+        [&feeder](const auto& entry) { return entry.first != feeder && entry.second->pending() == 0; });
+    auto& client = m_feederClients[feeder];
+    if (!client) {
+        client = std::make_unique<Wire::PlatformClient>(m_base, feeder, clientLimits(m_settings, feederConnections));
+        client->answered().connect([this](const PlatformAnswer& answer) { onPlatformAnswer(answer); });
+    }
+    PlatformCall feedCall;
+    feedCall.path = "/v1/" + std::string(feedFolder) + "/" + std::string(toString(table)) + "/"
+        + std::to_string(after.value()) + "/" + std::to_string(toMilliseconds(wait));
+    feedCall.timeout = timeout;
+    call(*client, std::move(feedCall), [this, feeder, table](const Expected<PlatformReply>& reply) {
+        auto page = reply.and_then([&feeder](const PlatformReply& answered) -> Expected<Proxy::FeedPage> {
+            if (answered.status != statusOk)
+                return fail(ErrorCode::PlatformUnavailable, "follow table", feeder.toString(),
+                    "status " + std::to_string(answered.status));
+            return Proxy::decodeFeedPage(answered.body);
+        });
+        m_proxy.feederAnswered(now(), feeder, table, page);
+    });
+}
+
+void ProxyAssembly::serveFeed(const Wire::HttpRequest& request)
+{
+    const auto table = readTableName(request.path[2]);
+    const auto after = Platform::readNumber(request.path[3]);
+    const auto wait = Platform::readNumber(request.path[4]);
+    if (!table || !after || !wait || *wait > maxFeedWaitMs) {
+        m_peerServer.reply(request.id, { statusNotFound, {}, {} });
+        return;
+    }
+    m_proxy.feedRequested(now(), request.id, *table, Proxy::RowVersion(*after), std::chrono::milliseconds(*wait));
+}
+
+void ProxyAssembly::answerFeed(RequestId id, const std::optional<Proxy::FeedPage>& page)
+{
+    if (page)
+        m_peerServer.reply(
+            id, { statusOk, { { "Content-Type", "application/msgpack" } }, Proxy::encodeFeedPage(*page) });
+    else
+        m_peerServer.reply(id, { statusUnavailable, {}, {} });
+}
+
 void ProxyAssembly::servePeer(const Wire::HttpRequest& request)
 {
+    if (request.path.size() == feedPathSegments && request.path[1] == feedFolder) {
+        serveFeed(request);
+        return;
+    }
     const bool isStateRequest = !request.path.empty() && request.path.back() == "state";
     if (isStateRequest)
         m_peerServer.reply(request.id, { statusOk, { { "Content-Type", "application/json" } }, m_proxy.dump(now()) });
--- a/src/base/LogEvent.cpp
+++ b/src/base/LogEvent.cpp
@@ -17,7 +17,7 @@
     constexpr std::size_t numberDigits = 4;
 
     /// Sorted by number.
-    constexpr std::array<Definition, 66> definitions { {
+    constexpr std::array<Definition, 68> definitions { {
         { LogEvent::Started, LogLevel::Info, "host started" },
         { LogEvent::ShutdownStarted, LogLevel::Info, "host shutdown started" },
         { LogEvent::ShutdownCompleted, LogLevel::Info, "host shutdown completed" },
@@ -37,6 +37,8 @@
         { LogEvent::ServedGroupsChanged, LogLevel::Info, "set of groups served by this host changed" },
         { LogEvent::PlatformCallFailed, LogLevel::Info, "another call to the platform failed" },
         { LogEvent::OlderConfigurationIgnored, LogLevel::Warn, "older configuration ignored" },
+        { LogEvent::TableSourceChanged, LogLevel::Info, "tables followed at another source" },
+        { LogEvent::FeederFailed, LogLevel::Warn, "a host that feeds tables failed" },
         { LogEvent::HostJoined, LogLevel::Info, "host joined" },
         { LogEvent::HostSuspected, LogLevel::Warn, "host suspected to be dead" },
         { LogEvent::HostDead, LogLevel::Warn, "host declared dead" },
--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -30,6 +30,8 @@
     ServedGroupsChanged = 215,
     PlatformCallFailed = 216,
     OlderConfigurationIgnored = 217,
+    TableSourceChanged = 218,
+    FeederFailed = 219,
 
     HostJoined = 300,
     HostSuspected = 301,
--- a/src/proxy/HostDirectory.cpp
+++ b/src/proxy/HostDirectory.cpp
@@ -11,6 +11,7 @@
     constexpr auto dataCentreField = "data_centre";
     constexpr auto relayField = "relay";
     constexpr auto sessionsField = "sessions";
+    constexpr auto peersField = "peers";
 
     std::string textOf(const nlohmann::json& record, const char* field)
     {
@@ -28,7 +29,10 @@
         const auto sessions = SocketAddress::parse(textOf(record, sessionsField));
         if (!relay || !sessions)
             return {};
-        return HostEntry { HostName(row.key), DataCentreName(textOf(record, dataCentreField)), *relay, *sessions };
+        HostEntry host { HostName(row.key), DataCentreName(textOf(record, dataCentreField)), *relay, *sessions };
+        if (const auto peers = SocketAddress::parse(textOf(record, peersField)))
+            host.peers = *peers;
+        return host;
     }
 
 } // namespace
@@ -43,10 +47,11 @@
 
 std::string HostDirectory::encode(const HostEntry& host)
 {
-    return nlohmann::json {
-        { dataCentreField, host.dataCentre.value() }, { relayField, host.relay.toString() },
-        { sessionsField, host.sessions.toString() }
-    }.dump();
+    nlohmann::json record { { dataCentreField, host.dataCentre.value() }, { relayField, host.relay.toString() },
+        { sessionsField, host.sessions.toString() } };
+    if (host.peers)
+        record[peersField] = host.peers->toString();
+    return record.dump();
 }
 
 void HostDirectory::tick(Instant now)
--- a/src/proxy/HostEntry.h
+++ b/src/proxy/HostEntry.h
@@ -3,6 +3,8 @@
 #include "base/Ids.h"
 #include "base/SocketAddress.h"
 
+#include <optional>
+
 namespace Auburnpost::Proxy {
 
 /// What a host publishes about itself to other hosts.
@@ -13,6 +15,8 @@
     SocketAddress relay;
     /// Address at which the host accepts callers' sessions forwarded by other hosts.
     SocketAddress sessions;
+    /// Address at which the host answers other hosts' requests for tables; empty if it does not publish one.
+    std::optional<SocketAddress> peers {};
 
     bool operator==(const HostEntry&) const = default;
 };
--- a/src/proxy/PeerSnapshot.cpp
+++ b/src/proxy/PeerSnapshot.cpp
@@ -1,5 +1,7 @@
 #include "proxy/PeerSnapshot.h"
 
+#include "proxy/FeedPage.h"
+
 #include <nlohmann/json.hpp>
 
 namespace Auburnpost::Proxy {
@@ -53,4 +55,28 @@
     return tables;
 }
 
+std::string encodeFeedPage(const FeedPage& page)
+{
+    Json encoded { { "as_of", page.asOf.value() }, { "age_ms", toMilliseconds(page.age) } };
+    if (page.table)
+        encoded["table"] = encodeTable(*page.table);
+    const auto bytes = Json::to_msgpack(encoded);
+    return { bytes.begin(), bytes.end() };
+}
+
+Expected<FeedPage> decodeFeedPage(std::string_view bytes)
+{
+    FeedPage page;
+    try {
+        const auto encoded = Json::from_msgpack(bytes.begin(), bytes.end());
+        page.asOf = RowVersion(encoded.at("as_of").get<std::uint64_t>());
+        page.age = std::chrono::milliseconds(encoded.at("age_ms").get<std::uint32_t>());
+        if (encoded.contains("table"))
+            page.table = decodeTable(encoded.at("table"));
+    } catch (const Json::exception& problem) {
+        return fail(ErrorCode::BadMessage, "read feed page", "", problem.what());
+    }
+    return page;
+}
+
 } // namespace Auburnpost::Proxy
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -15,8 +15,10 @@
     , m_followers { StoreFollower(StoreTable::Configuration, TableTimes::forConfiguration(m_settings.bounds), delegate),
         StoreFollower(StoreTable::Targets, TableTimes::forTargets(m_settings.bounds), delegate) }
     , m_directory(m_settings.bounds)
-    , m_hosts({ m_settings.host, m_settings.dataCentre, m_settings.relay, m_settings.sessions }, delegate)
+    , m_hosts(
+          { m_settings.host, m_settings.dataCentre, m_settings.relay, m_settings.sessions, m_settings.peers }, delegate)
     , m_homes(m_settings.host, m_settings.dataCentre)
+    , m_feeders(m_settings.host, m_settings.dataCentre)
     , m_peerQueriedAt(now)
 {
 }
@@ -31,8 +33,10 @@
         for (auto& [name, group] : m_groups)
             group->resumedAfterPause(now);
     }
+    updateFeeders(now);
     for (auto& follower : m_followers)
         follower.tick(now);
+    answerFeeds(now);
     m_hosts.tick(now);
     queryPeers(now);
     const auto removed = m_directory.expire(now);
@@ -62,8 +66,7 @@
 void Proxy::setBounds(const TimeBounds& bounds)
 {
     m_settings.bounds = bounds;
-    follower(StoreTable::Configuration).setTimes(TableTimes::forConfiguration(bounds));
-    follower(StoreTable::Targets).setTimes(TableTimes::forTargets(bounds));
+    updateTableTimes();
     m_directory.setBounds(bounds);
 }
 
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "proxy/CallerSession.h"
+#include "proxy/FeederChoice.h"
 #include "proxy/GroupHomes.h"
 #include "proxy/GroupService.h"
 #include "proxy/HostDirectory.h"
 #include "proxy/ProxyDelegate.h"
 #include "proxy/ProxySettings.h"
 #include "proxy/RowReader.h"
+#include "proxy/TableFeed.h"
 #include "proxy/TargetDirectory.h"
 
 #include <memory>
@@ -60,6 +62,14 @@
     void membersRead(Instant now, const GroupName&, const Expected<StorePage>&);
     void promoteAnswered(Instant now, const GroupName&, PromotionOutcome);
 
+    // Feeds of the followed tables between hosts.
+    void feederAnswered(Instant now, const SocketAddress& feeder, StoreTable, const Expected<FeedPage>&);
+    /// Another host requests the changes of a table; ProxyDelegate::answerFeed() follows.
+    /// @param wait how long the answer may wait for a change.
+    void feedRequested(Instant now, RequestId, StoreTable, RowVersion after, Duration wait);
+    /// Refuses the waiting and all further requests of other hosts for tables, as this host shuts down.
+    void stopFeeding();
+
     void hostWritten(bool isAcknowledged) { m_hosts.recordWritten(isAcknowledged); }
 
     // Peers.
@@ -147,6 +157,14 @@
     /// @param before the calls before the one that ended.
     void logStoreCall(Instant, StoreTable, const StoreFollower::CallHistory& before, const Expected<StorePage>&);
     void queryPeers(Instant now);
+    /// Decides from whom the tables are followed.
+    void updateFeeders(Instant now);
+    /// Adapts the times of the followed tables to the bounds and to the number of hops.
+    void updateTableTimes();
+    /// Answers the waiting requests for tables that are due.
+    void answerFeeds(Instant now);
+    /// @return the answer to a request; empty if this host's copy is too old to be passed on.
+    [[nodiscard]] std::optional<FeedPage> feedPage(Instant now, StoreTable, RowVersion after) const;
     [[nodiscard]] StoreFollower& follower(StoreTable table) { return m_followers[static_cast<std::size_t>(table)]; }
 
     ProxySettings m_settings;
@@ -165,6 +183,13 @@
     std::map<std::string, std::string> m_invalidRecords;
     HostDirectory m_hosts;
     GroupHomes m_homes;
+    FeederChoice m_feeders;
+    TableFeed m_feed;
+    /// Whether the tables are followed in two hops, from the store to feeders and from these to the other hosts.
+    bool m_usesFeeders { false };
+    /// The host at which the tables are followed; empty while they are followed at the store.
+    std::optional<SocketAddress> m_feeder;
+    bool m_isFeedingStopped { false };
     /// When this host last had a session on the group.
     std::map<GroupName, Instant> m_groupUsedAt;
     std::set<GroupName> m_servedGroups;
--- a/src/proxy/ProxyDelegate.h
+++ b/src/proxy/ProxyDelegate.h
@@ -33,6 +33,9 @@
     /// Proxy::membersRead() follows.
     virtual void readMembers(const GroupName&, const std::string& fromKey) = 0;
     virtual void promote(const GroupName&, const TargetName&, RowVersion token, Instant sendBefore) = 0;
+    /// Answers another host's request for a table.
+    /// @param page empty if this host's copy can't be passed on.
+    virtual void answerFeed(RequestId, const std::optional<FeedPage>& page) = 0;
     /// Requests a peer's copies of the store's tables.
     virtual void queryPeer(const SocketAddress&) = 0;
     virtual void log(const LogRecord&) = 0;
--- /dev/null
+++ b/src/proxy/ProxyFeeds.cpp
@@ -0,0 +1,89 @@
+#include "proxy/Proxy.h"
+
+namespace Auburnpost::Proxy {
+
+void Proxy::updateTableTimes()
+{
+    follower(StoreTable::Configuration).setTimes(TableTimes::forConfiguration(m_settings.bounds, m_usesFeeders));
+    follower(StoreTable::Targets).setTimes(TableTimes::forTargets(m_settings.bounds, m_usesFeeders));
+}
+
+void Proxy::updateFeeders(Instant now)
+{
+    const bool usesFeeders = m_feeders.areUsed() && TableTimes::hopLimit(m_settings.bounds);
+    if (usesFeeders != m_usesFeeders) {
+        m_usesFeeders = usesFeeders;
+        updateTableTimes();
+    }
+    const auto feeder = m_usesFeeders ? m_feeders.feeder(now) : std::nullopt;
+    for (auto& follower : m_followers)
+        follower.setFeeder(feeder);
+    if (feeder == m_feeder)
+        return;
+    m_feeder = feeder;
+    log({ LogEvent::TableSourceChanged, { { "source", feeder ? feeder->toString() : "store" } } });
+}
+
+void Proxy::feederAnswered(
+    Instant now, const SocketAddress& feeder, StoreTable table, const Expected<FeedPage>& answered)
+{
+    m_now = now;
+    auto page = answered;
+    const auto limit = TableTimes::hopLimit(m_settings.bounds);
+    if (page && limit && page->age > *limit)
+        page = fail(ErrorCode::PlatformUnavailable, "follow table", feeder.toString(), "the feeder's copy is too old");
+    const auto before = follower(table).calls();
+    const bool hasChanged = follower(table).feederAnswered(now, m_random, page);
+    if (!follower(table).calls().isConnected) {
+        m_feeders.recordFailure(now, feeder);
+        updateFeeders(now);
+    }
+    updateListOrigin();
+    if (!page)
+        log({ LogEvent::FeederFailed,
+            { { "feeder", feeder.toString() }, { "table", std::string(toString(table)) },
+                { "waited_ms", std::to_string(toMilliseconds(now - before.sentAt)) },
+                { "reason", page.error().describe() } } });
+    if (hasChanged)
+        tableChanged(now, table);
+    follower(table).tick(now);
+}
+
+void Proxy::feedRequested(Instant now, RequestId id, StoreTable table, RowVersion after, Duration wait)
+{
+    m_now = now;
+    const auto page = m_isFeedingStopped ? std::nullopt : feedPage(now, table, after);
+    const bool mayWait = page && !page->table && wait > Duration {};
+    if (!mayWait || !m_feed.add({ id, table, after, now + std::min(wait, TableFeed::maxWait) }))
+        m_delegate.answerFeed(id, page);
+}
+
+void Proxy::stopFeeding()
+{
+    m_isFeedingStopped = true;
+    for (const auto& request : m_feed.takeAll())
+        m_delegate.answerFeed(request.id, {});
+}
+
+void Proxy::answerFeeds(Instant now)
+{
+    for (const auto table : followedTables) {
+        for (const auto& request : m_feed.takeDue(now, table, follower(table).state().asOf))
+            m_delegate.answerFeed(request.id, feedPage(now, table, request.after));
+    }
+}
+
+std::optional<FeedPage> Proxy::feedPage(Instant now, StoreTable table, RowVersion after) const
+{
+    const auto& follower = m_followers[static_cast<std::size_t>(table)];
+    const auto confirmedAt = follower.origin().confirmedAt;
+    const auto limit = TableTimes::hopLimit(m_settings.bounds);
+    if (!confirmedAt || !limit || now - *confirmedAt > *limit)
+        return {};
+    FeedPage page { follower.state().asOf, now - *confirmedAt, {} };
+    if (follower.state().asOf > after)
+        page.table = follower.state();
+    return page;
+}
+
+} // namespace Auburnpost::Proxy
--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -15,6 +15,7 @@
         // After a failed read the known hosts are kept; the followed tables report that the store is unavailable.
         if (page && m_hosts.updateHosts(now, *page)) {
             m_homes.setHosts(m_hosts.hosts());
+            m_feeders.setHosts(m_hosts.hosts());
             updateServedGroups(now);
         }
         return;
@@ -98,6 +99,7 @@
 
 void Proxy::tableChanged(Instant now, StoreTable table)
 {
+    answerFeeds(now);
     if (table == StoreTable::Configuration)
         adoptCatalog(now);
     else
@@ -289,7 +291,8 @@
         groups[name.value()] = describeGroup(now, *group);
     const Json state { { "host", m_settings.host.value() }, { "ready", isReady() },
         { "configuration", m_catalog ? m_catalog->version.value() : 0 }, { "sessions", m_sessions.size() },
-        { "statements", statements() },
+        { "statements", statements() }, { "uses_feeders", m_usesFeeders },
+        { "feeder", m_feeder ? m_feeder->toString() : "" }, { "followers_waiting", m_feed.size() },
         { "targets_list", describeOrigin(now, m_followers[static_cast<std::size_t>(StoreTable::Targets)].origin()) },
         { "groups", std::move(groups) } };
     return state.dump(2);
--- a/src/proxy/StoreFollower.cpp
+++ b/src/proxy/StoreFollower.cpp
@@ -17,7 +17,11 @@
         return;
     m_isCalling = true;
     m_calls.sentAt = now;
-    if (m_needsRead) {
+    if (m_feeder) {
+        const bool mayWait = m_calls.isConnected && !m_needsRead;
+        m_delegate.followFeeder(*m_feeder, m_table, m_state.asOf, mayWait ? m_times.pollWait() : Duration {},
+            mayWait ? m_times.pollTimeout() : m_times.callTimeout(m_calls.failures));
+    } else if (m_needsRead) {
         m_partialRead = {};
         m_delegate.readTable(m_table, {}, m_times.callTimeout(m_calls.failures));
     } else if (m_calls.isConnected) {
@@ -71,6 +75,23 @@
     return mergeChanges(*page);
 }
 
+bool StoreFollower::feederAnswered(Instant now, RandomEngine& random, const Expected<FeedPage>& page)
+{
+    m_isCalling = false;
+    // A feeder that is still behind at the end of the wait does not follow the table.
+    if (!page || page->asOf < m_state.asOf) {
+        recordFailure(now, random);
+        return false;
+    }
+    recordAnswer(now);
+    m_needsRead = false;
+    recordConfirmation(std::max(now - page->age, m_confirmedAt.value_or(now - page->age)));
+    if (!page->table || page->table->asOf <= m_state.asOf)
+        return false;
+    m_state = *page->table;
+    return true;
+}
+
 void StoreFollower::recordConfirmation(Instant now)
 {
     m_confirmedAt = now;
--- a/src/proxy/StoreFollower.h
+++ b/src/proxy/StoreFollower.h
@@ -3,6 +3,7 @@
 #include "base/Expected.h"
 #include "base/Random.h"
 #include "base/Time.h"
+#include "proxy/FeedPage.h"
 #include "proxy/StoreTable.h"
 #include "proxy/TableOrigin.h"
 #include "proxy/TableTimes.h"
@@ -21,6 +22,11 @@
     /// Polls for changes after a version.
     /// @param wait how long the store waits for a change; zero for an answer at once.
     virtual void followTable(StoreTable, RowVersion after, Duration wait, Duration timeout) = 0;
+    /// Requests changes after a version from another host.
+    /// @param wait how long that host waits for a change; zero for an answer at once.
+    virtual void followFeeder(
+        const SocketAddress& feeder, StoreTable, RowVersion after, Duration wait, Duration timeout)
+        = 0;
     /// Writes this host's record.
     virtual void writeHost(const HostName&, const std::string& value) = 0;
 };
@@ -47,6 +53,9 @@
 
     /// Applies from the next call on.
     void setTimes(TableTimes times) { m_times = times; }
+    /// Follows the table at another host, from the next call on.
+    /// @param feeder the address of that host; empty to follow the store.
+    void setFeeder(const std::optional<SocketAddress>& feeder) { m_feeder = feeder; }
 
     /// Starts the next call if one is due.
     void tick(Instant now);
@@ -54,6 +63,9 @@
     /// @return whether the table changed.
     bool tableRead(Instant now, RandomEngine&, const Expected<StorePage>&);
     bool tableFollowed(Instant now, RandomEngine&, const Expected<StorePage>&);
+    /// Handles the answer of a feeder.
+    /// @return whether the table changed.
+    bool feederAnswered(Instant now, RandomEngine&, const Expected<FeedPage>&);
     /// Adopts a peer's copy of the table if it is newer.
     /// @return whether the copy was adopted.
     bool adopt(const TableState&, const SocketAddress& peer);
@@ -88,6 +100,7 @@
     std::optional<Instant> m_confirmedAt;
     /// The peer whose copy was adopted since then.
     std::optional<SocketAddress> m_peer;
+    std::optional<SocketAddress> m_feeder;
     Instant m_nextCallAt {};
 };
 
--- a/src/proxy/TableTimes.cpp
+++ b/src/proxy/TableTimes.cpp
@@ -17,6 +17,14 @@
     constexpr int answersAfterFailure = 2;
     /// Events are handled, and delays end, at most this much late.
     constexpr Duration schedulingDelay = std::chrono::milliseconds(60);
+    /// From the store to a feeder, and from there to a follower.
+    constexpr int hops = 2;
+
+    Duration targetsLimit(const TimeBounds& bounds)
+    {
+        const auto drain = bounds.drain - TargetDirectory::minMissingTimeout - TargetDirectory::removalDelay;
+        return std::min({ bounds.configuration, bounds.recovery, drain });
+    }
 
 } // namespace
 
@@ -29,15 +37,22 @@
     m_pollWait = std::clamp(limit - afterFailure - m_answerTimeout, Duration {}, maxPollWait);
 }
 
-TableTimes TableTimes::forConfiguration(const TimeBounds& bounds)
+std::optional<Duration> TableTimes::hopLimit(const TimeBounds& bounds)
+{
+    const auto limit = targetsLimit(bounds) / hops;
+    return limit < minHopLimit ? std::nullopt : std::optional(limit);
+}
+
+TableTimes TableTimes::forConfiguration(const TimeBounds& bounds, bool usesFeeders)
 {
-    return TableTimes(std::min(bounds.configuration, bounds.recovery));
+    const auto limit = std::min(bounds.configuration, bounds.recovery);
+    return TableTimes(usesFeeders ? limit / hops : limit);
 }
 
-TableTimes TableTimes::forTargets(const TimeBounds& bounds)
+TableTimes TableTimes::forTargets(const TimeBounds& bounds, bool usesFeeders)
 {
-    const auto drain = bounds.drain - TargetDirectory::minMissingTimeout - TargetDirectory::removalDelay;
-    return TableTimes(std::min({ bounds.configuration, bounds.recovery, drain }));
+    const auto limit = targetsLimit(bounds);
+    return TableTimes(usesFeeders ? limit / hops : limit);
 }
 
 Duration TableTimes::callTimeout(std::size_t failures) const
--- a/src/proxy/TableTimes.h
+++ b/src/proxy/TableTimes.h
@@ -3,6 +3,7 @@
 #include "proxy/TimeBounds.h"
 
 #include <cstddef>
+#include <optional>
 
 namespace Auburnpost::Proxy {
 
@@ -19,11 +20,20 @@
     /// second is exceeded.
     explicit TableTimes(Duration limit);
 
+    /// Smallest limit of one hop for which tables are followed through feeders.
+    static constexpr Duration minHopLimit = std::chrono::milliseconds(1500);
+
+    /// @return the time within which each of the two hops, from the store to a feeder and from there to a follower, has
+    /// to pass on a change; empty if the bounds leave too little time for two.
+    static std::optional<Duration> hopLimit(const TimeBounds&);
+    /// @param usesFeeders whether the table is followed in two hops.
     /// @return the times for the table of the configuration.
-    static TableTimes forConfiguration(const TimeBounds&);
+    static TableTimes forConfiguration(const TimeBounds& bounds) { return forConfiguration(bounds, false); }
+    static TableTimes forConfiguration(const TimeBounds&, bool usesFeeders);
     /// @return the times for the table of the targets. A target is used for missingTimeout after its record
     /// disappeared.
-    static TableTimes forTargets(const TimeBounds&);
+    static TableTimes forTargets(const TimeBounds& bounds) { return forTargets(bounds, false); }
+    static TableTimes forTargets(const TimeBounds&, bool usesFeeders);
 
     /// @return how long the store waits for a change in a long poll.
     [[nodiscard]] Duration pollWait() const { return m_pollWait; }
--- a/tests/platform/RecordingDelegate.h
+++ b/tests/platform/RecordingDelegate.h
@@ -26,6 +26,8 @@
 
     void readTable(Proxy::StoreTable, const std::string&, Duration) override { }
     void followTable(Proxy::StoreTable table, Proxy::RowVersion, Duration, Duration) override { ++polls[table]; }
+    void followFeeder(const SocketAddress&, Proxy::StoreTable, Proxy::RowVersion, Duration, Duration) override { }
+    void answerFeed(RequestId, const std::optional<Proxy::FeedPage>&) override { }
     void writeHost(const HostName&, const std::string&) override { }
     void acceptSession(Proxy::SessionId) override { }
     void refuseSession(Proxy::SessionId, const Session::Failure&) override { }
--- a/tests/platform/SessionRecorder.h
+++ b/tests/platform/SessionRecorder.h
@@ -19,6 +19,8 @@
 
     void readTable(Proxy::StoreTable, const std::string&, Duration) override { }
     void followTable(Proxy::StoreTable, Proxy::RowVersion, Duration, Duration) override { }
+    void followFeeder(const SocketAddress&, Proxy::StoreTable, Proxy::RowVersion, Duration, Duration) override { }
+    void answerFeed(RequestId, const std::optional<Proxy::FeedPage>&) override { }
     void writeHost(const HostName&, const std::string&) override { }
     void acceptSession(Proxy::SessionId id) override { accepted.insert(id); }
     void refuseSession(Proxy::SessionId id, const Session::Failure& failure) override { refused[id] = failure.code; }
--- a/tests/proxy/FakeStore.h
+++ b/tests/proxy/FakeStore.h
@@ -32,6 +32,7 @@
 
     void readTable(StoreTable, const std::string& fromKey, Duration timeout) override;
     void followTable(StoreTable, RowVersion after, Duration wait, Duration timeout) override;
+    void followFeeder(const SocketAddress&, StoreTable, RowVersion, Duration, Duration) override { }
     void writeHost(const HostName&, const std::string&) override { }
 
 private:
--- a/tests/proxy/SimulatedHost.h
+++ b/tests/proxy/SimulatedHost.h
@@ -40,6 +40,8 @@
     void send(ConnectionId, const std::vector<TargetRequest>&) override;
     void readTable(StoreTable, const std::string& fromKey, Duration timeout) override;
     void followTable(StoreTable, RowVersion after, Duration wait, Duration timeout) override;
+    void followFeeder(const SocketAddress&, StoreTable, RowVersion, Duration, Duration) override { }
+    void answerFeed(RequestId, const std::optional<FeedPage>&) override { }
     void writeHost(const HostName&, const std::string& value) override;
     void readLease(const GroupName&) override;
     void writeLease(const GroupName&, const PromotionLease&, RowVersion expected) override;
--- a/tests/proxy/StateDumpTests.cpp
+++ b/tests/proxy/StateDumpTests.cpp
@@ -39,6 +39,8 @@
     }
     void readTable(StoreTable, const std::string&, Duration) override { }
     void followTable(StoreTable, RowVersion, Duration, Duration) override { }
+    void followFeeder(const SocketAddress&, StoreTable, RowVersion, Duration, Duration) override { }
+    void answerFeed(RequestId, const std::optional<FeedPage>&) override { }
     void writeHost(const HostName&, const std::string&) override { }
     void readLease(const GroupName&) override { }
     void writeLease(const GroupName&, const PromotionLease&, RowVersion) override { }
--- a/tests/proxy/StoreFollowerTests.cpp
+++ b/tests/proxy/StoreFollowerTests.cpp
@@ -154,6 +154,7 @@
 
     void readTable(StoreTable, const std::string&, Duration) override { }
     void followTable(StoreTable, RowVersion, Duration, Duration) override { }
+    void followFeeder(const SocketAddress&, StoreTable, RowVersion, Duration, Duration) override { }
     void writeHost(const HostName&, const std::string&) override { }
 };
 
--- a/tests/proxy/TablesTests.cpp
+++ b/tests/proxy/TablesTests.cpp
@@ -28,6 +28,7 @@
     }
     std::size_t hostWrites { 0 };
 
+    void followFeeder(const SocketAddress&, StoreTable, RowVersion, Duration, Duration) override { }
     void writeHost(const HostName&, const std::string&) override { ++hostWrites; }
     void followTable(StoreTable, RowVersion version, Duration, Duration) override
     {
