--- a/src/app/ProxyAssembly.h
+++ b/src/app/ProxyAssembly.h
@@ -96,6 +96,9 @@
     void call(Wire::PlatformClient&, PlatformCall, ReplyHandler);
     void readTable(Proxy::StoreTable, const std::string& fromKey, Duration timeout) override;
     void followTable(Proxy::StoreTable, Proxy::RowVersion after, Duration wait, Duration timeout) override;
+    void followFeeder(const SocketAddress& feeder, Proxy::StoreTable, Proxy::RowVersion after, Duration wait,
+        Duration timeout) override;
+    void answerFeed(RequestId, const std::optional<Proxy::FeedPage>&) override;
     void writeHost(const HostName&, const std::string& value) override;
     void readLease(const Proxy::GroupName&) override;
     void writeLease(const Proxy::GroupName&, const Proxy::PromotionLease&, Proxy::RowVersion expected) override;
@@ -106,6 +109,9 @@
     /// Opens the socket for datagrams once it is needed.
     void listenForDatagrams();
     void servePeer(const Wire::HttpRequest&);
+    /// Serves a request of another host for the changes of a table.
+    void serveFeed(const Wire::HttpRequest&);
+    void onPlatformAnswer(const PlatformAnswer&);
 
     void log(const LogRecord&) override;
     void measure(std::string_view series, double sample) override;
@@ -136,6 +142,7 @@
     Wire::PlatformClient m_storeClient;
     Wire::PlatformClient m_promotionClient;
     std::map<SocketAddress, std::unique_ptr<Wire::PlatformClient>> m_peerClients;
+    std::map<SocketAddress, std::unique_ptr<Wire::PlatformClient>> m_feederClients;
     Wire::Metrics m_metrics;
     Proxy::StoreCallCounts m_storeCalls;
     Proxy::Proxy m_proxy;
