--- a/src/limit/Allotments.cpp
+++ b/src/limit/Allotments.cpp
@@ -20,7 +20,7 @@
     /// Time after the last operation for which one permit is kept, and the same where there are fewer permits than
     /// hosts that want one.
     constexpr Duration idleTime = std::chrono::seconds(120);
-    constexpr Duration scarceIdleTime = std::chrono::seconds(3);
+    constexpr Duration scarceIdleTime = std::chrono::seconds(8);
     constexpr std::uint32_t maxWanted = 100'000;
     /// Part of a stock at which a new request is sent before the interval has passed.
     constexpr std::uint32_t urgentPart = 4;
--- a/src/proxy/AllotmentService.cpp
+++ b/src/proxy/AllotmentService.cpp
@@ -27,6 +27,7 @@
 void AllotmentService::setHosts(Instant now, const std::vector<HostEntry>& hosts)
 {
     std::vector<Limit::AllotmentHost> participants;
+    participants.reserve(hosts.size());
     for (const auto& host : hosts)
         participants.push_back({ host.name, host.dataCentre, host.relay });
     m_allotments.setHosts(now, participants);
