Choose targets for reads by the load estimate

ReadTargetSelector ranked targets by round trip, last reported load and a fixed service time of 20 ms, so that all hosts chose the same target until the next report and a slow target kept its reads. It now ranks by TargetLoad, which GroupService feeds from answers, refusals, lost attempts and status answers.

--- a/src/proxy/GroupDispatch.cpp
+++ b/src/proxy/GroupDispatch.cpp
@@ -147,8 +147,8 @@
     if (!findRequiredLogPoint(now, pending))
         return false;
     pending.waitReason = WaitReason::NoConnection;
-    const auto candidates
-        = ReadTargetSelector::rank(now, m_watcher, m_pools, pending.avoidedTargets, pending.requiredLogPoint);
+    const auto candidates = ReadTargetSelector::rank(
+        now, m_watcher, m_pools, pending.avoidedTargets, pending.requiredLogPoint, m_delegate.random());
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const auto& candidate = candidates[index];
         if (auto* const connection = findIdleOrOpen(now, candidate.target, pending)) {
--- a/src/proxy/GroupMember.h
+++ b/src/proxy/GroupMember.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "proxy/TargetHealth.h"
+#include "proxy/TargetLoad.h"
 #include "proxy/TargetRecord.h"
 #include "proxy/TargetStatus.h"
 
@@ -16,6 +17,7 @@
     /// When the query that returned the status was sent.
     Instant queriedAt {};
     TargetHealth health;
+    TargetLoad load;
     /// End of the log that the member's reads see, as last reported.
     std::optional<LogPoint> applied;
     /// When `applied` was last reported, or when a read that needs a later log point was last sent to the member.
--- a/src/proxy/GroupReplies.cpp
+++ b/src/proxy/GroupReplies.cpp
@@ -54,6 +54,7 @@
             { { "group", m_name.value() }, { "target", target.value() },
                 { "refusals", std::to_string(refusals.mapped().count) } } });
     recordPath(now, *connection);
+    recordReturnIfDown(now, target);
     if (auto* const health = m_watcher.health(target)) {
         // The target accepts a new connection while established ones do not respond, so these may be dead.
         if (health->isSuspect(now))
@@ -139,6 +140,7 @@
         if (!pending || (reply.purpose != ReplyPurpose::Begin && reply.purpose != ReplyPurpose::Statement))
             continue;
         hadStatement = true;
+        recordReadLoss(now, target, *pending, reply.sentAt);
         pending->sentOn.erase(id);
         const auto lost = *pending;
         if (lost.sentOn.empty())
@@ -223,6 +225,7 @@
     }
     const auto expected = connection->expectedReplies.front();
     connection->expectedReplies.pop_front();
+    recordReturnIfDown(now, connection->target);
     if (auto* const health = m_watcher.health(connection->target))
         health->recordResponse(
             now, expected.purpose == ReplyPurpose::Status ? std::optional(now - expected.sentAt) : std::nullopt);
@@ -256,8 +259,11 @@
 {
     const auto target = connection.target;
     markIdle(now, connection);
+    if (reply.failure() && reply.failure()->code == FailureCode::Busy)
+        recordCapacityRefusal(now, target);
     if (!reply.status)
         return;
+    recordReportedLoad(now, target, expected, *reply.status);
     m_pools[target].setReportedCount(reply.status->connections);
     const auto before = m_watcher.primary();
     if (!m_watcher.recordStatus(now, target, expected.sentAt, *reply.status))
@@ -285,6 +291,7 @@
     if (!pending)
         return;
     pending->sentOn.clear();
+    recordReadAnswer(now, connection, *pending, expected, reply);
     if (!requeueRefused(now, *pending, target, failure->code, reply.position.has_value())) {
         const auto refused = *pending;
         finishUnsent(refused, failure->code, failure->text);
@@ -309,6 +316,7 @@
     }
     pending->sentOn.erase(connection.id);
     recordWriteReply(connection, *pending, expected, reply);
+    recordReadAnswer(now, connection, *pending, expected, reply);
     if (reply.failure()) {
         handleFailureReply(now, connection, *pending, reply);
         return;
--- a/src/proxy/GroupService.cpp
+++ b/src/proxy/GroupService.cpp
@@ -275,6 +275,8 @@
             continue;
         const auto sent = std::find_if(connection->expectedReplies.begin(), connection->expectedReplies.end(),
             [&pending](const ExpectedReply& expected) { return expected.pendingId == pending.id; });
+        if (sent != connection->expectedReplies.end())
+            recordReadLoss(now, connection->target, pending, sent->sentAt);
         const auto purpose = sent == connection->expectedReplies.end() ? ReplyPurpose::Statement : sent->purpose;
         connection->expectedReplies.clear();
         if (findStatement(pending.id)) {
@@ -295,8 +297,8 @@
         const auto* const member = target == m_targetOf.end() ? nullptr : m_watcher.find(target->second);
         if (member && !member->health.isSuspect(now))
             return;
-        if (target != m_targetOf.end())
-            pending.avoidedTargets.insert(target->second);
+        if (target != m_targetOf.end() && pending.avoidedTargets.insert(target->second).second)
+            recordReadLoss(now, target->second, pending, now);
     }
     constexpr std::size_t maxAttempts = 3;
     if (pending.attempts >= maxAttempts || !m_retries.tryRetry(now))
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -147,6 +147,18 @@
     void logRefusal(const TargetName&, Session::FailureCode);
     void markIdle(Instant now, TargetConnection&);
     void handleStatementLoss(Instant now, const PendingStatement&, ReplyPurpose);
+
+    // Load estimates.
+    /// Records what the answer to a read that any member may serve says of the target's load.
+    void recordReadAnswer(
+        Instant now, const TargetConnection&, const PendingStatement&, const ExpectedReply&, const TargetReply&);
+    /// Records that an attempt of a read that any member may serve was sent and not answered.
+    void recordReadLoss(Instant now, const TargetName&, const PendingStatement&, Instant sentAt);
+    /// Records the load that a status answer reports.
+    void recordReportedLoad(Instant now, const TargetName&, const ExpectedReply&, const TargetStatus&);
+    void recordCapacityRefusal(Instant now, const TargetName&);
+    /// Records the return of a target that was down, before its response clears the suspicion.
+    void recordReturnIfDown(Instant now, const TargetName&);
     void discardConnection(ConnectionId);
     [[nodiscard]] PendingStatement* findStatement(PendingStatementId);
     [[nodiscard]] TargetConnection* findConnection(ConnectionId);
--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -135,6 +135,12 @@
     return member ? &member->health : nullptr;
 }
 
+TargetLoad* GroupWatcher::load(const TargetName& name)
+{
+    auto* const member = m_membership.find(name);
+    return member ? &member->load : nullptr;
+}
+
 void GroupWatcher::confirmPrimary()
 {
     if (!m_primary)
--- a/src/proxy/GroupWatcher.h
+++ b/src/proxy/GroupWatcher.h
@@ -75,6 +75,8 @@
     void recordWriteRefusal(const TargetName&);
     /// @return the failure detector of a member; null if the target is not a member.
     [[nodiscard]] TargetHealth* health(const TargetName&);
+    /// @return the load estimate of a member; null if the target is not a member.
+    [[nodiscard]] TargetLoad* load(const TargetName&);
 
     /// @return the members, those without a record that still count included.
     [[nodiscard]] const Members& members() const { return m_membership.members(); }
--- a/src/proxy/StateDump.cpp
+++ b/src/proxy/StateDump.cpp
@@ -20,6 +20,13 @@
             described["unlisted_ms"] = toMilliseconds(now - *member.unlistedSince);
             described["ended"] = member.presumedEndedAt.has_value();
         }
+        // Estimates by which reads choose a target.
+        const auto& load = member.load;
+        described["load"] = { { "service_ms", toMilliseconds(load.serviceTime(now)) },
+            { "others", load.othersLoad(now) }, { "failure_rate", load.failureRate(now) },
+            { "paused", load.isPaused(now) }, { "share", load.returnShare(now) } };
+        if (const auto network = load.networkTime())
+            described["load"]["network_ms"] = toMilliseconds(*network);
         // The log end that members which stay have to reach before this one no longer counts.
         if (member.requiredEnd)
             described["awaited_log_end"] = PromotionLog::describe(*member.requiredEnd);
--- a/src/proxy/TargetLoad.h
+++ b/src/proxy/TargetLoad.h
@@ -46,6 +46,10 @@
     /// Number of consecutive failed statements after which a target takes load in steps again.
     static constexpr std::size_t failuresUntilReturn = 3;
 
+    /// An attempt that was lost sooner than this after it was sent does not count as a failure: it may have been sent
+    /// shortly before its time limit. A target five times as slow as usual answers within 0.2 s.
+    static constexpr Duration shortestLoss = std::chrono::milliseconds(300);
+
     /// Records the answer to a read that any member may serve.
     /// @param responseTime time from sending the statement to its answer.
     /// @param own this host's unanswered requests on the target when the answer arrived, this one included.
@@ -73,6 +77,7 @@
     [[nodiscard]] double othersLoad(Instant now) const;
     /// @return whether the target recently refused a statement for lack of capacity.
     [[nodiscard]] bool isPaused(Instant now) const { return now < m_pausedUntil; }
+    [[nodiscard]] Instant pausedUntil() const { return m_pausedUntil; }
     /// @return the share of its usual load that the target may take, between 0 and 1.
     [[nodiscard]] double returnShare(Instant now) const;
 
--- a/tests/proxy/GroupServiceTests.cpp
+++ b/tests/proxy/GroupServiceTests.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <vector>
 
 using namespace Auburnpost;
@@ -453,3 +454,81 @@
     // A lagging replica is tried again at intervals, not by every waiting read.
     CHECK(refusedBehind <= 2 * reads);
 }
+
+namespace {
+
+/// Submits reads one after another and answers each after a time that depends on its target.
+/// @return how many reads each target answered.
+std::map<TargetName, int> serveReads(
+    Fixture& group, int reads, const std::function<std::optional<TargetReply>(const TargetName&)>& replyOf)
+{
+    std::map<TargetName, int> served;
+    for (int read = 0; read < reads; ++read) {
+        group.service.submit(group.now, group.makeStatement(StatementKind::Read, Consistency::BoundedStaleness));
+        for (int step = 0; step < 12 && group.unanswered.empty(); ++step)
+            group.run(10ms);
+        for (const auto& sent : std::exchange(group.statements, {})) {
+            const auto target = group.delegate.targets.at(sent.connection);
+            ++served[target];
+            if (const auto reply = replyOf(target))
+                group.reply(sent, *reply);
+        }
+        group.run(20ms);
+    }
+    return served;
+}
+
+} // namespace
+
+// Guards against a replica that answers status queries at once and statements late, and keeps its reads.
+TEST_CASE("Reads move away from a replica that answers them slowly", "[proxy][service][load]")
+{
+    Fixture group;
+    const auto slow = TargetName("r");
+    const auto served = serveReads(group, 100, [&](const TargetName& target) {
+        if (target == slow)
+            group.now += 150ms;
+        return TargetReply { Session::Success {}, TransactionState::Idle, {}, {} };
+    });
+    CHECK(served.at(TargetName("s")) > 60);
+    CHECK((served.contains(slow) ? served.at(slow) : 0) < 25);
+}
+
+// Guards against a full target that is tried again at once.
+TEST_CASE("Reads avoid a replica for a time after it refused one for lack of capacity", "[proxy][service][load]")
+{
+    Fixture group;
+    const auto full = TargetName("r");
+    int refusals = 0;
+    for (int read = 0; read < 100; ++read) {
+        group.service.submit(group.now, group.makeStatement(StatementKind::Read, Consistency::BoundedStaleness));
+        group.run(10ms);
+        for (const auto& sent : std::exchange(group.statements, {})) {
+            const bool isFull = group.delegate.targets.at(sent.connection) == full;
+            refusals += isFull ? 1 : 0;
+            group.reply(sent,
+                isFull ? failed(FailureCode::Busy)
+                       : TargetReply { Session::Success {}, TransactionState::Idle, {}, {} });
+        }
+    }
+    // One second of reads: pauses of 50, 100, 200, 400 and 800 ms.
+    CHECK(refusals > 0);
+    CHECK(refusals <= 6);
+}
+
+// Guards against a replica that answers status queries and loses the statements.
+TEST_CASE("Reads move away from a replica that does not answer them", "[proxy][service][load]")
+{
+    Fixture group;
+    const auto lossy = TargetName("r");
+    int lost = 0;
+    const auto served = serveReads(group, 100, [&](const TargetName& target) -> std::optional<TargetReply> {
+        if (target != lossy)
+            return TargetReply { Session::Success {}, TransactionState::Idle, {}, {} };
+        ++lost;
+        group.run(900ms);
+        return {};
+    });
+    CHECK(lost < 15);
+    CHECK(served.at(TargetName("s")) > 60);
+}
--- a/tests/proxy/StateDumpTests.cpp
+++ b/tests/proxy/StateDumpTests.cpp
@@ -152,6 +152,13 @@
     CHECK(primary.at("leaving") == false);
     CHECK(group.at("members").at("r").at("role") == "replica");
     CHECK(group.at("members").at("r").at("log_end") == "2.8");
+    const auto& load = group.at("members").at("r").at("load");
+    CHECK(load.at("service_ms") == toMilliseconds(TargetLoad::defaultService));
+    CHECK(load.at("network_ms") <= 10);
+    CHECK(load.at("others") == 0);
+    CHECK(load.at("failure_rate") == 0);
+    CHECK(load.at("paused") == false);
+    CHECK(load.at("share") == 1);
     CHECK(test.dump().at("targets_list") == Json { { "from", "store" }, { "as_of", 10 }, { "age_ms", 300 } });
 
     SECTION("the list is as old as the last answer of the store, even one without a change")
