Weight homes by the hosts' processor share

The hosts of a deployment have between 0.084 and 0.5 cores, and the smallest was the home of as many groups as the largest. A host now publishes Limits.CpuShare of its settings in its record as processor_share, and GroupHomes weights the rendezvous score with it. A record or settings without a positive share count as 1, so deployments without it, and those whose hosts are equal, keep their homes.

With one host of 0.5 and nine of 0.084 in a data centre, the large one is the home of 35 to 45 % of 2,000 groups (expected 39.8 %). With the weight replaced by 1, 'A host is the home of groups in proportion to its processor share' fails.

--- a/src/platform/SettingsReader.cpp
+++ b/src/platform/SettingsReader.cpp
@@ -41,6 +41,15 @@
         return bounds;
     }
 
+    /// @return the host's share of a processor; the default if the deployment states none that is positive.
+    double readProcessorShare(const Json& limits, double otherwise)
+    {
+        const auto share = limits.find("CpuShare");
+        if (share == limits.end() || !share->is_number() || share->get<double>() <= 0)
+            return otherwise;
+        return share->get<double>();
+    }
+
     Proxy::ProxySettings read(const Json& json, std::uint16_t metricsPort)
     {
         Proxy::ProxySettings settings;
@@ -60,6 +69,7 @@
         for (const auto& seed : json.value("Seeds", Json::array()))
             settings.seeds.push_back(readAddress(seed));
         settings.descriptors = json.at("Limits").at("FileDescriptors").get<std::size_t>();
+        settings.processorShare = readProcessorShare(json.at("Limits"), settings.processorShare);
         settings.bounds = readBounds(json.at("Bounds"));
         const std::chrono::duration<double> grace(json.at("Bounds").at("GraceS").get<double>());
         settings.stopTimeout = std::chrono::duration_cast<Duration>(grace);
--- a/src/proxy/GroupHomes.cpp
+++ b/src/proxy/GroupHomes.cpp
@@ -38,7 +38,8 @@
     for (const auto& host : m_hosts) {
         if (host.dataCentre == m_dataCentre)
             scored.emplace_back(
-                Member::rendezvousScore(Member::rendezvousHash(host.name.value(), 0), groupHash, 1.0), host);
+                Member::rendezvousScore(Member::rendezvousHash(host.name.value(), 0), groupHash, host.processorShare),
+                host);
     }
     std::sort(scored.begin(), scored.end(), [](const auto& left, const auto& right) {
         return left.first != right.first ? left.first > right.first : left.second.name < right.second.name;
--- a/src/proxy/GroupHomes.h
+++ b/src/proxy/GroupHomes.h
@@ -12,7 +12,8 @@
 
 /// Determines which hosts connect to the targets of a group. If the targets' connection limit is high enough for all
 /// hosts, every host connects and serves its own callers. Otherwise one host in each data centre connects, the group's
-/// home there, and the other hosts of the data centre forward their callers' sessions to it.
+/// home there, and the other hosts of the data centre forward their callers' sessions to it. A host is the home of a
+/// share of the groups that is proportional to its processor share.
 class GroupHomes {
 public:
     /// No homes are needed if every host can have at least this many connections to each target of the group.
--- a/src/proxy/HostDirectory.cpp
+++ b/src/proxy/HostDirectory.cpp
@@ -11,6 +11,7 @@
     constexpr auto dataCentreField = "data_centre";
     constexpr auto relayField = "relay";
     constexpr auto sessionsField = "sessions";
+    constexpr auto processorShareField = "processor_share";
 
     std::string textOf(const nlohmann::json& record, const char* field)
     {
@@ -18,6 +19,14 @@
         return found != record.end() && found->is_string() ? found->get<std::string>() : std::string();
     }
 
+    /// @return the processor share; 1 for a record without a positive one, as older versions write it.
+    double processorShareOf(const nlohmann::json& record)
+    {
+        const auto found = record.find(processorShareField);
+        const auto share = found != record.end() && found->is_number() ? found->get<double>() : 0;
+        return share > 0 ? share : HostEntry {}.processorShare;
+    }
+
     /// @return the record; empty for one in another format, as another version of the program may write it.
     std::optional<HostEntry> decode(const StoreRow& row)
     {
@@ -28,7 +37,8 @@
         const auto sessions = SocketAddress::parse(textOf(record, sessionsField));
         if (!relay || !sessions)
             return {};
-        return HostEntry { HostName(row.key), DataCentreName(textOf(record, dataCentreField)), *relay, *sessions };
+        return HostEntry { HostName(row.key), DataCentreName(textOf(record, dataCentreField)), *relay, *sessions,
+            processorShareOf(record) };
     }
 
 } // namespace
@@ -45,7 +55,7 @@
 {
     return nlohmann::json {
         { dataCentreField, host.dataCentre.value() }, { relayField, host.relay.toString() },
-        { sessionsField, host.sessions.toString() }
+        { sessionsField, host.sessions.toString() }, { processorShareField, host.processorShare }
     }.dump();
 }
 
--- a/src/proxy/HostEntry.h
+++ b/src/proxy/HostEntry.h
@@ -13,6 +13,8 @@
     SocketAddress relay;
     /// Address at which the host accepts callers' sessions forwarded by other hosts.
     SocketAddress sessions;
+    /// The host's share of a processor. 1 for a host that publishes none, such as one of an older version.
+    double processorShare { 1.0 };
 
     bool operator==(const HostEntry&) const = default;
 };
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -15,7 +15,9 @@
     , m_followers { StoreFollower(StoreTable::Configuration, TableTimes::forConfiguration(m_settings.bounds), delegate),
         StoreFollower(StoreTable::Targets, TableTimes::forTargets(m_settings.bounds), delegate) }
     , m_directory(m_settings.bounds)
-    , m_hosts({ m_settings.host, m_settings.dataCentre, m_settings.relay, m_settings.sessions }, delegate)
+    , m_hosts(
+          { m_settings.host, m_settings.dataCentre, m_settings.relay, m_settings.sessions, m_settings.processorShare },
+          delegate)
     , m_homes(m_settings.host, m_settings.dataCentre)
     , m_peerQueriedAt(now)
 {
--- a/src/proxy/ProxySettings.h
+++ b/src/proxy/ProxySettings.h
@@ -33,6 +33,8 @@
     std::vector<SocketAddress> seeds;
     /// Maximum number of file descriptors that the process may have open.
     std::size_t descriptors { 0 };
+    /// The host's share of a processor, by which it becomes a home; 1 if the deployment states none.
+    double processorShare { 1.0 };
     TimeBounds bounds;
     /// Time from the shutdown request until the process is killed.
     Duration stopTimeout {};
--- a/tests/platform/RowDecoderTests.cpp
+++ b/tests/platform/RowDecoderTests.cpp
@@ -148,6 +148,19 @@
     CHECK(refused.error().message.find("Address") != std::string::npos);
     CHECK_FALSE(readSettings("nonsense", metricsPort));
 
+    SECTION("the processor share is read, and is 1 where the deployment states none that is positive")
+    {
+        CHECK(read->processorShare == 1.0);
+        auto shared = settings;
+        shared["Limits"]["CpuShare"] = 0.25;
+        CHECK(readSettings(shared.dump(), metricsPort)->processorShare == 0.25);
+        for (const json& unusable : { json(0), json(-1), json("half"), json(nullptr) }) {
+            shared["Limits"]["CpuShare"] = unusable;
+            const auto own = readSettings(shared.dump(), metricsPort);
+            REQUIRE(own);
+            CHECK(own->processorShare == 1.0);
+        }
+    }
     SECTION("the time bounds of the deployment are read, and are the usual ones where it sets none")
     {
         CHECK(read->bounds == Proxy::TimeBounds {});
--- a/tests/proxy/GroupHomesTests.cpp
+++ b/tests/proxy/GroupHomesTests.cpp
@@ -73,6 +73,39 @@
     CHECK(chosen.size() >= 8);
 }
 
+// Guards against the smallest hosts serving as many groups as hosts with six times their processor share.
+TEST_CASE("A host is the home of groups in proportion to its processor share", "[proxy][homes]")
+{
+    auto entries = hosts(20);
+    const auto large = entries[0].name;
+    for (auto& entry : entries)
+        entry.processorShare = entry.name == large ? 0.5 : 0.084;
+    GroupHomes homes { HostName("other"), DataCentreName("west") };
+    homes.setHosts(entries);
+    constexpr int groups = 2000;
+    int ofLarge = 0;
+    for (int index = 0; index < groups; ++index)
+        ofLarge += homes.homeFor(start, GroupName("group-" + std::to_string(index)))->name == large ? 1 : 0;
+    // 0.5 of 0.5 + 9 * 0.084; without weights it is a tenth.
+    CHECK(ofLarge > groups * 0.35);
+    CHECK(ofLarge < groups * 0.45);
+}
+
+// Guards against homes that move at a release of the weights in a deployment of equal hosts.
+TEST_CASE("Equal processor shares give the same homes as none", "[proxy][homes]")
+{
+    auto entries = hosts(20);
+    for (auto& entry : entries)
+        entry.processorShare = 0.25;
+    GroupHomes weighted { HostName("other"), DataCentreName("west") };
+    weighted.setHosts(entries);
+    auto unweighted = homesOf("other", "west", 20);
+    for (int index = 0; index < 200; ++index) {
+        const GroupName name("group-" + std::to_string(index));
+        CHECK(weighted.homeFor(start, name)->name == unweighted.homeFor(start, name)->name);
+    }
+}
+
 TEST_CASE("A host that did not accept a session is avoided for a while", "[proxy][homes]")
 {
     auto homes = homesOf("other", "west", 20);
--- a/tests/proxy/TablesTests.cpp
+++ b/tests/proxy/TablesTests.cpp
@@ -230,6 +230,26 @@
     CHECK_FALSE(hosts.updateHosts(start, listed));
 }
 
+// Guards against hosts of two versions that read each other's records during a release.
+TEST_CASE("A host's record states its processor share, and one without it counts as 1", "[proxy][hosts]")
+{
+    CallRecorder calls;
+    HostDirectory hosts({ HostName("self"), DataCentreName("east"), { "10.0.0.1", 7 }, { "10.0.0.1", 9 } }, calls);
+    const HostEntry small { HostName("b"), DataCentreName("west"), { "10.0.0.2", 7 }, { "10.0.0.2", 9 }, 0.084 };
+    const auto record = [](const std::string& share) {
+        return R"({"data_centre":"west","relay":"10.0.0.2:7","sessions":"10.0.0.2:9")" + share + "}";
+    };
+    CHECK(hosts.updateHosts(start,
+        page({ { "b", RowVersion(1), HostDirectory::encode(small), false }, { "c", RowVersion(2), record(""), false },
+                 { "d", RowVersion(3), record(R"(,"processor_share":0)"), false },
+                 { "e", RowVersion(4), record(R"(,"processor_share":"half")"), false } },
+            4)));
+    REQUIRE(hosts.hosts().size() == 5);
+    CHECK(hosts.hosts()[0] == small);
+    for (std::size_t index = 1; index < 4; ++index)
+        CHECK(hosts.hosts()[index].processorShare == 1.0);
+}
+
 TEST_CASE("Hosts whose records are not on the first page are known", "[proxy][hosts]")
 {
     constexpr std::size_t pages = 3;
