--- a/src/proxy/FeederChoice.cpp
+++ b/src/proxy/FeederChoice.cpp
@@ -26,7 +26,7 @@
         if (host.dataCentre != m_dataCentre || !host.peers)
             continue;
         const auto hostHash = Member::rendezvousHash(host.name.value(), 0);
-        scored.emplace_back(Member::rendezvousScore(hostHash, keyHash, 1.0), host);
+        scored.emplace_back(Member::rendezvousScore(hostHash, keyHash, host.processorShare), host);
     }
     std::sort(scored.begin(), scored.end(), [](const auto& left, const auto& right) {
         return left.first != right.first ? left.first > right.first : left.second.name < right.second.name;
--- a/src/proxy/HostDirectory.cpp
+++ b/src/proxy/HostDirectory.cpp
@@ -12,6 +12,7 @@
     constexpr auto relayField = "relay";
     constexpr auto sessionsField = "sessions";
     constexpr auto peersField = "peers";
+    constexpr auto processorShareField = "processor_share";
 
     std::string textOf(const nlohmann::json& record, const char* field)
     {
@@ -19,6 +20,14 @@
         return found != record.end() && found->is_string() ? found->get<std::string>() : std::string();
     }
 
+    /// @return the processor share; 1 for a record without a positive one, as older versions write it.
+    double processorShareOf(const nlohmann::json& record)
+    {
+        const auto found = record.find(processorShareField);
+        const auto share = found != record.end() && found->is_number() ? found->get<double>() : 0;
+        return share > 0 ? share : HostEntry {}.processorShare;
+    }
+
     /// @return the record; empty for one in another format, as another version of the program may write it.
     std::optional<HostEntry> decode(const StoreRow& row)
     {
@@ -29,7 +38,8 @@
         const auto sessions = SocketAddress::parse(textOf(record, sessionsField));
         if (!relay || !sessions)
             return {};
-        HostEntry host { HostName(row.key), DataCentreName(textOf(record, dataCentreField)), *relay, *sessions };
+        HostEntry host { HostName(row.key), DataCentreName(textOf(record, dataCentreField)), *relay, *sessions,
+            processorShareOf(record) };
         if (const auto peers = SocketAddress::parse(textOf(record, peersField)))
             host.peers = *peers;
         return host;
@@ -48,7 +58,7 @@
 std::string HostDirectory::encode(const HostEntry& host)
 {
     nlohmann::json record { { dataCentreField, host.dataCentre.value() }, { relayField, host.relay.toString() },
-        { sessionsField, host.sessions.toString() } };
+        { sessionsField, host.sessions.toString() }, { processorShareField, host.processorShare } };
     if (host.peers)
         record[peersField] = host.peers->toString();
     return record.dump();
--- a/tests/proxy/TableFeedTests.cpp
+++ b/tests/proxy/TableFeedTests.cpp
@@ -22,7 +22,7 @@
     for (std::size_t index = 0; index < count; ++index) {
         const auto address = "10.1.0." + std::to_string(index + 1);
         entries.push_back({ HostName("host-" + std::to_string(index)), dataCentre, { address, 7440 }, { address, 7455 },
-            SocketAddress { address, 8080 } });
+            1.0, SocketAddress { address, 8080 } });
     }
     return entries;
 }
