Record the members that may hold an acknowledged commit with the promotion lease

Cause: a host counted the members that its own process had listed.

Change: the row of the promotion lease holds the members (name, address, start), the number of synchronous replicas and the term. Each conditional write of the row by a lease holder brings it up to date, and the first of three hosts records a change of the members that has lasted for a second. A promotion reads the record with the lease, and counts recorded members like those whose record disappeared. A record that is missing, unreadable or of a later version is logged (E0423, E0424), and written again by the next holder.

Without the record the same schedules still lose a commit (new test).

--- a/src/base/LogEvent.cpp
+++ b/src/base/LogEvent.cpp
@@ -17,7 +17,7 @@
     constexpr std::size_t numberDigits = 4;
 
     /// Sorted by number.
-    constexpr std::array<Definition, 65> definitions { {
+    constexpr std::array<Definition, 69> definitions { {
         { LogEvent::Started, LogLevel::Info, "host started" },
         { LogEvent::ShutdownStarted, LogLevel::Info, "host shutdown started" },
         { LogEvent::ShutdownCompleted, LogLevel::Info, "host shutdown completed" },
@@ -62,6 +62,10 @@
         { LogEvent::MemberReleased, LogLevel::Info, "member without a record no longer counts" },
         { LogEvent::PendingPromotionFound, LogLevel::Warn, "promotion of an earlier lease may still take effect" },
         { LogEvent::HandoverStalled, LogLevel::Warn, "no member has the log of the demoted primary in time" },
+        { LogEvent::MemberRecordUnusable, LogLevel::Warn, "record of a group's members can't be used" },
+        { LogEvent::MemberRecordMissing, LogLevel::Info, "group has no record of its members" },
+        { LogEvent::MembersRecorded, LogLevel::Info, "members of a group recorded in the store" },
+        { LogEvent::RecordedMemberCounted, LogLevel::Info, "member on record without a list entry counts" },
         { LogEvent::TargetConnectFailed, LogLevel::Warn, "opening a connection to target failed" },
         { LogEvent::TargetConnectionLost, LogLevel::Warn, "connection to target lost during a request" },
         { LogEvent::TargetLeaving, LogLevel::Info, "target marked as leaving" },
--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -55,6 +55,10 @@
     MemberReleased = 420,
     PendingPromotionFound = 421,
     HandoverStalled = 422,
+    MemberRecordUnusable = 423,
+    MemberRecordMissing = 424,
+    MembersRecorded = 425,
+    RecordedMemberCounted = 426,
 
     TargetConnectFailed = 500,
     TargetConnectionLost = 501,
--- a/src/chart/EmbeddedCharts.cpp
+++ b/src/chart/EmbeddedCharts.cpp
@@ -14,6 +14,10 @@
     <transition event="progress" cond="delayPassed" target="Reading"/>
   </state>
   <state id="Claiming" initial="Reading">
+    <transition event="claimRefused" cond="recordsOnly" target="Idle"><action name="postponeRecord"/></transition>
+    <transition event="recordPostponed" target="Idle"><action name="postponeRecord"/></transition>
+    <transition event="progress" cond="recordLate" target="Idle"><action name="postponeRecord"/></transition>
+    <transition event="recordCurrent" target="Idle"/>
     <transition event="claimHeld" target="Delaying"><action name="waitForHolder"/></transition>
     <transition event="claimRefused" target="Delaying"><action name="delayRetry"/></transition>
     <transition event="handoverPostponed" target="Delaying"><action name="postponeHandover"/></transition>
@@ -24,6 +28,7 @@
     </state>
     <state id="Writing">
       <onentry><action name="writeClaim"/></onentry>
+      <transition event="claimTaken" cond="recordsOnly" target="Idle"/>
       <transition event="claimTaken" cond="repairsOnly" target="Finishing"/>
       <transition event="claimTaken" cond="canHandOver" target="Demoting"/>
       <transition event="claimTaken" target="Fencing"/>
--- a/src/proxy/GroupHomes.cpp
+++ b/src/proxy/GroupHomes.cpp
@@ -3,6 +3,7 @@
 #include "member/RendezvousScore.h"
 
 #include <algorithm>
+#include <set>
 
 namespace Auburnpost::Proxy {
 
@@ -16,6 +17,7 @@
 {
     m_hosts = std::move(hosts);
     m_rankings.clear();
+    m_recorderRanks.clear();
 }
 
 void GroupHomes::recordFailure(Instant now, const HostName& host)
@@ -55,6 +57,34 @@
     return ranked.empty() || ranked.front().name == m_self;
 }
 
+std::optional<std::size_t> GroupHomes::recorderRank(const GroupName& group) const
+{
+    const auto known = m_recorderRanks.find(group);
+    if (known != m_recorderRanks.end())
+        return known->second;
+    struct Scored {
+        double score;
+        const HostEntry* host;
+    };
+    std::vector<Scored> scored;
+    const auto groupHash = Member::rendezvousHash(group.value(), 1);
+    for (const auto& host : m_hosts)
+        scored.push_back(
+            { Member::rendezvousScore(Member::rendezvousHash(host.name.value(), 0), groupHash, 1.0), &host });
+    std::sort(scored.begin(), scored.end(), [](const Scored& left, const Scored& right) {
+        return left.score != right.score ? left.score > right.score : left.host->name < right.host->name;
+    });
+    // The best host of each data centre is the group's home there.
+    std::set<DataCentreName> dataCentres;
+    std::stable_partition(scored.begin(), scored.end(),
+        [&dataCentres](const Scored& entry) { return dataCentres.insert(entry.host->dataCentre).second; });
+    const auto self = std::find_if(
+        scored.begin(), scored.end(), [this](const Scored& entry) { return entry.host->name == m_self; });
+    const auto rank = static_cast<std::size_t>(self - scored.begin());
+    const bool isRecorder = self != scored.end() && rank < maxRecorders;
+    return m_recorderRanks[group] = isRecorder ? std::optional(rank) : std::nullopt;
+}
+
 std::optional<HostEntry> GroupHomes::homeFor(Instant now, const GroupName& group)
 {
     std::erase_if(m_avoidedUntil, [now](const auto& entry) { return entry.second <= now; });
--- a/src/proxy/GroupHomes.h
+++ b/src/proxy/GroupHomes.h
@@ -19,6 +19,8 @@
     static constexpr std::size_t minDirectConnections = 3;
     /// Time for which a host is avoided after it did not accept a session.
     static constexpr Duration avoidanceTime = std::chrono::seconds(5);
+    /// Number of hosts that record the members of a group, as the record of a host may outlive it.
+    static constexpr std::size_t maxRecorders = 3;
 
     GroupHomes(HostName self, DataCentreName);
 
@@ -30,6 +32,9 @@
     [[nodiscard]] bool areNeeded(std::size_t connectionLimit) const;
     /// @return whether this host is the group's home in its data centre according to the known hosts.
     [[nodiscard]] bool isHome(const GroupName&) const;
+    /// @return the position of this host in the order of the hosts that record the members of the group: first the home
+    /// in each data centre, then the other hosts. Empty behind the first maxRecorders, and for a host without a record.
+    [[nodiscard]] std::optional<std::size_t> recorderRank(const GroupName&) const;
     /// @return the host to forward sessions on the group to; empty when this host serves them.
     [[nodiscard]] std::optional<HostEntry> homeFor(Instant now, const GroupName&);
 
@@ -43,6 +48,7 @@
     std::map<HostName, Instant> m_avoidedUntil;
     /// Cache, computed on demand from m_hosts.
     mutable std::map<GroupName, std::vector<HostEntry>> m_rankings;
+    mutable std::map<GroupName, std::optional<std::size_t>> m_recorderRanks;
 };
 
 } // namespace Auburnpost::Proxy
--- a/src/proxy/GroupMembership.cpp
+++ b/src/proxy/GroupMembership.cpp
@@ -19,6 +19,7 @@
         if (isSuperseded(record))
             continue;
         const auto known = m_members.find(record.name);
+        m_releasedAt.erase({ record.name, record.incarnation });
         auto& member = next[record.name];
         if (known != m_members.end() && known->second.record.incarnation == record.incarnation)
             member = known->second;
@@ -50,10 +51,51 @@
             next.emplace(name, std::move(member));
         }
     }
+    rememberReleases(now, released);
     m_members = std::move(next);
     return released;
 }
 
+std::vector<TargetName> GroupMembership::addRecorded(Instant now, const GroupName& group, const MemberRecord& record)
+{
+    std::vector<TargetName> added;
+    for (const auto& recorded : record.members) {
+        if (auto* const known = find(recorded.name)) {
+            // Another host has seen it answer.
+            if (known->record.incarnation == recorded.incarnation)
+                known->isInitial = true;
+            continue;
+        }
+        TargetRecord target;
+        target.name = recorded.name;
+        target.group = group;
+        target.address = recorded.address;
+        target.incarnation = recorded.incarnation;
+        const auto releasedAt = m_releasedAt.find({ recorded.name, recorded.incarnation });
+        const bool wasReleased = releasedAt != m_releasedAt.end() && now - releasedAt->second < releaseMemory;
+        if (wasReleased || isSuperseded(target))
+            continue;
+        auto& member = m_members[recorded.name];
+        member.record = std::move(target);
+        member.isInitial = true;
+        member.unlistedSince = now;
+        added.push_back(recorded.name);
+    }
+    return added;
+}
+
+void GroupMembership::rememberReleases(Instant now, const std::vector<MemberRelease>& released)
+{
+    std::erase_if(m_releasedAt, [now](const auto& entry) { return now - entry.second >= releaseMemory; });
+    for (const auto& release : released) {
+        // Another host may know that it answered.
+        if (release.reason == MemberReleaseReason::NeverAnswered)
+            continue;
+        if (const auto* const member = find(release.name))
+            m_releasedAt[{ release.name, member->record.incarnation }] = now;
+    }
+}
+
 bool GroupMembership::isSuperseded(const TargetRecord& record) const
 {
     return std::any_of(m_members.begin(), m_members.end(), [&record](const auto& entry) {
@@ -76,6 +118,7 @@
         if (const auto reason = releaseReason(now, member, primary))
             released.push_back({ name, *reason });
     }
+    rememberReleases(now, released);
     for (const auto& release : released)
         m_members.erase(release.name);
     return released;
--- a/src/proxy/GroupMembership.h
+++ b/src/proxy/GroupMembership.h
@@ -2,7 +2,9 @@
 
 #include "proxy/Catalog.h"
 #include "proxy/GroupMember.h"
+#include "proxy/MemberRecord.h"
 
+#include <utility>
 #include <vector>
 
 namespace Auburnpost::Proxy {
@@ -41,14 +43,25 @@
     static constexpr Duration urgentTime = std::chrono::seconds(3);
     /// Maximum time for which an ended or silent member without a record counts. A target that crashed is back before.
     static constexpr Duration retentionLimit = std::chrono::seconds(20);
+    /// Time for which a released member is not taken from the record in the store again. The record is written within
+    /// about a dozen seconds of the release, or by the next lease holder.
+    static constexpr Duration releaseMemory = std::chrono::seconds(60);
 
     void setRules(const GroupRules& rules) { m_rules = rules; }
 
     /// Replaces the list of members. The state of a member is kept if the new list has it in the same incarnation.
     /// @return the members that no longer count.
     std::vector<MemberRelease> setListed(Instant now, const std::vector<TargetRecord>&);
+    /// Adds the members on record in the store that this host does not list, as members without a record. Those that
+    /// this host released lately are left out.
+    /// @return the members that were added.
+    std::vector<TargetName> addRecorded(Instant now, const GroupName&, const MemberRecord&);
     /// Forgets all members, of a group that is no longer watched.
-    void clear() { m_members.clear(); }
+    void clear()
+    {
+        m_members.clear();
+        m_releasedAt.clear();
+    }
 
     /// Updates what is known of members without a record, after a status or a failed connection, and releases members
     /// that restarted under a new name.
@@ -73,6 +86,11 @@
     [[nodiscard]] std::size_t fencesNeeded() const;
     /// @return how many members besides the primary have to report that they are not fenced to confirm the primary.
     [[nodiscard]] std::size_t confirmationsNeeded() const;
+    /// @return when members were released that are not taken from the record in the store again, by name and start.
+    [[nodiscard]] const std::map<std::pair<TargetName, TargetIncarnation>, Instant>& releases() const
+    {
+        return m_releasedAt;
+    }
     /// @return whether a member has ended a short time ago whose log is not yet known to be on members that stay.
     [[nodiscard]] bool awaitsEvidence(Instant now) const;
 
@@ -85,8 +103,13 @@
     [[nodiscard]] std::optional<MemberReleaseReason> releaseReason(
         Instant now, GroupMember&, const GroupMember* primary) const;
 
+    /// Notes the members that are released on evidence, or whose wait has ended.
+    void rememberReleases(Instant now, const std::vector<MemberRelease>&);
+
     GroupRules m_rules;
     GroupMembers m_members;
+    /// When members were released, by name and start.
+    std::map<std::pair<TargetName, TargetIncarnation>, Instant> m_releasedAt;
 };
 
 } // namespace Auburnpost::Proxy
--- a/src/proxy/GroupReplies.cpp
+++ b/src/proxy/GroupReplies.cpp
@@ -428,7 +428,7 @@
 void GroupService::finishUnsent(const PendingStatement& pending, FailureCode code, const std::string& text)
 {
     const auto state = pending.startsTransaction ? TransactionState::Failed : TransactionState::Idle;
-    const bool isReplacing = !m_watcher.primary() || !m_promotion.isIdle();
+    const bool isReplacing = !m_watcher.primary() || m_promotion.isReplacing();
     const auto hint = pending.needsPrimary() && isReplacing ? failoverHint : queueHint;
     finish(pending, { Session::Failure { code, text + hint }, state, {} }, nullptr);
 }
--- a/src/proxy/GroupService.cpp
+++ b/src/proxy/GroupService.cpp
@@ -117,10 +117,35 @@
             m_promotion.start(now, m_watcher, m_delegate.random(), PromotionGoal::ReplacePrimary, failoverReason);
         else if (m_watcher.hasFencedMemberFor(now, abandonedFenceTimeout))
             m_promotion.start(now, m_watcher, m_delegate.random(), PromotionGoal::ResumeMembers, failoverReason);
+        else if (m_promotion.isRecordDue(now, m_watcher))
+            m_promotion.start(now, m_watcher, m_delegate.random(), PromotionGoal::RecordMembers, failoverReason);
     }
     m_promotion.tick(now, m_watcher, failoverReason);
 }
 
+void GroupService::leaseRead(Instant now, const Expected<PromotionLeaseRow>& row)
+{
+    if (row && row->lease && row->lease->members)
+        countRecorded(now, *row->lease->members);
+    m_promotion.leaseRead(now, m_watcher, row);
+}
+
+void GroupService::countRecorded(Instant now, const MemberRecord& record)
+{
+    // Without members this host does not watch the group.
+    if (m_watcher.members().empty())
+        return;
+    for (const auto& name : m_watcher.addRecorded(now, m_name, record)) {
+        log({ LogEvent::RecordedMemberCounted,
+            { { "group", m_name.value() }, { "target", name.value() },
+                { "address", m_watcher.find(name)->record.address.toString() },
+                { "counted", std::to_string(m_watcher.membership().size()) } } });
+        m_pools[name].setLimit(m_rules.connectionLimit);
+        if (m_pools[name].connections().empty())
+            open(now, name);
+    }
+}
+
 bool GroupService::reachesDirectly(Instant now, const TargetName& target) const
 {
     const auto* const member = m_watcher.find(target);
@@ -185,7 +210,7 @@
     const bool awaitsEvidence = m_watcher.membership().awaitsEvidence(now);
     if (!member.isListed() && member.presumedEndedAt)
         return idlePollInterval;
-    const bool isUrgent = !m_promotion.isIdle() || !m_watcher.primary() || awaitsEvidence;
+    const bool isUrgent = m_promotion.isReplacing() || !m_watcher.primary() || awaitsEvidence;
     if (isUrgent || member.health.isSuspect(now) || !member.status)
         return urgentPollInterval;
     const auto lastResponse = member.health.lastResponseAt();
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -70,7 +70,9 @@
     void connectionLost(Instant now, ConnectionId);
     void replied(Instant now, ConnectionId, const TargetReply&);
 
-    void leaseRead(Instant now, const Expected<PromotionLeaseRow>& row) { m_promotion.leaseRead(now, m_watcher, row); }
+    /// Sets the position of this host in the order of the hosts that record the members; empty for none.
+    void setRecorderRank(std::optional<std::size_t> rank) { m_promotion.setRecorderRank(rank); }
+    void leaseRead(Instant now, const Expected<PromotionLeaseRow>& row);
     void leaseWritten(Instant now, const Expected<std::optional<RowVersion>>& version)
     {
         m_promotion.leaseWritten(now, m_watcher, version);
@@ -102,6 +104,8 @@
         Instant sendBefore;
     };
 
+    /// Counts the members on record in the store that this host does not list.
+    void countRecorded(Instant now, const MemberRecord&);
     // Dispatch.
     void dispatchWaiting(Instant now);
     bool dispatch(Instant now, PendingStatement&);
--- a/src/proxy/GroupWatcher.h
+++ b/src/proxy/GroupWatcher.h
@@ -44,6 +44,12 @@
     /// Replaces the list of members. The state of a member is kept if the new list has it in the same incarnation. A
     /// member without a record is kept while it counts (GroupMembership).
     void setMembers(Instant now, const std::vector<TargetRecord>&);
+    /// Adds the members on record in the store that this host does not list.
+    /// @return the members that were added.
+    std::vector<TargetName> addRecorded(Instant now, const GroupName& group, const MemberRecord& record)
+    {
+        return m_membership.addRecorded(now, group, record);
+    }
     /// Forgets the members of a group that this host no longer serves.
     void stopWatching();
     /// Releases the members that no longer count.
--- a/src/proxy/Promotion.cpp
+++ b/src/proxy/Promotion.cpp
@@ -26,6 +26,7 @@
     Runner::Bindings bindings;
     bindings.guards = { { "reasonGone", &Promotion::isReasonGone }, { "delayPassed", &Promotion::hasDelayPassed },
         { "claimLate", &Promotion::isLeaseStepLate }, { "repairsOnly", &Promotion::isResumeOnly },
+        { "recordsOnly", &Promotion::isRecordOnly }, { "recordLate", &Promotion::isRecordLate },
         { "superseded", &Promotion::isSuperseded }, { "claimEnds", &Promotion::isLeaseEnding },
         { "renewalDue", &Promotion::isRenewalDue }, { "enoughFenced", &Promotion::hasEnoughFenced },
         { "canHandOver", &Promotion::canHandOver }, { "handoverReady", &Promotion::isHandoverReady },
@@ -35,14 +36,14 @@
         { "promotedSeen", &Promotion::isPromotionSeen }, { "awaitLimitPassed", &Promotion::hasAwaitTimedOut },
         { "allJoined", &Promotion::haveAllJoined }, { "finishLimitPassed", &Promotion::hasFinishTimedOut } };
     bindings.actions = { { "waitForHolder", &Promotion::waitForLeaseHolder }, { "delayRetry", &Promotion::delayRetry },
-        { "readClaim", &Promotion::readLease }, { "writeClaim", &Promotion::writeLease },
-        { "fenceMembers", &Promotion::fenceMembers }, { "askFenced", &Promotion::queryFenced },
-        { "closePrimaryLog", &Promotion::closePrimaryLog }, { "startHandover", &Promotion::startHandover },
-        { "pollHandover", &Promotion::pollHandover }, { "recordCandidate", &Promotion::recordCandidate },
-        { "postponeHandover", &Promotion::postponeHandover }, { "callPromotion", &Promotion::callPromotion },
-        { "demoteFormer", &Promotion::demoteFormerPrimary }, { "fenceAgain", &Promotion::refenceMembers },
-        { "joinMembers", &Promotion::joinMembers }, { "renewForRepairs", &Promotion::renewLeaseForResume },
-        { "giveUp", &Promotion::abandonAttempt } };
+        { "postponeRecord", &Promotion::postponeRecord }, { "readClaim", &Promotion::readLease },
+        { "writeClaim", &Promotion::writeLease }, { "fenceMembers", &Promotion::fenceMembers },
+        { "askFenced", &Promotion::queryFenced }, { "closePrimaryLog", &Promotion::closePrimaryLog },
+        { "startHandover", &Promotion::startHandover }, { "pollHandover", &Promotion::pollHandover },
+        { "recordCandidate", &Promotion::recordCandidate }, { "postponeHandover", &Promotion::postponeHandover },
+        { "callPromotion", &Promotion::callPromotion }, { "demoteFormer", &Promotion::demoteFormerPrimary },
+        { "fenceAgain", &Promotion::refenceMembers }, { "joinMembers", &Promotion::joinMembers },
+        { "renewForRepairs", &Promotion::renewLeaseForResume }, { "giveUp", &Promotion::abandonAttempt } };
     const auto chart = Chart::StateChart::parse("promotion", Chart::embeddedChart("promotion"));
     AUBURNPOST_INVARIANT(chart, "promotion.scxml could not be parsed");
     auto runner = Runner::bind(*chart, std::move(bindings));
@@ -75,11 +76,21 @@
     if (!isIdle())
         return;
     m_goal = goal;
+    m_delayUntil = now;
+    if (goal != PromotionGoal::RecordMembers) {
+        std::uniform_int_distribution<Duration::rep> jitter(0, startJitter.count());
+        m_delayUntil += Duration(jitter(random));
+        beginReplacement(now, watcher, failoverReason);
+    }
+    Context context { now, watcher, failoverReason };
+    fire("start", context);
+}
+
+void Promotion::beginReplacement(Instant now, const GroupWatcher& watcher, FailoverReason failoverReason)
+{
     m_replacedTerm = watcher.primaryTerm();
     m_hasDemotedPrimary = m_hasDemotedPrimary && !watcher.primary();
     m_finishingSince.reset();
-    std::uniform_int_distribution<Duration::rep> jitter(0, startJitter.count());
-    m_delayUntil = now + Duration(jitter(random));
     m_failoverReason = failoverReason;
     m_trace.recordSuspicion(now);
     std::vector<LogField> fields { { "trouble", std::string(toString(failoverReason)) },
@@ -87,8 +98,6 @@
         { "term", std::to_string(watcher.primaryTerm().value()) } };
     PromotionLog::appendEvidence(fields, now, watcher, countFenced(watcher));
     log(LogEvent::PrimarySuspected, std::move(fields));
-    Context context { now, watcher, failoverReason };
-    fire("start", context);
 }
 
 void Promotion::tick(Instant now, const GroupWatcher& watcher, FailoverReason failoverReason)
@@ -98,6 +107,12 @@
         m_failoverReason = failoverReason;
     if (isIdle())
         return;
+    // The row that is being read serves for the lease as well. Once it is being written, that has to end first.
+    const bool isRecording = m_goal == PromotionGoal::RecordMembers && !m_runner.isIn("Writing");
+    if (isRecording && failoverReason != FailoverReason::None) {
+        m_goal = PromotionGoal::ReplacePrimary;
+        beginReplacement(now, watcher, failoverReason);
+    }
     Context context { now, watcher, failoverReason };
     updateEnoughFenced(context);
     fire("progress", context);
@@ -113,7 +128,13 @@
         return;
     }
     m_leaseRow = *row;
+    if (m_recorder.read(*row))
+        logRecordProblem();
     const bool isHeld = row->lease && row->lease->holder != m_self && row->lease->expiresAtMs > row->storeNowMs;
+    if (m_goal == PromotionGoal::RecordMembers) {
+        recordRead(context, isHeld);
+        return;
+    }
     if (isHeld) {
         fire("claimHeld", context);
         return;
@@ -133,6 +154,16 @@
         fire("claimRefused", context);
         return;
     }
+    if (m_writtenMembers)
+        m_recorder.written(**version, *m_writtenMembers);
+    if (m_goal == PromotionGoal::RecordMembers) {
+        m_recorder.finish(watcher);
+        log(LogEvent::MembersRecorded,
+            { { "version", std::to_string((*version)->value()) },
+                { "members", std::to_string(m_writtenMembers ? m_writtenMembers->members.size() : 0) } });
+        fire("claimTaken", context);
+        return;
+    }
     m_token = **version;
     if (isRecording) {
         m_recordedCandidate = m_pending->candidate;
@@ -186,6 +217,8 @@
 
 bool Promotion::isReasonGone(const Context& context) const
 {
+    if (m_goal == PromotionGoal::RecordMembers)
+        return false;
     if (m_goal == PromotionGoal::ResumeMembers)
         return !context.watcher.hasFencedMemberFor(context.now, Duration {});
     // A promotion that takes effect later would roll back what the present primary acknowledges until then.
@@ -211,6 +244,16 @@
     return m_goal == PromotionGoal::ResumeMembers;
 }
 
+bool Promotion::isRecordOnly(const Context&) const
+{
+    return m_goal == PromotionGoal::RecordMembers;
+}
+
+bool Promotion::isRecordLate(const Context& context) const
+{
+    return isRecordOnly(context) && isLeaseStepLate(context);
+}
+
 bool Promotion::isSuperseded(const Context& context) const
 {
     // What is pending is known to replace a primary of this term, though this host may have started without one.
--- a/src/proxy/Promotion.h
+++ b/src/proxy/Promotion.h
@@ -4,6 +4,7 @@
 #include "base/Random.h"
 #include "chart/ChartRunner.h"
 #include "proxy/GroupWatcher.h"
+#include "proxy/MemberRecorder.h"
 #include "proxy/PromotionLease.h"
 #include "proxy/PromotionTrace.h"
 #include "proxy/TargetRequest.h"
@@ -36,13 +37,16 @@
     ReplacePrimary,
     /// Only remove the fences that an abandoned attempt left behind.
     ResumeMembers,
+    /// Only bring the record of the members in the store up to date. The lease is not held for it.
+    RecordMembers,
 };
 
 /// Replaces the primary of one group, driven by the state chart promotion.scxml, under the group's promotion lease in
 /// the store. A primary that answers hands over: it is demoted, which ends its log, and a member that has this log is
 /// promoted. Otherwise enough members are fenced, the fences are verified, and the member with the longest log is
 /// promoted. The candidate is recorded with the lease before the call, as the call may take effect late. At the end the
-/// other members are made to follow the new primary.
+/// other members are made to follow the new primary. Each write of the lease's row also brings the record of the
+/// members up to date, which a host that knows fewer members reads with the lease.
 class Promotion {
 public:
     /// Lifetime of a lease, which has to cover fencing, verification, the promotion call and its effect.
@@ -98,7 +102,15 @@
     void membersRead(Instant now, const GroupWatcher&, bool isKnown);
     void promoteAnswered(Instant now, const GroupWatcher&, PromotionOutcome);
 
+    /// Sets the position of this host in the order of the hosts that record the members; empty for none.
+    void setRecorderRank(std::optional<std::size_t> rank) { m_recorder.setRank(rank); }
+    /// @return whether an attempt to record the members should be started.
+    [[nodiscard]] bool isRecordDue(Instant now, const GroupWatcher& watcher) { return m_recorder.isDue(now, watcher); }
+
     [[nodiscard]] bool isIdle() const { return m_runner.isIn("Idle"); }
+    /// @return whether an attempt is in progress that does more than record the members.
+    [[nodiscard]] bool isReplacing() const { return !isIdle() && m_goal != PromotionGoal::RecordMembers; }
+    [[nodiscard]] const MemberRecorder& recorder() const { return m_recorder; }
     /// @return whether this host fences members, so that the current primary can't acknowledge commits.
     [[nodiscard]] bool isFencing() const
     {
@@ -124,6 +136,8 @@
     [[nodiscard]] bool hasDelayPassed(const Context&) const;
     [[nodiscard]] bool isLeaseStepLate(const Context&) const;
     [[nodiscard]] bool isResumeOnly(const Context&) const;
+    [[nodiscard]] bool isRecordOnly(const Context&) const;
+    [[nodiscard]] bool isRecordLate(const Context&) const;
     [[nodiscard]] bool isSuperseded(const Context&) const;
     [[nodiscard]] bool isLeaseEnding(const Context&) const;
     [[nodiscard]] bool isRenewalDue(const Context&) const;
@@ -141,6 +155,7 @@
     [[nodiscard]] bool haveAllJoined(const Context&) const;
     [[nodiscard]] bool hasFinishTimedOut(const Context&) const;
 
+    void postponeRecord(Context&);
     void waitForLeaseHolder(Context&);
     void postponeHandover(Context&);
     void delayRetry(Context&);
@@ -164,6 +179,13 @@
     void abandonAttempt(Context&);
 
     void readMembers(Context&);
+    /// Begins the replacement of the primary, for which an attempt to record the members is cut short.
+    void beginReplacement(Instant now, const GroupWatcher&, FailoverReason);
+    /// Writes the lease's row, with the members as this host counts them.
+    void writeRow(const Context&, std::uint64_t expiresAtMs, RowVersion expected);
+    /// Continues an attempt to record the members once the lease's row was read.
+    void recordRead(Context&, bool isHeld);
+    void logRecordProblem();
     /// Takes over a promotion that an earlier holder of the lease may have called for.
     void adoptPending(Context&);
     /// @return whether the replacement of the leaving primary has to wait for an earlier call for the same target.
@@ -214,6 +236,9 @@
     Instant m_leaseReadAt {};
     PromotionLeaseRow m_leaseRow;
     RowVersion m_token;
+    MemberRecorder m_recorder;
+    /// The record of members in the last write of the lease's row.
+    std::optional<MemberRecord> m_writtenMembers;
     Term m_term;
     /// Since when enough members have been fenced.
     std::optional<Instant> m_enoughFencedSince;
--- a/src/proxy/PromotionLease.h
+++ b/src/proxy/PromotionLease.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "proxy/Ids.h"
+#include "proxy/MemberRecord.h"
 
 #include <cstdint>
 #include <optional>
@@ -27,6 +28,10 @@
     std::uint64_t expiresAtMs { 0 };
     /// The group's last promotion that may still take effect; empty when there is none.
     std::optional<PendingPromotion> pending;
+    /// The members that may hold an acknowledged commit; empty when there is no record that can be used.
+    std::optional<MemberRecord> members {};
+    /// Why there is none.
+    MemberRecordProblem membersProblem { MemberRecordProblem::Missing };
 };
 
 /// A lease as read from the store.
--- a/src/proxy/PromotionLeases.cpp
+++ b/src/proxy/PromotionLeases.cpp
@@ -49,10 +49,51 @@
     m_delegate.readLease(m_group);
 }
 
-void Promotion::writeLease(Context&)
+void Promotion::writeLease(Context& context)
 {
-    m_delegate.writeLease(
-        m_group, { m_self, m_leaseRow.storeNowMs + milliseconds(leaseLifetime), m_pending }, m_leaseRow.version);
+    // Recording the members needs no lease: the write is conditional, and changes nothing else.
+    const auto lifetime = isRecordOnly(context) ? Duration {} : leaseLifetime;
+    writeRow(context, m_leaseRow.storeNowMs + milliseconds(lifetime), m_leaseRow.version);
+}
+
+void Promotion::writeRow(const Context& context, std::uint64_t expiresAtMs, RowVersion expected)
+{
+    PromotionLease lease { m_self, expiresAtMs, isRecordOnly(context) ? std::nullopt : m_pending };
+    lease.members = MemberRecorder::describe(context.watcher);
+    // A host that has no list knows of no change.
+    if (lease.members->members.empty())
+        lease.members = m_recorder.known();
+    lease.membersProblem = lease.members ? MemberRecordProblem::None : MemberRecordProblem::Missing;
+    m_writtenMembers = lease.members;
+    m_delegate.writeLease(m_group, lease, expected);
+}
+
+void Promotion::recordRead(Context& context, bool isHeld)
+{
+    if (m_recorder.isCurrent(context.watcher)) {
+        m_recorder.finish(context.watcher);
+        fire("recordCurrent", context);
+        return;
+    }
+    const auto& pending = m_leaseRow.lease ? m_leaseRow.lease->pending : std::nullopt;
+    const bool hasPending = pending && m_leaseRow.storeNowMs < pending->recordedAtMs + milliseconds(pendingLifetime);
+    // The holder of the lease records the members, and what is pending has to stay in the row.
+    fire(isHeld || hasPending ? "recordPostponed" : "claimFree", context);
+}
+
+void Promotion::postponeRecord(Context& context)
+{
+    m_recorder.postpone(context.now);
+}
+
+void Promotion::logRecordProblem()
+{
+    const auto problem = m_recorder.problem();
+    if (problem == MemberRecordProblem::None)
+        return;
+    const bool isMissing = problem == MemberRecordProblem::Missing;
+    log(isMissing ? LogEvent::MemberRecordMissing : LogEvent::MemberRecordUnusable,
+        { { "problem", std::string(toString(problem)) }, { "version", std::to_string(m_leaseRow.version.value()) } });
 }
 
 void Promotion::adoptPending(Context& context)
@@ -101,7 +142,7 @@
         m_formerTerm = std::max(m_formerTerm, member.status ? member.status->term : Term {});
     m_pending = { *candidate, m_formerTerm, storeNowMs(context.now), m_earlierPending.has_value() };
     m_pendingUntil = context.now + pendingLifetime;
-    m_delegate.writeLease(m_group, { m_self, m_leaseRow.storeNowMs + milliseconds(leaseLifetime), m_pending }, m_token);
+    writeRow(context, m_leaseRow.storeNowMs + milliseconds(leaseLifetime), m_token);
 }
 
 } // namespace Auburnpost::Proxy
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -41,8 +41,10 @@
         updateGroupMembers(now);
     }
     updateServedGroups(now);
-    for (auto& [name, group] : m_groups)
+    for (auto& [name, group] : m_groups) {
+        group->setRecorderRank(m_homes.recorderRank(name));
         group->tick(now);
+    }
     const auto idleLimit = m_catalog ? m_catalog->transactionIdleLimit : Duration {};
     std::vector<SessionId> timedOut;
     for (auto& [id, session] : m_sessions) {
--- a/src/proxy/StateDump.cpp
+++ b/src/proxy/StateDump.cpp
@@ -43,6 +43,20 @@
         return calls;
     }
 
+    /// Describes what this host last read or wrote of the record of members in the store.
+    Json describeRecord(const GroupService& group)
+    {
+        const auto& recorder = group.promotion().recorder();
+        Json unlisted = Json::array();
+        for (const auto& recorded : recorder.known().value_or(MemberRecord {}).members) {
+            const auto* const member = group.watcher().find(recorded.name);
+            if (!member || !member->isListed())
+                unlisted.push_back(recorded.name.value());
+        }
+        return { { "number", recorder.version().value() }, { "problem", std::string(toString(recorder.problem())) },
+            { "unlisted", std::move(unlisted) } };
+    }
+
 } // namespace
 
 Json describeOrigin(Instant now, const TableOrigin& origin)
@@ -67,7 +81,7 @@
         { "promotion", group.promotion().state() },
         { "promotion_calls", describeCalls(now, group.promotion().trace()) }, { "members", std::move(members) },
         { "departed", PromotionLog::describeDepartures(now, watcher) }, { "counted", watcher.groupSize() },
-        { "fences_needed", watcher.fencesNeeded() } };
+        { "fences_needed", watcher.fencesNeeded() }, { "member_record", describeRecord(group) } };
     if (const auto& pending = group.promotion().pending())
         described["pending_promotion"]
             = { { "candidate", pending->candidate.value() }, { "replaced_term", pending->replacedTerm.value() } };
--- a/tests/proxy/GroupHomesTests.cpp
+++ b/tests/proxy/GroupHomesTests.cpp
@@ -1,6 +1,7 @@
 #include "proxy/GroupHomes.h"
 
 #include <catch2/catch.hpp>
+#include <map>
 #include <set>
 
 using namespace Auburnpost;
@@ -73,6 +74,23 @@
     CHECK(chosen.size() >= 8);
 }
 
+// Guards against a crowd of hosts that all read and write the row of a group when they start at once.
+TEST_CASE("A few hosts in different data centres record the members of a group", "[proxy][homes]")
+{
+    std::map<std::size_t, std::size_t> recorders;
+    for (std::size_t index = 0; index < 20; ++index) {
+        const auto homes = homesOf("host-" + std::to_string(index), index % 2 ? "east" : "west", 20);
+        if (const auto rank = homes.recorderRank(group))
+            CHECK(recorders.emplace(*rank, index).second);
+        if (homes.recorderRank(group) == std::size_t { 0 })
+            CHECK(homes.isHome(group));
+    }
+    REQUIRE(recorders.size() == GroupHomes::maxRecorders);
+    CHECK(recorders.at(0) % 2 != recorders.at(1) % 2);
+    CHECK(homesOf("host-0", "west", 1).recorderRank(group) == std::size_t { 0 });
+    CHECK_FALSE(homesOf("unknown", "west", 1).recorderRank(group));
+}
+
 TEST_CASE("A host that did not accept a session is avoided for a while", "[proxy][homes]")
 {
     auto homes = homesOf("other", "west", 20);
--- a/tests/proxy/ModelHost.cpp
+++ b/tests/proxy/ModelHost.cpp
@@ -67,7 +67,8 @@
 bool ModelHost::isPollDue(Instant now) const
 {
     const auto& members = m_watcher.members();
-    const bool isUrgent = !m_promotion.isIdle() || !m_watcher.primary() || m_watcher.membership().awaitsEvidence(now)
+    const bool isUrgent = m_promotion.isReplacing() || !m_watcher.primary()
+        || m_watcher.membership().awaitsEvidence(now)
         || std::any_of(members.begin(), members.end(),
             [now](const auto& entry) { return !entry.second.status || entry.second.health.isSuspect(now); });
     return isUrgent || now - m_polledAt >= quietPollInterval;
@@ -109,6 +110,8 @@
             m_promotion.start(now, m_watcher, m_random, PromotionGoal::ReplacePrimary, reason);
         else if (m_watcher.hasFencedMemberFor(now, GroupService::abandonedFenceTimeout))
             m_promotion.start(now, m_watcher, m_random, PromotionGoal::ResumeMembers, reason);
+        else if (m_promotion.isRecordDue(now, m_watcher))
+            m_promotion.start(now, m_watcher, m_random, PromotionGoal::RecordMembers, reason);
     }
     updateTimers(now);
     m_promotion.tick(now, m_watcher, reason);
@@ -132,6 +135,8 @@
         m_pending = row.lease->pending;
         m_pendingSince = now - std::chrono::milliseconds(row.storeNowMs - m_pending->recordedAtMs);
     }
+    if (row.lease && row.lease->members)
+        m_watcher.addRecorded(now, GroupName("group"), *row.lease->members);
     m_promotion.leaseRead(now, m_watcher, row);
     updateTimers(now);
 }
@@ -263,8 +268,24 @@
         fingerprint.add(since ? age(now, *since) : maxAge + 1);
 }
 
+void ModelHost::addRecorderTo(Fingerprint& fingerprint, Instant now) const
+{
+    for (const auto& [member, releasedAt] : m_watcher.membership().releases())
+        fingerprint.add(member.first.value());
+    if (!m_recordsMembers)
+        return;
+    const auto& recorder = m_promotion.recorder();
+    const bool isCurrent = recorder.isCurrent(m_watcher);
+    fingerprint.add(isCurrent ? 1 : 0);
+    fingerprint.add(isCurrent ? 0 : age(now, recorder.unchangedSince()));
+    fingerprint.add(age(now, recorder.retryAt() - MemberRecorder::retryInterval));
+    fingerprint.add(recorder.checkedTerm().value());
+}
+
 void ModelHost::addTo(Fingerprint& fingerprint, Instant now) const
 {
+    addRecorderTo(fingerprint, now);
+    fingerprint.add(m_promotion.isReplacing() ? 1 : 0);
     fingerprint.add(m_state);
     fingerprint.add(m_previousState);
     for (const auto moment : { m_stateEnteredAt, m_leaseReadAt, m_commandedAt, m_attemptFinishedAt, m_polledAt,
--- a/tests/proxy/ModelHost.h
+++ b/tests/proxy/ModelHost.h
@@ -23,6 +23,12 @@
     [[nodiscard]] const HostName& name() const { return m_name; }
     [[nodiscard]] const GroupWatcher& watcher() const { return m_watcher; }
     [[nodiscard]] const Promotion& promotion() const { return m_promotion; }
+    /// Makes this the host that records the members apart from promotions.
+    void recordMembers()
+    {
+        m_recordsMembers = true;
+        m_promotion.setRecorderRank(0);
+    }
 
     /// Applies the table of targets.
     /// @param version number of changes of the table until then.
@@ -65,7 +71,11 @@
     static std::uint64_t age(Instant now, Instant moment);
     void addMemberTo(Fingerprint&, Instant now, const GroupWatcher::Member&) const;
 
+    /// Adds what the next attempt to record the members depends on.
+    void addRecorderTo(Fingerprint&, Instant now) const;
+
     HostName m_name;
+    bool m_recordsMembers { false };
     GroupWatcher m_watcher;
     Promotion m_promotion;
     TargetDirectory m_directory;
--- a/tests/proxy/ModelScenario.h
+++ b/tests/proxy/ModelScenario.h
@@ -58,6 +58,8 @@
     bool hasReturns { true };
     /// The messages that are held back, apart from late orders; all when empty.
     std::set<ModelMessage::Kind> delayKinds {};
+    /// Whether one host records the members in the store, and has done so before the schedules begin.
+    bool recordsMembers { true };
 };
 
 } // namespace Auburnpost::Proxy
--- a/tests/proxy/ModelStore.cpp
+++ b/tests/proxy/ModelStore.cpp
@@ -54,6 +54,8 @@
             fingerprint.add((nowMs - std::min(nowMs, pending->recordedAtMs)) / msPerTick);
             fingerprint.add(pending->isRepeated ? 1 : 0);
         }
+        for (const auto& member : m_leaseRow.lease->members.value_or(MemberRecord {}).members)
+            fingerprint.add(member.name.value());
     }
     for (const auto& [name, record] : m_records) {
         fingerprint.add(name.value());
--- a/tests/proxy/PromotionFixture.h
+++ b/tests/proxy/PromotionFixture.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,7 @@
     Instant resumeBefore {};
     std::optional<TargetName> promoted;
     std::uint64_t token { 0 };
+    std::map<LogEvent, std::size_t> logged;
 
     void readLease(const GroupName&) override { ++reads; }
     void writeLease(const GroupName&, const PromotionLease& written, RowVersion) override
@@ -47,7 +49,7 @@
                                                                         : "query ";
         commands.push_back(name + target.value());
     }
-    void log(const LogRecord&) override { }
+    void log(const LogRecord& record) override { ++logged[record.event]; }
     void measure(std::string_view, double) override { }
 
     [[nodiscard]] bool has(const std::string& wanted) const
--- a/tests/proxy/ProtocolExplorationTests.cpp
+++ b/tests/proxy/ProtocolExplorationTests.cpp
@@ -176,6 +176,23 @@
     checkCommits({ "lapse, cut, restart", Start::PrimaryCutAfterLapse, 4, 1, 0, 1, 0, 0, {}, 32, 100, false });
 }
 
+// Without the record of members the schedules above must lose a commit; otherwise they would not test it.
+TEST_CASE("Without the record of members a host that starts loses a commit", "[proxy][exploration]")
+{
+    ModelScenario scenario { "lapse, cut, restart", Start::PrimaryCutAfterLapse, 4, 1, 0, 1, 0, 0, {}, 32, 100, false };
+    scenario.recordsMembers = false;
+    const auto result = ProtocolExplorer(scenario, SIZE_MAX, std::chrono::seconds(60)).explore();
+    CHECK(result.of(Check::LostCommit).count > 0);
+}
+
+// The host that records the members may itself start again, or be paused, before it knows of the lapsed member.
+TEST_CASE("No schedule of a cut primary with a lapsed record and a fault of another host loses a commit",
+    "[proxy][exploration]")
+{
+    checkCommits({ "lapse, cut, restart, host fault", Start::PrimaryCutAfterLapse, 4, 0, 1, 1, 0, 0,
+        { Kind::RestartHost, Kind::PauseHost }, 26, 100, false });
+}
+
 TEST_CASE("In every schedule with a host fault tokens increase and a primary is known again", "[proxy][exploration]")
 {
     requireNone({ "crash, host fault", Start::PrimaryCrashed, 3, 0, 1, 0, 0, 0,
--- a/tests/proxy/ProtocolModel.cpp
+++ b/tests/proxy/ProtocolModel.cpp
@@ -38,8 +38,11 @@
         m_hosts[host] = std::make_unique<ModelHost>(host, groupRules);
         m_hosts[host]->applyList(m_now, m_store.records(), m_store.listVersion());
     }
+    setRecorder();
     passTick();
     passTick();
+    if (scenario.recordsMembers)
+        playRecording();
     switch (scenario.start) {
     case ModelScenario::Start::Established:
         break;
@@ -80,6 +83,19 @@
     m_delaysLeft = scenario.delays;
 }
 
+void ProtocolModel::setRecorder()
+{
+    if (m_scenario.recordsMembers)
+        m_hosts[recorder]->recordMembers();
+}
+
+void ProtocolModel::playRecording()
+{
+    const auto& promotion = m_hosts[recorder]->promotion();
+    while (!promotion.isIdle() || !promotion.recorder().isCurrent(m_hosts[recorder]->watcher()))
+        apply({});
+}
+
 void ProtocolModel::playLatePromotion()
 {
     const auto holdEffect = [this] {
@@ -307,6 +323,7 @@
     trace(m_hosts[index]->name().value() + " starts again");
     ++m_hostRestarts[index];
     m_hosts[index] = std::make_unique<ModelHost>(index, groupRules);
+    setRecorder();
     m_checkedConfirmation[index].reset();
     m_hosts[index]->applyList(m_now, m_store.records(), m_store.listVersion());
 }
--- a/tests/proxy/ProtocolModel.h
+++ b/tests/proxy/ProtocolModel.h
@@ -22,6 +22,8 @@
 class ProtocolModel {
 public:
     static constexpr std::size_t hostCount = 2;
+    /// The host that records the members apart from promotions.
+    static constexpr std::size_t recorder = 1;
     /// Members that left included.
     static constexpr std::size_t maxMembers = 8;
     /// Ticks from an announced shutdown to the end of the process.
@@ -70,6 +72,10 @@
     };
 
     [[nodiscard]] std::uint64_t nowMs() const;
+    /// Makes one host the recorder of the members, if the scenario has one.
+    void setRecorder();
+    /// Plays the default steps until the members are on record.
+    void playRecording();
     /// Plays the default steps until a host no longer waits for the effect of its call, which is held back. The crashed
     /// primary returns meanwhile.
     void playLatePromotion();
--- a/tests/proxy/StateDumpTests.cpp
+++ b/tests/proxy/StateDumpTests.cpp
@@ -193,6 +193,26 @@
     CHECK(group.at("members").at("p").at("leaving") == true);
 }
 
+TEST_CASE(
+    "The state shows the number of the record of members, and the members on it that are not listed", "[proxy][dump]")
+{
+    Fixture test;
+    CHECK(test.group().at("member_record")
+        == Json { { "number", 0 }, { "problem", "none" }, { "unlisted", Json::array() } });
+    test.proxy.tableFollowed(
+        test.now, StoreTable::Targets, Fixture::page({ { "p", RowVersion(11), "1 leaving", false } }, 11));
+    test.run(200ms);
+    PromotionLeaseRow row { RowVersion(17), PromotionLease { HostName("other"), 0, {} }, 1000 };
+    row.lease->members = MemberRecord {
+        { { TargetName("p"), { "10.0.0.1", 1 }, {} }, { TargetName("lapsed"), { "10.0.0.1", 9 }, {} } }, 1, Term(2)
+    };
+    test.proxy.leaseRead(test.now, GroupName("group"), row);
+    CHECK(test.group().at("member_record")
+        == Json { { "number", 17 }, { "problem", "none" }, { "unlisted", { "lapsed" } } });
+    CHECK(test.group().at("members").at("lapsed").at("listed") == false);
+    CHECK(test.group().at("counted") == 4);
+}
+
 TEST_CASE("The removal of a target is logged with the version of the list and whether the target was leaving",
     "[proxy][dump]")
 {
