--- a/tests/proxy/MemberRecordTests.cpp
+++ b/tests/proxy/MemberRecordTests.cpp
@@ -227,6 +227,16 @@
         CHECK(group.delegate.writes == 2);
         CHECK(group.delegate.lease->members->members.size() == 4);
     }
+    SECTION("after a promotion by a host of an earlier version the record is written again")
+    {
+        group.reportStatus("s", makeStatus(true, 2, 0));
+        rest(group, 100ms);
+        REQUIRE(record(group));
+        readRow(group, { RowVersion(7), PromotionLease { HostName("other"), 0, {} }, 2000 });
+        CHECK(group.delegate.logged[LogEvent::MemberRecordMissing] == 2);
+        CHECK(group.delegate.writes == 2);
+        CHECK(group.delegate.lease->members->members.size() == 3);
+    }
     SECTION("a promotion, by a host that may drop the record, is checked with one read")
     {
         group.reportStatus("s", makeStatus(true, 2, 0));
