--- a/tests/proxy/MembershipScheduleTests.cpp
+++ b/tests/proxy/MembershipScheduleTests.cpp
@@ -169,6 +169,27 @@
     schedule.check();
 }
 
+// Guards against lost commits: the lapsed member alone has what the primary acknowledged last, and no list shows it.
+TEST_CASE("Hosts that start while a record is lapsed promote a member with its log", "[proxy][membership]")
+{
+    Schedule schedule;
+    auto& simulation = schedule.simulation;
+    const auto lapsed = schedule.addKnownReplica();
+    simulation.run(2s);
+    simulation.membership().cutFromStore(lapsed, 30s);
+    simulation.run(2 * SimulatedMembership::lapseTimeout);
+    schedule.cutPrimary(true);
+    for (std::size_t host = 0; host < ProxySimulation::hostCount; ++host) {
+        simulation.restartHost(host, 200ms);
+        simulation.run(500ms);
+    }
+    simulation.membership().crash(primary, 25s);
+    simulation.run(8s);
+    CHECK(simulation.currentPrimary());
+    schedule.cutPrimary(false);
+    schedule.check();
+}
+
 TEST_CASE("A promotion that takes effect seconds late rolls back no acknowledged commit", "[proxy][membership]")
 {
     static constexpr Duration lateness = 6s;
