Test what clients that misbehave cost a host in memory, descriptors and places

A host process can be run out of memory or of places for callers by clients that send much at once, don't read their answers, or stop midway. The new program client_tests starts "auburnpost proxy" with a store and a target of the line protocol, and "auburnpost serve" with the existing stand-ins, each with 64 MB in its settings, and drives a crowd of connections against it. It checks that the process lives, that its peak resident memory and its descriptors stay below the limits of the settings, and that an ordinary request is answered while the crowd is still connected. It checks no times and no shares.

The settings Limits.MemoryMb and limits.memory are read, but not used yet.

--- a/src/config/Settings.h
+++ b/src/config/Settings.h
@@ -66,6 +66,8 @@
 struct LimitSettings {
     /// Maximum number of concurrent caller connections.
     std::size_t maxCallers { 0 };
+    /// Memory that the process may use.
+    ByteCount memory;
     /// Maximum size of a request body.
     ByteCount bodyBytes;
     /// Maximum size of a request header.
--- a/src/config/SettingsKeys.cpp
+++ b/src/config/SettingsKeys.cpp
@@ -123,6 +123,7 @@
         const SectionKeys<&Settings::limits> limits { "limits" };
         keys.push_back(limits.key<&LimitSettings::maxCallers>(
             "max_callers", "4096", "maximum number of concurrent caller connections"));
+        keys.push_back(limits.key<&LimitSettings::memory>("memory", "256MB", "memory that the process may use"));
         keys.push_back(limits.key<&LimitSettings::bodyBytes>("body_bytes", "1MB", "maximum size of a request body"));
         keys.push_back(
             limits.key<&LimitSettings::headerBytes>("header_bytes", "32KB", "maximum size of a request header"));
--- a/src/platform/SettingsReader.cpp
+++ b/src/platform/SettingsReader.cpp
@@ -10,6 +10,9 @@
     using Json = nlohmann::json;
 
     constexpr auto pathVariable = "AUBURNPOST_SETTINGS";
+    /// Memory of a host whose settings state none, as some platforms leave it out.
+    constexpr std::size_t defaultMemoryMb = 256;
+    constexpr std::size_t bytesPerMebibyte = 1024UL * 1024;
 
     /// @throws Json::exception when the field is missing; std::invalid_argument when it holds no address.
     SocketAddress readAddress(const Json& value)
@@ -60,6 +63,7 @@
         for (const auto& seed : json.value("Seeds", Json::array()))
             settings.seeds.push_back(readAddress(seed));
         settings.descriptors = json.at("Limits").at("FileDescriptors").get<std::size_t>();
+        settings.memoryBytes = json.at("Limits").value("MemoryMb", defaultMemoryMb) * bytesPerMebibyte;
         settings.bounds = readBounds(json.at("Bounds"));
         const std::chrono::duration<double> grace(json.at("Bounds").at("GraceS").get<double>());
         settings.stopTimeout = std::chrono::duration_cast<Duration>(grace);
--- a/src/proxy/ProxySettings.h
+++ b/src/proxy/ProxySettings.h
@@ -33,6 +33,8 @@
     std::vector<SocketAddress> seeds;
     /// Maximum number of file descriptors that the process may have open.
     std::size_t descriptors { 0 };
+    /// Memory that the process may use, in bytes.
+    std::size_t memoryBytes { 0 };
     TimeBounds bounds;
     /// Time from the shutdown request until the process is killed.
     Duration stopTimeout {};
--- a/tests/process/TargetGroup.h
+++ b/tests/process/TargetGroup.h
@@ -22,6 +22,8 @@
     /// Replaces the active faults of a target. @return the HTTP status.
     int faults(const std::string& target, const std::string& json) const;
     int post(const std::string& target, const std::string& path, const std::string& json) const;
+    /// @return the port at which the target accepts clients.
+    [[nodiscard]] std::uint16_t port(const std::string& target) const { return m_members.at(target).port; }
     ChildProcess& process(const std::string& target) { return *m_members.at(target).process; }
     /// Starts a target, or restarts one whose process has exited, and waits until it answers.
     void restart(const std::string& target);
--- /dev/null
+++ b/tests/process/ThreadServer.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "process/ChildProcess.h"
+#include "process/LoopbackSocket.h"
+
+#include <functional>
+#include <list>
+#include <mutex>
+#include <thread>
+
+namespace Auburnpost::Test {
+
+/// Serves each connection to a free port of 127.0.0.1 in a thread of its own.
+class ThreadServer {
+public:
+    using Handler = std::function<void(const LoopbackSocket&)>;
+
+    /// @param serve called for each connection; the connection is closed when it returns. It must return once reads
+    /// from the connection fail.
+    explicit ThreadServer(Handler serve);
+    ~ThreadServer();
+    ThreadServer(const ThreadServer&) = delete;
+    ThreadServer& operator=(const ThreadServer&) = delete;
+
+    [[nodiscard]] std::uint16_t port() const { return m_port; }
+    /// Ends all connections and threads.
+    void stop();
+
+private:
+    void acceptConnections();
+
+    Handler m_serve;
+    std::uint16_t m_port { freePort() };
+    LoopbackSocket m_listener { LoopbackSocket::listenOn(m_port) };
+    std::mutex m_mutex;
+    bool m_isStopping { false };
+    std::list<LoopbackSocket> m_connections;
+    std::list<std::thread> m_threads;
+    std::thread m_acceptor;
+};
+
+} // namespace Auburnpost::Test
