Bound what connections of the line protocol hold, and for how long

A connection held up to 1 MiB of input whatever it did, every answer of all its pipelined messages, and its place for as long as it liked. The limits of the settings did not count.

Limit::ClientBudget divides Limits.MemoryMb among the connections: a small part for each at any time, permits in order of demand for larger messages, and the rest for answers. Without a permit a socket is not read. The next request is read once the answer to the last one is written. Over the budget the connection is closed that has gone longest without progress. A message and the reading of an answer have a minimum rate. When all places are taken, a new caller gets that of a connection without a session, a stalled one, or one that has been idle longest. Callers and forwarded sessions have budgets of their own.

LineServer::closeStalled() is replaced by tick(). It closed a connection after 10 s without a byte, also one whose lines waited for an answer of the host, and never one that sent a byte each 9 s. Its test now checks the same time through tick(): kept after 9 s, closed 1 ms after 10 s.

--- a/src/app/ProxyAssembly.cpp
+++ b/src/app/ProxyAssembly.cpp
@@ -17,10 +17,8 @@
     constexpr Duration balancerNoticePeriod = std::chrono::milliseconds(2300);
     /// Time before the stop timeout at which the process exits by itself; it is killed at the stop timeout.
     constexpr Duration stopMargin = std::chrono::milliseconds(600);
-    /// Maximum time for which the unread input of a connection may stay unchanged, be it an unfinished line or lines
-    /// that wait for the answer to an earlier one.
-    constexpr Duration stalledInputTimeout = std::chrono::seconds(10);
-    constexpr Duration stalledCheckInterval = std::chrono::seconds(1);
+    /// Interval between two reports of the connections that were closed by limits, which bounds the volume of the log.
+    constexpr Duration limitReportInterval = std::chrono::seconds(1);
     constexpr int statusOk = 200;
     constexpr int statusNotFound = 404;
     constexpr int statusUnavailable = 503;
@@ -44,8 +42,10 @@
     , m_settings(settings)
     , m_loadSettings(std::move(load))
     , m_shares(settings.descriptors)
-    , m_callers(base, settings.callers, m_shares.callers)
-    , m_forwardedSessions(base, settings.sessions, m_shares.peerSessions, forwardedIdBase)
+    , m_memory(settings.memoryBytes)
+    , m_callers(base, settings.callers, callerLimits(m_shares.callers, m_memory.callers, false))
+    , m_forwardedSessions(
+          base, settings.sessions, callerLimits(m_shares.peerSessions, m_memory.peerSessions, true), forwardedIdBase)
     , m_forwarder(base)
     , m_targets(base)
     , m_relay(base, settings.relay, m_shares.relays,
@@ -146,6 +146,8 @@
 void ProxyAssembly::onTick()
 {
     const auto moment = now();
+    m_callers.tick(moment);
+    m_forwardedSessions.tick(moment);
     m_proxy.tick(moment);
     m_forwarder.tick(moment);
     m_shutdown.tick(moment);
@@ -154,11 +156,10 @@
         m_proxy.endIdleTransactions(moment);
         m_forwarder.endSessionsWithoutRequest();
     }
-    if (moment - m_lastStalledCheck < stalledCheckInterval)
+    if (moment - m_lastLimitReport < limitReportInterval)
         return;
-    m_lastStalledCheck = moment;
-    m_callers.closeStalled(moment, stalledInputTimeout);
-    m_forwardedSessions.closeStalled(moment, stalledInputTimeout);
+    m_lastLimitReport = moment;
+    reportLimits();
 }
 
 void ProxyAssembly::reload()
--- a/src/app/ProxyAssembly.h
+++ b/src/app/ProxyAssembly.h
@@ -5,6 +5,7 @@
 #include "platform/RowDecoder.h"
 #include "platform/TargetCodec.h"
 #include "proxy/DescriptorShares.h"
+#include "proxy/MemoryShares.h"
 #include "proxy/Proxy.h"
 #include "proxy/StoreCallCounts.h"
 #include "wire/HttpServer.h"
@@ -14,6 +15,7 @@
 #include "wire/PlatformClient.h"
 #include "wire/RelayServer.h"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -61,6 +63,9 @@
     /// callers are numbered from 1 and never reach it.
     static constexpr std::uint64_t forwardedIdBase = std::uint64_t { 1 } << 48U;
 
+    [[nodiscard]] static Limit::ClientLimits callerLimits(std::size_t connections, std::size_t bytes, bool isForwarded);
+    /// Logs and measures, once in a while, what the limits for callers' connections have done.
+    void reportLimits();
     void listenForCallers(Wire::LineServer&);
     void connectForwarder();
     static Proxy::SessionId sessionOf(Wire::AcceptedConnectionId);
@@ -120,6 +125,7 @@
     SettingsLoader m_loadSettings;
     Platform::RowDecoder m_decoder;
     Proxy::DescriptorShares m_shares;
+    Proxy::MemoryShares m_memory;
     Wire::LineServer m_callers;
     /// Accepts sessions that other hosts forward.
     Wire::LineServer m_forwardedSessions;
@@ -142,7 +148,10 @@
     std::map<PlatformCallId, ReplyHandler> m_replyHandlers;
     std::uint64_t m_lastCallId { 0 };
     std::vector<EventHandle> m_events;
-    Instant m_lastStalledCheck {};
+    Instant m_lastLimitReport {};
+    /// Connections closed by a limit since the last report, for each reason.
+    std::array<std::size_t, 4> m_closedByLimit {};
+    std::uint64_t m_reportedRefusals { 0 };
     std::optional<Instant> m_shutdownAnnouncedAt;
     int m_exitStatus { 0 };
 };
--- a/src/app/ProxyAssemblyCallers.cpp
+++ b/src/app/ProxyAssemblyCallers.cpp
@@ -2,14 +2,63 @@
 
 #include "platform/CallerCodec.h"
 
+#include <algorithm>
+
 namespace Auburnpost {
 
+namespace {
+
+    Limit::ClientStage stageOf(bool isInTransaction)
+    {
+        return isInTransaction ? Limit::ClientStage::InTransaction : Limit::ClientStage::Idle;
+    }
+
+} // namespace
+
+Limit::ClientLimits ProxyAssembly::callerLimits(std::size_t connections, std::size_t bytes, bool isForwarded)
+{
+    Limit::ClientLimits limits;
+    limits.budgetBytes = bytes;
+    limits.connections = connections;
+    limits.messageBytes = Wire::LineConnection::maxLineBytes;
+    // A host that has no place for a forwarded session is passed over for the next one, at no cost to idle callers.
+    limits.replacesSessions = !isForwarded;
+    return limits;
+}
+
 void ProxyAssembly::listenForCallers(Wire::LineServer& server)
 {
     server.lineReceived().connect(
         [this](Wire::AcceptedConnectionId id, std::string_view line) { onCallerLine(id, line); });
     server.disconnected().connect(
         [this](Wire::AcceptedConnectionId id, Wire::DisconnectReason end) { onCallerEnded(id, end); });
+    server.closedByLimit().connect([this](Wire::AcceptedConnectionId, Limit::ClientCloseReason reason) {
+        ++m_closedByLimit[static_cast<std::size_t>(reason)];
+        measure("connections_closed_" + std::string(toString(reason)), 1);
+    });
+}
+
+void ProxyAssembly::reportLimits()
+{
+    measure("caller_memory_bytes", static_cast<double>(m_callers.budget().chargedBytes()));
+    measure("peer_session_memory_bytes", static_cast<double>(m_forwardedSessions.budget().chargedBytes()));
+    const auto refused = m_callers.refusedConnections() + m_forwardedSessions.refusedConnections();
+    const auto newlyRefused = refused - std::exchange(m_reportedRefusals, refused);
+    const auto closed = std::exchange(m_closedByLimit, {});
+    if (newlyRefused > 0)
+        measure("connections_refused", static_cast<double>(newlyRefused));
+    std::vector<LogField> fields;
+    for (std::size_t reason = 0; reason < closed.size(); ++reason)
+        fields.push_back(
+            { std::string(toString(static_cast<Limit::ClientCloseReason>(reason))), std::to_string(closed[reason]) });
+    fields.push_back({ "refused", std::to_string(newlyRefused) });
+    fields.push_back({ "held_bytes",
+        std::to_string(m_callers.budget().chargedBytes() + m_forwardedSessions.budget().chargedBytes()) });
+    fields.push_back(
+        { "waiting", std::to_string(m_callers.budget().waiting() + m_forwardedSessions.budget().waiting()) });
+    const bool hasClosed = std::any_of(closed.begin(), closed.end(), [](auto count) { return count > 0; });
+    if (hasClosed || newlyRefused > 0)
+        log({ LogEvent::CallersLimited, std::move(fields) });
 }
 
 void ProxyAssembly::connectForwarder()
@@ -17,7 +66,8 @@
     m_forwarder.answerLineReceived().connect([this](Proxy::SessionId id, std::string_view line) {
         m_callers.send(clientOf(id), std::string(line) + "\r\n");
     });
-    m_forwarder.answerCompleted().connect([this](Proxy::SessionId id) { m_callers.resume(clientOf(id)); });
+    m_forwarder.answerCompleted().connect(
+        [this](Proxy::SessionId id) { m_callers.resume(clientOf(id), stageOf(m_forwarder.isInTransaction(id))); });
     m_forwarder.openFailed().connect([this](Proxy::SessionId id, const DatabaseName& database, const HostName& host) {
         onForwardFailed(id, database, host);
     });
@@ -142,7 +192,7 @@
 void ProxyAssembly::answer(Proxy::SessionId id, const Session::Answer& answer)
 {
     serverOf(id).send(clientOf(id), Platform::writeAnswer(answer));
-    serverOf(id).resume(clientOf(id));
+    serverOf(id).resume(clientOf(id), stageOf(answer.state == Session::TransactionState::Open));
 }
 
 void ProxyAssembly::closeSession(Proxy::SessionId id)
--- a/src/app/SessionForwarder.cpp
+++ b/src/app/SessionForwarder.cpp
@@ -27,6 +27,12 @@
     m_connections.open(connection, host.sessions);
 }
 
+bool SessionForwarder::isInTransaction(Proxy::SessionId id) const
+{
+    const auto found = m_forwards.find(id);
+    return found != m_forwards.end() && found->second.state == Session::TransactionState::Open;
+}
+
 void SessionForwarder::onConnected(ConnectionId connection)
 {
     m_connections.send(connection, Platform::writeSessionRequest(m_forwards.at(m_sessionIds.at(connection)).request));
--- a/src/app/SessionForwarder.h
+++ b/src/app/SessionForwarder.h
@@ -23,6 +23,8 @@
     void open(Instant now, Proxy::SessionId, const Proxy::SessionRequest&, const Proxy::HostEntry&);
     [[nodiscard]] bool has(Proxy::SessionId id) const { return m_forwards.contains(id); }
     [[nodiscard]] std::size_t size() const { return m_forwards.size(); }
+    /// @return whether a session was in an open transaction at its last answer.
+    [[nodiscard]] bool isInTransaction(Proxy::SessionId) const;
     void send(Proxy::SessionId, std::string_view line);
     /// Closes the connection of a session whose caller has disconnected. Emits no signal.
     void close(Proxy::SessionId);
--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -79,6 +79,7 @@
     SessionForwardEnded = 616,
     CallerMessageRefused = 617,
     SessionRevoked = 618,
+    CallersLimited = 630,
 
     PeerMessageRejected = 700,
     PeerMessageNotSent = 701,
--- a/src/wire/LineConnection.cpp
+++ b/src/wire/LineConnection.cpp
@@ -44,7 +44,8 @@
 
 void LineConnection::start()
 {
-    bufferevent_setcb(m_bufferevent, &Callbacks::read, nullptr, &Callbacks::event, this);
+    const auto written = m_handlers.flushed ? &Callbacks::written : nullptr;
+    bufferevent_setcb(m_bufferevent, &Callbacks::read, written, &Callbacks::event, this);
     bufferevent_setwatermark(m_bufferevent, EV_READ, 0, maxLineBytes);
     bufferevent_enable(m_bufferevent, EV_READ | EV_WRITE);
 }
@@ -73,8 +74,8 @@
 
 void LineConnection::onFlushed()
 {
-    // The callback may destroy this object and with it m_flushed.
-    const auto flushed = m_flushed;
+    // The callback may destroy this object and with it the function.
+    const auto flushed = m_flushed ? m_flushed : m_handlers.flushed;
     flushed();
 }
 
@@ -90,6 +91,11 @@
         bufferevent_trigger(m_bufferevent, EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
 }
 
+void LineConnection::setReadLimit(std::size_t bytes)
+{
+    bufferevent_setwatermark(m_bufferevent, EV_READ, 0, bytes);
+}
+
 void LineConnection::setResetOnClose()
 {
     const linger reset { 1, 0 };
@@ -107,6 +113,16 @@
     return evbuffer_get_length(bufferevent_get_input(m_bufferevent));
 }
 
+std::size_t LineConnection::unwrittenBytes() const
+{
+    return evbuffer_get_length(bufferevent_get_output(m_bufferevent));
+}
+
+std::size_t LineConnection::undeliveredBytes() const
+{
+    return unwrittenBytes() + unacknowledgedBytes(bufferevent_getfd(m_bufferevent));
+}
+
 void LineConnection::onReadable()
 {
     if (m_isReading)
@@ -116,7 +132,7 @@
     m_isReading = true;
     auto* const input = bufferevent_get_input(m_bufferevent);
     while (!m_isPaused) {
-        const auto line = LineFraming::takeLine(input);
+        const auto line = LineFraming::takeLine(input, m_searchedBytes);
         if (!line)
             break;
         m_handlers.line(*line);
@@ -125,8 +141,13 @@
     }
     m_isReading = false;
     m_destroyedFlag = nullptr;
-    if (!m_isPaused && evbuffer_get_length(input) >= maxLineBytes)
+    if (m_isPaused)
+        return;
+    const auto lineBytes = evbuffer_get_length(input);
+    if (lineBytes >= maxLineBytes)
         reportDisconnect(DisconnectReason::LineTooLong);
+    else if (lineBytes > 0 && m_handlers.partialLine)
+        m_handlers.partialLine(lineBytes);
 }
 
 void LineConnection::onEvent(short what)
--- a/src/wire/LineConnection.h
+++ b/src/wire/LineConnection.h
@@ -31,6 +31,10 @@
         std::function<void()> connected;
         std::function<void(std::string_view line)> line;
         std::function<void(DisconnectReason)> disconnected;
+        /// Called when more of an incomplete line was received. May be empty.
+        std::function<void(std::size_t lineBytes)> partialLine {};
+        /// Called when all output is written to the socket. May be empty.
+        std::function<void()> flushed {};
     };
 
     /// Maximum length of a line with its line end, in bytes.
@@ -50,15 +54,21 @@
     void sendNow(std::string_view text);
     /// Calls @p flushed from the loop once all output is written to the socket.
     void whenFlushed(std::function<void()> flushed);
-    /// Reports no further line until resume(); input is buffered up to the length limit of a line.
+    /// Reports no further line until resume(); input is buffered up to the read limit.
     void pause();
     void resume();
+    /// Sets the number of bytes of input up to which the socket is read; at first the length limit of a line.
+    void setReadLimit(std::size_t bytes);
     /// Makes the end of the connection a reset, so that data which is queued or in transit is not delivered afterwards.
     void setResetOnClose();
     /// @return whether all output is written to the socket.
     [[nodiscard]] bool isFlushed() const;
     /// @return the number of received bytes that are not reported as lines yet.
     [[nodiscard]] std::size_t unreadBytes() const;
+    /// @return the number of bytes of output that are not written to the socket.
+    [[nodiscard]] std::size_t unwrittenBytes() const;
+    /// @return the number of bytes of output that the peer's host has not acknowledged.
+    [[nodiscard]] std::size_t undeliveredBytes() const;
 
 private:
     struct Callbacks;
@@ -72,6 +82,8 @@
     Handlers m_handlers;
     std::function<void()> m_flushed;
     bufferevent* m_bufferevent { nullptr };
+    /// Number of bytes at the start of the input that were searched for a line end.
+    std::size_t m_searchedBytes { 0 };
     bool m_isConnected { false };
     bool m_isPaused { false };
     bool m_isReading { false };
--- a/src/wire/SocketOptions.cpp
+++ b/src/wire/SocketOptions.cpp
@@ -3,7 +3,9 @@
 #include <arpa/inet.h>
 #include <array>
 #include <csignal>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace Auburnpost::Wire {
@@ -29,6 +31,12 @@
     (void)setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &tcpUserTimeoutMs, sizeof(tcpUserTimeoutMs));
 }
 
+std::size_t unacknowledgedBytes(int descriptor)
+{
+    int queued = 0;
+    return ioctl(descriptor, SIOCOUTQ, &queued) == 0 ? static_cast<std::size_t>(queued) : 0;
+}
+
 sockaddr_in toSockaddr(const SocketAddress& address)
 {
     sockaddr_in result {};
--- a/src/wire/SocketOptions.h
+++ b/src/wire/SocketOptions.h
@@ -14,6 +14,9 @@
 /// while.
 void setTcpOptions(int descriptor);
 
+/// @return the number of sent bytes that the peer's host has not acknowledged; 0 for a socket that failed.
+std::size_t unacknowledgedBytes(int descriptor);
+
 /// @return the address as a socket address structure.
 sockaddr_in toSockaddr(const SocketAddress&);
 /// @return the address in a socket address structure.
--- a/tests/wire/LineTests.cpp
+++ b/tests/wire/LineTests.cpp
@@ -130,16 +130,74 @@
 TEST_CASE("A connection that sends no more after half a line is closed after the time limit", "[wire][lines]")
 {
     Fixture served;
+    constexpr Instant start { 100s };
+    served.server.tick(start);
     RawClient client(served.loop.base(), served.server.address());
     client.send("half");
     served.loop.runFor(20ms);
-    constexpr Instant start { 100s };
-    CHECK(served.server.closeStalled(start, 10s) == 0);
-    CHECK(served.server.closeStalled(start + 9s, 10s) == 0);
-    CHECK(served.server.closeStalled(start + 10s, 10s) == 1);
+    served.server.tick(start + 9s);
+    served.loop.runFor(20ms);
+    CHECK_FALSE(client.closed());
+    // The time limit of 10 s is extended by what four bytes take at the minimum rate, which is below 1 ms.
+    served.server.tick(start + 10s + 1ms);
     CHECK(served.loop.runUntil([&] { return client.closed(); }));
 }
 
+TEST_CASE("A connection without a message gives its place to a new caller", "[wire][lines]")
+{
+    // Guards against a host that refuses everybody once connections that were opened and left take all places.
+    constexpr Instant start { 100s };
+    Fixture served;
+    served.server.tick(start);
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (std::size_t count = 0; count < connectionLimit; ++count) {
+        clients.push_back(std::make_unique<RawClient>(served.loop.base(), served.server.address()));
+        served.loop.runFor(10ms);
+    }
+    served.server.tick(start + 2s);
+    RawClient caller(served.loop.base(), served.server.address());
+    caller.send("one\r\n");
+    CHECK(served.loop.runUntil([&] { return served.lines.size() == 1; }));
+    CHECK(served.loop.runUntil([&] { return clients.front()->closed(); }));
+    CHECK_FALSE(clients.back()->closed());
+}
+
+TEST_CASE("A connection is read no further while its answers are unread", "[wire][lines]")
+{
+    // Guards against answers that pile up for a caller that sends many messages and reads nothing.
+    Fixture served;
+    constexpr std::size_t answerBytes = 16UL * 1024 * 1024;
+    RawClient client(served.loop.base(), served.server.address());
+    std::vector<AcceptedConnectionId> ids;
+    served.server.lineReceived().connect([&](AcceptedConnectionId id, std::string_view) { ids.push_back(id); });
+    client.pauseReading();
+    client.send("one\r\ntwo\r\n");
+    REQUIRE(served.loop.runUntil([&] { return ids.size() == 1; }));
+    served.server.send(ids.front(), std::string(answerBytes, 'a'));
+    served.server.resume(ids.front());
+    served.loop.runFor(50ms);
+    CHECK(ids.size() == 1);
+    client.resumeReading();
+    CHECK(served.loop.runUntil([&] { return ids.size() == 2; }));
+    CHECK(served.loop.runUntil([&] { return client.received().size() == answerBytes; }));
+}
+
+TEST_CASE("A message of nearly the greatest length is read whole, also when its line end is divided", "[wire][lines]")
+{
+    // Guards against a search that passes over a line end whose first byte was searched before the second came.
+    Fixture served;
+    RawClient client(served.loop.base(), served.server.address());
+    const std::string message(LineConnection::maxLineBytes - 10, 'x');
+    client.send(message);
+    served.loop.runFor(50ms);
+    client.send("\r");
+    served.loop.runFor(10ms);
+    CHECK(served.lines.empty());
+    client.send("\n");
+    REQUIRE(served.loop.runUntil([&] { return served.lines.size() == 1; }));
+    CHECK(served.lines.front() == message);
+}
+
 TEST_CASE("Connections beyond the limit are closed immediately", "[wire][lines]")
 {
     Fixture served;
