Deliver the last bytes of a relayed peer that closes its connection

RelayServer ended a pair as soon as the peer's connection ended, with the output to the target that the target's socket had not taken at once. A peer that gives up its requests resets its connection; then they are still dropped.

--- a/src/wire/RelayServer.cpp
+++ b/src/wire/RelayServer.cpp
@@ -47,6 +47,8 @@
     bool isConnected { false };
     /// Whether the pair is closed once the output to the peer is sent.
     bool isClosing { false };
+    /// Whether the peer closed its connection, and the pair is closed once the output to the target is sent.
+    bool hasPeerEnded { false };
 };
 
 struct RelayServer::Callbacks {
@@ -59,7 +61,7 @@
     {
         auto& pair = *static_cast<Pair*>(argument);
         if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
-            pair.server->closePair(pair);
+            pair.server->onPeerEnded(pair, what);
     }
     static void targetRead(bufferevent*, void* argument)
     {
@@ -82,7 +84,11 @@
     }
     static void targetWritten(bufferevent*, void* argument)
     {
-        bufferevent_enable(static_cast<Pair*>(argument)->peer.get(), EV_READ);
+        auto& pair = *static_cast<Pair*>(argument);
+        if (pair.hasPeerEnded)
+            pair.server->closePair(pair);
+        else
+            bufferevent_enable(pair.peer.get(), EV_READ);
     }
 };
 
@@ -160,8 +166,31 @@
     (void)bufferevent_socket_connect(pair.target.get(), reinterpret_cast<const sockaddr*>(&target), sizeof(target));
 }
 
+void RelayServer::onPeerEnded(Pair& pair, short what)
+{
+    // A peer that gives up its requests resets its connection; after an orderly end the target gets what was sent.
+    if (!pair.isConnected || pair.isClosing || !(what & BEV_EVENT_EOF)) {
+        closePair(pair);
+        return;
+    }
+    forwardBytes(pair.peer.get(), pair.target.get());
+    if (evbuffer_get_length(bufferevent_get_output(pair.target.get())) == 0) {
+        closePair(pair);
+        return;
+    }
+    pair.hasPeerEnded = true;
+    bufferevent_disable(pair.peer.get(), EV_READ | EV_WRITE);
+    bufferevent_disable(pair.target.get(), EV_READ);
+    const auto timeout = toTimeval(lastBytesTimeout);
+    bufferevent_set_timeouts(pair.target.get(), nullptr, &timeout);
+}
+
 void RelayServer::onTargetEvent(Pair& pair, short what)
 {
+    if (pair.hasPeerEnded) {
+        closePair(pair);
+        return;
+    }
     if (what & BEV_EVENT_CONNECTED) {
         pair.isConnected = true;
         setNoDelay(pair.target.get());
--- a/src/wire/RelayServer.h
+++ b/src/wire/RelayServer.h
@@ -45,6 +45,7 @@
     void onPeerReadable(Pair&);
     void connect(Pair&, std::string_view line);
     void onTargetEvent(Pair&, short what);
+    void onPeerEnded(Pair&, short what);
     static void forwardBytes(bufferevent* from, bufferevent* to);
     void refuse(Pair&);
     /// Closes the connection to the target now, and that to the peer once its output is sent.
--- a/tests/wire/RelayServerTests.cpp
+++ b/tests/wire/RelayServerTests.cpp
@@ -4,8 +4,12 @@
 #include "wire/Loop.h"
 #include "wire/RawClient.h"
 #include "wire/RawServer.h"
+#include "wire/SocketOptions.h"
 
+#include <array>
 #include <catch2/catch.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace Auburnpost;
 using namespace Auburnpost::Wire;
@@ -126,6 +130,41 @@
     }
 }
 
+TEST_CASE("A target that reads slowly gets the last bytes of a peer that closed its connection", "[wire][relay]")
+{
+    // Guards against a relay that drops what it has queued for the target when the peer's connection ends.
+    Fixture relayed;
+    RawServer::Session* session = nullptr;
+    RawServer target(relayed.loop.base(), [&session](RawServer::Session& readable) {
+        if (!std::exchange(session, &readable))
+            bufferevent_disable(readable.buffer.get(), EV_READ);
+    });
+    const int peer = socket(AF_INET, SOCK_STREAM, 0);
+    const auto address = toSockaddr(relayed.relay.address());
+    REQUIRE(connect(peer, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+    const auto request = RelayServer::request(target.address(), known);
+    REQUIRE(send(peer, request.data(), request.size(), 0) == static_cast<ssize_t>(request.size()));
+    std::array<char, 16> reply {};
+    REQUIRE(relayed.loop.runUntil([&] { return recv(peer, reply.data(), reply.size(), MSG_DONTWAIT) == 4; }));
+    // The peer sends until nothing moves any more, so that each buffer on the way is full.
+    const std::string piece(64UL * 1024, 'a');
+    std::size_t sentBytes = 0;
+    for (int idleRounds = 0; idleRounds < 20; ++idleRounds) {
+        const auto count = send(peer, piece.data(), piece.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (count > 0) {
+            sentBytes += static_cast<std::size_t>(count);
+            idleRounds = 0;
+        }
+        relayed.loop.runFor(5ms);
+    }
+    close(peer);
+    relayed.loop.runFor(20ms);
+    REQUIRE(session);
+    bufferevent_enable(session->buffer.get(), EV_READ);
+    CHECK(relayed.loop.runUntil([&] { return session->input.size() == sentBytes; }));
+    CHECK(relayed.loop.runUntil([&] { return relayed.relay.connections() == 0; }));
+}
+
 TEST_CASE("The connection of a peer with an endless request line is closed", "[wire][relay]")
 {
     Fixture relayed;
