--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -86,6 +86,7 @@
     CallerMessageRefused = 617,
     SessionRevoked = 618,
     RateLimitExceeded = 620,
+    CallersLimited = 630,
 
     PeerMessageRejected = 700,
     PeerMessageNotSent = 701,
--- a/src/proxy/ProxySettings.h
+++ b/src/proxy/ProxySettings.h
@@ -37,6 +37,8 @@
     std::size_t descriptors { 0 };
     /// The host's share of a processor, by which it becomes a home; 1 if the deployment states none.
     double processorShare { 1.0 };
+    /// Memory that the process may use, in bytes.
+    std::size_t memoryBytes { 0 };
     TimeBounds bounds;
     /// The tolerated excess over the organisations' rate limits; empty if limits are not enforced.
     std::optional<Limit::AllotmentRules> allotments;
