Use one queue for waiting statements of the proxy and requests of the engine

Cause: the proxy ordered a group's statements by priority and deadline alone, and held a statement up to its deadline when the waiting ones left it no time. The engine had a second queue.

Change: Limit::AdmissionQueue serves both. It shares service time between organisations, orders an organisation's requests by priority and urgency with a floor for each lower priority, lets requests past their latency target give way, and refuses at once what the requests ahead leave no time, from a measured rate of starts (DrainRate). Service times are estimated from answers (ServiceTimes). Lanes, held and parked requests let the proxy pass over what it can't dispatch now. GroupService dispatches through it.

--- a/src/engine/DatabaseHome.cpp
+++ b/src/engine/DatabaseHome.cpp
@@ -177,7 +177,7 @@
             operation->onPrimaryReplaced(now);
             continue;
         }
-        m_pools.at(waiting->second).cancel(id, operation->homeRequest().organisation);
+        m_pools.at(waiting->second).cancel(id);
         m_waitingOperations.erase(waiting);
         operation->start(now);
     }
@@ -194,7 +194,7 @@
         const auto id = operation.id();
         const auto waiting = m_waitingOperations.find(id);
         if (waiting != m_waitingOperations.end()) {
-            m_pools.at(waiting->second).cancel(id, operation.homeRequest().organisation);
+            m_pools.at(waiting->second).cancel(id);
             m_waitingOperations.erase(waiting);
         }
         m_deadlines.remove(operation.deadline(), id);
@@ -260,7 +260,7 @@
             m_waitingOperations.emplace(operation, target);
             continue;
         }
-        m_pools.at(target).cancel(operation, waiting->homeRequest().organisation);
+        m_pools.at(target).cancel(operation);
         m_heldForPrimary.insert(operation);
     }
 }
--- a/src/engine/TargetPool.cpp
+++ b/src/engine/TargetPool.cpp
@@ -48,9 +48,9 @@
     pump(now);
 }
 
-void TargetPool::cancel(OperationId operation, const OrganisationName& organisation)
+void TargetPool::cancel(OperationId operation)
 {
-    m_queue.cancel(organisation, RequestId(operation.value()));
+    m_queue.cancel(RequestId(operation.value()));
     std::erase_if(m_pinnedQueue, [operation](const auto& ticket) { return ticket.id.value() == operation.value(); });
 }
 
--- a/src/engine/TargetPool.h
+++ b/src/engine/TargetPool.h
@@ -37,7 +37,7 @@
     /// Queues an operation for a connection.
     void request(Instant now, const Limit::Ticket&, bool pinned);
     /// Removes an operation from the queue.
-    void cancel(OperationId, const OrganisationName&);
+    void cancel(OperationId);
     /// Returns a connection from the operation that holds it.
     void release(Instant now, ConnectionId, ConnectionDisposition);
 
--- a/src/limit/AdmissionQueue.cpp
+++ b/src/limit/AdmissionQueue.cpp
@@ -9,12 +9,34 @@
 
 namespace {
 
-    constexpr auto urgent = static_cast<std::size_t>(Priority::Urgent);
-    constexpr auto browsing = static_cast<std::size_t>(Priority::Browsing);
     /// Reciprocal of the weight of the newest wait in the smoothed wait.
     constexpr int smoothingDivisor = 8;
     /// Number of known organisations above which idle ones are removed with their pass.
     constexpr std::size_t idleOrganisationLimit = 4096;
+    /// Maximum number of requests that one call refuses because of the ones ahead; bounds the time of the call.
+    constexpr std::size_t maxUnreachableRefusals = 64;
+
+    Instant latestStart(const Ticket& ticket)
+    {
+        return ticket.deadline - ticket.cost;
+    }
+
+    bool hasTarget(const Ticket& ticket)
+    {
+        return ticket.targetAt < ticket.deadline;
+    }
+
+    /// @return the last moment at which the request can be started to meet its latency target.
+    Instant targetStart(const Ticket& ticket)
+    {
+        return std::min(ticket.targetAt, ticket.deadline) - ticket.cost;
+    }
+
+    Duration waitOf(std::size_t requests, double perSecond)
+    {
+        return std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double>(static_cast<double>(requests) / perSecond));
+    }
 
 } // namespace
 
@@ -26,161 +48,492 @@
 std::vector<AdmissionRefusal> AdmissionQueue::enqueue(Instant now, const Ticket& ticket)
 {
     std::vector<AdmissionRefusal> refusals;
-    if (now + ticket.cost > ticket.deadline) {
+    if (now > latestStart(ticket)) {
         refusals.push_back(refuse(ticket.id, RefusalReason::DeadlineUnreachable));
         return refusals;
     }
-    if (m_size >= m_settings.capacity) {
+    if (m_settings.refusesByExpectedWait && !ticket.isRepeated) {
+        const auto wait = expectedWait(now, ticket);
+        if (wait && now + *wait > latestStart(ticket)) {
+            refusals.push_back(refuse(ticket.id, RefusalReason::DeadlineUnreachable));
+            return refusals;
+        }
+    }
+    if (m_entries.size() >= m_settings.capacity && !ticket.isRepeated) {
         refusals.push_back(makeRoom(ticket));
         if (refusals.back().id == ticket.id)
             return refusals;
     }
-    auto& organisation = m_organisations[ticket.organisation];
-    if (!organisation.size()) {
-        organisation.pass = std::max(organisation.pass, m_virtualTime);
+    auto& organisation = organisationOf(ticket.organisation);
+    if (!organisation.size) {
+        setPass(organisation, std::max(organisation.pass, m_virtualTime));
         organisation.busySince = now;
     }
-    organisation.queues[static_cast<std::size_t>(ticket.priority)].push_back({ ticket, now });
-    ++m_size;
+    const auto [position, isNew] = m_entries.try_emplace(ticket.id);
+    AUBURNPOST_INVARIANT(isNew, "a waiting request was queued again");
+    auto& entry = position->second;
+    entry.ticket = ticket;
+    entry.since = now;
+    entry.organisation = &organisation;
+    ++organisation.size;
+    m_latestStarts.insert({ latestStart(ticket), ticket.id });
+    if (m_settings.limitsWaits) {
+        // The other half is reserved for an execution that takes longer than estimated.
+        const auto half = (ticket.deadline - now) / 2;
+        const bool isUrgent = ticket.priority == Priority::Urgent;
+        const auto limit = std::min(half, isUrgent ? m_settings.normalMaxWait : m_settings.overloadMaxWait);
+        organisation.normalLimits.insert({ now + m_settings.normalMaxWait, ticket.id });
+        organisation.overloadLimits.insert({ now + limit, ticket.id });
+    }
+    insertOrdered(now, entry);
+    if (m_laneSizes[ticket.lane]++ == 0)
+        m_drainRates[ticket.lane].recordBacklog(now);
     removeIdle();
     return refusals;
 }
 
+AdmissionQueue::Organisation& AdmissionQueue::organisationOf(const OrganisationName& name)
+{
+    auto& organisation = m_organisations[name];
+    if (!organisation) {
+        organisation = std::make_unique<Organisation>();
+        organisation->name = name;
+        organisation->number = ++m_lastOrganisation;
+    }
+    return *organisation;
+}
+
+void AdmissionQueue::insertOrdered(Instant now, Entry& entry)
+{
+    const auto& ticket = entry.ticket;
+    auto& lane = entry.organisation->lanes[ticket.lane];
+    const bool isLate = hasTarget(ticket) && now > targetStart(ticket);
+    entry.place = isLate ? Place::Late : Place::OnTime;
+    if (isLate) {
+        lane.late.insert({ ticket.priority, { latestStart(ticket), ticket.id } });
+    } else {
+        lane.levels[ticket.priority].waiting.insert({ targetStart(ticket), ticket.id });
+        ++lane.onTime;
+        if (hasTarget(ticket))
+            m_targetStarts.insert({ targetStart(ticket), ticket.id });
+    }
+    refreshIndex(*entry.organisation, ticket.lane);
+}
+
+void AdmissionQueue::eraseOrdered(const Entry& entry)
+{
+    const auto& ticket = entry.ticket;
+    auto& lane = entry.organisation->lanes[ticket.lane];
+    if (entry.place == Place::Late) {
+        lane.late.erase({ ticket.priority, { latestStart(ticket), ticket.id } });
+    } else {
+        lane.levels[ticket.priority].waiting.erase({ targetStart(ticket), ticket.id });
+        --lane.onTime;
+        m_targetStarts.erase({ targetStart(ticket), ticket.id });
+    }
+    refreshIndex(*entry.organisation, ticket.lane);
+}
+
+void AdmissionQueue::takeAside(Entry& entry, Place place, Instant until)
+{
+    if (entry.place != Place::OnTime && entry.place != Place::Late)
+        return;
+    eraseOrdered(entry);
+    entry.place = place;
+    entry.until = until;
+    const Key key { until, entry.ticket.id };
+    if (place == Place::Held) {
+        m_held.push_back(entry.ticket.id);
+        return;
+    }
+    (place == Place::Parked ? m_parked : m_awaiting).insert(key);
+    if (--m_laneSizes[entry.ticket.lane] == 0)
+        m_drainRates[entry.ticket.lane].recordEmpty();
+}
+
+void AdmissionQueue::putBack(Instant now, Entry& entry)
+{
+    const Key key { entry.until, entry.ticket.id };
+    const bool wasHeld = entry.place == Place::Held;
+    if (entry.place == Place::Parked)
+        m_parked.erase(key);
+    else if (entry.place == Place::Awaiting)
+        m_awaiting.erase(key);
+    insertOrdered(now, entry);
+    if (!wasHeld && m_laneSizes[entry.ticket.lane]++ == 0)
+        m_drainRates[entry.ticket.lane].recordBacklog(now);
+}
+
+void AdmissionQueue::remove(Entries::iterator position)
+{
+    auto& entry = position->second;
+    auto& organisation = *entry.organisation;
+    const auto id = entry.ticket.id;
+    const auto lane = entry.ticket.lane;
+    if (entry.place == Place::OnTime || entry.place == Place::Late)
+        eraseOrdered(entry);
+    m_parked.erase({ entry.until, id });
+    m_awaiting.erase({ entry.until, id });
+    m_latestStarts.erase({ latestStart(entry.ticket), id });
+    if (m_settings.limitsWaits) {
+        const auto half = (entry.ticket.deadline - entry.since) / 2;
+        const bool isUrgent = entry.ticket.priority == Priority::Urgent;
+        const auto limit = std::min(half, isUrgent ? m_settings.normalMaxWait : m_settings.overloadMaxWait);
+        organisation.normalLimits.erase({ entry.since + m_settings.normalMaxWait, id });
+        organisation.overloadLimits.erase({ entry.since + limit, id });
+    }
+    const bool isCounted = entry.place != Place::Parked && entry.place != Place::Awaiting;
+    if (isCounted && --m_laneSizes[lane] == 0)
+        m_drainRates[lane].recordEmpty();
+    --organisation.size;
+    m_entries.erase(position);
+}
+
+void AdmissionQueue::refreshIndex(Organisation& organisation, Lane number)
+{
+    auto& lane = organisation.lanes[number];
+    const auto urgent = lane.levels.find(Priority::Urgent);
+    const std::array<bool, 3> belongs { !lane.isHeld && urgent != lane.levels.end() && !urgent->second.waiting.empty(),
+        !lane.isHeld && lane.onTime > 0, !lane.isHeld && !lane.late.empty() };
+    const OrganisationKey key { organisation.pass, organisation.number, &organisation };
+    for (std::size_t rank = 0; rank < belongs.size(); ++rank) {
+        if (belongs[rank] == lane.isIndexed[rank])
+            continue;
+        if (belongs[rank])
+            m_indexes[number][rank].insert(key);
+        else
+            m_indexes[number][rank].erase(key);
+        lane.isIndexed[rank] = belongs[rank];
+    }
+}
+
+void AdmissionQueue::setPass(Organisation& organisation, Duration pass)
+{
+    for (Lane number = 0; number < laneCount; ++number) {
+        const auto& lane = organisation.lanes[number];
+        for (std::size_t rank = 0; rank < lane.isIndexed.size(); ++rank) {
+            if (!lane.isIndexed[rank])
+                continue;
+            m_indexes[number][rank].erase({ organisation.pass, organisation.number, &organisation });
+            m_indexes[number][rank].insert({ pass, organisation.number, &organisation });
+        }
+    }
+    organisation.pass = pass;
+}
+
+std::optional<RequestId> AdmissionQueue::findVictim(const Organisation& organisation) const
+{
+    std::optional<LateKey> last;
+    for (const auto& lane : organisation.lanes) {
+        if (!lane.late.empty() && (!last || *last < *lane.late.rbegin()))
+            last = *lane.late.rbegin();
+    }
+    if (last)
+        return last->key.id;
+    for (const auto& lane : organisation.lanes) {
+        for (const auto& [priority, level] : lane.levels) {
+            if (level.waiting.empty())
+                continue;
+            const LateKey candidate { priority, *level.waiting.rbegin() };
+            if (!last || *last < candidate)
+                last = candidate;
+        }
+    }
+    return last ? std::optional(last->key.id) : std::nullopt;
+}
+
 AdmissionRefusal AdmissionQueue::makeRoom(const Ticket& ticket)
 {
     const auto longest = std::max_element(m_organisations.begin(), m_organisations.end(),
-        [](const auto& left, const auto& right) { return left.second.size() < right.second.size(); });
-    const bool isOverShare = longest->second.size() > size(ticket.organisation) + 1;
-    const bool isOwnBrowsing = longest->first == ticket.organisation && ticket.priority == Priority::Urgent
-        && !longest->second.queues[browsing].empty();
-    if (!isOverShare && !isOwnBrowsing)
+        [](const auto& left, const auto& right) { return left.second->size < right.second->size; });
+    const bool isOverShare = longest->second->size > size(ticket.organisation) + 1;
+    const auto victim = findVictim(*longest->second);
+    if (!victim)
         return refuse(ticket.id, RefusalReason::QueueFull);
-    auto& queues = longest->second.queues;
-    auto& victims = queues[browsing].empty() ? queues[urgent] : queues[browsing];
-    const auto victim = victims.back().ticket.id;
-    victims.pop_back();
-    --m_size;
-    return refuse(victim, RefusalReason::QueueFull);
+    const auto position = m_entries.find(*victim);
+    const bool isLessUrgent = longest->first == ticket.organisation
+        && (position->second.place == Place::Late || position->second.ticket.priority > ticket.priority);
+    if (!isOverShare && !isLessUrgent)
+        return refuse(ticket.id, RefusalReason::QueueFull);
+    remove(position);
+    return refuse(*victim, RefusalReason::QueueFull);
 }
 
 std::optional<Ticket> AdmissionQueue::next(Instant now)
 {
-    while (m_size) {
-        const auto chosen = chooseOrganisation();
-        auto& organisation = chosen->second;
-        auto& queue = organisation.queues[nextQueue(organisation)];
-        if (refusalReason(organisation, queue.front(), now)) {
-            // Only removeExpired() reports refusals of waiting requests, so that each request gets exactly one.
-            m_refused.push_back(refuse(queue.front().ticket.id, *refusalReason(organisation, queue.front(), now)));
-            queue.pop_front();
-            --m_size;
-            continue;
-        }
-        return dequeue(chosen, now);
+    const auto ticket = peek(now, {});
+    if (ticket)
+        start(now, ticket->id);
+    return ticket;
+}
+
+std::optional<Ticket> AdmissionQueue::peek(Instant now, LaneSet blocked)
+{
+    update(now);
+    const auto* const organisation = chooseOrganisation(blocked);
+    if (!organisation)
+        return {};
+    return m_entries.at(firstOf(*organisation, blocked)).ticket;
+}
+
+const AdmissionQueue::OrganisationKey* AdmissionQueue::lowest(LaneSet blocked, Rank rank) const
+{
+    const OrganisationKey* found = nullptr;
+    for (Lane number = 0; number < laneCount; ++number) {
+        const auto& index = m_indexes[number][rank];
+        if (!blocked.test(number) && !index.empty() && (!found || *index.begin() < *found))
+            found = &*index.begin();
     }
-    return std::nullopt;
+    return found;
 }
 
-AdmissionQueue::Organisations::iterator AdmissionQueue::chooseOrganisation()
+AdmissionQueue::Organisation* AdmissionQueue::chooseOrganisation(LaneSet blocked) const
 {
-    auto lowest = m_organisations.end();
-    auto lowestUrgent = m_organisations.end();
-    for (auto position = m_organisations.begin(); position != m_organisations.end(); ++position) {
-        const auto& organisation = position->second;
-        if (!organisation.size())
-            continue;
-        if (lowest == m_organisations.end() || organisation.pass < lowest->second.pass)
-            lowest = position;
-        const bool isUrgent = !organisation.queues[urgent].empty();
-        if (isUrgent && (lowestUrgent == m_organisations.end() || organisation.pass < lowestUrgent->second.pass))
-            lowestUrgent = position;
+    const auto* const first = lowest(blocked, Rank::OnTime);
+    if (!first) {
+        const auto* const late = lowest(blocked, Rank::Late);
+        return late ? late->organisation : nullptr;
+    }
+    const auto* const urgent = lowest(blocked, Rank::Urgent);
+    const bool mayGoFirst = urgent && urgent->pass - first->pass <= m_settings.maxUrgentLead;
+    return mayGoFirst ? urgent->organisation : first->organisation;
+}
+
+std::map<Priority, AdmissionQueue::Level>::const_iterator AdmissionQueue::nextLevel(const LaneQueue& lane) const
+{
+    const auto isWaiting = [](const auto& item) { return !item.second.waiting.empty(); };
+    const auto highest = std::find_if(lane.levels.begin(), lane.levels.end(), isWaiting);
+    if (highest == lane.levels.end() || lane.startedHighest + 1 < m_settings.lowerPriorityEvery)
+        return highest;
+    auto due = lane.levels.end();
+    for (auto level = std::next(highest); level != lane.levels.end(); ++level) {
+        if (isWaiting(*level) && (due == lane.levels.end() || level->second.lastStart < due->second.lastStart))
+            due = level;
     }
-    const bool mayGoFirst = lowestUrgent != m_organisations.end()
-        && lowestUrgent->second.pass - lowest->second.pass <= m_settings.maxUrgentLead;
-    return mayGoFirst ? lowestUrgent : lowest;
+    return due == lane.levels.end() ? highest : due;
 }
 
-std::size_t AdmissionQueue::nextQueue(const Organisation& organisation) const
+RequestId AdmissionQueue::firstOf(const Organisation& organisation, LaneSet blocked) const
 {
-    if (organisation.queues[urgent].empty())
-        return browsing;
-    const bool isBrowsingDue = organisation.startedUrgent + 1 >= m_settings.browsingEvery;
-    return isBrowsingDue && !organisation.queues[browsing].empty() ? browsing : urgent;
+    std::optional<LateKey> first;
+    for (Lane number = 0; number < laneCount; ++number) {
+        const auto& lane = organisation.lanes[number];
+        if (blocked.test(number) || lane.isHeld || !lane.onTime)
+            continue;
+        const auto level = nextLevel(lane);
+        const LateKey candidate { level->first, *level->second.waiting.begin() };
+        if (!first || candidate < *first)
+            first = candidate;
+    }
+    if (first)
+        return first->key.id;
+    for (Lane number = 0; number < laneCount; ++number) {
+        const auto& lane = organisation.lanes[number];
+        if (!blocked.test(number) && !lane.isHeld && !lane.late.empty() && (!first || *lane.late.begin() < *first))
+            first = *lane.late.begin();
+    }
+    return first->key.id;
 }
 
-Ticket AdmissionQueue::dequeue(Organisations::iterator chosen, Instant now)
+void AdmissionQueue::start(Instant now, RequestId id)
 {
-    auto& organisation = chosen->second;
-    const auto index = nextQueue(organisation);
-    organisation.startedUrgent = index == urgent ? organisation.startedUrgent + 1 : 0;
-    auto& queue = organisation.queues[index];
-    const auto waiting = queue.front();
-    queue.pop_front();
-    --m_size;
+    const auto position = m_entries.find(id);
+    if (position == m_entries.end())
+        return;
+    const auto entry = position->second;
+    const auto& ticket = entry.ticket;
+    auto& organisation = *entry.organisation;
+    auto& lane = organisation.lanes[ticket.lane];
+    if (entry.place == Place::OnTime) {
+        const auto highest = std::find_if(
+            lane.levels.begin(), lane.levels.end(), [](const auto& item) { return !item.second.waiting.empty(); });
+        lane.startedHighest = highest->first == ticket.priority ? lane.startedHighest + 1 : 0;
+        lane.levels[ticket.priority].lastStart = ++lane.starts;
+    }
+    m_drainRates[ticket.lane].recordStart(now);
+    remove(position);
     m_virtualTime = std::max(m_virtualTime, organisation.pass);
-    organisation.pass += waiting.ticket.cost;
-    m_smoothedWait += (now - waiting.since - m_smoothedWait) / smoothingDivisor;
-    AUBURNPOST_INVARIANT(now + waiting.ticket.cost <= waiting.ticket.deadline,
-        "started a request that can't be answered before its deadline");
-    return waiting.ticket;
+    setPass(organisation, organisation.pass + ticket.cost);
+    m_smoothedWait += (now - entry.since - m_smoothedWait) / smoothingDivisor;
+    AUBURNPOST_INVARIANT(now <= latestStart(ticket), "started a request that can't be answered before its deadline");
 }
 
-std::optional<RefusalReason> AdmissionQueue::refusalReason(
-    const Organisation& organisation, const Waiting& waiting, Instant now) const
+void AdmissionQueue::charge(const OrganisationName& name, Duration cost)
 {
-    if (now + waiting.ticket.cost > waiting.ticket.deadline)
-        return RefusalReason::DeadlineUnreachable;
-    if (now - waiting.since > maxWait(organisation, waiting, now))
-        return RefusalReason::WaitedTooLong;
-    return std::nullopt;
+    auto& organisation = organisationOf(name);
+    if (!organisation.size)
+        setPass(organisation, std::max(organisation.pass, m_virtualTime));
+    setPass(organisation, organisation.pass + cost);
+    removeIdle();
 }
 
-Duration AdmissionQueue::maxWait(const Organisation& organisation, const Waiting& waiting, Instant now) const
+void AdmissionQueue::holdOrganisation(const OrganisationName& name, Lane number)
 {
-    if (now - organisation.busySince <= m_settings.overloadAfter)
-        return m_settings.normalMaxWait;
-    // The other half is reserved for an execution that takes longer than estimated.
-    const auto half = (waiting.ticket.deadline - waiting.since) / 2;
-    const bool isBrowsing = waiting.ticket.priority == Priority::Browsing;
-    return std::min(half, isBrowsing ? m_settings.overloadMaxWait : m_settings.normalMaxWait);
+    auto& organisation = organisationOf(name);
+    organisation.lanes[number].isHeld = true;
+    m_heldOrganisations.emplace_back(&organisation, number);
+    refreshIndex(organisation, number);
 }
 
-std::vector<AdmissionRefusal> AdmissionQueue::removeExpired(Instant now)
+void AdmissionQueue::hold(RequestId id)
 {
-    auto refusals = std::exchange(m_refused, {});
-    for (auto& item : m_organisations) {
-        auto& organisation = item.second;
-        for (auto& queue : organisation.queues) {
-            std::erase_if(queue, [&](const Waiting& waiting) {
-                const auto reason = refusalReason(organisation, waiting, now);
-                if (reason)
-                    refusals.push_back(refuse(waiting.ticket.id, *reason));
-                return reason.has_value();
-            });
+    if (const auto found = m_entries.find(id); found != m_entries.end())
+        takeAside(found->second, Place::Held, {});
+}
+
+void AdmissionQueue::releaseHeld(Instant now)
+{
+    for (const auto& [organisation, number] : std::exchange(m_heldOrganisations, {})) {
+        organisation->lanes[number].isHeld = false;
+        refreshIndex(*organisation, number);
+    }
+    for (const auto id : std::exchange(m_held, {})) {
+        if (const auto found = m_entries.find(id); found != m_entries.end() && found->second.place == Place::Held)
+            putBack(now, found->second);
+    }
+}
+
+void AdmissionQueue::park(RequestId id, Instant until)
+{
+    if (const auto found = m_entries.find(id); found != m_entries.end())
+        takeAside(found->second, Place::Parked, until);
+}
+
+void AdmissionQueue::parkUntilConfirmed(RequestId id, Instant moment)
+{
+    if (const auto found = m_entries.find(id); found != m_entries.end())
+        takeAside(found->second, Place::Awaiting, moment);
+}
+
+void AdmissionQueue::wakeUpTo(Instant now, Instant moment)
+{
+    while (!m_awaiting.empty() && m_awaiting.begin()->at <= moment)
+        putBack(now, m_entries.at(m_awaiting.begin()->id));
+}
+
+std::optional<Instant> AdmissionQueue::latestAwaited() const
+{
+    return m_awaiting.empty() ? std::nullopt : std::optional(m_awaiting.rbegin()->at);
+}
+
+void AdmissionQueue::update(Instant now)
+{
+    while (!m_latestStarts.empty() && m_latestStarts.begin()->at < now)
+        refuseEntry(m_entries.find(m_latestStarts.begin()->id), RefusalReason::DeadlineUnreachable);
+    if (m_settings.limitsWaits)
+        refuseWaitedTooLong(now);
+    while (!m_parked.empty() && m_parked.begin()->at <= now)
+        putBack(now, m_entries.at(m_parked.begin()->id));
+    while (!m_targetStarts.empty() && m_targetStarts.begin()->at < now) {
+        const auto position = m_entries.find(m_targetStarts.begin()->id);
+        auto& entry = position->second;
+        eraseOrdered(entry);
+        insertOrdered(now, entry);
+        if (!m_settings.refusesByExpectedWait)
+            continue;
+        // It now goes after all requests that can still meet their target.
+        const auto lane = entry.ticket.lane;
+        const auto rate = m_drainRates[lane].perSecond(now);
+        const auto ahead = countAhead(entry.ticket.organisation, lane, entry.organisation->lanes[lane].onTime);
+        if (rate && now + waitOf(ahead, *rate) > latestStart(entry.ticket))
+            refuseEntry(position, RefusalReason::DeadlineUnreachable);
+    }
+}
+
+void AdmissionQueue::refuseWaitedTooLong(Instant now)
+{
+    for (const auto& [name, organisation] : m_organisations) {
+        while (organisation->size) {
+            const bool isOverloaded = now - organisation->busySince > m_settings.overloadAfter;
+            const auto& limits = isOverloaded ? organisation->overloadLimits : organisation->normalLimits;
+            if (limits.begin()->at >= now)
+                break;
+            refuseEntry(m_entries.find(limits.begin()->id), RefusalReason::WaitedTooLong);
         }
     }
-    m_size = 0;
-    for (const auto& item : m_organisations)
-        m_size += item.second.size();
-    return refusals;
 }
 
-bool AdmissionQueue::cancel(const OrganisationName& name, RequestId id)
+void AdmissionQueue::refuseUnreachable(Instant now)
 {
-    const auto found = m_organisations.find(name);
-    if (found == m_organisations.end())
+    std::size_t refused = 0;
+    for (Lane number = 0; number < laneCount; ++number) {
+        const auto rate = m_drainRates[number].perSecond(now);
+        if (!rate)
+            continue;
+        std::vector<Organisation*> organisations;
+        for (const auto& key : m_indexes[number][Rank::OnTime])
+            organisations.push_back(key.organisation);
+        for (const auto* const organisation : organisations) {
+            const auto& lane = organisation->lanes[number];
+            while (lane.onTime && refused < maxUnreachableRefusals) {
+                const auto lowestLevel = std::find_if(lane.levels.rbegin(), lane.levels.rend(),
+                    [](const auto& item) { return !item.second.waiting.empty(); });
+                const auto position = m_entries.find(lowestLevel->second.waiting.rbegin()->id);
+                const auto ahead = countAhead(organisation->name, number, lane.onTime - 1);
+                if (now + waitOf(ahead, *rate) <= latestStart(position->second.ticket))
+                    break;
+                refuseEntry(position, RefusalReason::DeadlineUnreachable);
+                ++refused;
+            }
+        }
+    }
+}
+
+std::vector<AdmissionRefusal> AdmissionQueue::removeExpired(Instant now)
+{
+    update(now);
+    if (m_settings.refusesByExpectedWait)
+        refuseUnreachable(now);
+    return std::exchange(m_refused, {});
+}
+
+bool AdmissionQueue::cancel(RequestId id)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end())
         return false;
-    std::size_t removed = 0;
-    for (auto& queue : found->second.queues)
-        removed += std::erase_if(queue, [&](const Waiting& waiting) { return waiting.ticket.id == id; });
-    m_size -= removed;
-    return removed > 0;
+    remove(found);
+    return true;
+}
+
+std::size_t AdmissionQueue::countAhead(const OrganisationName& name, Lane number, std::size_t ownAhead) const
+{
+    std::size_t ahead = ownAhead;
+    for (const auto& key : m_indexes[number][Rank::OnTime]) {
+        if (key.organisation->name != name)
+            ahead += std::min(key.organisation->lanes[number].onTime, ownAhead + 1);
+    }
+    return ahead;
+}
+
+std::optional<Duration> AdmissionQueue::expectedWait(Instant now, const Ticket& ticket) const
+{
+    const auto rate = m_drainRates[ticket.lane].perSecond(now);
+    if (!rate)
+        return {};
+    std::size_t ownAhead = 0;
+    if (const auto found = m_organisations.find(ticket.organisation); found != m_organisations.end()) {
+        for (const auto& [priority, level] : found->second->lanes[ticket.lane].levels) {
+            if (priority < ticket.priority)
+                ownAhead += level.waiting.size();
+            else if (priority == ticket.priority)
+                ownAhead += level.waiting.order_of_key({ targetStart(ticket), ticket.id });
+        }
+    }
+    return waitOf(countAhead(ticket.organisation, ticket.lane, ownAhead), *rate);
 }
 
 std::size_t AdmissionQueue::size(const OrganisationName& name) const
 {
     const auto found = m_organisations.find(name);
-    return found == m_organisations.end() ? 0 : found->second.size();
+    return found == m_organisations.end() ? 0 : found->second->size;
+}
+
+void AdmissionQueue::refuseEntry(Entries::iterator position, RefusalReason reason)
+{
+    // Only removeExpired() reports refusals of waiting requests, so that each request gets exactly one.
+    m_refused.push_back(refuse(position->second.ticket.id, reason));
+    remove(position);
 }
 
 AdmissionRefusal AdmissionQueue::refuse(RequestId id, RefusalReason reason) const
@@ -190,10 +543,10 @@
 
 void AdmissionQueue::removeIdle()
 {
-    if (m_organisations.size() <= idleOrganisationLimit)
+    if (m_organisations.size() <= idleOrganisationLimit || !m_heldOrganisations.empty())
         return;
     std::erase_if(
-        m_organisations, [this](const auto& item) { return !item.second.size() && item.second.pass <= m_virtualTime; });
+        m_organisations, [this](const auto& item) { return !item.second->size && item.second->pass <= m_virtualTime; });
 }
 
 } // namespace Auburnpost::Limit
--- a/src/limit/Ticket.h
+++ b/src/limit/Ticket.h
@@ -8,13 +8,19 @@
 
 namespace Auburnpost::Limit {
 
-enum class Priority : std::uint8_t {
+/// Lower values go first. Routes of the proxy use further values than the named ones.
+enum class Priority : std::uint32_t {
     /// Writes and statements of open transactions.
     Urgent,
     /// Reads that accept stale data.
     Browsing,
 };
 
+/// A class of capacity that a request needs, such as connections to the primary. Requests of one lane can be passed
+/// over while those of another are started.
+using Lane = std::uint8_t;
+constexpr Lane laneCount = 3;
+
 /// A request that waits for a slot of a target.
 struct Ticket {
     RequestId id;
@@ -23,6 +29,11 @@
     Instant deadline;
     /// Estimated service time on the target.
     Duration cost {};
+    /// When the answer loses most of its value; the deadline counts if it is earlier.
+    Instant targetAt { Instant::max() };
+    Lane lane { 0 };
+    /// Whether the request was queued before, and is queued again after an attempt that did not run.
+    bool isRepeated { false };
 };
 
 enum class RefusalReason : std::uint8_t {
--- a/src/proxy/GroupDispatch.cpp
+++ b/src/proxy/GroupDispatch.cpp
@@ -22,17 +22,52 @@
 {
     m_retries.recordRequest(now);
     const auto id = submitted.id;
-    auto& pending = m_statements.emplace(id, std::move(submitted)).first->second;
-    if (m_queue.isFull()) {
-        const auto refused = pending;
-        finishUnsent(refused, Session::FailureCode::Busy, "too many statements wait on this host");
-        return;
-    }
+    const auto& pending = m_statements.emplace(id, std::move(submitted)).first->second;
     // Goes through the queue, so that statements which already wait are dispatched first.
-    m_queue.add(pending);
+    finishRefused(m_queue.enqueue(now, ticketOf(now, pending)));
     dispatchWaiting(now);
 }
 
+Limit::Ticket GroupService::ticketOf(Instant now, const PendingStatement& pending) const
+{
+    Limit::Ticket ticket;
+    ticket.id = RequestId(pending.id.value());
+    ticket.priority = static_cast<Limit::Priority>(pending.route.priority);
+    ticket.deadline = pending.deadline;
+    ticket.lane = laneOf(pending);
+    // A slow target must not make statements unservable that another one answers in time.
+    constexpr int maxCostShare = 4;
+    ticket.cost = std::min(m_serviceTimes.estimate(now, ticket.lane), pending.route.statementTimeout / maxCostShare);
+    return ticket;
+}
+
+bool GroupService::requeue(Instant now, const PendingStatement& pending)
+{
+    // Another attempt of the same statement may have been refused before.
+    if (m_queue.contains(RequestId(pending.id.value())))
+        return true;
+    auto ticket = ticketOf(now, pending);
+    ticket.isRepeated = true;
+    if (!m_queue.enqueue(now, ticket).empty())
+        return false;
+    if (now < pending.retryNotBefore)
+        m_queue.park(ticket.id, pending.retryNotBefore);
+    return true;
+}
+
+void GroupService::finishRefused(const std::vector<Limit::AdmissionRefusal>& refusals)
+{
+    for (const auto& refusal : refusals) {
+        const auto* const found = findStatement(PendingStatementId(refusal.id.value()));
+        if (!found)
+            continue;
+        const auto refused = *found;
+        const bool isFull = refusal.reason == Limit::RefusalReason::QueueFull;
+        finishUnsent(refused, Session::FailureCode::Busy,
+            isFull ? "too many statements wait on this host" : "no target could serve in time");
+    }
+}
+
 bool GroupService::submitPinned(Instant now, PendingStatement submitted, ConnectionId id)
 {
     auto* const connection = findConnection(id);
@@ -40,6 +75,7 @@
         return false;
     const auto pendingId = submitted.id;
     auto& pending = m_statements.emplace(pendingId, std::move(submitted)).first->second;
+    m_queue.charge({}, m_serviceTimes.estimate(now, laneOf(pending)));
     assignToConnection(now, *connection, pending);
     return true;
 }
@@ -49,17 +85,9 @@
     if (m_isDispatching || m_queue.size() == 0)
         return;
     m_isDispatching = true;
-    std::vector<PendingStatementId> unservable;
-    for (const auto id : m_queue.inOrder()) {
-        auto* const pending = findStatement(id);
-        if (!pending || now < pending->retryNotBefore)
-            continue;
-        if (dispatch(now, *pending))
-            m_queue.remove(*pending);
-        else if (isUnservable(now, *pending))
-            unservable.push_back(id);
-    }
+    const auto unservable = dispatchInOrder(now);
     m_isDispatching = false;
+    finishRefused(m_queue.takeRefused());
     for (const auto id : unservable) {
         // The caller may submit its next statement from within the answer; it is then dispatched as usual.
         const auto* const found = findStatement(id);
@@ -70,6 +98,29 @@
     }
 }
 
+std::vector<PendingStatementId> GroupService::dispatchInOrder(Instant now)
+{
+    std::vector<PendingStatementId> unservable;
+    while (const auto ticket = m_queue.peek(now, {})) {
+        const PendingStatementId id(ticket->id.value());
+        auto* const pending = findStatement(id);
+        if (!pending) {
+            m_queue.cancel(ticket->id);
+        } else if (dispatch(now, *pending)) {
+            m_queue.start(now, ticket->id);
+        } else if (isUnservable(now, *pending)) {
+            m_queue.cancel(ticket->id);
+            unservable.push_back(id);
+        } else if (now < pending->retryNotBefore) {
+            m_queue.park(ticket->id, pending->retryNotBefore);
+        } else {
+            m_queue.hold(ticket->id);
+        }
+    }
+    m_queue.releaseHeld(now);
+    return unservable;
+}
+
 bool GroupService::isUnservable(Instant now, const PendingStatement& pending) const
 {
     const bool waitsForPrimary = pending.waitReason == WaitReason::PrimaryUnresponsive
--- a/src/proxy/GroupReplies.cpp
+++ b/src/proxy/GroupReplies.cpp
@@ -184,8 +184,8 @@
     const bool hasTime = pending && now < lost.deadline;
     if (hasTime && m_retries.tryRetry(now)) {
         pending->retryNotBefore = now;
-        m_queue.add(*pending);
-        return;
+        if (requeue(now, *pending))
+            return;
     }
     if (ranNothing || hasTime)
         finishUnsent(lost, FailureCode::Busy, "the target's connection was lost");
@@ -308,6 +308,8 @@
         return;
     }
     pending->sentOn.erase(connection.id);
+    if (!reply.failure() && !wasPinned)
+        m_serviceTimes.record(now, laneOf(*pending), now - expected.sentAt);
     recordWriteReply(connection, *pending, expected, reply);
     if (reply.failure()) {
         handleFailureReply(now, connection, *pending, reply);
@@ -381,9 +383,6 @@
     const bool isUnbudgeted = code == FailureCode::Lagging || code == FailureCode::UnknownPreparedName;
     if (now + refusalRetryDelay >= pending.deadline || (!isUnbudgeted && !m_retries.tryRetry(now)))
         return false;
-    log({ LogEvent::StatementRetried,
-        { { "id", pending.statementId.value() }, { "target", target.value() },
-            { "reason", std::string(Session::toString(code)) }, { "attempts", std::to_string(pending.attempts) } } });
     if (pending.needsPrimary()) {
         pending.retryNotBefore = now + refusalRetryDelay;
         if (code == FailureCode::ReadOnly)
@@ -392,7 +391,11 @@
         // A lagging replica that reported its position is not avoided: it is tried again once it may have caught up.
         pending.avoidedTargets.insert(target);
     }
-    m_queue.add(pending);
+    if (!requeue(now, pending))
+        return false;
+    log({ LogEvent::StatementRetried,
+        { { "id", pending.statementId.value() }, { "target", target.value() },
+            { "reason", std::string(Session::toString(code)) }, { "attempts", std::to_string(pending.attempts) } } });
     return true;
 }
 
@@ -420,7 +423,7 @@
             result.pinned = connection->id;
     }
     result.answer = std::move(answer);
-    m_queue.remove(pending);
+    m_queue.cancel(RequestId(pending.id.value()));
     m_statements.erase(pending.id);
     m_delegate.statementFinished(result);
 }
@@ -449,10 +452,7 @@
 
 void GroupService::abandon(Instant, PendingStatementId id)
 {
-    const auto* const pending = findStatement(id);
-    if (!pending)
-        return;
-    m_queue.remove(*pending);
+    m_queue.cancel(RequestId(id.value()));
     m_statements.erase(id);
 }
 
--- a/src/proxy/GroupService.cpp
+++ b/src/proxy/GroupService.cpp
@@ -9,6 +9,18 @@
     /// Bounds the retries to a share of the submitted statements.
     constexpr Limit::RetryBudgetSettings retrySettings { 0.3, 5, 50 };
 
+    Limit::AdmissionQueueSettings makeQueueSettings()
+    {
+        Limit::AdmissionQueueSettings settings;
+        // At a millisecond each, a full queue takes longer than any deadline allows.
+        settings.capacity = 2000;
+        settings.lowerPriorityEvery = 10;
+        // A statement whose primary is being replaced may wait up to its deadline.
+        settings.limitsWaits = false;
+        settings.refusesByExpectedWait = true;
+        return settings;
+    }
+
     std::string nameOfCommand(const TargetRequest& request)
     {
         if (std::holds_alternative<FenceReplica>(request))
@@ -25,6 +37,7 @@
     , m_name(std::move(name))
     , m_delegate(delegate)
     , m_promotion(m_self, m_name, *this)
+    , m_queue(makeQueueSettings())
     , m_retries(retrySettings)
 {
 }
@@ -98,6 +111,7 @@
 
 void GroupService::tick(Instant now)
 {
+    finishRefused(m_queue.removeExpired(now));
     expireStatements(now);
     checkConnections(now);
     probePaths(now);
@@ -264,7 +278,7 @@
 {
     const auto pending = late;
     if (pending.sentOn.empty()) {
-        m_queue.remove(pending);
+        m_queue.cancel(RequestId(pending.id.value()));
         finishUnsent(pending, Session::FailureCode::Busy, "no target could serve in time");
         return;
     }
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -1,9 +1,10 @@
 #pragma once
 
+#include "limit/AdmissionQueue.h"
 #include "limit/RetryBudget.h"
+#include "limit/ServiceTimes.h"
 #include "proxy/GroupServiceDelegate.h"
 #include "proxy/ReadTargetSelector.h"
-#include "proxy/StatementQueue.h"
 #include "proxy/TargetPath.h"
 
 #include <map>
@@ -86,6 +87,7 @@
     [[nodiscard]] const Promotion& promotion() const { return m_promotion; }
     [[nodiscard]] const ReadTargetSelector::Pools& pools() const { return m_pools; }
     [[nodiscard]] std::size_t waiting() const { return m_queue.size(); }
+    [[nodiscard]] const Limit::ServiceTimes<Limit::laneCount>& serviceTimes() const { return m_serviceTimes; }
     /// @return whether this host reaches the target without a relay.
     [[nodiscard]] bool reachesDirectly(Instant now, const TargetName&) const;
     [[nodiscard]] bool owns(ConnectionId id) const { return m_targetOf.contains(id); }
@@ -104,7 +106,14 @@
 
     // Dispatch.
     void dispatchWaiting(Instant now);
+    /// Dispatches what can be dispatched. @return the statements that can't be served now.
+    std::vector<PendingStatementId> dispatchInOrder(Instant now);
     bool dispatch(Instant now, PendingStatement&);
+    [[nodiscard]] Limit::Ticket ticketOf(Instant now, const PendingStatement&) const;
+    /// Queues a statement again after an attempt that did not run. @return false if it can't be served in time.
+    bool requeue(Instant now, const PendingStatement&);
+    /// Answers the statements that the queue refused.
+    void finishRefused(const std::vector<Limit::AdmissionRefusal>&);
     /// @return whether the statement waits for a primary that is down, with too few other members left to replace it.
     [[nodiscard]] bool isUnservable(Instant now, const PendingStatement&) const;
     /// @return why the statement can't be sent to the primary now.
@@ -188,7 +197,9 @@
     std::map<TargetName, Refusals> m_refusals;
     std::unordered_map<ConnectionId, TargetName> m_targetOf;
     std::map<PendingStatementId, PendingStatement> m_statements;
-    StatementQueue m_queue;
+    Limit::AdmissionQueue m_queue;
+    /// By lane.
+    Limit::ServiceTimes<Limit::laneCount> m_serviceTimes;
     Limit::RetryBudget m_retries;
     std::map<TargetName, Instant> m_polledAt;
     /// When the last round of status queries for a confirmation began.
--- a/src/proxy/PendingStatement.h
+++ b/src/proxy/PendingStatement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "limit/Ticket.h"
 #include "proxy/Catalog.h"
 #include "proxy/TargetConnection.h"
 #include "session/Statement.h"
@@ -83,4 +84,19 @@
     }
 };
 
+/// The lanes of the queue: statements of one lane wait for the same connections.
+constexpr Limit::Lane writeLane = 0;
+constexpr Limit::Lane currentReadLane = 1;
+constexpr Limit::Lane memberReadLane = 2;
+
+/// @return the lane of a statement, by which service times are estimated as well.
+inline Limit::Lane laneOf(const PendingStatement& pending)
+{
+    if (!pending.needsPrimary())
+        return memberReadLane;
+    const bool writes
+        = pending.access == Session::Access::Write || (pending.startsTransaction && !pending.isReadOnlyTransaction);
+    return writes ? writeLane : currentReadLane;
+}
+
 } // namespace Auburnpost::Proxy
--- a/tests/proxy/GroupServiceTests.cpp
+++ b/tests/proxy/GroupServiceTests.cpp
@@ -453,3 +453,48 @@
     // A lagging replica is tried again at intervals, not by every waiting read.
     CHECK(refusedBehind <= 2 * reads);
 }
+
+TEST_CASE("Statements that the waiting ones leave no time are refused at once and never sent", "[proxy][service]")
+{
+    // Guards against holding statements of an overload up to their deadline.
+    Fixture group;
+    const auto submit = [&group](std::size_t count, std::uint32_t priority) {
+        for (std::size_t index = 0; index < count; ++index) {
+            auto pending = group.makeStatement(StatementKind::Read, Consistency::BoundedStaleness);
+            pending.route.priority = priority;
+            group.service.submit(group.now, std::move(pending));
+        }
+    };
+    const auto answerFor = [&group](Duration length) {
+        for (const auto end = group.now + length; group.now < end;) {
+            constexpr std::size_t answersPerRound = 3;
+            for (std::size_t answered = 0; answered < answersPerRound && !group.statements.empty(); ++answered) {
+                const auto sent = group.statements.front();
+                group.statements.erase(group.statements.begin());
+                group.reply(sent, { Session::Success {}, TransactionState::Idle, {}, {} });
+            }
+            group.run(10ms);
+        }
+    };
+    submit(150, 1);
+    answerFor(300ms);
+    const auto countFailures = [&group] {
+        return std::count_if(group.delegate.results.begin(), group.delegate.results.end(),
+            [](const auto& result) { return std::holds_alternative<Session::Failure>(result.answer.body); });
+    };
+    REQUIRE(countFailures() == 0);
+    submit(400, 1);
+    const auto refused = countFailures();
+    CHECK(refused > 100);
+    CHECK(refused < 300);
+    REQUIRE(group.failure());
+    CHECK(group.failure()->code == FailureCode::Busy);
+    CHECK(group.failure()->text.find("retry after") != std::string::npos);
+    CHECK(group.delegate.results.back().attempts == 0);
+    // A statement of a higher priority does not wait for the others.
+    submit(1, 0);
+    CHECK(countFailures() == refused);
+    answerFor(800ms);
+    CHECK(group.service.waiting() == 0);
+    CHECK(countFailures() - refused < 60);
+}
