Stop a dispatch early for statements that found no room

Cause: each event of a group copied its whole queue and tried to dispatch each waiting statement.

Change: a lane (writes, current reads, other reads) is left out of the rest of an event once one of its statements found no target with room. A statement that needs a confirmation is parked until the confirmation comes, and one that can't use the targets with room is passed over without holding up others.

--- a/src/proxy/GroupDispatch.cpp
+++ b/src/proxy/GroupDispatch.cpp
@@ -61,7 +61,10 @@
         const auto* const found = findStatement(PendingStatementId(refusal.id.value()));
         if (!found)
             continue;
-        const auto refused = *found;
+        auto refused = *found;
+        // A statement that was never tried waited for the same reason as those of its lane that were.
+        if (refused.waitReason == WaitReason::None && refused.attempts == 0)
+            refused.waitReason = m_laneWaitReasons[laneOf(refused)];
         const bool isFull = refusal.reason == Limit::RefusalReason::QueueFull;
         finishUnsent(refused, Session::FailureCode::Busy,
             isFull ? "too many statements wait on this host" : "no target could serve in time");
@@ -101,7 +104,10 @@
 std::vector<PendingStatementId> GroupService::dispatchInOrder(Instant now)
 {
     std::vector<PendingStatementId> unservable;
-    while (const auto ticket = m_queue.peek(now, {})) {
+    Limit::LaneSet blocked;
+    std::size_t passedOver = 0;
+    wakeAwaiting(now);
+    while (const auto ticket = m_queue.peek(now, blocked)) {
         const PendingStatementId id(ticket->id.value());
         auto* const pending = findStatement(id);
         if (!pending) {
@@ -111,21 +117,88 @@
         } else if (isUnservable(now, *pending)) {
             m_queue.cancel(ticket->id);
             unservable.push_back(id);
-        } else if (now < pending->retryNotBefore) {
-            m_queue.park(ticket->id, pending->retryNotBefore);
+        } else if (const auto lanes = lanesWithoutRoom(now, *pending); lanes.any()) {
+            blocked |= lanes;
+            for (std::size_t lane = 0; lane < lanes.size(); ++lane) {
+                if (lanes.test(lane))
+                    m_laneWaitReasons[lane] = pending->waitReason;
+            }
         } else {
-            m_queue.hold(ticket->id);
+            passOver(now, *pending, ++passedOver);
         }
     }
     m_queue.releaseHeld(now);
+    if (const auto awaited = m_queue.latestAwaited())
+        requestConfirmation(now, *awaited);
     return unservable;
 }
 
+void GroupService::wakeAwaiting(Instant now)
+{
+    const auto newest = m_watcher.confirmations().newestRequestedAt();
+    if (m_watcher.primary() != m_wokenForPrimary || isPrimaryLost(now))
+        m_queue.wakeUpTo(now, Instant::max());
+    else if (newest && newest != m_wokenUpTo)
+        m_queue.wakeUpTo(now, *newest);
+    m_wokenForPrimary = m_watcher.primary();
+    m_wokenUpTo = newest;
+}
+
+Limit::LaneSet GroupService::lanesWithoutRoom(Instant now, const PendingStatement& pending)
+{
+    const auto lane = laneOf(pending);
+    Limit::LaneSet lanes;
+    const bool waitsForConfirmation = pending.waitReason == WaitReason::NoConfirmation;
+    if (waitsForConfirmation || now < pending.retryNotBefore)
+        return lanes;
+    if (lane == memberReadLane)
+        return lanes.set(memberReadLane, !hasRoomOnAnyMember(now, pending));
+    if (pending.waitReason == WaitReason::PrimaryFenced)
+        return lanes.set(writeLane);
+    const bool hasRoom = pending.waitReason == WaitReason::NoConnection && m_watcher.primary()
+        && hasRoomOn(now, *m_watcher.primary(), pending);
+    return lanes.set(writeLane, !hasRoom).set(currentReadLane, !hasRoom);
+}
+
+bool GroupService::hasRoomOnAnyMember(Instant now, const PendingStatement& pending)
+{
+    const auto& members = m_watcher.members();
+    return std::any_of(members.begin(), members.end(), [&](const auto& entry) {
+        const auto& member = entry.second;
+        return member.isListed() && !member.record.isLeaving && member.status && !member.health.isSuspect(now)
+            && hasRoomOn(now, entry.first, pending);
+    });
+}
+
+bool GroupService::hasRoomOn(Instant now, const TargetName& target, const PendingStatement& pending)
+{
+    auto& pool = m_pools[target];
+    return pool.findIdle(pending.values) || pool.mayOpen(now);
+}
+
+void GroupService::passOver(Instant now, const PendingStatement& pending, std::size_t count)
+{
+    const RequestId id(pending.id.value());
+    if (now < pending.retryNotBefore)
+        m_queue.park(id, pending.retryNotBefore);
+    else if (pending.waitReason == WaitReason::NoConfirmation)
+        m_queue.parkUntilConfirmed(id, pending.requiredMoment);
+    else if (count <= maxPassedOver)
+        m_queue.hold(id);
+    else
+        m_queue.park(id, now + refusalRetryDelay);
+}
+
 bool GroupService::isUnservable(Instant now, const PendingStatement& pending) const
 {
     const bool waitsForPrimary = pending.waitReason == WaitReason::PrimaryUnresponsive
         || pending.waitReason == WaitReason::NoConfirmation || pending.waitReason == WaitReason::NoPrimary;
-    if (!waitsForPrimary || m_watcher.failoverReason(now) != FailoverReason::Down)
+    return waitsForPrimary && isPrimaryLost(now);
+}
+
+bool GroupService::isPrimaryLost(Instant now) const
+{
+    if (m_watcher.failoverReason(now) != FailoverReason::Down)
         return false;
     const auto& members = m_watcher.members();
     const auto unsuspected = std::count_if(members.begin(), members.end(), [this, now](const auto& entry) {
@@ -136,6 +209,7 @@
 
 bool GroupService::dispatch(Instant now, PendingStatement& pending)
 {
+    ++m_dispatchAttempts;
     return pending.needsPrimary() ? dispatchToPrimary(now, pending) : dispatchToAnyMember(now, pending);
 }
 
@@ -178,6 +252,7 @@
         if (m_watcher.primary() && m_watcher.confirmations().covers(pending.freshAsOf, *m_watcher.primary()))
             return true;
         pending.waitReason = WaitReason::NoConfirmation;
+        pending.requiredMoment = pending.freshAsOf;
         requestConfirmation(now, pending.freshAsOf);
         return false;
     }
@@ -185,6 +260,7 @@
     const auto point = m_watcher.confirmations().logPointAt(oldest);
     if (!point) {
         pending.waitReason = WaitReason::NoConfirmation;
+        pending.requiredMoment = oldest;
         requestConfirmation(now, oldest);
         return false;
     }
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -41,6 +41,9 @@
     static constexpr Duration openingCostMargin = std::chrono::milliseconds(20);
     /// Maximum time for which a leaving primary is sent statements; after that it is about to shut down.
     static constexpr Duration leavingPrimaryTimeout = std::chrono::milliseconds(5500);
+    /// Maximum number of statements that one event passes over while targets have room that these can't use. Further
+    /// ones are tried again after refusalRetryDelay, so that the cost of an event does not grow with the queue.
+    static constexpr std::size_t maxPassedOver = 32;
 
     GroupService(HostName self, GroupName, GroupServiceDelegate&);
 
@@ -87,6 +90,8 @@
     [[nodiscard]] const Promotion& promotion() const { return m_promotion; }
     [[nodiscard]] const ReadTargetSelector::Pools& pools() const { return m_pools; }
     [[nodiscard]] std::size_t waiting() const { return m_queue.size(); }
+    /// @return how often a statement was tried, with or without success.
+    [[nodiscard]] std::uint64_t dispatchAttempts() const { return m_dispatchAttempts; }
     [[nodiscard]] const Limit::ServiceTimes<Limit::laneCount>& serviceTimes() const { return m_serviceTimes; }
     /// @return whether this host reaches the target without a relay.
     [[nodiscard]] bool reachesDirectly(Instant now, const TargetName&) const;
@@ -109,6 +114,18 @@
     /// Dispatches what can be dispatched. @return the statements that can't be served now.
     std::vector<PendingStatementId> dispatchInOrder(Instant now);
     bool dispatch(Instant now, PendingStatement&);
+    /// Makes the statements available whose confirmation exists, or that have to be refused.
+    void wakeAwaiting(Instant now);
+    /// @return after a failed dispatch, the lanes of which no statement can be dispatched now.
+    [[nodiscard]] Limit::LaneSet lanesWithoutRoom(Instant now, const PendingStatement&);
+    [[nodiscard]] bool hasRoomOnAnyMember(Instant now, const PendingStatement&);
+    /// @return whether the target has an idle connection, or one may be opened.
+    [[nodiscard]] bool hasRoomOn(Instant now, const TargetName&, const PendingStatement&);
+    /// Passes over a statement that can't be dispatched while others of its lane may be.
+    /// @param count the number of statements that this event passed over.
+    void passOver(Instant now, const PendingStatement&, std::size_t count);
+    /// @return whether the primary is down, with too few other members left to replace it.
+    [[nodiscard]] bool isPrimaryLost(Instant now) const;
     [[nodiscard]] Limit::Ticket ticketOf(Instant now, const PendingStatement&) const;
     /// Queues a statement again after an attempt that did not run. @return false if it can't be served in time.
     bool requeue(Instant now, const PendingStatement&);
@@ -207,6 +224,12 @@
     std::map<TargetName, Command> m_commands;
     std::set<TargetName> m_suspects;
     bool m_isDispatching { false };
+    std::uint64_t m_dispatchAttempts { 0 };
+    /// The newest confirmation and the primary for which statements were last made available.
+    std::optional<Instant> m_wokenUpTo;
+    std::optional<TargetName> m_wokenForPrimary;
+    /// Why the statements of each lane last had to wait.
+    std::array<WaitReason, Limit::laneCount> m_laneWaitReasons {};
 };
 
 } // namespace Auburnpost::Proxy
--- a/src/proxy/PendingStatement.h
+++ b/src/proxy/PendingStatement.h
@@ -70,6 +70,8 @@
     /// The log point that the last attempt required.
     std::optional<LogPoint> requiredLogPoint;
     WaitReason waitReason { WaitReason::None };
+    /// With WaitReason::NoConfirmation: the moment as of which the primary has to be confirmed.
+    Instant requiredMoment {};
 
     /// @return whether only the primary may serve the statement.
     [[nodiscard]] bool needsPrimary() const
--- a/tests/proxy/GroupServiceTests.cpp
+++ b/tests/proxy/GroupServiceTests.cpp
@@ -498,3 +498,63 @@
     CHECK(group.service.waiting() == 0);
     CHECK(countFailures() - refused < 60);
 }
+
+TEST_CASE("The cost of an event does not grow with the number of waiting statements", "[proxy][service][load]")
+{
+    // Guards against trying each waiting statement for each event, which keeps a loaded host from its work.
+    Fixture group;
+    constexpr std::size_t waiting = 600;
+    for (std::size_t count = 0; count < waiting; ++count) {
+        group.service.submit(group.now, group.makeStatement(StatementKind::Read, Consistency::BoundedStaleness));
+        group.service.submit(group.now, group.makeStatement(StatementKind::Write, Consistency::BoundedStaleness));
+        group.service.submit(group.now, group.makeStatement(StatementKind::Read, Consistency::Current));
+    }
+    group.run(100ms);
+    REQUIRE(group.service.waiting() > 2 * waiting);
+    const auto before = group.service.dispatchAttempts();
+    constexpr std::uint64_t ticks = 10;
+    group.run(100ms);
+    // A few for each lane and each reply to a status query; each statement once, when its confirmation has come.
+    CHECK(group.service.dispatchAttempts() - before < 20 * ticks);
+}
+
+TEST_CASE("Statements that wait for the primary don't hold up reads of replicas", "[proxy][service]")
+{
+    // Guards against an early stop that also stops for statements which another target can serve.
+    Fixture group;
+    for (std::size_t count = 0; count < 50; ++count) {
+        auto write = group.makeStatement(StatementKind::Write, Consistency::BoundedStaleness);
+        write.route.priority = 0;
+        group.service.submit(group.now, std::move(write));
+    }
+    group.run(20ms);
+    REQUIRE(group.service.waiting() > 20);
+    group.statements.clear();
+    group.service.submit(group.now, group.makeStatement(StatementKind::Read, Consistency::BoundedStaleness));
+    group.run(20ms);
+    REQUIRE(group.statements.size() == 1);
+    CHECK(group.delegate.targets.at(group.statements.front().connection) != TargetName("p"));
+}
+
+TEST_CASE("Statements that can't use the targets with room don't hold up others", "[proxy][service]")
+{
+    // Guards against an early stop at statements which the only target with room has refused.
+    Fixture group;
+    const auto submitReads = [&group](std::size_t count, bool avoidsReplicas) {
+        for (std::size_t index = 0; index < count; ++index) {
+            auto read = group.makeStatement(StatementKind::Read, Consistency::BoundedStaleness);
+            if (avoidsReplicas)
+                read.avoidedTargets = { TargetName("r"), TargetName("s") };
+            read.route.priority = avoidsReplicas ? 0 : 1;
+            group.service.submit(group.now, std::move(read));
+        }
+    };
+    submitReads(200, true);
+    group.run(50ms);
+    REQUIRE(group.service.waiting() > 100);
+    group.statements.clear();
+    submitReads(1, false);
+    group.run(100ms);
+    REQUIRE(group.statements.size() == 1);
+    CHECK(group.delegate.targets.at(group.statements.front().connection) != TargetName("p"));
+}
