Share a group's service time between organisations and use the latency target

Change: tickets of the proxy carry the statement's organisation and latency target. An organisation that finds no connection on a target is passed over in the rest of the event; the others are only where no idle connection is left.

--- a/src/proxy/GroupDispatch.cpp
+++ b/src/proxy/GroupDispatch.cpp
@@ -32,8 +32,11 @@
 {
     Limit::Ticket ticket;
     ticket.id = RequestId(pending.id.value());
+    ticket.organisation = pending.organisation;
     ticket.priority = static_cast<Limit::Priority>(pending.route.priority);
     ticket.deadline = pending.deadline;
+    if (pending.route.latencyTarget > Duration {})
+        ticket.targetAt = pending.arrivedAt + pending.route.latencyTarget;
     ticket.lane = laneOf(pending);
     // A slow target must not make statements unservable that another one answers in time.
     constexpr int maxCostShare = 4;
@@ -78,7 +81,7 @@
         return false;
     const auto pendingId = submitted.id;
     auto& pending = m_statements.emplace(pendingId, std::move(submitted)).first->second;
-    m_queue.charge({}, m_serviceTimes.estimate(now, laneOf(pending)));
+    m_queue.charge(pending.organisation, m_serviceTimes.estimate(now, laneOf(pending)));
     assignToConnection(now, *connection, pending);
     return true;
 }
@@ -117,12 +120,10 @@
         } else if (isUnservable(now, *pending)) {
             m_queue.cancel(ticket->id);
             unservable.push_back(id);
-        } else if (const auto lanes = lanesWithoutRoom(now, *pending); lanes.any()) {
-            blocked |= lanes;
-            for (std::size_t lane = 0; lane < lanes.size(); ++lane) {
-                if (lanes.test(lane))
-                    m_laneWaitReasons[lane] = pending->waitReason;
-            }
+        } else if (const auto shortage = shortageFor(now, *pending); shortage.scope != ShortageScope::Nobody) {
+            passOverLanes(shortage, *pending);
+            if (shortage.scope == ShortageScope::Everyone)
+                blocked |= shortage.lanes;
         } else {
             passOver(now, *pending, ++passedOver);
         }
@@ -144,36 +145,52 @@
     m_wokenUpTo = newest;
 }
 
-Limit::LaneSet GroupService::lanesWithoutRoom(Instant now, const PendingStatement& pending)
+GroupService::Shortage GroupService::shortageFor(Instant now, const PendingStatement& pending)
 {
     const auto lane = laneOf(pending);
-    Limit::LaneSet lanes;
-    const bool waitsForConfirmation = pending.waitReason == WaitReason::NoConfirmation;
-    if (waitsForConfirmation || now < pending.retryNotBefore)
-        return lanes;
+    if (pending.waitReason == WaitReason::NoConfirmation || now < pending.retryNotBefore)
+        return {};
     if (lane == memberReadLane)
-        return lanes.set(memberReadLane, !hasRoomOnAnyMember(now, pending));
+        return { shortageOnMembers(now, pending), Limit::LaneSet().set(memberReadLane) };
     if (pending.waitReason == WaitReason::PrimaryFenced)
-        return lanes.set(writeLane);
-    const bool hasRoom = pending.waitReason == WaitReason::NoConnection && m_watcher.primary()
-        && hasRoomOn(now, *m_watcher.primary(), pending);
-    return lanes.set(writeLane, !hasRoom).set(currentReadLane, !hasRoom);
+        return { ShortageScope::Everyone, Limit::LaneSet().set(writeLane) };
+    const bool waitsForConnection = pending.waitReason == WaitReason::NoConnection && m_watcher.primary();
+    const auto scope = waitsForConnection ? shortageOn(now, *m_watcher.primary(), pending) : ShortageScope::Everyone;
+    return { scope, Limit::LaneSet().set(writeLane).set(currentReadLane) };
 }
 
-bool GroupService::hasRoomOnAnyMember(Instant now, const PendingStatement& pending)
+GroupService::ShortageScope GroupService::shortageOnMembers(Instant now, const PendingStatement& pending)
 {
-    const auto& members = m_watcher.members();
-    return std::any_of(members.begin(), members.end(), [&](const auto& entry) {
-        const auto& member = entry.second;
-        return member.isListed() && !member.record.isLeaving && member.status && !member.health.isSuspect(now)
-            && hasRoomOn(now, entry.first, pending);
-    });
+    auto scope = ShortageScope::Everyone;
+    for (const auto& [name, member] : m_watcher.members()) {
+        const bool isUsable
+            = member.isListed() && !member.record.isLeaving && member.status && !member.health.isSuspect(now);
+        if (isUsable)
+            scope = std::min(scope, shortageOn(now, name, pending));
+    }
+    return scope;
 }
 
-bool GroupService::hasRoomOn(Instant now, const TargetName& target, const PendingStatement& pending)
+GroupService::ShortageScope GroupService::shortageOn(
+    Instant now, const TargetName& target, const PendingStatement& pending)
 {
     auto& pool = m_pools[target];
-    return pool.findIdle(pending.values) || pool.mayOpen(now);
+    const auto& organisation = pending.organisation;
+    const bool mayEvict = !organisation.value().empty() && pool.mayAttemptOpen(now) && pool.findEvictable(organisation);
+    if (mayEvict || pool.mayOpen(now) || pool.findIdle(pending.values, organisation))
+        return ShortageScope::Nobody;
+    return pool.findIdleForCommand() ? ShortageScope::Organisation : ShortageScope::Everyone;
+}
+
+void GroupService::passOverLanes(const Shortage& shortage, const PendingStatement& pending)
+{
+    for (Limit::Lane lane = 0; lane < Limit::laneCount; ++lane) {
+        if (!shortage.lanes.test(lane))
+            continue;
+        m_laneWaitReasons[lane] = pending.waitReason;
+        if (shortage.scope == ShortageScope::Organisation)
+            m_queue.holdOrganisation(pending.organisation, lane);
+    }
 }
 
 void GroupService::passOver(Instant now, const PendingStatement& pending, std::size_t count)
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -103,6 +103,12 @@
         Session::FailureCode code {};
         std::size_t count { 0 };
     };
+    /// Whose statements find no idle connection on a target and may open none.
+    enum class ShortageScope : std::uint8_t { Nobody, Organisation, Everyone };
+    struct Shortage {
+        ShortageScope scope { ShortageScope::Nobody };
+        Limit::LaneSet lanes;
+    };
     /// A command of the promotion that waits for a connection to its target.
     struct Command {
         TargetRequest request;
@@ -116,11 +122,12 @@
     bool dispatch(Instant now, PendingStatement&);
     /// Makes the statements available whose confirmation exists, or that have to be refused.
     void wakeAwaiting(Instant now);
-    /// @return after a failed dispatch, the lanes of which no statement can be dispatched now.
-    [[nodiscard]] Limit::LaneSet lanesWithoutRoom(Instant now, const PendingStatement&);
-    [[nodiscard]] bool hasRoomOnAnyMember(Instant now, const PendingStatement&);
-    /// @return whether the target has an idle connection, or one may be opened.
-    [[nodiscard]] bool hasRoomOn(Instant now, const TargetName&, const PendingStatement&);
+    /// @return who else can't be dispatched now, after a failed dispatch of the statement.
+    [[nodiscard]] Shortage shortageFor(Instant now, const PendingStatement&);
+    [[nodiscard]] ShortageScope shortageOnMembers(Instant now, const PendingStatement&);
+    [[nodiscard]] ShortageScope shortageOn(Instant now, const TargetName&, const PendingStatement&);
+    /// Passes over the lanes in the rest of the event, for one organisation or all.
+    void passOverLanes(const Shortage&, const PendingStatement&);
     /// Passes over a statement that can't be dispatched while others of its lane may be.
     /// @param count the number of statements that this event passed over.
     void passOver(Instant now, const PendingStatement&, std::size_t count);
--- a/tests/proxy/GroupServiceTests.cpp
+++ b/tests/proxy/GroupServiceTests.cpp
@@ -559,3 +559,62 @@
     REQUIRE(group.statements.size() == 1);
     CHECK(group.delegate.targets.at(group.statements.front().connection) != TargetName("p"));
 }
+
+TEST_CASE("A flood of one organisation leaves another its share of a group", "[proxy][service]")
+{
+    // Guards against an organisation at several times its usual rate that takes the service time of others.
+    Fixture group;
+    const OrganisationName flooding("flooding");
+    const OrganisationName calm("calm");
+    const auto submit = [&group](const OrganisationName& organisation, std::size_t count) {
+        for (std::size_t index = 0; index < count; ++index) {
+            auto pending = group.makeStatement(StatementKind::Read, Consistency::BoundedStaleness);
+            pending.organisation = organisation;
+            group.service.submit(group.now, std::move(pending));
+        }
+    };
+    submit(flooding, 300);
+    group.run(30ms);
+    constexpr std::size_t calmCount = 10;
+    submit(calm, calmCount);
+    std::set<SessionId> calmSessions;
+    for (std::uint64_t id = group.lastId - calmCount + 1; id <= group.lastId; ++id)
+        calmSessions.insert(SessionId(id));
+    // Two answers in 10 ms: half of them, in this time, are more than the calm organisation needs.
+    constexpr int rounds = 25;
+    for (int round = 0; round < rounds; ++round) {
+        for (int answered = 0; answered < 2 && !group.statements.empty(); ++answered) {
+            const auto sent = group.statements.front();
+            group.statements.erase(group.statements.begin());
+            group.reply(sent, { Session::Success {}, TransactionState::Idle, {}, {} });
+        }
+        group.run(10ms);
+    }
+    const auto served = std::count_if(
+        group.delegate.results.begin(), group.delegate.results.end(), [&calmSessions](const StatementResult& result) {
+            return calmSessions.contains(result.session)
+                && std::holds_alternative<Session::Success>(result.answer.body);
+        });
+    CHECK(served == calmCount);
+}
+
+TEST_CASE("A statement past its latency target gives way to one that can meet its own", "[proxy][service]")
+{
+    // Guards against an order in which each statement of an overload is served too late.
+    Fixture group;
+    for (std::size_t count = 0; count < 40; ++count)
+        group.service.submit(group.now, group.makeStatement(StatementKind::Write, Consistency::BoundedStaleness));
+    group.run(20ms);
+    auto late = group.makeStatement(StatementKind::Write, Consistency::BoundedStaleness);
+    late.route.priority = 0;
+    late.route.latencyTarget = 50ms;
+    const auto lateId = late.statementId = Session::StatementId("late");
+    group.service.submit(group.now, std::move(late));
+    group.run(60ms);
+    group.statements.clear();
+    const auto connection = *group.unanswered.begin();
+    group.reply({ connection, QueryStatus {} }, { Session::Success {}, TransactionState::Idle, {}, {} });
+    group.run(10ms);
+    REQUIRE(group.statements.size() == 1);
+    CHECK(std::get<RunStatement>(group.statements.front().request).id != lateId);
+}
