Derive retry delays from the rate of starts and spread them

Cause: each refused caller was told to return after 200 ms or 1,000 ms, so callers refused together returned together.

Change: the delay is the time until a statement is expected to wait for no more than half of its limit, and one gap of the measured rate more for each caller refused since (ReturnSchedule). After a refusal in a failover the first delay is still 1,000 ms. Refusals are measured as refusal_retry_delay_ms and refusal_held_ms.

--- a/src/limit/AdmissionQueue.cpp
+++ b/src/limit/AdmissionQueue.cpp
@@ -523,6 +523,12 @@
     return waitOf(countAhead(ticket.organisation, ticket.lane, ownAhead), *rate);
 }
 
+std::optional<Duration> AdmissionQueue::expectedGap(Instant now, Lane lane) const
+{
+    const auto rate = m_drainRates[lane].perSecond(now);
+    return rate ? std::optional(waitOf(1, *rate)) : std::nullopt;
+}
+
 std::size_t AdmissionQueue::size(const OrganisationName& name) const
 {
     const auto found = m_organisations.find(name);
--- a/src/limit/AdmissionQueue.h
+++ b/src/limit/AdmissionQueue.h
@@ -99,6 +99,9 @@
     /// @return the time after which a request that is added now is expected to start; empty when it is not known.
     [[nodiscard]] std::optional<Duration> expectedWait(Instant now, const Ticket&) const;
 
+    /// @return the time between two starts in the lane while requests wait; empty when it is not known.
+    [[nodiscard]] std::optional<Duration> expectedGap(Instant now, Lane) const;
+
     [[nodiscard]] bool contains(RequestId id) const { return m_entries.contains(id); }
     [[nodiscard]] std::size_t size() const { return m_entries.size(); }
     [[nodiscard]] std::size_t size(const OrganisationName&) const;
--- a/src/proxy/GroupDispatch.cpp
+++ b/src/proxy/GroupDispatch.cpp
@@ -24,7 +24,7 @@
     const auto id = submitted.id;
     const auto& pending = m_statements.emplace(id, std::move(submitted)).first->second;
     // Goes through the queue, so that statements which already wait are dispatched first.
-    finishRefused(m_queue.enqueue(now, ticketOf(now, pending)));
+    finishRefused(now, m_queue.enqueue(now, ticketOf(now, pending)));
     dispatchWaiting(now);
 }
 
@@ -58,7 +58,7 @@
     return true;
 }
 
-void GroupService::finishRefused(const std::vector<Limit::AdmissionRefusal>& refusals)
+void GroupService::finishRefused(Instant now, const std::vector<Limit::AdmissionRefusal>& refusals)
 {
     for (const auto& refusal : refusals) {
         const auto* const found = findStatement(PendingStatementId(refusal.id.value()));
@@ -69,7 +69,7 @@
         if (refused.waitReason == WaitReason::None && refused.attempts == 0)
             refused.waitReason = m_laneWaitReasons[laneOf(refused)];
         const bool isFull = refusal.reason == Limit::RefusalReason::QueueFull;
-        finishUnsent(refused, Session::FailureCode::Busy,
+        finishUnsent(now, refused, Session::FailureCode::Busy,
             isFull ? "too many statements wait on this host" : "no target could serve in time");
     }
 }
@@ -93,14 +93,14 @@
     m_isDispatching = true;
     const auto unservable = dispatchInOrder(now);
     m_isDispatching = false;
-    finishRefused(m_queue.takeRefused());
+    finishRefused(now, m_queue.takeRefused());
     for (const auto id : unservable) {
         // The caller may submit its next statement from within the answer; it is then dispatched as usual.
         const auto* const found = findStatement(id);
         if (!found)
             continue;
         const auto pending = *found;
-        finishUnsent(pending, Session::FailureCode::Busy, "the primary is down and can't be replaced now");
+        finishUnsent(now, pending, Session::FailureCode::Busy, "the primary is down and can't be replaced now");
     }
 }
 
--- a/src/proxy/GroupReplies.cpp
+++ b/src/proxy/GroupReplies.cpp
@@ -10,9 +10,16 @@
 
 namespace {
 
-    /// Retry hints for refused callers: a failover takes one to two seconds, a full queue drains faster.
-    constexpr auto failoverHint = "; retry after 1000 ms";
-    constexpr auto queueHint = "; retry after 200 ms";
+    /// Retry delays for refused callers. A failover takes one to two seconds, a full queue drains faster.
+    constexpr Duration failoverDelay = std::chrono::milliseconds(1000);
+    constexpr Duration latestFailoverDelay = std::chrono::milliseconds(2000);
+    constexpr Duration defaultQueueDelay = std::chrono::milliseconds(200);
+    constexpr Duration minimumQueueDelay = std::chrono::milliseconds(100);
+    /// The longest delay after a refusal for lack of capacity, beyond the time until room is expected.
+    constexpr Duration queueDelaySpread = std::chrono::milliseconds(800);
+    constexpr Duration maximumQueueDelay = std::chrono::milliseconds(2000);
+    /// Gap between two returning callers where the rate of starts is not known.
+    constexpr Duration defaultGap = std::chrono::milliseconds(10);
 
     bool isRefusalBeforeRun(FailureCode code)
     {
@@ -188,7 +195,7 @@
             return;
     }
     if (ranNothing || hasTime)
-        finishUnsent(lost, FailureCode::Busy, "the target's connection was lost");
+        finishUnsent(now, lost, FailureCode::Busy, "the target's connection was lost");
     else
         finish(lost,
             { Session::Failure { FailureCode::Timeout, "no answer within the statement's time limit" },
@@ -287,7 +294,7 @@
     pending->sentOn.clear();
     if (!requeueRefused(now, *pending, target, failure->code, reply.position.has_value())) {
         const auto refused = *pending;
-        finishUnsent(refused, failure->code, failure->text);
+        finishUnsent(now, refused, failure->code, failure->text);
     }
 }
 
@@ -428,11 +435,29 @@
     m_delegate.statementFinished(result);
 }
 
-void GroupService::finishUnsent(const PendingStatement& pending, FailureCode code, const std::string& text)
+Duration GroupService::retryDelay(Instant now, const PendingStatement& pending)
 {
-    const auto state = pending.startsTransaction ? TransactionState::Failed : TransactionState::Idle;
+    const auto ticket = ticketOf(now, pending);
+    const auto gap = m_queue.expectedGap(now, ticket.lane).value_or(defaultGap);
     const bool isReplacing = !m_watcher.primary() || !m_promotion.isIdle();
-    const auto hint = pending.needsPrimary() && isReplacing ? failoverHint : queueHint;
+    if (pending.needsPrimary() && isReplacing)
+        return m_failoverReturns.next(now, failoverDelay, gap, latestFailoverDelay);
+    // A caller that returns then is expected to wait for no more than half of its time limit.
+    const auto wait = m_queue.expectedWait(now, ticket);
+    const auto earliest = wait
+        ? std::clamp(*wait - pending.route.statementTimeout / 2, minimumQueueDelay, maximumQueueDelay)
+        : defaultQueueDelay;
+    return m_queueReturns.next(now, earliest, gap, earliest + queueDelaySpread);
+}
+
+void GroupService::finishUnsent(Instant now, const PendingStatement& pending, FailureCode code, const std::string& text)
+{
+    const auto state = pending.startsTransaction ? TransactionState::Failed : TransactionState::Idle;
+    const auto delay = toMilliseconds(retryDelay(now, pending));
+    const auto hint = "; retry after " + std::to_string(delay) + " ms";
+    m_delegate.measure("refusal_retry_delay_ms", static_cast<double>(delay));
+    const std::chrono::duration<double, std::milli> held = now - pending.arrivedAt;
+    m_delegate.measure("refusal_held_ms", held.count());
     finish(pending, { Session::Failure { code, text + hint }, state, {} }, nullptr);
 }
 
--- a/src/proxy/GroupService.cpp
+++ b/src/proxy/GroupService.cpp
@@ -111,7 +111,7 @@
 
 void GroupService::tick(Instant now)
 {
-    finishRefused(m_queue.removeExpired(now));
+    finishRefused(now, m_queue.removeExpired(now));
     expireStatements(now);
     checkConnections(now);
     probePaths(now);
@@ -279,7 +279,7 @@
     const auto pending = late;
     if (pending.sentOn.empty()) {
         m_queue.cancel(RequestId(pending.id.value()));
-        finishUnsent(pending, Session::FailureCode::Busy, "no target could serve in time");
+        finishUnsent(now, pending, Session::FailureCode::Busy, "no target could serve in time");
         return;
     }
     // The state of the statement on these connections is unknown, so they can't be reused.
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -2,6 +2,7 @@
 
 #include "limit/AdmissionQueue.h"
 #include "limit/RetryBudget.h"
+#include "limit/ReturnSchedule.h"
 #include "limit/ServiceTimes.h"
 #include "proxy/GroupServiceDelegate.h"
 #include "proxy/ReadTargetSelector.h"
@@ -137,7 +138,7 @@
     /// Queues a statement again after an attempt that did not run. @return false if it can't be served in time.
     bool requeue(Instant now, const PendingStatement&);
     /// Answers the statements that the queue refused.
-    void finishRefused(const std::vector<Limit::AdmissionRefusal>&);
+    void finishRefused(Instant now, const std::vector<Limit::AdmissionRefusal>&);
     /// @return whether the statement waits for a primary that is down, with too few other members left to replace it.
     [[nodiscard]] bool isUnservable(Instant now, const PendingStatement&) const;
     /// @return why the statement can't be sent to the primary now.
@@ -180,7 +181,9 @@
     /// @return whether the statement was queued.
     bool requeueRefused(Instant now, PendingStatement&, const TargetName&, Session::FailureCode, bool hasPosition);
     void finish(const PendingStatement&, Session::Answer, const TargetConnection*);
-    void finishUnsent(const PendingStatement&, Session::FailureCode, const std::string& text);
+    /// @return the delay after which the caller of a refused statement is told to try again.
+    [[nodiscard]] Duration retryDelay(Instant now, const PendingStatement&);
+    void finishUnsent(Instant now, const PendingStatement&, Session::FailureCode, const std::string& text);
     void recordPath(Instant now, const TargetConnection&);
     /// Counts a refused connection attempt, and logs it if the target did not refuse the last one for the same reason.
     void logRefusal(const TargetName&, Session::FailureCode);
@@ -230,6 +233,8 @@
     Limit::AdmissionQueue m_queue;
     /// By lane.
     Limit::ServiceTimes<Limit::laneCount> m_serviceTimes;
+    Limit::ReturnSchedule m_queueReturns;
+    Limit::ReturnSchedule m_failoverReturns;
     Limit::RetryBudget m_retries;
     std::map<TargetName, Instant> m_polledAt;
     /// When the last round of status queries for a confirmation began.
--- a/tests/proxy/GroupServiceTests.cpp
+++ b/tests/proxy/GroupServiceTests.cpp
@@ -492,6 +492,13 @@
     CHECK(group.failure()->code == FailureCode::Busy);
     CHECK(group.failure()->text.find("retry after") != std::string::npos);
     CHECK(group.delegate.results.back().attempts == 0);
+    // Guards against refused callers that all return in one moment.
+    std::set<std::string> texts;
+    for (const auto& result : group.delegate.results) {
+        if (const auto* const failure = std::get_if<Session::Failure>(&result.answer.body))
+            texts.insert(failure->text);
+    }
+    CHECK(static_cast<std::ptrdiff_t>(texts.size()) > refused / 2);
     // A statement of a higher priority does not wait for the others.
     submit(1, 0);
     CHECK(countFailures() == refused);
