Shorten the limit of idle transactions while statements wait for connections

Cause: idle transactions hold connections up to TxIdleMs while other callers wait for one.

Change: once statements of a group have waited for 200 ms because connections are short, the group's transactions may be idle for a quarter of TxIdleMs, but not less than 500 ms.

The call from Proxy::tick has no test of its own.

--- a/src/proxy/GroupDispatch.cpp
+++ b/src/proxy/GroupDispatch.cpp
@@ -109,6 +109,7 @@
     std::vector<PendingStatementId> unservable;
     Limit::LaneSet blocked;
     std::size_t passedOver = 0;
+    m_foundShortage = false;
     wakeAwaiting(now);
     while (const auto ticket = m_queue.peek(now, blocked)) {
         const PendingStatementId id(ticket->id.value());
@@ -188,6 +189,7 @@
         if (!shortage.lanes.test(lane))
             continue;
         m_laneWaitReasons[lane] = pending.waitReason;
+        m_foundShortage |= pending.waitReason == WaitReason::NoConnection;
         if (shortage.scope == ShortageScope::Organisation)
             m_queue.holdOrganisation(pending.organisation, lane);
     }
--- a/src/proxy/GroupService.cpp
+++ b/src/proxy/GroupService.cpp
@@ -1,5 +1,7 @@
 #include "proxy/GroupService.h"
 
+#include "proxy/TransactionIdleLimit.h"
+
 #include <algorithm>
 
 namespace Auburnpost::Proxy {
@@ -120,9 +122,18 @@
     watchPrimary(now);
     sendQueuedCommands(now);
     dispatchWaiting(now);
+    if (m_queue.size() == 0 || !m_foundShortage)
+        m_shortSince.reset();
+    else if (!m_shortSince)
+        m_shortSince = now;
     logSuspicionChanges(now);
 }
 
+bool GroupService::isShortOfConnections(Instant now) const
+{
+    return m_shortSince && now - *m_shortSince >= connectionShortageDelay;
+}
+
 void GroupService::watchPrimary(Instant now)
 {
     const auto failoverReason = m_watcher.failoverReason(now);
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -91,6 +91,9 @@
     [[nodiscard]] const Promotion& promotion() const { return m_promotion; }
     [[nodiscard]] const ReadTargetSelector::Pools& pools() const { return m_pools; }
     [[nodiscard]] std::size_t waiting() const { return m_queue.size(); }
+    /// @return whether statements have been waiting for connectionShortageDelay because connections are short.
+    [[nodiscard]] bool isShortOfConnections(Instant now) const;
+    [[nodiscard]] const Limit::AdmissionQueue& queue() const { return m_queue; }
     /// @return how often a statement was tried, with or without success.
     [[nodiscard]] std::uint64_t dispatchAttempts() const { return m_dispatchAttempts; }
     [[nodiscard]] const Limit::ServiceTimes<Limit::laneCount>& serviceTimes() const { return m_serviceTimes; }
@@ -243,6 +246,9 @@
     std::set<TargetName> m_suspects;
     bool m_isDispatching { false };
     std::uint64_t m_dispatchAttempts { 0 };
+    /// Whether the last dispatch left statements for lack of connections, and since when each tick has found that.
+    bool m_foundShortage { false };
+    std::optional<Instant> m_shortSince;
     /// The newest confirmation and the primary for which statements were last made available.
     std::optional<Instant> m_wokenUpTo;
     std::optional<TargetName> m_wokenForPrimary;
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -1,5 +1,7 @@
 #include "proxy/Proxy.h"
 
+#include "proxy/TransactionIdleLimit.h"
+
 #include <algorithm>
 
 namespace Auburnpost::Proxy {
@@ -48,9 +50,12 @@
     for (auto& [id, session] : m_sessions) {
         if (!session.isAccepted && now - session.openedAt >= acceptTimeout)
             timedOut.push_back(id);
-        else if (session.pinned && !session.pendingId && idleLimit > Duration {}
-            && now - session.idleSince >= idleLimit)
-            endTransaction(now, session);
+        else if (session.pinned && !session.pendingId && idleLimit > Duration {}) {
+            const auto* const group = findGroup(session.group);
+            const bool isShort = group && group->isShortOfConnections(now);
+            if (now - session.idleSince >= transactionIdleLimit(idleLimit, isShort))
+                endTransaction(now, session);
+        }
     }
     for (const auto id : timedOut) {
         m_sessions.erase(id);
--- a/tests/proxy/GroupServiceTests.cpp
+++ b/tests/proxy/GroupServiceTests.cpp
@@ -1,4 +1,5 @@
 #include "proxy/GroupService.h"
+#include "proxy/TransactionIdleLimit.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -625,3 +626,23 @@
     REQUIRE(group.statements.size() == 1);
     CHECK(std::get<RunStatement>(group.statements.front().request).id != lateId);
 }
+
+TEST_CASE("Idle transactions have less time while statements wait for connections", "[proxy][service]")
+{
+    // Guards against idle transactions that hold the connections which other callers wait for.
+    CHECK(transactionIdleLimit(6s, false) == 6s);
+    CHECK(transactionIdleLimit(6s, true) == 1500ms);
+    CHECK(transactionIdleLimit(1s, true) == 500ms);
+    CHECK(transactionIdleLimit(300ms, true) == 300ms);
+
+    Fixture group;
+    for (std::size_t count = 0; count < 40; ++count)
+        group.service.submit(group.now, group.makeStatement(StatementKind::Write, Consistency::BoundedStaleness));
+    group.run(100ms);
+    CHECK_FALSE(group.service.isShortOfConnections(group.now));
+    group.run(200ms);
+    CHECK(group.service.isShortOfConnections(group.now));
+    group.run(1s);
+    CHECK(group.service.waiting() == 0);
+    CHECK_FALSE(group.service.isShortOfConnections(group.now));
+}
