--- a/src/proxy/GroupDispatch.cpp
+++ b/src/proxy/GroupDispatch.cpp
@@ -22,17 +22,58 @@
 {
     m_retries.recordRequest(now);
     const auto id = submitted.id;
-    auto& pending = m_statements.emplace(id, std::move(submitted)).first->second;
-    if (m_queue.isFull()) {
-        const auto refused = pending;
-        finishUnsent(refused, Session::FailureCode::Busy, "too many statements wait on this host");
-        return;
-    }
+    const auto& pending = m_statements.emplace(id, std::move(submitted)).first->second;
     // Goes through the queue, so that statements which already wait are dispatched first.
-    m_queue.add(pending);
+    finishRefused(now, m_queue.enqueue(now, ticketOf(now, pending)));
     dispatchWaiting(now);
 }
 
+Limit::Ticket GroupService::ticketOf(Instant now, const PendingStatement& pending) const
+{
+    Limit::Ticket ticket;
+    ticket.id = RequestId(pending.id.value());
+    ticket.organisation = pending.organisation;
+    ticket.priority = static_cast<Limit::Priority>(pending.route.priority);
+    ticket.deadline = pending.deadline;
+    if (pending.route.latencyTarget > Duration {})
+        ticket.targetAt = pending.arrivedAt + pending.route.latencyTarget;
+    ticket.lane = laneOf(pending);
+    // A slow target must not make statements unservable that another one answers in time.
+    constexpr int maxCostShare = 4;
+    ticket.cost = std::min(m_serviceTimes.estimate(now, ticket.lane), pending.route.statementTimeout / maxCostShare);
+    return ticket;
+}
+
+bool GroupService::requeue(Instant now, const PendingStatement& pending)
+{
+    // Another attempt of the same statement may have been refused before.
+    if (m_queue.contains(RequestId(pending.id.value())))
+        return true;
+    auto ticket = ticketOf(now, pending);
+    ticket.isRepeated = true;
+    if (!m_queue.enqueue(now, ticket).empty())
+        return false;
+    if (now < pending.retryNotBefore)
+        m_queue.park(ticket.id, pending.retryNotBefore);
+    return true;
+}
+
+void GroupService::finishRefused(Instant now, const std::vector<Limit::AdmissionRefusal>& refusals)
+{
+    for (const auto& refusal : refusals) {
+        const auto* const found = findStatement(PendingStatementId(refusal.id.value()));
+        if (!found)
+            continue;
+        auto refused = *found;
+        // A statement that was never tried waited for the same reason as those of its lane that were.
+        if (refused.waitReason == WaitReason::None && refused.attempts == 0)
+            refused.waitReason = m_laneWaitReasons[laneOf(refused)];
+        const bool isFull = refusal.reason == Limit::RefusalReason::QueueFull;
+        finishUnsent(now, refused, Session::FailureCode::Busy,
+            isFull ? "too many statements wait on this host" : "no target could serve in time");
+    }
+}
+
 bool GroupService::submitPinned(Instant now, PendingStatement submitted, ConnectionId id)
 {
     auto* const connection = findConnection(id);
@@ -40,6 +81,7 @@
         return false;
     const auto pendingId = submitted.id;
     auto& pending = m_statements.emplace(pendingId, std::move(submitted)).first->second;
+    m_queue.charge(pending.organisation, m_serviceTimes.estimate(now, laneOf(pending)));
     assignToConnection(now, *connection, pending);
     return true;
 }
@@ -49,32 +91,133 @@
     if (m_isDispatching || m_queue.size() == 0)
         return;
     m_isDispatching = true;
-    std::vector<PendingStatementId> unservable;
-    for (const auto id : m_queue.inOrder()) {
-        auto* const pending = findStatement(id);
-        if (!pending || now < pending->retryNotBefore)
-            continue;
-        if (dispatch(now, *pending))
-            m_queue.remove(*pending);
-        else if (isUnservable(now, *pending))
-            unservable.push_back(id);
-    }
+    const auto unservable = dispatchInOrder(now);
     m_isDispatching = false;
+    finishRefused(now, m_queue.takeRefused());
     for (const auto id : unservable) {
         // The caller may submit its next statement from within the answer; it is then dispatched as usual.
         const auto* const found = findStatement(id);
         if (!found)
             continue;
         const auto pending = *found;
-        finishUnsent(pending, Session::FailureCode::Busy, "the primary is down and can't be replaced now");
+        finishUnsent(now, pending, Session::FailureCode::Busy, "the primary is down and can't be replaced now");
     }
 }
 
+std::vector<PendingStatementId> GroupService::dispatchInOrder(Instant now)
+{
+    std::vector<PendingStatementId> unservable;
+    Limit::LaneSet blocked;
+    std::size_t passedOver = 0;
+    m_foundShortage = false;
+    wakeAwaiting(now);
+    while (const auto ticket = m_queue.peek(now, blocked)) {
+        const PendingStatementId id(ticket->id.value());
+        auto* const pending = findStatement(id);
+        if (!pending) {
+            m_queue.cancel(ticket->id);
+        } else if (dispatch(now, *pending)) {
+            m_queue.start(now, ticket->id);
+        } else if (isUnservable(now, *pending)) {
+            m_queue.cancel(ticket->id);
+            unservable.push_back(id);
+        } else if (const auto shortage = shortageFor(now, *pending); shortage.scope != ShortageScope::Nobody) {
+            passOverLanes(shortage, *pending);
+            if (shortage.scope == ShortageScope::Everyone)
+                blocked |= shortage.lanes;
+        } else {
+            passOver(now, *pending, ++passedOver);
+        }
+    }
+    m_queue.releaseHeld(now);
+    if (const auto awaited = m_queue.latestAwaited())
+        requestConfirmation(now, *awaited);
+    return unservable;
+}
+
+void GroupService::wakeAwaiting(Instant now)
+{
+    const auto newest = m_watcher.confirmations().newestRequestedAt();
+    if (m_watcher.primary() != m_wokenForPrimary || isPrimaryLost(now))
+        m_queue.wakeUpTo(now, Instant::max());
+    else if (newest && newest != m_wokenUpTo)
+        m_queue.wakeUpTo(now, *newest);
+    m_wokenForPrimary = m_watcher.primary();
+    m_wokenUpTo = newest;
+}
+
+GroupService::Shortage GroupService::shortageFor(Instant now, const PendingStatement& pending)
+{
+    const auto lane = laneOf(pending);
+    if (pending.waitReason == WaitReason::NoConfirmation || now < pending.retryNotBefore)
+        return {};
+    if (lane == memberReadLane)
+        return { shortageOnMembers(now, pending), Limit::LaneSet().set(memberReadLane) };
+    if (pending.waitReason == WaitReason::PrimaryFenced)
+        return { ShortageScope::Everyone, Limit::LaneSet().set(writeLane) };
+    const bool waitsForConnection = pending.waitReason == WaitReason::NoConnection && m_watcher.primary();
+    const auto scope = waitsForConnection ? shortageOn(now, *m_watcher.primary(), pending) : ShortageScope::Everyone;
+    return { scope, Limit::LaneSet().set(writeLane).set(currentReadLane) };
+}
+
+GroupService::ShortageScope GroupService::shortageOnMembers(Instant now, const PendingStatement& pending)
+{
+    auto scope = ShortageScope::Everyone;
+    for (const auto& [name, member] : m_watcher.members()) {
+        const bool isUsable
+            = member.isListed() && !member.record.isLeaving && member.status && !member.health.isSuspect(now);
+        if (isUsable)
+            scope = std::min(scope, shortageOn(now, name, pending));
+    }
+    return scope;
+}
+
+GroupService::ShortageScope GroupService::shortageOn(
+    Instant now, const TargetName& target, const PendingStatement& pending)
+{
+    auto& pool = m_pools[target];
+    const auto& organisation = pending.organisation;
+    const bool mayEvict = !organisation.value().empty() && pool.mayAttemptOpen(now) && pool.findEvictable(organisation);
+    if (mayEvict || pool.mayOpen(now) || pool.findIdle(pending.values, organisation))
+        return ShortageScope::Nobody;
+    return pool.findIdleForCommand() ? ShortageScope::Organisation : ShortageScope::Everyone;
+}
+
+void GroupService::passOverLanes(const Shortage& shortage, const PendingStatement& pending)
+{
+    for (Limit::Lane lane = 0; lane < Limit::laneCount; ++lane) {
+        if (!shortage.lanes.test(lane))
+            continue;
+        m_laneWaitReasons[lane] = pending.waitReason;
+        m_foundShortage |= pending.waitReason == WaitReason::NoConnection;
+        if (shortage.scope == ShortageScope::Organisation)
+            m_queue.holdOrganisation(pending.organisation, lane);
+    }
+}
+
+void GroupService::passOver(Instant now, const PendingStatement& pending, std::size_t count)
+{
+    const RequestId id(pending.id.value());
+    if (now < pending.retryNotBefore)
+        m_queue.park(id, pending.retryNotBefore);
+    else if (pending.waitReason == WaitReason::NoConfirmation)
+        m_queue.parkUntilConfirmed(id, pending.requiredMoment);
+    else if (count <= maxPassedOver)
+        m_queue.hold(id);
+    else
+        m_queue.park(id, now + refusalRetryDelay);
+}
+
 bool GroupService::isUnservable(Instant now, const PendingStatement& pending) const
 {
     const bool waitsForPrimary = pending.waitReason == WaitReason::PrimaryUnresponsive
         || pending.waitReason == WaitReason::NoConfirmation || pending.waitReason == WaitReason::NoPrimary;
-    if (!waitsForPrimary || m_watcher.failoverReason(now) != FailoverReason::Down)
+    return waitsForPrimary && isPrimaryLost(now);
+}
+
+bool GroupService::isPrimaryLost(Instant now) const
+{
+    if (m_watcher.failoverReason(now) != FailoverReason::Down)
         return false;
     const auto& members = m_watcher.members();
     const auto unsuspected = std::count_if(members.begin(), members.end(), [this, now](const auto& entry) {
@@ -85,6 +228,7 @@
 
 bool GroupService::dispatch(Instant now, PendingStatement& pending)
 {
+    ++m_dispatchAttempts;
     return pending.needsPrimary() ? dispatchToPrimary(now, pending) : dispatchToAnyMember(now, pending);
 }
 
@@ -127,6 +271,7 @@
         if (m_watcher.primary() && m_watcher.confirmations().covers(pending.freshAsOf, *m_watcher.primary()))
             return true;
         pending.waitReason = WaitReason::NoConfirmation;
+        pending.requiredMoment = pending.freshAsOf;
         requestConfirmation(now, pending.freshAsOf);
         return false;
     }
@@ -134,6 +279,7 @@
     const auto point = m_watcher.confirmations().logPointAt(oldest);
     if (!point) {
         pending.waitReason = WaitReason::NoConfirmation;
+        pending.requiredMoment = oldest;
         requestConfirmation(now, oldest);
         return false;
     }
--- a/src/proxy/GroupService.cpp
+++ b/src/proxy/GroupService.cpp
@@ -1,5 +1,7 @@
 #include "proxy/GroupService.h"
 
+#include "proxy/TransactionIdleLimit.h"
+
 #include <algorithm>
 
 namespace Auburnpost::Proxy {
@@ -9,6 +11,18 @@
     /// Bounds the retries to a share of the submitted statements.
     constexpr Limit::RetryBudgetSettings retrySettings { 0.3, 5, 50 };
 
+    Limit::AdmissionQueueSettings makeQueueSettings()
+    {
+        Limit::AdmissionQueueSettings settings;
+        // At a millisecond each, a full queue takes longer than any deadline allows.
+        settings.capacity = 2000;
+        settings.lowerPriorityEvery = 10;
+        // A statement whose primary is being replaced may wait up to its deadline.
+        settings.limitsWaits = false;
+        settings.refusesByExpectedWait = true;
+        return settings;
+    }
+
     std::string nameOfCommand(const TargetRequest& request)
     {
         if (std::holds_alternative<FenceReplica>(request))
@@ -25,6 +39,7 @@
     , m_name(std::move(name))
     , m_delegate(delegate)
     , m_promotion(m_self, m_name, *this)
+    , m_queue(makeQueueSettings())
     , m_retries(retrySettings)
 {
 }
@@ -98,6 +113,7 @@
 
 void GroupService::tick(Instant now)
 {
+    finishRefused(now, m_queue.removeExpired(now));
     expireStatements(now);
     checkConnections(now);
     probePaths(now);
@@ -106,9 +122,18 @@
     watchPrimary(now);
     sendQueuedCommands(now);
     dispatchWaiting(now);
+    if (m_queue.size() == 0 || !m_foundShortage)
+        m_shortSince.reset();
+    else if (!m_shortSince)
+        m_shortSince = now;
     logSuspicionChanges(now);
 }
 
+bool GroupService::isShortOfConnections(Instant now) const
+{
+    return m_shortSince && now - *m_shortSince >= connectionShortageDelay;
+}
+
 void GroupService::watchPrimary(Instant now)
 {
     const auto failoverReason = m_watcher.failoverReason(now);
@@ -289,8 +314,8 @@
 {
     const auto pending = late;
     if (pending.sentOn.empty()) {
-        m_queue.remove(pending);
-        finishUnsent(pending, Session::FailureCode::Busy, "no target could serve in time");
+        m_queue.cancel(RequestId(pending.id.value()));
+        finishUnsent(now, pending, Session::FailureCode::Busy, "no target could serve in time");
         return;
     }
     // The state of the statement on these connections is unknown, so they can't be reused.
--- a/tests/proxy/GroupServiceTests.cpp
+++ b/tests/proxy/GroupServiceTests.cpp
@@ -1,4 +1,5 @@
 #include "proxy/GroupService.h"
+#include "proxy/TransactionIdleLimit.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -533,3 +534,194 @@
     CHECK(lost < 15);
     CHECK(served.at(TargetName("s")) > 60);
 }
+
+TEST_CASE("Statements that the waiting ones leave no time are refused at once and never sent", "[proxy][service]")
+{
+    // Guards against holding statements of an overload up to their deadline.
+    Fixture group;
+    const auto submit = [&group](std::size_t count, std::uint32_t priority) {
+        for (std::size_t index = 0; index < count; ++index) {
+            auto pending = group.makeStatement(StatementKind::Read, Consistency::BoundedStaleness);
+            pending.route.priority = priority;
+            group.service.submit(group.now, std::move(pending));
+        }
+    };
+    const auto answerFor = [&group](Duration length) {
+        for (const auto end = group.now + length; group.now < end;) {
+            constexpr std::size_t answersPerRound = 3;
+            for (std::size_t answered = 0; answered < answersPerRound && !group.statements.empty(); ++answered) {
+                const auto sent = group.statements.front();
+                group.statements.erase(group.statements.begin());
+                group.reply(sent, { Session::Success {}, TransactionState::Idle, {}, {} });
+            }
+            group.run(10ms);
+        }
+    };
+    submit(150, 1);
+    answerFor(300ms);
+    const auto countFailures = [&group] {
+        return std::count_if(group.delegate.results.begin(), group.delegate.results.end(),
+            [](const auto& result) { return std::holds_alternative<Session::Failure>(result.answer.body); });
+    };
+    REQUIRE(countFailures() == 0);
+    submit(400, 1);
+    const auto refused = countFailures();
+    CHECK(refused > 100);
+    CHECK(refused < 300);
+    REQUIRE(group.failure());
+    CHECK(group.failure()->code == FailureCode::Busy);
+    CHECK(group.failure()->text.find("retry after") != std::string::npos);
+    CHECK(group.delegate.results.back().attempts == 0);
+    // Guards against refused callers that all return in one moment.
+    std::set<std::string> texts;
+    for (const auto& result : group.delegate.results) {
+        if (const auto* const failure = std::get_if<Session::Failure>(&result.answer.body))
+            texts.insert(failure->text);
+    }
+    CHECK(static_cast<std::ptrdiff_t>(texts.size()) > refused / 2);
+    // A statement of a higher priority does not wait for the others.
+    submit(1, 0);
+    CHECK(countFailures() == refused);
+    answerFor(800ms);
+    CHECK(group.service.waiting() == 0);
+    CHECK(countFailures() - refused < 60);
+}
+
+TEST_CASE("The cost of an event does not grow with the number of waiting statements", "[proxy][service][load]")
+{
+    // Guards against trying each waiting statement for each event, which keeps a loaded host from its work.
+    Fixture group;
+    constexpr std::size_t waiting = 600;
+    for (std::size_t count = 0; count < waiting; ++count) {
+        group.service.submit(group.now, group.makeStatement(StatementKind::Read, Consistency::BoundedStaleness));
+        group.service.submit(group.now, group.makeStatement(StatementKind::Write, Consistency::BoundedStaleness));
+        group.service.submit(group.now, group.makeStatement(StatementKind::Read, Consistency::Current));
+    }
+    group.run(100ms);
+    REQUIRE(group.service.waiting() > 2 * waiting);
+    const auto before = group.service.dispatchAttempts();
+    constexpr std::uint64_t ticks = 10;
+    group.run(100ms);
+    // A few for each lane and each reply to a status query; each statement once, when its confirmation has come.
+    CHECK(group.service.dispatchAttempts() - before < 20 * ticks);
+}
+
+TEST_CASE("Statements that wait for the primary don't hold up reads of replicas", "[proxy][service]")
+{
+    // Guards against an early stop that also stops for statements which another target can serve.
+    Fixture group;
+    for (std::size_t count = 0; count < 50; ++count) {
+        auto write = group.makeStatement(StatementKind::Write, Consistency::BoundedStaleness);
+        write.route.priority = 0;
+        group.service.submit(group.now, std::move(write));
+    }
+    group.run(20ms);
+    REQUIRE(group.service.waiting() > 20);
+    group.statements.clear();
+    group.service.submit(group.now, group.makeStatement(StatementKind::Read, Consistency::BoundedStaleness));
+    group.run(20ms);
+    REQUIRE(group.statements.size() == 1);
+    CHECK(group.delegate.targets.at(group.statements.front().connection) != TargetName("p"));
+}
+
+TEST_CASE("Statements that can't use the targets with room don't hold up others", "[proxy][service]")
+{
+    // Guards against an early stop at statements which the only target with room has refused.
+    Fixture group;
+    const auto submitReads = [&group](std::size_t count, bool avoidsReplicas) {
+        for (std::size_t index = 0; index < count; ++index) {
+            auto read = group.makeStatement(StatementKind::Read, Consistency::BoundedStaleness);
+            if (avoidsReplicas)
+                read.avoidedTargets = { TargetName("r"), TargetName("s") };
+            read.route.priority = avoidsReplicas ? 0 : 1;
+            group.service.submit(group.now, std::move(read));
+        }
+    };
+    submitReads(200, true);
+    group.run(50ms);
+    REQUIRE(group.service.waiting() > 100);
+    group.statements.clear();
+    submitReads(1, false);
+    group.run(100ms);
+    REQUIRE(group.statements.size() == 1);
+    CHECK(group.delegate.targets.at(group.statements.front().connection) != TargetName("p"));
+}
+
+TEST_CASE("A flood of one organisation leaves another its share of a group", "[proxy][service]")
+{
+    // Guards against an organisation at several times its usual rate that takes the service time of others.
+    Fixture group;
+    const OrganisationName flooding("flooding");
+    const OrganisationName calm("calm");
+    const auto submit = [&group](const OrganisationName& organisation, std::size_t count) {
+        for (std::size_t index = 0; index < count; ++index) {
+            auto pending = group.makeStatement(StatementKind::Read, Consistency::BoundedStaleness);
+            pending.organisation = organisation;
+            group.service.submit(group.now, std::move(pending));
+        }
+    };
+    submit(flooding, 300);
+    group.run(30ms);
+    constexpr std::size_t calmCount = 10;
+    submit(calm, calmCount);
+    std::set<SessionId> calmSessions;
+    for (std::uint64_t id = group.lastId - calmCount + 1; id <= group.lastId; ++id)
+        calmSessions.insert(SessionId(id));
+    // Two answers in 10 ms: half of them, in this time, are more than the calm organisation needs.
+    constexpr int rounds = 25;
+    for (int round = 0; round < rounds; ++round) {
+        for (int answered = 0; answered < 2 && !group.statements.empty(); ++answered) {
+            const auto sent = group.statements.front();
+            group.statements.erase(group.statements.begin());
+            group.reply(sent, { Session::Success {}, TransactionState::Idle, {}, {} });
+        }
+        group.run(10ms);
+    }
+    const auto served = std::count_if(
+        group.delegate.results.begin(), group.delegate.results.end(), [&calmSessions](const StatementResult& result) {
+            return calmSessions.contains(result.session)
+                && std::holds_alternative<Session::Success>(result.answer.body);
+        });
+    CHECK(served == calmCount);
+}
+
+TEST_CASE("A statement past its latency target gives way to one that can meet its own", "[proxy][service]")
+{
+    // Guards against an order in which each statement of an overload is served too late.
+    Fixture group;
+    for (std::size_t count = 0; count < 40; ++count)
+        group.service.submit(group.now, group.makeStatement(StatementKind::Write, Consistency::BoundedStaleness));
+    group.run(20ms);
+    auto late = group.makeStatement(StatementKind::Write, Consistency::BoundedStaleness);
+    late.route.priority = 0;
+    late.route.latencyTarget = 50ms;
+    const auto lateId = late.statementId = Session::StatementId("late");
+    group.service.submit(group.now, std::move(late));
+    group.run(60ms);
+    group.statements.clear();
+    const auto connection = *group.unanswered.begin();
+    group.reply({ connection, QueryStatus {} }, { Session::Success {}, TransactionState::Idle, {}, {} });
+    group.run(10ms);
+    REQUIRE(group.statements.size() == 1);
+    CHECK(std::get<RunStatement>(group.statements.front().request).id != lateId);
+}
+
+TEST_CASE("Idle transactions have less time while statements wait for connections", "[proxy][service]")
+{
+    // Guards against idle transactions that hold the connections which other callers wait for.
+    CHECK(transactionIdleLimit(6s, false) == 6s);
+    CHECK(transactionIdleLimit(6s, true) == 1500ms);
+    CHECK(transactionIdleLimit(1s, true) == 500ms);
+    CHECK(transactionIdleLimit(300ms, true) == 300ms);
+
+    Fixture group;
+    for (std::size_t count = 0; count < 40; ++count)
+        group.service.submit(group.now, group.makeStatement(StatementKind::Write, Consistency::BoundedStaleness));
+    group.run(100ms);
+    CHECK_FALSE(group.service.isShortOfConnections(group.now));
+    group.run(200ms);
+    CHECK(group.service.isShortOfConnections(group.now));
+    group.run(1s);
+    CHECK(group.service.waiting() == 0);
+    CHECK_FALSE(group.service.isShortOfConnections(group.now));
+}
