Bound what callers of the HTTP interface hold, and for how long

A connection held its request up to its limits whatever the memory of the host, about four times while it was served. While a reply was written evhttp went on reading, so that a caller that pipelined and read nothing was read without bound. Once limits.max_callers connections were open, nobody else was served until one of them had been silent for 30 s.

HttpServer asks a Limit::ClientBudget with 35 % of limits.memory. A connection reads only what it is given, by a rate limit of libevent that refills next to nothing by itself. HostAssembly sets the time at each tick, which closes slow senders and readers, the connection with the longest unread reply over the budget, and, while a caller waits in the accept queue, a connection without progress. Each closing is counted in a metric and in E0630.

--- a/src/app/HostAssembly.cpp
+++ b/src/app/HostAssembly.cpp
@@ -5,6 +5,7 @@
 #include <event2/event.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <random>
@@ -15,6 +16,12 @@
 
     /// Maximum time that the process waits for the last answers to be sent before it exits.
     constexpr Duration lastAnswersTimeout = std::chrono::seconds(2);
+    /// Percentage of the memory for the requests and answers of callers. The rest is for the process, targets and
+    /// peers.
+    constexpr std::size_t callerMemoryPercent = 35;
+    constexpr std::size_t percentBase = 100;
+    /// Interval between two reports of the connections that were closed by limits, which bounds the volume of the log.
+    constexpr Duration limitReportInterval = std::chrono::seconds(1);
     constexpr const char* jsonType = "application/json";
 
     /// @return the wall clock in microseconds, which is higher than at any earlier start of the host.
@@ -29,6 +36,7 @@
     {
         Wire::CallerServerLimits limits;
         limits.connections = settings.limits.maxCallers;
+        limits.budgetBytes = settings.limits.memory.value() / percentBase * callerMemoryPercent;
         limits.headerBytes = settings.limits.headerBytes.value();
         limits.bodyBytes = settings.limits.bodyBytes.value();
         return limits;
@@ -72,6 +80,7 @@
 
 Expected<void> HostAssembly::listen()
 {
+    m_callers.tick(now());
     for (const auto& outcome : { m_callers.listen(), m_operators.listen(), m_peers.listen(), m_gossip.listen() }) {
         if (!outcome)
             return outcome;
@@ -91,6 +100,10 @@
         m_requestStarts.erase(id);
         post(CallerDisconnected { id });
     });
+    m_callers.closedByLimit().connect([this](Limit::ClientCloseReason reason) {
+        ++m_closedByLimit[static_cast<std::size_t>(reason)];
+        m_metrics.record("connections_closed_" + std::string(toString(reason)), 1);
+    });
     m_targets.connectionOpened().connect([this](ConnectionId id, const TargetStatus& targetStatus) {
         post(TargetConnected { id, targetStatus });
     });
@@ -113,7 +126,7 @@
     const auto stop
         = [](evutil_socket_t, short, void* self) { static_cast<HostAssembly*>(self)->post(ShutdownRequested {}); };
     const auto dump = [](evutil_socket_t, short, void* self) { static_cast<HostAssembly*>(self)->dumpState(); };
-    const auto tick = [](evutil_socket_t, short, void* self) { static_cast<HostAssembly*>(self)->post(Tick {}); };
+    const auto tick = [](evutil_socket_t, short, void* self) { static_cast<HostAssembly*>(self)->onTick(); };
     add(evsignal_new(m_base, SIGTERM, stop, this), nullptr);
     add(evsignal_new(m_base, SIGINT, stop, this), nullptr);
     add(evsignal_new(m_base, SIGUSR1, dump, this), nullptr);
@@ -121,6 +134,33 @@
     add(event_new(m_base, -1, EV_PERSIST, tick, this), &interval);
 }
 
+void HostAssembly::onTick()
+{
+    const auto moment = now();
+    m_callers.tick(moment);
+    if (moment - m_lastLimitReport >= limitReportInterval) {
+        m_lastLimitReport = moment;
+        reportLimits();
+    }
+    post(Tick {});
+}
+
+void HostAssembly::reportLimits()
+{
+    m_metrics.record("caller_memory_bytes", static_cast<double>(m_callers.budget().chargedBytes()));
+    const auto closed = std::exchange(m_closedByLimit, {});
+    if (std::all_of(closed.begin(), closed.end(), [](auto count) { return count == 0; }))
+        return;
+    std::vector<LogField> fields;
+    for (std::size_t reason = 0; reason < closed.size(); ++reason)
+        fields.push_back(
+            { std::string(toString(static_cast<Limit::ClientCloseReason>(reason))), std::to_string(closed[reason]) });
+    fields.push_back({ "refused", "0" });
+    fields.push_back({ "held_bytes", std::to_string(m_callers.budget().chargedBytes()) });
+    fields.push_back({ "waiting", std::to_string(m_callers.budget().waiting()) });
+    Logging::write({ LogEvent::CallersLimited, std::move(fields) });
+}
+
 void HostAssembly::post(Event posted)
 {
     m_pendingEvents.push_back(std::move(posted));
--- a/src/app/HostAssembly.h
+++ b/src/app/HostAssembly.h
@@ -10,6 +10,7 @@
 #include "wire/PlatformClient.h"
 #include "wire/PostgresConnections.h"
 
+#include <array>
 #include <deque>
 #include <map>
 #include <memory>
@@ -39,6 +40,9 @@
     static Instant now();
     void connectSignals();
     void watchProcessSignals();
+    void onTick();
+    /// Logs and measures what the limits for callers' connections have done.
+    void reportLimits();
     void post(Event);
     void perform(Action);
     void perform(const CallerAnswer&);
@@ -68,6 +72,9 @@
     Wire::PlatformClient m_platform;
     Wire::OperatorServer m_operators;
     Wire::Metrics m_metrics;
+    /// Connections closed by a limit since the last report, for each reason.
+    std::array<std::size_t, 4> m_closedByLimit {};
+    Instant m_lastLimitReport {};
     std::map<RequestId, Instant> m_requestStarts;
     std::vector<EventHandle> m_events;
     /// Events posted while the actions of an earlier event were being performed.
--- a/src/wire/CallerServer.h
+++ b/src/wire/CallerServer.h
@@ -19,6 +19,12 @@
     /// Stops accepting connections and closes each open one after its next answer.
     void drain() { m_server.drain(); }
 
+    /// Sets the present time, and closes connections whose time is over.
+    void tick(Instant now) { m_server.tick(now); }
+    [[nodiscard]] const Limit::ClientBudget& budget() const { return m_server.budget(); }
+    /// Emitted for a connection that is closed by a decision of the budget.
+    sigc::signal<void(Limit::ClientCloseReason)>& closedByLimit() { return m_server.closedByLimit(); }
+
     /// Sends the answer; drops it if the caller has disconnected.
     void answer(const CallerAnswer&);
 
--- a/src/wire/HttpServer.cpp
+++ b/src/wire/HttpServer.cpp
@@ -7,8 +7,10 @@
 
 #include <event2/bufferevent.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <poll.h>
 #include <unistd.h>
 
 namespace Auburnpost::Wire {
@@ -24,6 +26,29 @@
     /// refusal. Beyond this evhttp stops reading and replies 413 itself.
     constexpr std::size_t excessBytes = 1024UL * 1024 + 64UL * 1024;
 
+    /// How often a request exists while it is served: its body, the decoded statement, and the copies of the statement
+    /// in the operation, in the message to its home, and in the output to the target.
+    constexpr std::size_t copiesOfRequest = 4;
+
+    Limit::ClientLimits clientLimits(const HttpServerLimits& limits)
+    {
+        Limit::ClientLimits result;
+        result.budgetBytes = limits.budgetBytes;
+        result.connections = limits.connections;
+        result.messageBytes = limits.headerBytes + limits.bodyBytes + excessBytes;
+        result.copies = copiesOfRequest;
+        return result;
+    }
+
+    /// @return a rate limit under which a connection reads what it is given by bufferevent_decrement_read_limit(), and
+    /// next to nothing by itself.
+    RateLimitPointer makeRateLimit()
+    {
+        constexpr timeval refillInterval { 1000, 0 };
+        return RateLimitPointer(
+            ev_token_bucket_cfg_new(1, EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, &refillInterval));
+    }
+
     SocketAddress peerOf(evhttp_request* request)
     {
         char* ip = nullptr;
@@ -34,6 +59,24 @@
 
 } // namespace
 
+/// One connection and what was read from it.
+struct HttpServer::Connection {
+    HttpServer* server { nullptr };
+    evhttp_connection* connection { nullptr };
+    bufferevent* buffer { nullptr };
+    Limit::ClientId id;
+    /// The request in progress; RequestId {} if there is none.
+    RequestId request;
+    /// Bytes read since the start of the request that is being received.
+    std::size_t receivedBytes { 0 };
+    /// Bytes that may be read now.
+    std::size_t allowedBytes { 0 };
+    evbuffer_cb_entry* inputCallback { nullptr };
+
+    [[nodiscard]] std::size_t inputBytes() const { return evbuffer_get_length(bufferevent_get_input(buffer)); }
+    [[nodiscard]] std::size_t outputBytes() const { return evbuffer_get_length(bufferevent_get_output(buffer)); }
+};
+
 /// One request and its reply.
 struct HttpServer::Exchange {
     HttpServer* server { nullptr };
@@ -68,6 +111,13 @@
         evhttp_connection_free(evhttp_request_get_connection(static_cast<Exchange*>(exchange)->request));
     }
 
+    static void received(evbuffer*, const evbuffer_cb_info* change, void* connection)
+    {
+        auto& changed = *static_cast<Connection*>(connection);
+        if (change->n_added > 0)
+            changed.server->onReceived(changed, change->n_added);
+    }
+
     static void sent(evhttp_request*, void* argument)
     {
         auto* const exchange = static_cast<Exchange*>(argument);
@@ -79,6 +129,8 @@
     : m_base(base)
     , m_address(std::move(address))
     , m_limits(limits)
+    , m_budget(clientLimits(limits))
+    , m_rateLimit(makeRateLimit())
     , m_trackEvent(event_new(base, -1, 0, &Callbacks::trackEvent, this))
     , m_http(evhttp_new(base))
 {
@@ -125,6 +177,7 @@
 void HttpServer::onAccepted(bufferevent* buffer)
 {
     bufferevent_incref(buffer);
+    bufferevent_set_rate_limit(buffer, m_rateLimit.get());
     m_accepted.push_back(buffer);
     event_active(m_trackEvent.get(), 0, 0);
     if (connections() >= m_limits.connections)
@@ -147,8 +200,66 @@
 
 void HttpServer::track(evhttp_connection* connection)
 {
-    if (m_connections.try_emplace(connection, noRequest).second)
-        evhttp_connection_set_closecb(connection, &Callbacks::closed, this);
+    auto& tracked = m_connections[connection];
+    if (tracked)
+        return;
+    tracked = std::make_unique<Connection>();
+    tracked->server = this;
+    tracked->connection = connection;
+    tracked->buffer = evhttp_connection_get_bufferevent(connection);
+    tracked->id = Limit::ClientId(++m_lastConnectionId);
+    tracked->receivedBytes = tracked->inputBytes();
+    tracked->inputCallback
+        = evbuffer_add_cb(bufferevent_get_input(tracked->buffer), &Callbacks::received, tracked.get());
+    m_connectionsById[tracked->id] = tracked.get();
+    m_budget.opened(m_now, tracked->id);
+    evhttp_connection_set_closecb(connection, &Callbacks::closed, this);
+    beginRequest(*tracked);
+}
+
+void HttpServer::onReceived(Connection& connection, std::size_t bytes)
+{
+    connection.receivedBytes += bytes;
+    connection.allowedBytes -= std::min(connection.allowedBytes, bytes);
+    // What follows a request that is being served is read after its reply.
+    if (connection.request == noRequest)
+        beginRequest(connection);
+}
+
+void HttpServer::beginRequest(Connection& connection)
+{
+    // evhttp has refused a request above the limits, and discards the rest of it before it replies.
+    const auto messageBytes = clientLimits(m_limits).messageBytes;
+    if (connection.receivedBytes >= messageBytes) {
+        m_budget.received(m_now, connection.id, messageBytes);
+        allow(connection, m_budget.freeBytes());
+        return;
+    }
+    const auto readable = connection.receivedBytes > 0
+        ? m_budget.received(m_now, connection.id, connection.receivedBytes)
+        : m_budget.freeBytes();
+    allow(connection, readable > connection.receivedBytes ? readable - connection.receivedBytes : 0);
+    applyPermits();
+}
+
+void HttpServer::allow(Connection& connection, std::size_t bytes)
+{
+    const auto difference = static_cast<ev_ssize_t>(connection.allowedBytes) - static_cast<ev_ssize_t>(bytes);
+    connection.allowedBytes = bytes;
+    bufferevent_decrement_read_limit(connection.buffer, difference);
+}
+
+void HttpServer::applyPermits()
+{
+    for (const auto permitted : m_budget.takePermitted()) {
+        const auto found = m_connectionsById.find(permitted);
+        if (found == m_connectionsById.end())
+            continue;
+        auto& connection = *found->second;
+        const auto readable = m_budget.readableBytes(permitted);
+        if (readable > connection.receivedBytes)
+            allow(connection, readable - connection.receivedBytes);
+    }
 }
 
 void HttpServer::onRequest(evhttp_request* request)
@@ -168,14 +279,19 @@
 {
     auto* const connection = evhttp_request_get_connection(request);
     track(connection);
+    auto& tracked = *m_connections.at(connection);
     auto exchange = std::make_unique<Exchange>();
     exchange->server = this;
     exchange->id = RequestId(++m_lastId);
     exchange->request = request;
     exchange->peer = peerOf(request);
-    auto& current = m_connections.at(connection);
-    AUBURNPOST_INVARIANT(current == noRequest, "a connection carries one request at a time");
-    current = exchange->id;
+    AUBURNPOST_INVARIANT(tracked.request == noRequest, "a connection carries one request at a time");
+    tracked.request = exchange->id;
+    const auto followingBytes = std::min(tracked.inputBytes(), tracked.receivedBytes);
+    m_budget.requestStarted(m_now, tracked.id, tracked.receivedBytes - followingBytes, followingBytes);
+    tracked.receivedBytes = followingBytes;
+    allow(tracked, m_budget.freeBytes() - std::min(m_budget.freeBytes(), followingBytes));
+    applyPermits();
     watchForClose(*exchange);
     evhttp_request_set_on_complete_cb(request, &Callbacks::sent, exchange.get());
     return *m_exchanges.emplace(exchange->id, std::move(exchange)).first->second;
@@ -210,6 +326,15 @@
     AUBURNPOST_INVARIANT(!exchange.hasReplied, "a request is answered once");
     exchange.hasReplied = true;
     exchange.closeEvent.reset();
+    if (const auto connection = m_connections.find(evhttp_request_get_connection(exchange.request));
+        connection != m_connections.end()) {
+        const auto client = connection->second->id;
+        m_budget.requestAnswered(m_now, client, Limit::ClientStage::Idle);
+        // Without the header: bytes that are counted here and then not sent would look like bytes that were read.
+        m_budget.answerAdded(m_now, client, reply.body.size());
+        m_undelivered.insert(client);
+        applyPermits();
+    }
     auto* const headers = evhttp_request_get_output_headers(exchange.request);
     for (const auto& header : reply.headers)
         evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
@@ -226,9 +351,14 @@
     if (found == m_exchanges.end())
         return;
     const auto connection = m_connections.find(evhttp_request_get_connection(found->second->request));
-    if (connection != m_connections.end())
-        connection->second = noRequest;
     m_exchanges.erase(found);
+    if (connection == m_connections.end())
+        return;
+    auto& tracked = *connection->second;
+    tracked.request = noRequest;
+    tracked.receivedBytes = tracked.inputBytes();
+    updateReply(tracked);
+    beginRequest(tracked);
 }
 
 void HttpServer::onClosed(evhttp_connection* connection)
@@ -236,8 +366,15 @@
     const auto found = m_connections.find(connection);
     if (found == m_connections.end())
         return;
-    const auto id = found->second;
+    const auto id = found->second->request;
+    auto* const input = bufferevent_get_input(found->second->buffer);
+    evbuffer_remove_cb_entry(input, found->second->inputCallback);
+    const auto client = found->second->id;
+    m_connectionsById.erase(client);
+    m_undelivered.erase(client);
     m_connections.erase(found);
+    m_budget.closed(m_now, client);
+    applyPermits();
     if (m_listener && !m_draining && connections() < m_limits.connections)
         evconnlistener_enable(m_listener);
     const auto exchange = m_exchanges.find(id);
@@ -252,4 +389,52 @@
         m_clientDisconnected.emit(id);
 }
 
+void HttpServer::tick(Instant now)
+{
+    m_now = now;
+    updateReplies();
+    while (const auto overdue = m_budget.overdue(now))
+        closeByLimit(*overdue);
+    while (const auto worst = m_budget.worstHolder(now))
+        closeByLimit(*worst);
+    replaceForWaitingCaller();
+}
+
+void HttpServer::updateReply(const Connection& connection)
+{
+    const auto heldBytes = connection.outputBytes();
+    const auto undeliveredBytes = heldBytes + unacknowledgedBytes(bufferevent_getfd(connection.buffer));
+    m_budget.answerRead(m_now, connection.id, heldBytes, undeliveredBytes);
+    if (undeliveredBytes > 0)
+        m_undelivered.insert(connection.id);
+    else
+        m_undelivered.erase(connection.id);
+}
+
+void HttpServer::updateReplies()
+{
+    const std::vector<Limit::ClientId> undelivered(m_undelivered.begin(), m_undelivered.end());
+    for (const auto id : undelivered)
+        updateReply(*m_connectionsById.at(id));
+    applyPermits();
+}
+
+void HttpServer::closeByLimit(const Limit::ClientClosing& closing)
+{
+    m_closedByLimit.emit(closing.reason);
+    evhttp_connection_free(m_connectionsById.at(closing.client)->connection);
+}
+
+void HttpServer::replaceForWaitingCaller()
+{
+    if (!m_listener || m_draining || connections() < m_limits.connections)
+        return;
+    const auto replaced = m_budget.replaceable(m_now);
+    if (!replaced)
+        return;
+    pollfd waiting { evconnlistener_get_fd(m_listener), POLLIN, 0 };
+    if (poll(&waiting, 1, 0) > 0)
+        closeByLimit(*replaced);
+}
+
 } // namespace Auburnpost::Wire
--- a/src/wire/LibeventPointers.h
+++ b/src/wire/LibeventPointers.h
@@ -20,6 +20,7 @@
         void operator()(evhttp* item) const { evhttp_free(item); }
         void operator()(evhttp_connection* item) const { evhttp_connection_free(item); }
         void operator()(evhttp_uri* item) const { evhttp_uri_free(item); }
+        void operator()(ev_token_bucket_cfg* item) const { ev_token_bucket_cfg_free(item); }
     };
 
 } // namespace Detail
@@ -29,5 +30,6 @@
 using BufferPointer = std::unique_ptr<evbuffer, Detail::LibeventDeleter>;
 using HttpPointer = std::unique_ptr<evhttp, Detail::LibeventDeleter>;
 using HttpConnectionPointer = std::unique_ptr<evhttp_connection, Detail::LibeventDeleter>;
+using RateLimitPointer = std::unique_ptr<ev_token_bucket_cfg, Detail::LibeventDeleter>;
 
 } // namespace Auburnpost::Wire
--- a/tests/wire/CallerServerTests.cpp
+++ b/tests/wire/CallerServerTests.cpp
@@ -337,6 +337,47 @@
     test.serveOne();
 }
 
+TEST_CASE("An idle connection gives its place to a caller that waits in the accept queue", "[wire][caller]")
+{
+    // Guards against a server that is closed to everybody while its places are held by connections that do nothing.
+    using namespace std::chrono_literals;
+    constexpr Instant start { 100s };
+    CallerServerLimits limits;
+    limits.connections = 1;
+    Fixture test(limits);
+    test.server.tick(start);
+    const auto idle = test.client();
+    idle->post(statements, goodBody);
+    REQUIRE(test.loop.runUntil([&] { return test.arrived.size() == 1; }));
+    test.server.answer(okAnswer(test.arrived.front().id));
+    REQUIRE(test.loop.runUntil([&] { return idle->hasReply(); }));
+    const auto waiting = test.client();
+    waiting->post(statements, goodBody);
+    test.loop.runFor(20ms);
+    test.server.tick(start + 4s);
+    test.loop.runFor(20ms);
+    CHECK(test.arrived.size() == 1);
+    test.server.tick(start + 6s);
+    CHECK(test.loop.runUntil([&] { return test.arrived.size() == 2; }));
+    CHECK(idle->closed());
+}
+
+TEST_CASE("A caller that stops midway through a request is closed after its time", "[wire][caller]")
+{
+    using namespace std::chrono_literals;
+    constexpr Instant start { 100s };
+    Fixture test(CallerServerLimits {});
+    test.server.tick(start);
+    const auto client = test.client();
+    client->send("POST /v1/ranwala/statements HTTP/1.1\r\nContent-Length: 100\r\n\r\nhalf");
+    test.loop.runFor(20ms);
+    test.server.tick(start + 9s);
+    test.loop.runFor(20ms);
+    CHECK_FALSE(client->closed());
+    test.server.tick(start + 11s);
+    CHECK(test.loop.runUntil([&] { return client->closed(); }));
+}
+
 TEST_CASE("Many requests are answered in any order, each on its own connection", "[wire][caller]")
 {
     constexpr int clientCount = 50;
