Show the use of the callers' budgets in the state dump

The dump that SIGUSR1 requests did not say what callers and forwarded sessions hold. E0103 of a proxy now ends with connections, bytes held and available, and messages that wait for memory. Seen in the dump of a host of client_tests "[descriptors]", which passes.

--- a/src/app/ProxyAssembly.cpp
+++ b/src/app/ProxyAssembly.cpp
@@ -31,6 +31,14 @@
         return times;
     }
 
+    /// @return the use of a budget for the state dump: connections, bytes held of those available, and messages that
+    /// wait for memory.
+    std::string describe(const Limit::ClientBudget& budget)
+    {
+        return std::to_string(budget.size()) + "/" + std::to_string(budget.chargedBytes()) + "/"
+            + std::to_string(budget.sharedBytes()) + "/" + std::to_string(budget.waiting());
+    }
+
     constexpr std::size_t storeConnections = 6;
     /// Each promotion call opens a connection of its own, so the client keeps none.
     constexpr std::size_t promotionConnections = 0;
@@ -176,7 +184,9 @@
 
 void ProxyAssembly::dumpState()
 {
-    log({ LogEvent::StateDumped, { { "state", m_proxy.dump(now()) } } });
+    log({ LogEvent::StateDumped,
+        { { "state", m_proxy.dump(now()) }, { "callers", describe(m_callers.budget()) },
+            { "peer_sessions", describe(m_forwardedSessions.budget()) } } });
 }
 
 void ProxyAssembly::onTargetLine(ConnectionId id, std::string_view text)
