Refuse a statement at once by the rate of its own priority and organisation

The rate of the whole lane hides what goes first meanwhile, and requests that became late were never served.

Change: each priority of an organisation has its own measured rate. A request is refused at once if its expected wait exceeds three quarters of the time up to its latency target, or its deadline without a target.

--- a/src/limit/AdmissionQueue.cpp
+++ b/src/limit/AdmissionQueue.cpp
@@ -54,7 +54,10 @@
     }
     if (m_settings.refusesByExpectedWait && !ticket.isRepeated) {
         const auto wait = expectedWait(now, ticket);
-        if (wait && now + *wait > latestStart(ticket)) {
+        // The rest is reserved for an error of the estimate. A request that waits in vain costs its caller more than
+        // one that is refused at once, and one that becomes late is started only when no other request waits.
+        constexpr double usableShare = 0.75;
+        if (wait && *wait > std::chrono::duration_cast<Duration>(usableShare * (targetStart(ticket) - now))) {
             refusals.push_back(refuse(ticket.id, RefusalReason::DeadlineUnreachable));
             return refusals;
         }
@@ -112,7 +115,10 @@
     if (isLate) {
         lane.late.insert({ ticket.priority, { latestStart(ticket), ticket.id } });
     } else {
-        lane.levels[ticket.priority].waiting.insert({ targetStart(ticket), ticket.id });
+        auto& level = lane.levels[ticket.priority];
+        if (level.waiting.empty())
+            level.drainRate.recordBacklog(now);
+        level.waiting.insert({ targetStart(ticket), ticket.id });
         ++lane.onTime;
         if (hasTarget(ticket))
             m_targetStarts.insert({ targetStart(ticket), ticket.id });
@@ -127,7 +133,10 @@
     if (entry.place == Place::Late) {
         lane.late.erase({ ticket.priority, { latestStart(ticket), ticket.id } });
     } else {
-        lane.levels[ticket.priority].waiting.erase({ targetStart(ticket), ticket.id });
+        auto& level = lane.levels[ticket.priority];
+        level.waiting.erase({ targetStart(ticket), ticket.id });
+        if (level.waiting.empty())
+            level.drainRate.recordEmpty();
         --lane.onTime;
         m_targetStarts.erase({ targetStart(ticket), ticket.id });
     }
@@ -348,7 +357,9 @@
         const auto highest = std::find_if(
             lane.levels.begin(), lane.levels.end(), [](const auto& item) { return !item.second.waiting.empty(); });
         lane.startedHighest = highest->first == ticket.priority ? lane.startedHighest + 1 : 0;
-        lane.levels[ticket.priority].lastStart = ++lane.starts;
+        auto& level = lane.levels[ticket.priority];
+        level.lastStart = ++lane.starts;
+        level.drainRate.recordStart(now);
     }
     m_drainRates[ticket.lane].recordStart(now);
     remove(position);
@@ -457,23 +468,24 @@
 {
     std::size_t refused = 0;
     for (Lane number = 0; number < laneCount; ++number) {
-        const auto rate = m_drainRates[number].perSecond(now);
-        if (!rate)
+        if (!m_drainRates[number].perSecond(now))
             continue;
         std::vector<Organisation*> organisations;
         for (const auto& key : m_indexes[number][Rank::OnTime])
             organisations.push_back(key.organisation);
         for (const auto* const organisation : organisations) {
-            const auto& lane = organisation->lanes[number];
-            while (lane.onTime && refused < maxUnreachableRefusals) {
-                const auto lowestLevel = std::find_if(lane.levels.rbegin(), lane.levels.rend(),
-                    [](const auto& item) { return !item.second.waiting.empty(); });
-                const auto position = m_entries.find(lowestLevel->second.waiting.rbegin()->id);
-                const auto ahead = countAhead(organisation->name, number, lane.onTime - 1);
-                if (now + waitOf(ahead, *rate) <= latestStart(position->second.ticket))
-                    break;
-                refuseEntry(position, RefusalReason::DeadlineUnreachable);
-                ++refused;
+            std::size_t higherAhead = 0;
+            for (const auto& [priority, level] : organisation->lanes[number].levels) {
+                while (!level.waiting.empty() && refused < maxUnreachableRefusals) {
+                    const auto position = m_entries.find(level.waiting.rbegin()->id);
+                    const auto& ticket = position->second.ticket;
+                    const auto wait = expectedWait(now, ticket, level.waiting.size() - 1, higherAhead);
+                    if (!wait || now + *wait <= targetStart(ticket))
+                        break;
+                    refuseEntry(position, RefusalReason::DeadlineUnreachable);
+                    ++refused;
+                }
+                higherAhead += level.waiting.size();
             }
         }
     }
@@ -508,19 +520,35 @@
 
 std::optional<Duration> AdmissionQueue::expectedWait(Instant now, const Ticket& ticket) const
 {
-    const auto rate = m_drainRates[ticket.lane].perSecond(now);
-    if (!rate)
-        return {};
     std::size_t ownAhead = 0;
+    std::size_t higherAhead = 0;
     if (const auto found = m_organisations.find(ticket.organisation); found != m_organisations.end()) {
         for (const auto& [priority, level] : found->second->lanes[ticket.lane].levels) {
             if (priority < ticket.priority)
-                ownAhead += level.waiting.size();
+                higherAhead += level.waiting.size();
             else if (priority == ticket.priority)
-                ownAhead += level.waiting.order_of_key({ targetStart(ticket), ticket.id });
+                ownAhead = level.waiting.order_of_key({ targetStart(ticket), ticket.id });
+        }
+    }
+    return expectedWait(now, ticket, ownAhead, higherAhead);
+}
+
+std::optional<Duration> AdmissionQueue::expectedWait(
+    Instant now, const Ticket& ticket, std::size_t ownAhead, std::size_t higherAhead) const
+{
+    const auto rate = m_drainRates[ticket.lane].perSecond(now);
+    if (!rate)
+        return {};
+    if (const auto found = m_organisations.find(ticket.organisation); found != m_organisations.end()) {
+        const auto& levels = found->second->lanes[ticket.lane].levels;
+        const auto level = levels.find(ticket.priority);
+        // The rate of the level accounts for requests of others that will arrive meanwhile and go first.
+        if (level != levels.end()) {
+            if (const auto own = level->second.drainRate.perSecond(now))
+                return waitOf(ownAhead, *own);
         }
     }
-    return waitOf(countAhead(ticket.organisation, ticket.lane, ownAhead), *rate);
+    return waitOf(countAhead(ticket.organisation, ticket.lane, ownAhead + higherAhead), *rate);
 }
 
 std::optional<Duration> AdmissionQueue::expectedGap(Instant now, Lane lane) const
--- a/src/limit/AdmissionQueue.h
+++ b/src/limit/AdmissionQueue.h
@@ -39,7 +39,8 @@
     Duration overloadMaxWait { 200ms };
     /// Time without an empty queue after which an organisation counts as overloaded.
     Duration overloadAfter { 500ms };
-    /// Whether a request is refused at once when the requests ahead of it leave no time before its deadline.
+    /// Whether a request is refused at once when the requests ahead of it leave it too little time before its latency
+    /// target, or its deadline if it has no target.
     bool refusesByExpectedWait { false };
     /// Bounds of the retry delay given with a refusal.
     Duration retryAfterMinimum { 100ms };
@@ -131,6 +132,8 @@
         OrderedKeys waiting;
         /// Value of LaneQueue::starts at the last start.
         std::uint64_t lastStart { 0 };
+        /// What the level gets beside higher priorities and other organisations.
+        DrainRate drainRate;
     };
     struct LateKey {
         Priority priority {};
@@ -205,6 +208,10 @@
     [[nodiscard]] AdmissionRefusal makeRoom(const Ticket&);
     /// @return the request of the organisation to refuse first when the queue is full.
     [[nodiscard]] std::optional<RequestId> findVictim(const Organisation&) const;
+    /// @return the expected wait of a request that has @p ownAhead requests of its level and @p higherAhead ones of
+    /// higher levels of its organisation ahead; empty when it is not known.
+    [[nodiscard]] std::optional<Duration> expectedWait(
+        Instant now, const Ticket&, std::size_t ownAhead, std::size_t higherAhead) const;
     /// @return the requests started before a request of the organisation that has @p ownAhead requests ahead.
     [[nodiscard]] std::size_t countAhead(const OrganisationName&, Lane, std::size_t ownAhead) const;
     void removeIdle();
