--- a/src/proxy/StateDump.cpp
+++ b/src/proxy/StateDump.cpp
@@ -62,9 +62,16 @@
         const auto connections = pool == group.pools().end() ? 0 : pool->second.connections().size();
         members[target.value()] = describeMember(now, member, connections);
     }
+    Json serviceTimes = Json::array();
+    for (std::size_t lane = 0; lane < Limit::laneCount; ++lane) {
+        const auto age = group.serviceTimes().age(now, lane);
+        serviceTimes.push_back({ { "us", group.serviceTimes().estimate(now, lane).count() },
+            { "age_ms", age ? Json(toMilliseconds(*age)) : Json() } });
+    }
     Json described { { "primary", watcher.primary() ? watcher.primary()->value() : "" },
         { "term", watcher.primaryTerm().value() }, { "waiting", group.waiting() },
-        { "promotion", group.promotion().state() },
+        { "dispatch_attempts", group.dispatchAttempts() }, { "service_times", std::move(serviceTimes) },
+        { "short_of_connections", group.isShortOfConnections(now) }, { "promotion", group.promotion().state() },
         { "promotion_calls", describeCalls(now, group.promotion().trace()) }, { "members", std::move(members) },
         { "departed", PromotionLog::describeDepartures(now, watcher) }, { "counted", watcher.groupSize() },
         { "fences_needed", watcher.fencesNeeded() } };
--- a/tests/proxy/GroupServiceTests.cpp
+++ b/tests/proxy/GroupServiceTests.cpp
@@ -1,8 +1,10 @@
 #include "proxy/GroupService.h"
+#include "proxy/StateDump.h"
 #include "proxy/TransactionIdleLimit.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 #include <vector>
 
 using namespace Auburnpost;
@@ -642,6 +644,10 @@
     CHECK_FALSE(group.service.isShortOfConnections(group.now));
     group.run(200ms);
     CHECK(group.service.isShortOfConnections(group.now));
+    const auto dump = describeGroup(group.now, group.service);
+    CHECK(dump.at("short_of_connections") == true);
+    CHECK(dump.at("dispatch_attempts") >= 2);
+    CHECK(dump.at("service_times").size() == 3);
     group.run(1s);
     CHECK(group.service.waiting() == 0);
     CHECK_FALSE(group.service.isShortOfConnections(group.now));
