--- a/src/app/ProxyAssembly.cpp
+++ b/src/app/ProxyAssembly.cpp
@@ -17,10 +17,8 @@
     constexpr Duration balancerNoticePeriod = std::chrono::milliseconds(2300);
     /// Time before the stop timeout at which the process exits by itself; it is killed at the stop timeout.
     constexpr Duration stopMargin = std::chrono::milliseconds(600);
-    /// Maximum time for which the unread input of a connection may stay unchanged, be it an unfinished line or lines
-    /// that wait for the answer to an earlier one.
-    constexpr Duration stalledInputTimeout = std::chrono::seconds(10);
-    constexpr Duration stalledCheckInterval = std::chrono::seconds(1);
+    /// Interval between two reports of the connections that were closed by limits, which bounds the volume of the log.
+    constexpr Duration limitReportInterval = std::chrono::seconds(1);
     constexpr int statusOk = 200;
     constexpr int statusNotFound = 404;
     constexpr int statusUnavailable = 503;
@@ -33,6 +31,14 @@
         return times;
     }
 
+    /// @return the use of a budget for the state dump: connections, bytes held of those available, and messages that
+    /// wait for memory.
+    std::string describe(const Limit::ClientBudget& budget)
+    {
+        return std::to_string(budget.size()) + "/" + std::to_string(budget.chargedBytes()) + "/"
+            + std::to_string(budget.sharedBytes()) + "/" + std::to_string(budget.waiting());
+    }
+
     constexpr std::size_t storeConnections = 6;
     /// Each promotion call opens a connection of its own, so the client keeps none.
     constexpr std::size_t promotionConnections = 0;
@@ -44,8 +50,10 @@
     , m_settings(settings)
     , m_loadSettings(std::move(load))
     , m_shares(settings.descriptors)
-    , m_callers(base, settings.callers, m_shares.callers)
-    , m_forwardedSessions(base, settings.sessions, m_shares.peerSessions, forwardedIdBase)
+    , m_memory(settings.memoryBytes)
+    , m_callers(base, settings.callers, callerLimits(m_shares.callers, m_memory.callers, false))
+    , m_forwardedSessions(
+          base, settings.sessions, callerLimits(m_shares.peerSessions, m_memory.peerSessions, true), forwardedIdBase)
     , m_forwarder(base)
     , m_targets(base)
     , m_relay(base, settings.relay, m_shares.relays,
@@ -115,13 +123,8 @@
         server->requestRefused().connect([server](RequestId id, const Error&) {
             server->reply(id, { statusNotFound, {}, {} });
         });
-    const auto answered = [this](const PlatformAnswer& answer) {
-        const auto handler = m_replyHandlers.extract(answer.id);
-        if (handler)
-            handler.mapped()(answer.reply);
-    };
-    m_storeClient.answered().connect(answered);
-    m_promotionClient.answered().connect(answered);
+    m_storeClient.answered().connect([this](const PlatformAnswer& answer) { onPlatformAnswer(answer); });
+    m_promotionClient.answered().connect([this](const PlatformAnswer& answer) { onPlatformAnswer(answer); });
 }
 
 void ProxyAssembly::watchProcessSignals()
@@ -146,6 +149,9 @@
 void ProxyAssembly::onTick()
 {
     const auto moment = now();
+    listenForDatagrams();
+    m_callers.tick(moment);
+    m_forwardedSessions.tick(moment);
     m_proxy.tick(moment);
     m_forwarder.tick(moment);
     m_shutdown.tick(moment);
@@ -154,11 +160,26 @@
         m_proxy.endIdleTransactions(moment);
         m_forwarder.endSessionsWithoutRequest();
     }
-    if (moment - m_lastStalledCheck < stalledCheckInterval)
+    if (moment - m_lastLimitReport < limitReportInterval)
         return;
-    m_lastStalledCheck = moment;
-    m_callers.closeStalled(moment, stalledInputTimeout);
-    m_forwardedSessions.closeStalled(moment, stalledInputTimeout);
+    m_lastLimitReport = moment;
+    reportLimits();
+}
+
+void ProxyAssembly::listenForDatagrams()
+{
+    if (m_datagrams || !m_proxy.usesDatagrams())
+        return;
+    auto datagrams = std::make_unique<Wire::GossipSocket>(m_base, m_settings.relay);
+    if (const auto outcome = datagrams->listen(); !outcome) {
+        if (!std::exchange(m_isDatagramFailureLogged, true))
+            log({ LogEvent::ListenFailed, { { "reason", outcome.error().describe() } } });
+        return;
+    }
+    datagrams->received().connect([this](const SocketAddress& from, std::string_view datagram) {
+        m_proxy.datagramReceived(now(), from, datagram);
+    });
+    m_datagrams = std::move(datagrams);
 }
 
 void ProxyAssembly::reload()
@@ -175,7 +196,9 @@
 
 void ProxyAssembly::dumpState()
 {
-    log({ LogEvent::StateDumped, { { "state", m_proxy.dump(now()) } } });
+    log({ LogEvent::StateDumped,
+        { { "state", m_proxy.dump(now()) }, { "callers", describe(m_callers.budget()) },
+            { "peer_sessions", describe(m_forwardedSessions.budget()) } } });
 }
 
 void ProxyAssembly::onTargetLine(ConnectionId id, std::string_view text)
@@ -275,6 +298,7 @@
 void ProxyAssembly::announceLeave(Instant now)
 {
     m_shutdownAnnouncedAt = now;
+    m_proxy.stopFeeding();
     log({ LogEvent::ShutdownStarted, { { "requests", std::to_string(m_proxy.statements()) } } });
 }
 
--- a/src/app/ProxyAssembly.h
+++ b/src/app/ProxyAssembly.h
@@ -5,8 +5,10 @@
 #include "platform/RowDecoder.h"
 #include "platform/TargetCodec.h"
 #include "proxy/DescriptorShares.h"
+#include "proxy/MemoryShares.h"
 #include "proxy/Proxy.h"
 #include "proxy/StoreCallCounts.h"
+#include "wire/GossipSocket.h"
 #include "wire/HttpServer.h"
 #include "wire/LineClients.h"
 #include "wire/LineServer.h"
@@ -14,6 +16,7 @@
 #include "wire/PlatformClient.h"
 #include "wire/RelayServer.h"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -61,6 +64,9 @@
     /// callers are numbered from 1 and never reach it.
     static constexpr std::uint64_t forwardedIdBase = std::uint64_t { 1 } << 48U;
 
+    [[nodiscard]] static Limit::ClientLimits callerLimits(std::size_t connections, std::size_t bytes, bool isForwarded);
+    /// Logs and measures, once in a while, what the limits for callers' connections have done.
+    void reportLimits();
     void listenForCallers(Wire::LineServer&);
     void connectForwarder();
     static Proxy::SessionId sessionOf(Wire::AcceptedConnectionId);
@@ -95,13 +101,22 @@
     void call(Wire::PlatformClient&, PlatformCall, ReplyHandler);
     void readTable(Proxy::StoreTable, const std::string& fromKey, Duration timeout) override;
     void followTable(Proxy::StoreTable, Proxy::RowVersion after, Duration wait, Duration timeout) override;
+    void followFeeder(const SocketAddress& feeder, Proxy::StoreTable, Proxy::RowVersion after, Duration wait,
+        Duration timeout) override;
+    void answerFeed(RequestId, const std::optional<Proxy::FeedPage>&) override;
     void writeHost(const HostName&, const std::string& value) override;
     void readLease(const Proxy::GroupName&) override;
     void writeLease(const Proxy::GroupName&, const Proxy::PromotionLease&, Proxy::RowVersion expected) override;
     void readMembers(const Proxy::GroupName&, const std::string& fromKey) override;
     void promote(const Proxy::GroupName&, const TargetName&, Proxy::RowVersion token, Instant sendBefore) override;
     void queryPeer(const SocketAddress&) override;
+    void sendDatagram(const SocketAddress&, std::string_view) override;
+    /// Opens the socket for datagrams once it is needed.
+    void listenForDatagrams();
     void servePeer(const Wire::HttpRequest&);
+    /// Serves a request of another host for the changes of a table.
+    void serveFeed(const Wire::HttpRequest&);
+    void onPlatformAnswer(const PlatformAnswer&);
 
     void log(const LogRecord&) override;
     void measure(std::string_view series, double sample) override;
@@ -120,6 +135,7 @@
     SettingsLoader m_loadSettings;
     Platform::RowDecoder m_decoder;
     Proxy::DescriptorShares m_shares;
+    Proxy::MemoryShares m_memory;
     Wire::LineServer m_callers;
     /// Accepts sessions that other hosts forward.
     Wire::LineServer m_forwardedSessions;
@@ -132,17 +148,24 @@
     Wire::PlatformClient m_storeClient;
     Wire::PlatformClient m_promotionClient;
     std::map<SocketAddress, std::unique_ptr<Wire::PlatformClient>> m_peerClients;
+    std::map<SocketAddress, std::unique_ptr<Wire::PlatformClient>> m_feederClients;
     Wire::Metrics m_metrics;
     Proxy::StoreCallCounts m_storeCalls;
     Proxy::Proxy m_proxy;
     Shutdown m_shutdown;
+    /// Beside the relay server on the same port number; null while no datagrams are exchanged.
+    std::unique_ptr<Wire::GossipSocket> m_datagrams;
+    bool m_isDatagramFailureLogged { false };
     std::unordered_map<ConnectionId, Platform::TargetCodec> m_codecs;
     std::unordered_map<ConnectionId, PendingConnection> m_pendingConnections;
     std::array<std::uint64_t, std::variant_size_v<Proxy::TargetRequest>> m_requestCounts {};
     std::map<PlatformCallId, ReplyHandler> m_replyHandlers;
     std::uint64_t m_lastCallId { 0 };
     std::vector<EventHandle> m_events;
-    Instant m_lastStalledCheck {};
+    Instant m_lastLimitReport {};
+    /// Connections closed by a limit since the last report, for each reason.
+    std::array<std::size_t, 4> m_closedByLimit {};
+    std::uint64_t m_reportedRefusals { 0 };
     std::optional<Instant> m_shutdownAnnouncedAt;
     int m_exitStatus { 0 };
 };
--- a/src/base/LogEvent.cpp
+++ b/src/base/LogEvent.cpp
@@ -17,7 +17,7 @@
     constexpr std::size_t numberDigits = 4;
 
     /// Sorted by number.
-    constexpr std::array<Definition, 66> definitions { {
+    constexpr std::array<Definition, 74> definitions { {
         { LogEvent::Started, LogLevel::Info, "host started" },
         { LogEvent::ShutdownStarted, LogLevel::Info, "host shutdown started" },
         { LogEvent::ShutdownCompleted, LogLevel::Info, "host shutdown completed" },
@@ -37,6 +37,8 @@
         { LogEvent::ServedGroupsChanged, LogLevel::Info, "set of groups served by this host changed" },
         { LogEvent::PlatformCallFailed, LogLevel::Info, "another call to the platform failed" },
         { LogEvent::OlderConfigurationIgnored, LogLevel::Warn, "older configuration ignored" },
+        { LogEvent::TableSourceChanged, LogLevel::Info, "tables followed at another source" },
+        { LogEvent::FeederFailed, LogLevel::Warn, "a host that feeds tables failed" },
         { LogEvent::HostJoined, LogLevel::Info, "host joined" },
         { LogEvent::HostSuspected, LogLevel::Warn, "host suspected to be dead" },
         { LogEvent::HostDead, LogLevel::Warn, "host declared dead" },
@@ -62,6 +64,10 @@
         { LogEvent::MemberReleased, LogLevel::Info, "member without a record no longer counts" },
         { LogEvent::PendingPromotionFound, LogLevel::Warn, "promotion of an earlier lease may still take effect" },
         { LogEvent::HandoverStalled, LogLevel::Warn, "no member has the log of the demoted primary in time" },
+        { LogEvent::MemberRecordUnusable, LogLevel::Warn, "record of a group's members can't be used" },
+        { LogEvent::MemberRecordMissing, LogLevel::Info, "group has no record of its members" },
+        { LogEvent::MembersRecorded, LogLevel::Info, "members of a group recorded in the store" },
+        { LogEvent::RecordedMemberCounted, LogLevel::Info, "member on record without a list entry counts" },
         { LogEvent::TargetConnectFailed, LogLevel::Warn, "opening a connection to target failed" },
         { LogEvent::TargetConnectionLost, LogLevel::Warn, "connection to target lost during a request" },
         { LogEvent::TargetLeaving, LogLevel::Info, "target marked as leaving" },
@@ -84,6 +90,8 @@
         { LogEvent::SessionForwardEnded, LogLevel::Info, "forwarded session ended" },
         { LogEvent::CallerMessageRefused, LogLevel::Info, "message of a caller refused" },
         { LogEvent::SessionRevoked, LogLevel::Info, "session ended as its key was removed" },
+        { LogEvent::RateLimitExceeded, LogLevel::Info, "operations over an organisation's rate limit refused" },
+        { LogEvent::CallersLimited, LogLevel::Warn, "connections of callers closed by limits" },
         { LogEvent::PeerMessageRejected, LogLevel::Warn, "message from a peer rejected" },
         { LogEvent::PeerMessageNotSent, LogLevel::Debug, "sending a message to a peer failed" },
     } };
--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -30,6 +30,8 @@
     ServedGroupsChanged = 215,
     PlatformCallFailed = 216,
     OlderConfigurationIgnored = 217,
+    TableSourceChanged = 218,
+    FeederFailed = 219,
 
     HostJoined = 300,
     HostSuspected = 301,
@@ -55,6 +57,10 @@
     MemberReleased = 420,
     PendingPromotionFound = 421,
     HandoverStalled = 422,
+    MemberRecordUnusable = 423,
+    MemberRecordMissing = 424,
+    MembersRecorded = 425,
+    RecordedMemberCounted = 426,
 
     TargetConnectFailed = 500,
     TargetConnectionLost = 501,
@@ -79,6 +85,8 @@
     SessionForwardEnded = 616,
     CallerMessageRefused = 617,
     SessionRevoked = 618,
+    RateLimitExceeded = 620,
+    CallersLimited = 630,
 
     PeerMessageRejected = 700,
     PeerMessageNotSent = 701,
--- a/src/platform/SettingsReader.cpp
+++ b/src/platform/SettingsReader.cpp
@@ -10,6 +10,9 @@
     using Json = nlohmann::json;
 
     constexpr auto pathVariable = "AUBURNPOST_SETTINGS";
+    /// Memory of a host whose settings state none, as some platforms leave it out.
+    constexpr std::size_t defaultMemoryMb = 256;
+    constexpr std::size_t bytesPerMebibyte = 1024UL * 1024;
 
     /// @throws Json::exception when the field is missing; std::invalid_argument when it holds no address.
     SocketAddress readAddress(const Json& value)
@@ -41,6 +44,34 @@
         return bounds;
     }
 
+    /// @return the rules for rate limits; empty unless the deployment sets all of them.
+    /// @throws std::invalid_argument for a window that is not positive or a negative excess.
+    std::optional<Limit::AllotmentRules> readAllotments(const Json& json)
+    {
+        constexpr auto windowField = "QuotaWindowS";
+        constexpr auto overageField = "QuotaOverage";
+        constexpr auto slackField = "QuotaSlack";
+        if (!json.contains(windowField) || !json.contains(overageField) || !json.contains(slackField))
+            return {};
+        const std::chrono::duration<double> window(json.at(windowField).get<double>());
+        Limit::AllotmentRules rules;
+        rules.window = std::chrono::duration_cast<Duration>(window);
+        rules.overage = json.at(overageField).get<double>();
+        rules.slack = json.at(slackField).get<double>();
+        if (window.count() <= 0 || rules.overage < 0 || rules.slack < 0)
+            throw std::invalid_argument("QuotaWindowS, QuotaOverage or QuotaSlack is out of range");
+        return rules;
+    }
+
+    /// @return the host's share of a processor; the default if the deployment states none that is positive.
+    double readProcessorShare(const Json& limits, double otherwise)
+    {
+        const auto share = limits.find("CpuShare");
+        if (share == limits.end() || !share->is_number() || share->get<double>() <= 0)
+            return otherwise;
+        return share->get<double>();
+    }
+
     Proxy::ProxySettings read(const Json& json, std::uint16_t metricsPort)
     {
         Proxy::ProxySettings settings;
@@ -60,7 +91,10 @@
         for (const auto& seed : json.value("Seeds", Json::array()))
             settings.seeds.push_back(readAddress(seed));
         settings.descriptors = json.at("Limits").at("FileDescriptors").get<std::size_t>();
+        settings.processorShare = readProcessorShare(json.at("Limits"), settings.processorShare);
+        settings.memoryBytes = json.at("Limits").value("MemoryMb", defaultMemoryMb) * bytesPerMebibyte;
         settings.bounds = readBounds(json.at("Bounds"));
+        settings.allotments = readAllotments(json.at("Bounds"));
         const std::chrono::duration<double> grace(json.at("Bounds").at("GraceS").get<double>());
         settings.stopTimeout = std::chrono::duration_cast<Duration>(grace);
         return settings;
--- a/src/proxy/GroupReplies.cpp
+++ b/src/proxy/GroupReplies.cpp
@@ -10,9 +10,16 @@
 
 namespace {
 
-    /// Retry hints for refused callers: a failover takes one to two seconds, a full queue drains faster.
-    constexpr auto failoverHint = "; retry after 1000 ms";
-    constexpr auto queueHint = "; retry after 200 ms";
+    /// Retry delays for refused callers. A failover takes one to two seconds, a full queue drains faster.
+    constexpr Duration failoverDelay = std::chrono::milliseconds(1000);
+    constexpr Duration latestFailoverDelay = std::chrono::milliseconds(2000);
+    constexpr Duration defaultQueueDelay = std::chrono::milliseconds(200);
+    constexpr Duration minimumQueueDelay = std::chrono::milliseconds(100);
+    /// The longest delay after a refusal for lack of capacity, beyond the time until room is expected.
+    constexpr Duration queueDelaySpread = std::chrono::milliseconds(800);
+    constexpr Duration maximumQueueDelay = std::chrono::milliseconds(2000);
+    /// Gap between two returning callers where the rate of starts is not known.
+    constexpr Duration defaultGap = std::chrono::milliseconds(10);
 
     bool isRefusalBeforeRun(FailureCode code)
     {
@@ -54,6 +61,7 @@
             { { "group", m_name.value() }, { "target", target.value() },
                 { "refusals", std::to_string(refusals.mapped().count) } } });
     recordPath(now, *connection);
+    recordReturnIfDown(now, target);
     if (auto* const health = m_watcher.health(target)) {
         // The target accepts a new connection while established ones do not respond, so these may be dead.
         if (health->isSuspect(now))
@@ -139,6 +147,7 @@
         if (!pending || (reply.purpose != ReplyPurpose::Begin && reply.purpose != ReplyPurpose::Statement))
             continue;
         hadStatement = true;
+        recordReadLoss(now, target, *pending, reply.sentAt);
         pending->sentOn.erase(id);
         const auto lost = *pending;
         if (lost.sentOn.empty())
@@ -184,11 +193,11 @@
     const bool hasTime = pending && now < lost.deadline;
     if (hasTime && m_retries.tryRetry(now)) {
         pending->retryNotBefore = now;
-        m_queue.add(*pending);
-        return;
+        if (requeue(now, *pending))
+            return;
     }
     if (ranNothing || hasTime)
-        finishUnsent(lost, FailureCode::Busy, "the target's connection was lost");
+        finishUnsent(now, lost, FailureCode::Busy, "the target's connection was lost");
     else
         finish(lost,
             { Session::Failure { FailureCode::Timeout, "no answer within the statement's time limit" },
@@ -223,6 +232,7 @@
     }
     const auto expected = connection->expectedReplies.front();
     connection->expectedReplies.pop_front();
+    recordReturnIfDown(now, connection->target);
     if (auto* const health = m_watcher.health(connection->target))
         health->recordResponse(
             now, expected.purpose == ReplyPurpose::Status ? std::optional(now - expected.sentAt) : std::nullopt);
@@ -256,8 +266,11 @@
 {
     const auto target = connection.target;
     markIdle(now, connection);
+    if (reply.failure() && reply.failure()->code == FailureCode::Busy)
+        recordCapacityRefusal(now, target);
     if (!reply.status)
         return;
+    recordReportedLoad(now, target, expected, *reply.status);
     m_pools[target].setReportedCount(reply.status->connections);
     const auto before = m_watcher.primary();
     if (!m_watcher.recordStatus(now, target, expected.sentAt, *reply.status))
@@ -285,9 +298,10 @@
     if (!pending)
         return;
     pending->sentOn.clear();
+    recordReadAnswer(now, connection, *pending, expected, reply);
     if (!requeueRefused(now, *pending, target, failure->code, reply.position.has_value())) {
         const auto refused = *pending;
-        finishUnsent(refused, failure->code, failure->text);
+        finishUnsent(now, refused, failure->code, failure->text);
     }
 }
 
@@ -308,7 +322,10 @@
         return;
     }
     pending->sentOn.erase(connection.id);
+    if (!reply.failure() && !wasPinned)
+        m_serviceTimes.record(now, laneOf(*pending), now - expected.sentAt);
     recordWriteReply(connection, *pending, expected, reply);
+    recordReadAnswer(now, connection, *pending, expected, reply);
     if (reply.failure()) {
         handleFailureReply(now, connection, *pending, reply);
         return;
@@ -381,9 +398,6 @@
     const bool isUnbudgeted = code == FailureCode::Lagging || code == FailureCode::UnknownPreparedName;
     if (now + refusalRetryDelay >= pending.deadline || (!isUnbudgeted && !m_retries.tryRetry(now)))
         return false;
-    log({ LogEvent::StatementRetried,
-        { { "id", pending.statementId.value() }, { "target", target.value() },
-            { "reason", std::string(Session::toString(code)) }, { "attempts", std::to_string(pending.attempts) } } });
     if (pending.needsPrimary()) {
         pending.retryNotBefore = now + refusalRetryDelay;
         if (code == FailureCode::ReadOnly)
@@ -392,7 +406,11 @@
         // A lagging replica that reported its position is not avoided: it is tried again once it may have caught up.
         pending.avoidedTargets.insert(target);
     }
-    m_queue.add(pending);
+    if (!requeue(now, pending))
+        return false;
+    log({ LogEvent::StatementRetried,
+        { { "id", pending.statementId.value() }, { "target", target.value() },
+            { "reason", std::string(Session::toString(code)) }, { "attempts", std::to_string(pending.attempts) } } });
     return true;
 }
 
@@ -420,16 +438,34 @@
             result.pinned = connection->id;
     }
     result.answer = std::move(answer);
-    m_queue.remove(pending);
+    m_queue.cancel(RequestId(pending.id.value()));
     m_statements.erase(pending.id);
     m_delegate.statementFinished(result);
 }
 
-void GroupService::finishUnsent(const PendingStatement& pending, FailureCode code, const std::string& text)
+Duration GroupService::retryDelay(Instant now, const PendingStatement& pending)
+{
+    const auto ticket = ticketOf(now, pending);
+    const auto gap = m_queue.expectedGap(now, ticket.lane).value_or(defaultGap);
+    const bool isReplacing = !m_watcher.primary() || m_promotion.isReplacing();
+    if (pending.needsPrimary() && isReplacing)
+        return m_failoverReturns.next(now, failoverDelay, gap, latestFailoverDelay);
+    // A caller that returns then is expected to wait for no more than half of its time limit.
+    const auto wait = m_queue.expectedWait(now, ticket);
+    const auto earliest = wait
+        ? std::clamp(*wait - pending.route.statementTimeout / 2, minimumQueueDelay, maximumQueueDelay)
+        : defaultQueueDelay;
+    return m_queueReturns.next(now, earliest, gap, earliest + queueDelaySpread);
+}
+
+void GroupService::finishUnsent(Instant now, const PendingStatement& pending, FailureCode code, const std::string& text)
 {
     const auto state = pending.startsTransaction ? TransactionState::Failed : TransactionState::Idle;
-    const bool isReplacing = !m_watcher.primary() || !m_promotion.isIdle();
-    const auto hint = pending.needsPrimary() && isReplacing ? failoverHint : queueHint;
+    const auto delay = toMilliseconds(retryDelay(now, pending));
+    const auto hint = "; retry after " + std::to_string(delay) + " ms";
+    m_delegate.measure("refusal_retry_delay_ms", static_cast<double>(delay));
+    const std::chrono::duration<double, std::milli> held = now - pending.arrivedAt;
+    m_delegate.measure("refusal_held_ms", held.count());
     finish(pending, { Session::Failure { code, text + hint }, state, {} }, nullptr);
 }
 
@@ -449,10 +485,7 @@
 
 void GroupService::abandon(Instant, PendingStatementId id)
 {
-    const auto* const pending = findStatement(id);
-    if (!pending)
-        return;
-    m_queue.remove(*pending);
+    m_queue.cancel(RequestId(id.value()));
     m_statements.erase(id);
 }
 
--- a/src/proxy/GroupService.cpp
+++ b/src/proxy/GroupService.cpp
@@ -1,5 +1,7 @@
 #include "proxy/GroupService.h"
 
+#include "proxy/TransactionIdleLimit.h"
+
 #include <algorithm>
 
 namespace Auburnpost::Proxy {
@@ -9,6 +11,18 @@
     /// Bounds the retries to a share of the submitted statements.
     constexpr Limit::RetryBudgetSettings retrySettings { 0.3, 5, 50 };
 
+    Limit::AdmissionQueueSettings makeQueueSettings()
+    {
+        Limit::AdmissionQueueSettings settings;
+        // At a millisecond each, a full queue takes longer than any deadline allows.
+        settings.capacity = 2000;
+        settings.lowerPriorityEvery = 10;
+        // A statement whose primary is being replaced may wait up to its deadline.
+        settings.limitsWaits = false;
+        settings.refusesByExpectedWait = true;
+        return settings;
+    }
+
     std::string nameOfCommand(const TargetRequest& request)
     {
         if (std::holds_alternative<FenceReplica>(request))
@@ -25,6 +39,7 @@
     , m_name(std::move(name))
     , m_delegate(delegate)
     , m_promotion(m_self, m_name, *this)
+    , m_queue(makeQueueSettings())
     , m_retries(retrySettings)
 {
 }
@@ -98,6 +113,7 @@
 
 void GroupService::tick(Instant now)
 {
+    finishRefused(now, m_queue.removeExpired(now));
     expireStatements(now);
     checkConnections(now);
     probePaths(now);
@@ -106,9 +122,18 @@
     watchPrimary(now);
     sendQueuedCommands(now);
     dispatchWaiting(now);
+    if (m_queue.size() == 0 || !m_foundShortage)
+        m_shortSince.reset();
+    else if (!m_shortSince)
+        m_shortSince = now;
     logSuspicionChanges(now);
 }
 
+bool GroupService::isShortOfConnections(Instant now) const
+{
+    return m_shortSince && now - *m_shortSince >= connectionShortageDelay;
+}
+
 void GroupService::watchPrimary(Instant now)
 {
     const auto failoverReason = m_watcher.failoverReason(now);
@@ -117,10 +142,35 @@
             m_promotion.start(now, m_watcher, m_delegate.random(), PromotionGoal::ReplacePrimary, failoverReason);
         else if (m_watcher.hasFencedMemberFor(now, abandonedFenceTimeout))
             m_promotion.start(now, m_watcher, m_delegate.random(), PromotionGoal::ResumeMembers, failoverReason);
+        else if (m_promotion.isRecordDue(now, m_watcher))
+            m_promotion.start(now, m_watcher, m_delegate.random(), PromotionGoal::RecordMembers, failoverReason);
     }
     m_promotion.tick(now, m_watcher, failoverReason);
 }
 
+void GroupService::leaseRead(Instant now, const Expected<PromotionLeaseRow>& row)
+{
+    if (row && row->lease && row->lease->members)
+        countRecorded(now, *row->lease->members);
+    m_promotion.leaseRead(now, m_watcher, row);
+}
+
+void GroupService::countRecorded(Instant now, const MemberRecord& record)
+{
+    // Without members this host does not watch the group.
+    if (m_watcher.members().empty())
+        return;
+    for (const auto& name : m_watcher.addRecorded(now, m_name, record)) {
+        log({ LogEvent::RecordedMemberCounted,
+            { { "group", m_name.value() }, { "target", name.value() },
+                { "address", m_watcher.find(name)->record.address.toString() },
+                { "counted", std::to_string(m_watcher.membership().size()) } } });
+        m_pools[name].setLimit(m_rules.connectionLimit);
+        if (m_pools[name].connections().empty())
+            open(now, name);
+    }
+}
+
 bool GroupService::reachesDirectly(Instant now, const TargetName& target) const
 {
     const auto* const member = m_watcher.find(target);
@@ -185,7 +235,7 @@
     const bool awaitsEvidence = m_watcher.membership().awaitsEvidence(now);
     if (!member.isListed() && member.presumedEndedAt)
         return idlePollInterval;
-    const bool isUrgent = !m_promotion.isIdle() || !m_watcher.primary() || awaitsEvidence;
+    const bool isUrgent = m_promotion.isReplacing() || !m_watcher.primary() || awaitsEvidence;
     if (isUrgent || member.health.isSuspect(now) || !member.status)
         return urgentPollInterval;
     const auto lastResponse = member.health.lastResponseAt();
@@ -264,8 +314,8 @@
 {
     const auto pending = late;
     if (pending.sentOn.empty()) {
-        m_queue.remove(pending);
-        finishUnsent(pending, Session::FailureCode::Busy, "no target could serve in time");
+        m_queue.cancel(RequestId(pending.id.value()));
+        finishUnsent(now, pending, Session::FailureCode::Busy, "no target could serve in time");
         return;
     }
     // The state of the statement on these connections is unknown, so they can't be reused.
@@ -275,6 +325,8 @@
             continue;
         const auto sent = std::find_if(connection->expectedReplies.begin(), connection->expectedReplies.end(),
             [&pending](const ExpectedReply& expected) { return expected.pendingId == pending.id; });
+        if (sent != connection->expectedReplies.end())
+            recordReadLoss(now, connection->target, pending, sent->sentAt);
         const auto purpose = sent == connection->expectedReplies.end() ? ReplyPurpose::Statement : sent->purpose;
         connection->expectedReplies.clear();
         if (findStatement(pending.id)) {
@@ -295,8 +347,8 @@
         const auto* const member = target == m_targetOf.end() ? nullptr : m_watcher.find(target->second);
         if (member && !member->health.isSuspect(now))
             return;
-        if (target != m_targetOf.end())
-            pending.avoidedTargets.insert(target->second);
+        if (target != m_targetOf.end() && pending.avoidedTargets.insert(target->second).second)
+            recordReadLoss(now, target->second, pending, now);
     }
     constexpr std::size_t maxAttempts = 3;
     if (pending.attempts >= maxAttempts || !m_retries.tryRetry(now))
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "limit/AdmissionQueue.h"
 #include "limit/RetryBudget.h"
+#include "limit/ReturnSchedule.h"
+#include "limit/ServiceTimes.h"
 #include "proxy/GroupServiceDelegate.h"
 #include "proxy/ReadTargetSelector.h"
-#include "proxy/StatementQueue.h"
 #include "proxy/TargetPath.h"
 
 #include <map>
@@ -40,6 +42,9 @@
     static constexpr Duration openingCostMargin = std::chrono::milliseconds(20);
     /// Maximum time for which a leaving primary is sent statements; after that it is about to shut down.
     static constexpr Duration leavingPrimaryTimeout = std::chrono::milliseconds(5500);
+    /// Maximum number of statements that one event passes over while targets have room that these can't use. Further
+    /// ones are tried again after refusalRetryDelay, so that the cost of an event does not grow with the queue.
+    static constexpr std::size_t maxPassedOver = 32;
 
     GroupService(HostName self, GroupName, GroupServiceDelegate&);
 
@@ -70,7 +75,9 @@
     void connectionLost(Instant now, ConnectionId);
     void replied(Instant now, ConnectionId, const TargetReply&);
 
-    void leaseRead(Instant now, const Expected<PromotionLeaseRow>& row) { m_promotion.leaseRead(now, m_watcher, row); }
+    /// Sets the position of this host in the order of the hosts that record the members; empty for none.
+    void setRecorderRank(std::optional<std::size_t> rank) { m_promotion.setRecorderRank(rank); }
+    void leaseRead(Instant now, const Expected<PromotionLeaseRow>& row);
     void leaseWritten(Instant now, const Expected<std::optional<RowVersion>>& version)
     {
         m_promotion.leaseWritten(now, m_watcher, version);
@@ -86,6 +93,12 @@
     [[nodiscard]] const Promotion& promotion() const { return m_promotion; }
     [[nodiscard]] const ReadTargetSelector::Pools& pools() const { return m_pools; }
     [[nodiscard]] std::size_t waiting() const { return m_queue.size(); }
+    /// @return whether statements have been waiting for connectionShortageDelay because connections are short.
+    [[nodiscard]] bool isShortOfConnections(Instant now) const;
+    [[nodiscard]] const Limit::AdmissionQueue& queue() const { return m_queue; }
+    /// @return how often a statement was tried, with or without success.
+    [[nodiscard]] std::uint64_t dispatchAttempts() const { return m_dispatchAttempts; }
+    [[nodiscard]] const Limit::ServiceTimes<Limit::laneCount>& serviceTimes() const { return m_serviceTimes; }
     /// @return whether this host reaches the target without a relay.
     [[nodiscard]] bool reachesDirectly(Instant now, const TargetName&) const;
     [[nodiscard]] bool owns(ConnectionId id) const { return m_targetOf.contains(id); }
@@ -96,15 +109,43 @@
         Session::FailureCode code {};
         std::size_t count { 0 };
     };
+    /// Whose statements find no idle connection on a target and may open none.
+    enum class ShortageScope : std::uint8_t { Nobody, Organisation, Everyone };
+    struct Shortage {
+        ShortageScope scope { ShortageScope::Nobody };
+        Limit::LaneSet lanes;
+    };
     /// A command of the promotion that waits for a connection to its target.
     struct Command {
         TargetRequest request;
         Instant sendBefore;
     };
 
+    /// Counts the members on record in the store that this host does not list.
+    void countRecorded(Instant now, const MemberRecord&);
     // Dispatch.
     void dispatchWaiting(Instant now);
+    /// Dispatches what can be dispatched. @return the statements that can't be served now.
+    std::vector<PendingStatementId> dispatchInOrder(Instant now);
     bool dispatch(Instant now, PendingStatement&);
+    /// Makes the statements available whose confirmation exists, or that have to be refused.
+    void wakeAwaiting(Instant now);
+    /// @return who else can't be dispatched now, after a failed dispatch of the statement.
+    [[nodiscard]] Shortage shortageFor(Instant now, const PendingStatement&);
+    [[nodiscard]] ShortageScope shortageOnMembers(Instant now, const PendingStatement&);
+    [[nodiscard]] ShortageScope shortageOn(Instant now, const TargetName&, const PendingStatement&);
+    /// Passes over the lanes in the rest of the event, for one organisation or all.
+    void passOverLanes(const Shortage&, const PendingStatement&);
+    /// Passes over a statement that can't be dispatched while others of its lane may be.
+    /// @param count the number of statements that this event passed over.
+    void passOver(Instant now, const PendingStatement&, std::size_t count);
+    /// @return whether the primary is down, with too few other members left to replace it.
+    [[nodiscard]] bool isPrimaryLost(Instant now) const;
+    [[nodiscard]] Limit::Ticket ticketOf(Instant now, const PendingStatement&) const;
+    /// Queues a statement again after an attempt that did not run. @return false if it can't be served in time.
+    bool requeue(Instant now, const PendingStatement&);
+    /// Answers the statements that the queue refused.
+    void finishRefused(Instant now, const std::vector<Limit::AdmissionRefusal>&);
     /// @return whether the statement waits for a primary that is down, with too few other members left to replace it.
     [[nodiscard]] bool isUnservable(Instant now, const PendingStatement&) const;
     /// @return why the statement can't be sent to the primary now.
@@ -147,12 +188,26 @@
     /// @return whether the statement was queued.
     bool requeueRefused(Instant now, PendingStatement&, const TargetName&, Session::FailureCode, bool hasPosition);
     void finish(const PendingStatement&, Session::Answer, const TargetConnection*);
-    void finishUnsent(const PendingStatement&, Session::FailureCode, const std::string& text);
+    /// @return the delay after which the caller of a refused statement is told to try again.
+    [[nodiscard]] Duration retryDelay(Instant now, const PendingStatement&);
+    void finishUnsent(Instant now, const PendingStatement&, Session::FailureCode, const std::string& text);
     void recordPath(Instant now, const TargetConnection&);
     /// Counts a refused connection attempt, and logs it if the target did not refuse the last one for the same reason.
     void logRefusal(const TargetName&, Session::FailureCode);
     void markIdle(Instant now, TargetConnection&);
     void handleStatementLoss(Instant now, const PendingStatement&, ReplyPurpose);
+
+    // Load estimates.
+    /// Records what the answer to a read that any member may serve says of the target's load.
+    void recordReadAnswer(
+        Instant now, const TargetConnection&, const PendingStatement&, const ExpectedReply&, const TargetReply&);
+    /// Records that an attempt of a read that any member may serve was sent and not answered.
+    void recordReadLoss(Instant now, const TargetName&, const PendingStatement&, Instant sentAt);
+    /// Records the load that a status answer reports.
+    void recordReportedLoad(Instant now, const TargetName&, const ExpectedReply&, const TargetStatus&);
+    void recordCapacityRefusal(Instant now, const TargetName&);
+    /// Records the return of a target that was down, before its response clears the suspicion.
+    void recordReturnIfDown(Instant now, const TargetName&);
     void discardConnection(ConnectionId);
     [[nodiscard]] PendingStatement* findStatement(PendingStatementId);
     [[nodiscard]] TargetConnection* findConnection(ConnectionId);
@@ -194,7 +249,11 @@
     std::map<TargetName, Refusals> m_refusals;
     std::unordered_map<ConnectionId, TargetName> m_targetOf;
     std::map<PendingStatementId, PendingStatement> m_statements;
-    StatementQueue m_queue;
+    Limit::AdmissionQueue m_queue;
+    /// By lane.
+    Limit::ServiceTimes<Limit::laneCount> m_serviceTimes;
+    Limit::ReturnSchedule m_queueReturns;
+    Limit::ReturnSchedule m_failoverReturns;
     Limit::RetryBudget m_retries;
     std::map<TargetName, Instant> m_polledAt;
     /// When the last round of status queries for a confirmation began.
@@ -202,6 +261,15 @@
     std::map<TargetName, Command> m_commands;
     std::set<TargetName> m_suspects;
     bool m_isDispatching { false };
+    std::uint64_t m_dispatchAttempts { 0 };
+    /// Whether the last dispatch left statements for lack of connections, and since when each tick has found that.
+    bool m_foundShortage { false };
+    std::optional<Instant> m_shortSince;
+    /// The newest confirmation and the primary for which statements were last made available.
+    std::optional<Instant> m_wokenUpTo;
+    std::optional<TargetName> m_wokenForPrimary;
+    /// Why the statements of each lane last had to wait.
+    std::array<WaitReason, Limit::laneCount> m_laneWaitReasons {};
 };
 
 } // namespace Auburnpost::Proxy
--- a/src/proxy/HostDirectory.cpp
+++ b/src/proxy/HostDirectory.cpp
@@ -11,6 +11,8 @@
     constexpr auto dataCentreField = "data_centre";
     constexpr auto relayField = "relay";
     constexpr auto sessionsField = "sessions";
+    constexpr auto peersField = "peers";
+    constexpr auto processorShareField = "processor_share";
 
     std::string textOf(const nlohmann::json& record, const char* field)
     {
@@ -18,6 +20,14 @@
         return found != record.end() && found->is_string() ? found->get<std::string>() : std::string();
     }
 
+    /// @return the processor share; 1 for a record without a positive one, as older versions write it.
+    double processorShareOf(const nlohmann::json& record)
+    {
+        const auto found = record.find(processorShareField);
+        const auto share = found != record.end() && found->is_number() ? found->get<double>() : 0;
+        return share > 0 ? share : HostEntry {}.processorShare;
+    }
+
     /// @return the record; empty for one in another format, as another version of the program may write it.
     std::optional<HostEntry> decode(const StoreRow& row)
     {
@@ -28,7 +38,11 @@
         const auto sessions = SocketAddress::parse(textOf(record, sessionsField));
         if (!relay || !sessions)
             return {};
-        return HostEntry { HostName(row.key), DataCentreName(textOf(record, dataCentreField)), *relay, *sessions };
+        HostEntry host { HostName(row.key), DataCentreName(textOf(record, dataCentreField)), *relay, *sessions,
+            processorShareOf(record) };
+        if (const auto peers = SocketAddress::parse(textOf(record, peersField)))
+            host.peers = *peers;
+        return host;
     }
 
 } // namespace
@@ -43,10 +57,11 @@
 
 std::string HostDirectory::encode(const HostEntry& host)
 {
-    return nlohmann::json {
-        { dataCentreField, host.dataCentre.value() }, { relayField, host.relay.toString() },
-        { sessionsField, host.sessions.toString() }
-    }.dump();
+    nlohmann::json record { { dataCentreField, host.dataCentre.value() }, { relayField, host.relay.toString() },
+        { sessionsField, host.sessions.toString() }, { processorShareField, host.processorShare } };
+    if (host.peers)
+        record[peersField] = host.peers->toString();
+    return record.dump();
 }
 
 void HostDirectory::tick(Instant now)
@@ -75,6 +90,7 @@
         m_delegate.readTable(StoreTable::Hosts, keyAfter(page.rows.back().key), readTimeout);
         return false;
     }
+    m_hasRead = true;
     auto hosts = std::exchange(m_partialRead, { m_self });
     std::sort(hosts.begin(), hosts.end(),
         [](const HostEntry& left, const HostEntry& right) { return left.name < right.name; });
--- a/src/proxy/PendingStatement.h
+++ b/src/proxy/PendingStatement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "limit/Ticket.h"
 #include "proxy/Catalog.h"
 #include "proxy/TargetConnection.h"
 #include "session/Statement.h"
@@ -73,6 +74,8 @@
     /// The log point that the last attempt required.
     std::optional<LogPoint> requiredLogPoint;
     WaitReason waitReason { WaitReason::None };
+    /// With WaitReason::NoConfirmation: the moment as of which the primary has to be confirmed.
+    Instant requiredMoment {};
 
     /// @return whether only the primary may serve the statement.
     [[nodiscard]] bool needsPrimary() const
@@ -87,4 +90,19 @@
     }
 };
 
+/// The lanes of the queue: statements of one lane wait for the same connections.
+constexpr Limit::Lane writeLane = 0;
+constexpr Limit::Lane currentReadLane = 1;
+constexpr Limit::Lane memberReadLane = 2;
+
+/// @return the lane of a statement, by which service times are estimated as well.
+inline Limit::Lane laneOf(const PendingStatement& pending)
+{
+    if (!pending.needsPrimary())
+        return memberReadLane;
+    const bool writes
+        = pending.access == Session::Access::Write || (pending.startsTransaction && !pending.isReadOnlyTransaction);
+    return writes ? writeLane : currentReadLane;
+}
+
 } // namespace Auburnpost::Proxy
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -1,5 +1,7 @@
 #include "proxy/Proxy.h"
 
+#include "proxy/TransactionIdleLimit.h"
+
 #include <algorithm>
 
 namespace Auburnpost::Proxy {
@@ -15,10 +17,17 @@
     , m_followers { StoreFollower(StoreTable::Configuration, TableTimes::forConfiguration(m_settings.bounds), delegate),
         StoreFollower(StoreTable::Targets, TableTimes::forTargets(m_settings.bounds), delegate) }
     , m_directory(m_settings.bounds)
-    , m_hosts({ m_settings.host, m_settings.dataCentre, m_settings.relay, m_settings.sessions }, delegate)
+    , m_hosts({ m_settings.host, m_settings.dataCentre, m_settings.relay, m_settings.sessions,
+                  m_settings.processorShare, m_settings.peers },
+          delegate)
     , m_homes(m_settings.host, m_settings.dataCentre)
+    , m_feeders(m_settings.host, m_settings.dataCentre)
     , m_peerQueriedAt(now)
 {
+    if (m_settings.allotments) {
+        const Limit::HostStart start(static_cast<std::uint32_t>(m_random() >> 33U) + 1);
+        m_allotments.emplace(now, m_settings.host, *m_settings.allotments, start, m_delegate);
+    }
 }
 
 void Proxy::tick(Instant now)
@@ -31,9 +40,13 @@
         for (auto& [name, group] : m_groups)
             group->resumedAfterPause(now);
     }
+    updateFeeders(now);
     for (auto& follower : m_followers)
         follower.tick(now);
+    answerFeeds(now);
     m_hosts.tick(now);
+    if (m_allotments)
+        m_allotments->tick(now);
     queryPeers(now);
     const auto removed = m_directory.expire(now);
     if (!removed.isEmpty()) {
@@ -41,16 +54,21 @@
         updateGroupMembers(now);
     }
     updateServedGroups(now);
-    for (auto& [name, group] : m_groups)
+    for (auto& [name, group] : m_groups) {
+        group->setRecorderRank(m_homes.recorderRank(name));
         group->tick(now);
+    }
     const auto idleLimit = m_catalog ? m_catalog->transactionIdleLimit : Duration {};
     std::vector<SessionId> timedOut;
     for (auto& [id, session] : m_sessions) {
         if (!session.isAccepted && now - session.openedAt >= acceptTimeout)
             timedOut.push_back(id);
-        else if (session.pinned && !session.pendingId && idleLimit > Duration {}
-            && now - session.idleSince >= idleLimit)
-            endTransaction(now, session);
+        else if (session.pinned && !session.pendingId && idleLimit > Duration {}) {
+            const auto* const group = findGroup(session.group);
+            const bool isShort = group && group->isShortOfConnections(now);
+            if (now - session.idleSince >= transactionIdleLimit(idleLimit, isShort))
+                endTransaction(now, session);
+        }
     }
     for (const auto id : timedOut) {
         m_sessions.erase(id);
@@ -62,11 +80,17 @@
 void Proxy::setBounds(const TimeBounds& bounds)
 {
     m_settings.bounds = bounds;
-    follower(StoreTable::Configuration).setTimes(TableTimes::forConfiguration(bounds));
-    follower(StoreTable::Targets).setTimes(TableTimes::forTargets(bounds));
+    updateTableTimes();
     m_directory.setBounds(bounds);
 }
 
+void Proxy::datagramReceived(Instant now, const SocketAddress& from, std::string_view datagram)
+{
+    m_now = now;
+    if (m_allotments)
+        m_allotments->datagramReceived(now, from, datagram);
+}
+
 bool Proxy::isReady() const
 {
     return m_catalog && m_directory.size() > 0;
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -1,12 +1,15 @@
 #pragma once
 
+#include "proxy/AllotmentService.h"
 #include "proxy/CallerSession.h"
+#include "proxy/FeederChoice.h"
 #include "proxy/GroupHomes.h"
 #include "proxy/GroupService.h"
 #include "proxy/HostDirectory.h"
 #include "proxy/ProxyDelegate.h"
 #include "proxy/ProxySettings.h"
 #include "proxy/RowReader.h"
+#include "proxy/TableFeed.h"
 #include "proxy/TargetDirectory.h"
 
 #include <memory>
@@ -60,6 +63,14 @@
     void membersRead(Instant now, const GroupName&, const Expected<StorePage>&);
     void promoteAnswered(Instant now, const GroupName&, PromotionOutcome);
 
+    // Feeds of the followed tables between hosts.
+    void feederAnswered(Instant now, const SocketAddress& feeder, StoreTable, const Expected<FeedPage>&);
+    /// Another host requests the changes of a table; ProxyDelegate::answerFeed() follows.
+    /// @param wait how long the answer may wait for a change.
+    void feedRequested(Instant now, RequestId, StoreTable, RowVersion after, Duration wait);
+    /// Refuses the waiting and all further requests of other hosts for tables, as this host shuts down.
+    void stopFeeding();
+
     void hostWritten(bool isAcknowledged) { m_hosts.recordWritten(isAcknowledged); }
 
     // Peers.
@@ -68,6 +79,10 @@
     void peerAnswered(Instant now, const SocketAddress&, const Expected<TableStates>&);
     [[nodiscard]] TableStates tables() const;
 
+    /// @return whether the host exchanges datagrams with others.
+    [[nodiscard]] bool usesDatagrams() const { return m_allotments && m_allotments->isEnabled(); }
+    void datagramReceived(Instant now, const SocketAddress& from, std::string_view datagram);
+
     void setSeeds(std::vector<SocketAddress> seeds) { m_settings.seeds = std::move(seeds); }
     void setBounds(const TimeBounds&);
 
@@ -121,6 +136,9 @@
     void endRevokedSession(Instant now, SessionId);
     void logRevocation(SessionId, const OrganisationName&);
     void serveStatement(Instant now, CallerSession&, const Session::Statement&);
+    /// @return the refusal of a statement that begins an operation over the organisation's rate limit; empty if the
+    /// statement may run.
+    [[nodiscard]] std::optional<Session::Failure> rateLimitRefusal(Instant now, const CallerSession&);
     [[nodiscard]] PendingStatement makePendingStatement(
         Instant now, const CallerSession&, const Session::Statement&, const Route&);
     void sendAnswer(CallerSession&, const Session::Answer&);
@@ -147,6 +165,14 @@
     /// @param before the calls before the one that ended.
     void logStoreCall(Instant, StoreTable, const StoreFollower::CallHistory& before, const Expected<StorePage>&);
     void queryPeers(Instant now);
+    /// Decides from whom the tables are followed.
+    void updateFeeders(Instant now);
+    /// Adapts the times of the followed tables to the bounds and to the number of hops.
+    void updateTableTimes();
+    /// Answers the waiting requests for tables that are due.
+    void answerFeeds(Instant now);
+    /// @return the answer to a request; empty if this host's copy is too old to be passed on.
+    [[nodiscard]] std::optional<FeedPage> feedPage(Instant now, StoreTable, RowVersion after) const;
     [[nodiscard]] StoreFollower& follower(StoreTable table) { return m_followers[static_cast<std::size_t>(table)]; }
 
     ProxySettings m_settings;
@@ -164,7 +190,16 @@
     /// Why each invalid target record was refused, by its key, so that each problem is logged once.
     std::map<std::string, std::string> m_invalidRecords;
     HostDirectory m_hosts;
+    /// Empty if rate limits are not enforced.
+    std::optional<AllotmentService> m_allotments;
     GroupHomes m_homes;
+    FeederChoice m_feeders;
+    TableFeed m_feed;
+    /// Whether the tables are followed in two hops, from the store to feeders and from these to the other hosts.
+    bool m_usesFeeders { false };
+    /// The host at which the tables are followed; empty while they are followed at the store.
+    std::optional<SocketAddress> m_feeder;
+    bool m_isFeedingStopped { false };
     /// When this host last had a session on the group.
     std::map<GroupName, Instant> m_groupUsedAt;
     std::set<GroupName> m_servedGroups;
--- a/src/proxy/ProxySettings.h
+++ b/src/proxy/ProxySettings.h
@@ -2,9 +2,11 @@
 
 #include "base/SocketAddress.h"
 #include "base/Time.h"
+#include "limit/AllotmentRules.h"
 #include "proxy/Ids.h"
 #include "proxy/TimeBounds.h"
 
+#include <optional>
 #include <vector>
 
 namespace Auburnpost::Proxy {
@@ -33,7 +35,13 @@
     std::vector<SocketAddress> seeds;
     /// Maximum number of file descriptors that the process may have open.
     std::size_t descriptors { 0 };
+    /// The host's share of a processor, by which it becomes a home; 1 if the deployment states none.
+    double processorShare { 1.0 };
+    /// Memory that the process may use, in bytes.
+    std::size_t memoryBytes { 0 };
     TimeBounds bounds;
+    /// The tolerated excess over the organisations' rate limits; empty if limits are not enforced.
+    std::optional<Limit::AllotmentRules> allotments;
     /// Time from the shutdown request until the process is killed.
     Duration stopTimeout {};
 };
--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -15,8 +15,11 @@
         // After a failed read the known hosts are kept; the followed tables report that the store is unavailable.
         if (page && m_hosts.updateHosts(now, *page)) {
             m_homes.setHosts(m_hosts.hosts());
+            m_feeders.setHosts(m_hosts.hosts());
             updateServedGroups(now);
         }
+        if (m_allotments && m_hosts.hasRead())
+            m_allotments->setHosts(now, m_hosts.hosts());
         return;
     }
     const auto before = follower(table).calls();
@@ -98,6 +101,7 @@
 
 void Proxy::tableChanged(Instant now, StoreTable table)
 {
+    answerFeeds(now);
     if (table == StoreTable::Configuration)
         adoptCatalog(now);
     else
@@ -140,6 +144,8 @@
             group = std::make_unique<GroupService>(m_settings.host, name, delegate);
         group->setRules(rules);
     }
+    if (m_allotments)
+        m_allotments->setOrganisations(now, m_catalog->organisations);
     updateListOrigin();
     updateGroupMembers(now);
     endRevokedSessions(now);
@@ -287,11 +293,14 @@
     Json groups = Json::object();
     for (const auto& [name, group] : m_groups)
         groups[name.value()] = describeGroup(now, *group);
-    const Json state { { "host", m_settings.host.value() }, { "ready", isReady() },
+    Json state { { "host", m_settings.host.value() }, { "ready", isReady() },
         { "configuration", m_catalog ? m_catalog->version.value() : 0 }, { "sessions", m_sessions.size() },
-        { "statements", statements() },
+        { "statements", statements() }, { "uses_feeders", m_usesFeeders },
+        { "feeder", m_feeder ? m_feeder->toString() : "" }, { "followers_waiting", m_feed.size() },
         { "targets_list", describeOrigin(now, m_followers[static_cast<std::size_t>(StoreTable::Targets)].origin()) },
         { "groups", std::move(groups) } };
+    if (usesDatagrams())
+        state["rate_limits"] = m_allotments->describe(now);
     return state.dump(2);
 }
 
--- a/src/proxy/StateDump.cpp
+++ b/src/proxy/StateDump.cpp
@@ -20,6 +20,13 @@
             described["unlisted_ms"] = toMilliseconds(now - *member.unlistedSince);
             described["ended"] = member.presumedEndedAt.has_value();
         }
+        // Estimates by which reads choose a target.
+        const auto& load = member.load;
+        described["load"] = { { "service_ms", toMilliseconds(load.serviceTime(now)) },
+            { "others", load.othersLoad(now) }, { "failure_rate", load.failureRate(now) },
+            { "paused", load.isPaused(now) }, { "share", load.returnShare(now) } };
+        if (const auto network = load.networkTime())
+            described["load"]["network_ms"] = toMilliseconds(*network);
         // The log end that members which stay have to reach before this one no longer counts.
         if (member.requiredEnd)
             described["awaited_log_end"] = PromotionLog::describe(*member.requiredEnd);
@@ -43,6 +50,20 @@
         return calls;
     }
 
+    /// Describes what this host last read or wrote of the record of members in the store.
+    Json describeRecord(const GroupService& group)
+    {
+        const auto& recorder = group.promotion().recorder();
+        Json unlisted = Json::array();
+        for (const auto& recorded : recorder.known().value_or(MemberRecord {}).members) {
+            const auto* const member = group.watcher().find(recorded.name);
+            if (!member || !member->isListed())
+                unlisted.push_back(recorded.name.value());
+        }
+        return { { "number", recorder.version().value() }, { "problem", std::string(toString(recorder.problem())) },
+            { "unlisted", std::move(unlisted) } };
+    }
+
 } // namespace
 
 Json describeOrigin(Instant now, const TableOrigin& origin)
@@ -62,12 +83,19 @@
         const auto connections = pool == group.pools().end() ? 0 : pool->second.connections().size();
         members[target.value()] = describeMember(now, member, connections);
     }
+    Json serviceTimes = Json::array();
+    for (std::size_t lane = 0; lane < Limit::laneCount; ++lane) {
+        const auto age = group.serviceTimes().age(now, lane);
+        serviceTimes.push_back({ { "us", group.serviceTimes().estimate(now, lane).count() },
+            { "age_ms", age ? Json(toMilliseconds(*age)) : Json() } });
+    }
     Json described { { "primary", watcher.primary() ? watcher.primary()->value() : "" },
         { "term", watcher.primaryTerm().value() }, { "waiting", group.waiting() },
-        { "promotion", group.promotion().state() },
+        { "dispatch_attempts", group.dispatchAttempts() }, { "service_times", std::move(serviceTimes) },
+        { "short_of_connections", group.isShortOfConnections(now) }, { "promotion", group.promotion().state() },
         { "promotion_calls", describeCalls(now, group.promotion().trace()) }, { "members", std::move(members) },
         { "departed", PromotionLog::describeDepartures(now, watcher) }, { "counted", watcher.groupSize() },
-        { "fences_needed", watcher.fencesNeeded() } };
+        { "fences_needed", watcher.fencesNeeded() }, { "member_record", describeRecord(group) } };
     if (const auto& pending = group.promotion().pending())
         described["pending_promotion"]
             = { { "candidate", pending->candidate.value() }, { "replaced_term", pending->replacedTerm.value() } };
--- a/tests/proxy/SimulatedHost.h
+++ b/tests/proxy/SimulatedHost.h
@@ -40,12 +40,15 @@
     void send(ConnectionId, const std::vector<TargetRequest>&) override;
     void readTable(StoreTable, const std::string& fromKey, Duration timeout) override;
     void followTable(StoreTable, RowVersion after, Duration wait, Duration timeout) override;
+    void followFeeder(const SocketAddress&, StoreTable, RowVersion, Duration, Duration) override { }
+    void answerFeed(RequestId, const std::optional<FeedPage>&) override { }
     void writeHost(const HostName&, const std::string& value) override;
     void readLease(const GroupName&) override;
     void writeLease(const GroupName&, const PromotionLease&, RowVersion expected) override;
     void readMembers(const GroupName&, const std::string& fromKey) override;
     void promote(const GroupName&, const TargetName&, RowVersion token, Instant sendBefore) override;
     void queryPeer(const SocketAddress&) override;
+    void sendDatagram(const SocketAddress&, std::string_view) override { }
     /// Prints the record if PROXY_TRACE is set.
     void log(const LogRecord&) override;
     void measure(std::string_view, double) override { }
--- a/tests/proxy/StateDumpTests.cpp
+++ b/tests/proxy/StateDumpTests.cpp
@@ -39,12 +39,15 @@
     }
     void readTable(StoreTable, const std::string&, Duration) override { }
     void followTable(StoreTable, RowVersion, Duration, Duration) override { }
+    void followFeeder(const SocketAddress&, StoreTable, RowVersion, Duration, Duration) override { }
+    void answerFeed(RequestId, const std::optional<FeedPage>&) override { }
     void writeHost(const HostName&, const std::string&) override { }
     void readLease(const GroupName&) override { }
     void writeLease(const GroupName&, const PromotionLease&, RowVersion) override { }
     void readMembers(const GroupName&, const std::string&) override { }
     void promote(const GroupName&, const TargetName&, RowVersion, Instant) override { }
     void queryPeer(const SocketAddress&) override { }
+    void sendDatagram(const SocketAddress&, std::string_view) override { }
     void log(const LogRecord& record) override
     {
         if (record.event == LogEvent::TargetRemoved)
@@ -154,6 +157,13 @@
     CHECK(primary.at("leaving") == false);
     CHECK(group.at("members").at("r").at("role") == "replica");
     CHECK(group.at("members").at("r").at("log_end") == "2.8");
+    const auto& load = group.at("members").at("r").at("load");
+    CHECK(load.at("service_ms") == toMilliseconds(TargetLoad::defaultService));
+    CHECK(load.at("network_ms") <= 10);
+    CHECK(load.at("others") == 0);
+    CHECK(load.at("failure_rate") == 0);
+    CHECK(load.at("paused") == false);
+    CHECK(load.at("share") == 1);
     CHECK(test.dump().at("targets_list") == Json { { "from", "store" }, { "as_of", 10 }, { "age_ms", 300 } });
 
     SECTION("the list is as old as the last answer of the store, even one without a change")
@@ -195,6 +205,26 @@
     CHECK(group.at("members").at("p").at("leaving") == true);
 }
 
+TEST_CASE(
+    "The state shows the number of the record of members, and the members on it that are not listed", "[proxy][dump]")
+{
+    Fixture test;
+    CHECK(test.group().at("member_record")
+        == Json { { "number", 0 }, { "problem", "none" }, { "unlisted", Json::array() } });
+    test.proxy.tableFollowed(
+        test.now, StoreTable::Targets, Fixture::page({ { "p", RowVersion(11), "1 leaving", false } }, 11));
+    test.run(200ms);
+    PromotionLeaseRow row { RowVersion(17), PromotionLease { HostName("other"), 0, {} }, 1000 };
+    row.lease->members = MemberRecord {
+        { { TargetName("p"), { "10.0.0.1", 1 }, {} }, { TargetName("lapsed"), { "10.0.0.1", 9 }, {} } }, 1, Term(2)
+    };
+    test.proxy.leaseRead(test.now, GroupName("group"), row);
+    CHECK(test.group().at("member_record")
+        == Json { { "number", 17 }, { "problem", "none" }, { "unlisted", { "lapsed" } } });
+    CHECK(test.group().at("members").at("lapsed").at("listed") == false);
+    CHECK(test.group().at("counted") == 4);
+}
+
 TEST_CASE("The removal of a target is logged with the version of the list and whether the target was leaving",
     "[proxy][dump]")
 {
