Let an operation wait for a permit of its organisation's rate limit

An organisation with few operations on many hosts has fewer permits than hosts, so that most of its operations met a host without one and were refused below the limit; a retry goes to another host, which has none either.

An operation without a permit waits for at most 250 ms while the coordinator is asked, at most four of an organisation on a host. Idle permits are returned after 2 s where they are scarce, and larger hosts are preferred as the coordinator.

The hosts' start without shares (3.2 s) still costs the windows after a loss of all hosts.

--- a/src/limit/Allotments.cpp
+++ b/src/limit/Allotments.cpp
@@ -20,7 +20,7 @@
     /// Time after the last operation for which one permit is kept, and the same where there are fewer permits than
     /// hosts that want one.
     constexpr Duration idleTime = std::chrono::seconds(120);
-    constexpr Duration scarceIdleTime = std::chrono::seconds(8);
+    constexpr Duration scarceIdleTime = std::chrono::seconds(2);
     constexpr std::uint32_t maxWanted = 100'000;
     /// Part of a stock at which a new request is sent before the interval has passed.
     constexpr std::uint32_t urgentPart = 4;
@@ -154,6 +154,21 @@
     return { false, retryDelay(organisation) };
 }
 
+bool Allotments::admitWaiting(Instant now, const OrganisationName& name)
+{
+    const auto found = m_organisations.find(name);
+    if (found == m_organisations.end())
+        return true;
+    auto& organisation = found->second;
+    if (!usePermit(now, organisation)) {
+        organisation.isUrgent = true;
+        return false;
+    }
+    ++organisation.counts.admitted;
+    --organisation.counts.refused;
+    return true;
+}
+
 bool Allotments::usePermit(Instant now, Organisation& organisation)
 {
     for (auto* const stock : { &organisation.formerStock, &organisation.stock }) {
--- a/src/limit/Allotments.h
+++ b/src/limit/Allotments.h
@@ -21,7 +21,7 @@
 
 /// Enforces the organisations' rate limits over all hosts together. Each operation uses one permit. Permits are created
 /// by the shares that a host holds (AllotmentPool); a host lends its own share to a coordinator, which grants permits
-/// to hosts by demand. No operation waits for a message: each host keeps a stock of permits for its demand.
+/// to hosts by demand. Each host keeps a stock of permits for its demand, so that few operations wait for a grant.
 class Allotments {
 public:
     struct Counts {
@@ -50,6 +50,9 @@
     void expect(Instant now, const OrganisationName&);
     /// Decides on one operation.
     AllotmentDecision admit(Instant now, const OrganisationName&);
+    /// Decides again on an operation that admit() refused and that waits for a permit.
+    /// @return whether it is admitted.
+    bool admitWaiting(Instant now, const OrganisationName&);
     /// @return the datagrams to send.
     std::vector<AllotmentMessage> tick(Instant now);
     /// Handles a datagram of another host. @return the datagrams to send in reply.
--- a/src/proxy/AllotmentService.cpp
+++ b/src/proxy/AllotmentService.cpp
@@ -9,6 +9,7 @@
 AllotmentService::AllotmentService(Instant now, const HostName& self, const Limit::AllotmentRules& rules,
     Limit::HostStart start, ProxyDelegate& delegate)
     : m_delegate(delegate)
+    , m_self(self)
     , m_allotments(now, self, rules, start)
     , m_measuredAt(now)
 {
@@ -29,22 +30,18 @@
     std::vector<Limit::AllotmentHost> participants;
     participants.reserve(hosts.size());
     for (const auto& host : hosts)
-        participants.push_back({ host.name, host.dataCentre, host.relay });
+        participants.push_back({ host.name, host.dataCentre, host.relay, host.processorShare });
     m_allotments.setHosts(now, participants);
 }
 
-std::optional<Session::Failure> AllotmentService::refusal(Instant now, const OrganisationName& name)
+Session::Failure AllotmentService::refuse(Instant now, const OrganisationName& name, Duration retryAfter)
 {
-    const auto decision = m_allotments.admit(now, name);
-    if (decision.isAdmitted)
-        return {};
     auto [refusals, isFirst] = m_refusals.try_emplace(name);
     ++refusals->second.unlogged;
     if (isFirst)
         logRefusals(now, name, refusals->second);
-    return Session::Failure { Session::FailureCode::Busy,
-        "over the organisation's rate limit; retry after " + std::to_string(toMilliseconds(decision.retryAfter))
-            + " ms" };
+    return { Session::FailureCode::Busy,
+        "over the organisation's rate limit; retry after " + std::to_string(toMilliseconds(retryAfter)) + " ms" };
 }
 
 void AllotmentService::logRefusals(Instant now, const OrganisationName& name, Refusals& refusals)
--- a/src/proxy/AllotmentService.h
+++ b/src/proxy/AllotmentService.h
@@ -30,11 +30,20 @@
     void setHosts(Instant now, const std::vector<HostEntry>&);
     /// Announces that operations of the organisation will probably follow.
     void expect(Instant now, const OrganisationName& name) { m_allotments.expect(now, name); }
-    /// Decides on one operation. @return the refusal; empty if it is admitted.
-    [[nodiscard]] std::optional<Session::Failure> refusal(Instant now, const OrganisationName&);
+    /// Decides on one operation.
+    [[nodiscard]] Limit::AllotmentDecision admit(Instant now, const OrganisationName& name)
+    {
+        return m_allotments.admit(now, name);
+    }
+    /// Decides again on an operation that waits for a permit. @return whether it is admitted.
+    bool admitWaiting(Instant now, const OrganisationName& name) { return m_allotments.admitWaiting(now, name); }
+    /// Counts and logs a refused operation. @return the answer to its caller.
+    [[nodiscard]] Session::Failure refuse(Instant now, const OrganisationName&, Duration retryAfter);
     void tick(Instant now);
     void datagramReceived(Instant now, const SocketAddress& from, std::string_view datagram);
 
+    /// @return whether another host grants permits to this one.
+    [[nodiscard]] bool hasCoordinator() const { return m_allotments.coordinator() != m_self; }
     /// @return whether datagrams are exchanged.
     [[nodiscard]] bool isEnabled() const { return m_allotments.isEnabled(); }
     /// @return the state as JSON, for operators.
@@ -50,6 +59,7 @@
     void logRefusals(Instant now, const OrganisationName&, Refusals&);
 
     ProxyDelegate& m_delegate;
+    HostName m_self;
     Limit::Allotments m_allotments;
     std::map<OrganisationName, Refusals> m_refusals;
     std::size_t m_rejectedDatagrams { 0 };
--- a/src/proxy/CallerSession.h
+++ b/src/proxy/CallerSession.h
@@ -37,6 +37,8 @@
     /// When the session's last statement was answered.
     Instant idleSince;
 
+    /// Whether a statement waits for a permit of the organisation's rate limit.
+    bool awaitsPermit { false };
     /// The statement in progress.
     std::optional<PendingStatementId> pendingId;
     Session::StatementId statementId;
@@ -44,7 +46,10 @@
     GroupName group;
     Instant statementArrivedAt;
     /// @return whether the session may be closed: it has no statement in progress and no open transaction.
-    [[nodiscard]] bool isIdle() const { return !pendingId && state.transaction() == Session::TransactionState::Idle; }
+    [[nodiscard]] bool isIdle() const
+    {
+        return !pendingId && !awaitsPermit && state.transaction() == Session::TransactionState::Idle;
+    }
 };
 
 } // namespace Auburnpost::Proxy
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -45,8 +45,10 @@
         follower.tick(now);
     answerFeeds(now);
     m_hosts.tick(now);
-    if (m_allotments)
+    if (m_allotments) {
         m_allotments->tick(now);
+        serveWaitingOperations(now);
+    }
     queryPeers(now);
     const auto removed = m_directory.expire(now);
     if (!removed.isEmpty()) {
@@ -87,8 +89,10 @@
 void Proxy::datagramReceived(Instant now, const SocketAddress& from, std::string_view datagram)
 {
     m_now = now;
-    if (m_allotments)
-        m_allotments->datagramReceived(now, from, datagram);
+    if (!m_allotments)
+        return;
+    m_allotments->datagramReceived(now, from, datagram);
+    serveWaitingOperations(now);
 }
 
 bool Proxy::isReady() const
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -6,6 +6,7 @@
 #include "proxy/GroupHomes.h"
 #include "proxy/GroupService.h"
 #include "proxy/HostDirectory.h"
+#include "proxy/PermitQueue.h"
 #include "proxy/ProxyDelegate.h"
 #include "proxy/ProxySettings.h"
 #include "proxy/RowReader.h"
@@ -135,10 +136,14 @@
     void endRevokedSessions(Instant now);
     void endRevokedSession(Instant now, SessionId);
     void logRevocation(SessionId, const OrganisationName&);
-    void serveStatement(Instant now, CallerSession&, const Session::Statement&);
-    /// @return the refusal of a statement that begins an operation over the organisation's rate limit; empty if the
-    /// statement may run.
-    [[nodiscard]] std::optional<Session::Failure> rateLimitRefusal(Instant now, const CallerSession&);
+    /// @param hasPermit whether the operation has a permit of the organisation's rate limit.
+    void serveStatement(Instant now, CallerSession&, const Session::Statement&, bool hasPermit = false);
+    /// Takes a permit of the organisation's rate limit for an operation. Without one the operation waits for it, or is
+    /// refused. @return whether there was one, or none is needed.
+    bool takePermit(Instant now, CallerSession&, const Session::Statement&);
+    void refuseOverLimit(Instant now, CallerSession&, Duration retryAfter);
+    /// Serves the operations that have got a permit, and refuses those that have waited for too long.
+    void serveWaitingOperations(Instant now);
     [[nodiscard]] PendingStatement makePendingStatement(
         Instant now, const CallerSession&, const Session::Statement&, const Route&);
     void sendAnswer(CallerSession&, const Session::Answer&);
@@ -193,6 +198,7 @@
     /// Empty if rate limits are not enforced.
     std::optional<AllotmentService> m_allotments;
     GroupHomes m_homes;
+    PermitQueue m_permitQueue;
     FeederChoice m_feeders;
     TableFeed m_feed;
     /// Whether the tables are followed in two hops, from the store to feeders and from these to the other hosts.
--- a/src/proxy/ProxyOrganisations.cpp
+++ b/src/proxy/ProxyOrganisations.cpp
@@ -69,7 +69,7 @@
     if (!session)
         return;
     session->isRevoked = true;
-    if (session->pendingId)
+    if (session->pendingId || session->awaitsPermit)
         return;
     endTransaction(now, *session);
     m_sessions.erase(id);
@@ -83,4 +83,48 @@
             { "version", std::to_string(m_catalog->version.value()) } } });
 }
 
+bool Proxy::takePermit(Instant now, CallerSession& session, const Session::Statement& statement)
+{
+    // A transaction is one operation, which its first statement begins.
+    if (!m_allotments || session.pinned || session.organisation == OrganisationName {})
+        return true;
+    const auto decision = m_allotments->admit(now, session.organisation);
+    if (decision.isAdmitted)
+        return true;
+    // A host that grants permits itself gets none by waiting.
+    if (!m_allotments->hasCoordinator() || !m_permitQueue.add(now, session.id, session.organisation, statement)) {
+        refuseOverLimit(now, session, decision.retryAfter);
+        return false;
+    }
+    session.awaitsPermit = true;
+    // Requests a permit now if the interval of urgent requests allows.
+    m_allotments->tick(now);
+    return false;
+}
+
+void Proxy::refuseOverLimit(Instant now, CallerSession& session, Duration retryAfter)
+{
+    const auto refusal = m_allotments->refuse(now, session.organisation, retryAfter);
+    const bool isOpen = session.state.transaction() == Session::TransactionState::Open;
+    const auto state = isOpen ? Session::TransactionState::Failed : Session::TransactionState::Idle;
+    session.state.setTransaction(state);
+    sendAnswer(session, { refusal, state, {} });
+}
+
+void Proxy::serveWaitingOperations(Instant now)
+{
+    const auto decided = m_permitQueue.takeDecided(
+        now, [this, now](const OrganisationName& name) { return m_allotments->admitWaiting(now, name); });
+    for (const auto& operation : decided) {
+        auto* const session = findSession(operation.session);
+        if (!session || !session->awaitsPermit)
+            continue;
+        session->awaitsPermit = false;
+        if (operation.isAdmitted && !session->isRevoked)
+            serveStatement(now, *session, operation.statement, true);
+        else
+            refuseOverLimit(now, *session, PermitQueue::maxWait);
+    }
+}
+
 } // namespace Auburnpost::Proxy
--- a/src/proxy/ProxySessions.cpp
+++ b/src/proxy/ProxySessions.cpp
@@ -177,15 +177,7 @@
     sendAnswer(*session, { failure, session->state.transaction(), {} });
 }
 
-std::optional<Session::Failure> Proxy::rateLimitRefusal(Instant now, const CallerSession& session)
-{
-    // A transaction is one operation, which its first statement begins.
-    if (!m_allotments || session.pinned || session.organisation == OrganisationName {})
-        return {};
-    return m_allotments->refusal(now, session.organisation);
-}
-
-void Proxy::serveStatement(Instant now, CallerSession& session, const Session::Statement& statement)
+void Proxy::serveStatement(Instant now, CallerSession& session, const Session::Statement& statement, bool hasPermit)
 {
     if (statement.kind == StatementKind::Rollback) {
         endTransaction(now, session);
@@ -205,12 +197,8 @@
             { Session::Failure { FailureCode::Busy, "the group is not known yet; retry after 500 ms" }, state, {} });
         return;
     }
-    if (const auto refusal = rateLimitRefusal(now, session)) {
-        const auto state = isOpen ? TransactionState::Failed : TransactionState::Idle;
-        session.state.setTransaction(state);
-        sendAnswer(session, { *refusal, state, {} });
+    if (!hasPermit && !takePermit(now, session, statement))
         return;
-    }
     const auto route = isOpen ? *session.transactionRoute : *current;
     auto pending = makePendingStatement(now, session, statement, route);
     session.pendingId = pending.id;
@@ -343,6 +331,7 @@
 {
     m_now = now;
     m_forwardedSessions.erase(id);
+    m_permitQueue.remove(id);
     auto* const session = findSession(id);
     if (!session)
         return;
@@ -379,7 +368,7 @@
     m_now = now;
     std::vector<SessionId> ended;
     for (auto& [id, session] : m_sessions) {
-        if (session.pendingId || session.state.transaction() == TransactionState::Idle)
+        if (session.pendingId || session.awaitsPermit || session.state.transaction() == TransactionState::Idle)
             continue;
         endTransaction(now, session);
         ended.push_back(id);
