--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -131,7 +131,8 @@
     [[nodiscard]] std::optional<OrganisationName> authorise(
         const std::optional<Config::KeyDigest>&, const Route&, const std::optional<OrganisationName>& forwarded) const;
     [[nodiscard]] std::optional<OrganisationName> authorise(const CallerSession&, const Route&) const;
-    void refuseKey(const CallerSession&);
+    /// Refuses a session that is not open yet. A forwarded one is closed, so that the other host serves it otherwise.
+    void refuseOpening(const CallerSession&, const Session::Failure&);
     /// Ends the sessions whose key was removed from the configuration or is now another organisation's.
     void endRevokedSessions(Instant now);
     void endRevokedSession(Instant now, SessionId);
--- a/src/proxy/ProxyOrganisations.cpp
+++ b/src/proxy/ProxyOrganisations.cpp
@@ -23,21 +23,6 @@
     return authorise(session.key, route, session.isForwarded ? std::optional(session.organisation) : std::nullopt);
 }
 
-void Proxy::refuseKey(const CallerSession& session)
-{
-    log({ LogEvent::SessionRefused,
-        { { "database", session.database.value() }, { "reason", "unknown_key" },
-            { "version", std::to_string(m_catalog->version.value()) } } });
-    const auto id = session.id;
-    const bool isForwarded = session.isForwarded;
-    m_sessions.erase(id);
-    // The forwarding host knows the organisation from a configuration that differs from this host's.
-    if (isForwarded)
-        m_delegate.closeSession(id);
-    else
-        m_delegate.refuseSession(id, { Session::FailureCode::UnknownKey, "no organisation has this key" });
-}
-
 void Proxy::endRevokedSessions(Instant now)
 {
     std::vector<SessionId> revoked;
--- a/src/proxy/ProxySessions.cpp
+++ b/src/proxy/ProxySessions.cpp
@@ -70,7 +70,7 @@
     if (const auto* const route = findRoute(session.database)) {
         const auto organisation = authorise(session, *route);
         if (!organisation) {
-            refuseKey(session);
+            refuseOpening(session, { FailureCode::UnknownKey, "no organisation has this key" });
             return;
         }
         session.organisation = *organisation;
@@ -86,17 +86,22 @@
         m_delegate.acceptSession(session.id);
         return;
     }
+    refuseOpening(session, { FailureCode::UnknownDatabase, "no such database" });
+}
+
+void Proxy::refuseOpening(const CallerSession& session, const Session::Failure& failure)
+{
     log({ LogEvent::SessionRefused,
-        { { "database", session.database.value() }, { "reason", "unknown_database" },
+        { { "database", session.database.value() }, { "reason", std::string(Session::toString(failure.code)) },
             { "version", std::to_string(m_catalog->version.value()) } } });
     const auto id = session.id;
     const bool isForwarded = session.isForwarded;
     m_sessions.erase(id);
-    // The forwarding host knows the database from a configuration that this host does not have yet.
+    // The configuration by which the other host forwarded the session differs from this host's.
     if (isForwarded)
         m_delegate.closeSession(id);
     else
-        m_delegate.refuseSession(id, { FailureCode::UnknownDatabase, "no such database" });
+        m_delegate.refuseSession(id, failure);
 }
 
 std::optional<HostEntry> Proxy::homeForSession(const CallerSession& session, const Route& route)
