Carry the era of the store with each of its versions, and log its rises

The store states in the header Store-Era of each answer how often it has come back from an older copy of itself, after which versions are given out again. Nothing read the header, so neither the log nor the state dump could show that a host's copy is of another era. Versions are now decoded with their era and logged as ERA/NUMBER, E0220 reports a rise, and the state dump has store_era. No decision changes: versions are still ordered by number alone.

platform_tests "A version carries the era that the store states in its reply"

--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -32,6 +32,7 @@
     OlderConfigurationIgnored = 217,
     TableSourceChanged = 218,
     FeederFailed = 219,
+    StoreEraChanged = 220,
 
     HostJoined = 300,
     HostSuspected = 301,
--- a/src/message/PlatformCall.h
+++ b/src/message/PlatformCall.h
@@ -48,6 +48,7 @@
     std::string body;
     /// Version of the row; empty when the response has none.
     std::optional<std::uint64_t> version;
+    std::vector<CallHeader> headers {};
 };
 
 /// The outcome of a call. After any error other than NotSent, a Put or Post may still have taken effect.
--- a/src/platform/StoreCalls.cpp
+++ b/src/platform/StoreCalls.cpp
@@ -1,10 +1,12 @@
 #include "platform/StoreCalls.h"
 
+#include "platform/Fields.h"
 #include "proxy/PromotionLeaseCodec.h"
 
 #include <array>
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
+#include <strings.h>
 
 namespace Auburnpost::Platform {
 
@@ -19,6 +21,7 @@
     /// slow.
     constexpr Duration callTimeout = std::chrono::milliseconds(900);
 
+    constexpr auto eraHeader = "Store-Era";
     constexpr int statusOk = 200;
     constexpr int statusConflict = 409;
     constexpr int statusGone = 410;
@@ -72,11 +75,26 @@
         return text;
     }
 
-    Proxy::StoreRow readRow(const Json& json)
+    /// @return the era that the reply states; zero if it states none, or none that can be read.
+    Proxy::StoreEra eraOf(const PlatformReply& reply)
+    {
+        for (const auto& header : reply.headers) {
+            if (strcasecmp(header.name.c_str(), eraHeader) == 0)
+                return Proxy::StoreEra(readNumber(header.value).value_or(0));
+        }
+        return {};
+    }
+
+    RowVersion readVersion(const Json& json, Proxy::StoreEra era)
+    {
+        return RowVersion(json.at("RecordVersion").get<std::uint64_t>(), era);
+    }
+
+    Proxy::StoreRow readRow(const Json& json, Proxy::StoreEra era)
     {
         Proxy::StoreRow row;
         row.key = json.at("Key").get<std::string>();
-        row.version = RowVersion(json.at("RecordVersion").get<std::uint64_t>());
+        row.version = readVersion(json, era);
         row.isDeleted = json.value("Deleted", false);
         // A value that is not base64 is left empty, so that the decoder of the row reports an error with its key.
         if (!row.isDeleted) {
@@ -115,7 +133,7 @@
         if (reply->status != statusOk)
             return refused(*reply, step);
         try {
-            return read(parseBody(reply->body));
+            return read(parseBody(reply->body), eraOf(*reply));
         } catch (const std::exception& problem) {
             return fail(ErrorCode::BadMessage, step, "store", problem.what());
         }
@@ -200,13 +218,14 @@
     if (reply && reply->status == statusGone) {
         Proxy::StorePage gone;
         gone.isHistoryUnavailable = true;
+        gone.asOf = RowVersion(0, eraOf(*reply));
         return gone;
     }
-    return readReply<Proxy::StorePage>(reply, "read rows", [](const Json& json) {
+    return readReply<Proxy::StorePage>(reply, "read rows", [](const Json& json, Proxy::StoreEra era) {
         Proxy::StorePage page;
         for (const auto& row : json.at("rows"))
-            page.rows.push_back(readRow(row));
-        page.asOf = RowVersion(json.at("RecordVersion").get<std::uint64_t>());
+            page.rows.push_back(readRow(row, era));
+        page.asOf = readVersion(json, era);
         page.hasMore = json.value("HasMore", false);
         return page;
     });
@@ -214,11 +233,11 @@
 
 Expected<Proxy::PromotionLeaseRow> readLeaseRow(const Proxy::GroupName& group, const Expected<PlatformReply>& reply)
 {
-    return readReply<Proxy::PromotionLeaseRow>(reply, "read claim", [&group](const Json& json) {
+    return readReply<Proxy::PromotionLeaseRow>(reply, "read claim", [&group](const Json& json, Proxy::StoreEra era) {
         Proxy::PromotionLeaseRow leaseRow;
         leaseRow.storeNowMs = json.at("NowMs").get<std::uint64_t>();
         for (const auto& encoded : json.at("rows")) {
-            const auto row = readRow(encoded);
+            const auto row = readRow(encoded, era);
             if (row.key != group.value())
                 continue;
             leaseRow.version = row.version;
@@ -234,8 +253,8 @@
 {
     if (reply && reply->status == statusPreconditionFailed)
         return std::nullopt;
-    return readReply<std::optional<RowVersion>>(reply, "write claim",
-        [](const Json& json) { return RowVersion(json.at("RecordVersion").get<std::uint64_t>()); });
+    return readReply<std::optional<RowVersion>>(
+        reply, "write claim", [](const Json& json, Proxy::StoreEra era) { return readVersion(json, era); });
 }
 
 Proxy::PromotionOutcome readPromotionOutcome(const Expected<PlatformReply>& reply)
--- a/src/proxy/Ids.h
+++ b/src/proxy/Ids.h
@@ -2,6 +2,7 @@
 
 #include "base/Ids.h"
 #include "base/LogPoint.h"
+#include "proxy/RowVersion.h"
 
 namespace Auburnpost::Proxy {
 
@@ -11,7 +12,5 @@
 using SessionId = StrongId<std::uint64_t, struct SessionIdTag>;
 /// Distinguishes successive starts of a target under the same name.
 using TargetIncarnation = StrongId<std::uint64_t, struct TargetIncarnationTag>;
-/// Version of a row in the platform's store, from one counter for all rows.
-using RowVersion = StrongId<std::uint64_t, struct RowVersionTag>;
 
 } // namespace Auburnpost::Proxy
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -170,6 +170,8 @@
     /// Logs a failed call, and a success that follows failed ones.
     /// @param before the calls before the one that ended.
     void logStoreCall(Instant, StoreTable, const StoreFollower::CallHistory& before, const Expected<StorePage>&);
+    /// Notes the era of the store that an answer states.
+    void recordEra(StoreTable, const Expected<StorePage>&);
     void queryPeers(Instant now);
     /// Decides from whom the tables are followed.
     void updateFeeders(Instant now);
@@ -190,6 +192,8 @@
     Instant m_lastTickAt;
     std::array<StoreFollower, followedTables.size()> m_followers;
     std::optional<Catalog> m_catalog;
+    /// The latest era of the store that an answer stated.
+    StoreEra m_storeEra;
     TargetDirectory m_directory;
     /// The pages received so far by the reads of the targets' table on behalf of groups.
     std::map<GroupName, TableState> m_memberReads;
--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -22,6 +22,7 @@
             m_allotments->setHosts(now, m_hosts.hosts());
         return;
     }
+    recordEra(table, page);
     const auto before = follower(table).calls();
     const bool hasChanged = follower(table).tableRead(now, m_random, page);
     updateListOrigin();
@@ -34,6 +35,7 @@
 void Proxy::tableFollowed(Instant now, StoreTable table, const Expected<StorePage>& page)
 {
     m_now = now;
+    recordEra(table, page);
     const auto before = follower(table).calls();
     const bool hasChanged = follower(table).tableFollowed(now, m_random, page);
     updateListOrigin();
@@ -99,6 +101,19 @@
     log({ LogEvent::PlatformRecovered, std::move(fields) });
 }
 
+void Proxy::recordEra(StoreTable table, const Expected<StorePage>& page)
+{
+    if (!page || page->asOf.era() <= m_storeEra)
+        return;
+    const auto before = std::exchange(m_storeEra, page->asOf.era());
+    if (!follower(table).isKnown())
+        return;
+    log({ LogEvent::StoreEraChanged,
+        { { "era", std::to_string(m_storeEra.value()) }, { "before", std::to_string(before.value()) },
+            { "table", std::string(toString(table)) }, { "as_of", toString(page->asOf) },
+            { "known", toString(follower(table).state().asOf) } } });
+}
+
 void Proxy::tableChanged(Instant now, StoreTable table)
 {
     answerFeeds(now);
@@ -114,8 +129,7 @@
         auto catalog = m_reader.readCatalog(row);
         if (!catalog) {
             log({ LogEvent::ConfigurationRejected,
-                { { "row", key }, { "version", std::to_string(row.version.value()) },
-                    { "problem", catalog.error().describe() } } });
+                { { "row", key }, { "version", toString(row.version) }, { "problem", catalog.error().describe() } } });
             continue;
         }
         if (!*catalog)
@@ -125,15 +139,14 @@
                 log({ LogEvent::OlderConfigurationIgnored,
                     { { "version", std::to_string((*catalog)->version.value()) },
                         { "applied", std::to_string(m_catalog->version.value()) },
-                        { "row_version", std::to_string(row.version.value()) } } });
+                        { "row_version", toString(row.version) } } });
             continue;
         }
         m_catalog = std::move(**catalog);
         log({ LogEvent::ConfigurationApplied,
             { { "version", std::to_string(m_catalog->version.value()) },
-                { "routes", std::to_string(m_catalog->routes.size()) },
-                { "row_version", std::to_string(row.version.value()) },
-                { "as_of", std::to_string(follower(StoreTable::Configuration).state().asOf.value()) } } });
+                { "routes", std::to_string(m_catalog->routes.size()) }, { "row_version", toString(row.version) },
+                { "as_of", toString(follower(StoreTable::Configuration).state().asOf) } } });
     }
     if (!m_catalog)
         return;
@@ -229,7 +242,7 @@
 
 void Proxy::logTargetChanges(const TargetDirectory::Changes& changes)
 {
-    const auto asOf = std::to_string(follower(StoreTable::Targets).state().asOf.value());
+    const auto asOf = toString(follower(StoreTable::Targets).state().asOf);
     for (const auto& record : changes.listed)
         log({ record.isLeaving ? LogEvent::TargetLeaving : LogEvent::TargetListed,
             { { "group", record.group.value() }, { "target", record.name.value() },
@@ -274,7 +287,7 @@
         updateListOrigin();
         log({ LogEvent::PeerStateAdopted,
             { { "peer", peer.toString() }, { "table", std::string(toString(table)) },
-                { "as_of", std::to_string(state.asOf.value()) } } });
+                { "as_of", toString(state.asOf) } } });
         tableChanged(now, table);
     }
 }
@@ -295,7 +308,7 @@
         groups[name.value()] = describeGroup(now, *group);
     Json state { { "host", m_settings.host.value() }, { "ready", isReady() },
         { "configuration", m_catalog ? m_catalog->version.value() : 0 }, { "sessions", m_sessions.size() },
-        { "statements", statements() }, { "uses_feeders", m_usesFeeders },
+        { "statements", statements() }, { "store_era", m_storeEra.value() }, { "uses_feeders", m_usesFeeders },
         { "feeder", m_feeder ? m_feeder->toString() : "" }, { "followers_waiting", m_feed.size() },
         { "targets_list", describeOrigin(now, m_followers[static_cast<std::size_t>(StoreTable::Targets)].origin()) },
         { "groups", std::move(groups) } };
--- a/src/wire/PlatformClient.cpp
+++ b/src/wire/PlatformClient.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <charconv>
 #include <event2/bufferevent.h>
+#include <event2/keyvalq_struct.h>
 #include <sys/socket.h>
 
 namespace Auburnpost::Wire {
@@ -313,6 +314,8 @@
         return failure(pending, "the connection failed before the whole answer came");
     PlatformReply reply { evhttp_request_get_response_code(request), readBody(request), {} };
     const auto* const headers = evhttp_request_get_input_headers(request);
+    for (const auto* header = headers->tqh_first; header; header = header->next.tqe_next)
+        reply.headers.push_back({ header->key, header->value });
     const auto* const length = evhttp_find_header(headers, "Content-Length");
     if (length && readNumber(length) != reply.body.size())
         return failure(pending, "the answer is not whole");
--- a/tests/platform/StoreCallsTests.cpp
+++ b/tests/platform/StoreCallsTests.cpp
@@ -40,6 +40,28 @@
     CHECK(page->hasMore);
 }
 
+TEST_CASE("A version carries the era that the store states in its reply", "[platform]")
+{
+    const json body { { "rows", json::array({ { { "Key", "i-1" }, { "RecordVersion", 12 }, { "Value", "" } } }) },
+        { "RecordVersion", 14 }, { "NowMs", 784 } };
+    const auto eraOf = [&body](int status, std::vector<CallHeader> headers) {
+        const auto page = readPage(PlatformReply { status, body.dump(), {}, std::move(headers) });
+        REQUIRE(page);
+        for (const auto& row : page->rows)
+            CHECK(row.version.era() == page->asOf.era());
+        return page->asOf.era().value();
+    };
+    CHECK(eraOf(200, { { "Store-Era", "3" } }) == 3);
+    CHECK(eraOf(200, { { "store-era", "4" } }) == 4);
+    CHECK(eraOf(410, { { "Store-Era", "5" } }) == 5);
+    CHECK(eraOf(200, {}) == 0);
+    CHECK(eraOf(200, { { "Store-Era", "third" } }) == 0);
+
+    const auto written = readLeaseWrite(PlatformReply { 200, body.dump(), {}, { { "Store-Era", "6" } } });
+    REQUIRE(written);
+    CHECK((*written)->era() == StoreEra(6));
+}
+
 TEST_CASE("A history that is no longer available is no error, but a refusal is", "[platform]")
 {
     const auto gone = readPage(reply(410, ""));
