--- a/tests/proxy/FakeStore.cpp
+++ b/tests/proxy/FakeStore.cpp
@@ -26,7 +26,7 @@
             follower.tick(m_now);
         }
         const auto& rows = follower.state().rows;
-        const auto applied = rows.empty() ? 0 : rows.begin()->second.version.value();
+        const auto applied = rows.empty() ? 0 : std::stoull(rows.begin()->second.value);
         while (!m_unapplied.empty() && m_unapplied.front().first <= applied)
             m_unapplied.pop_front();
         if (m_unapplied.empty())
@@ -45,20 +45,54 @@
         if (m_call)
             m_call->isLost = true;
         if (m_losesHistory)
-            m_lostHistory = RowVersion(m_version + 1);
+            m_lostHistory = m_contents.back().version + 1;
         return;
     }
+    if (m_copyAge && now >= m_outage.end)
+        restoreCopy(now);
+    if (m_rewriteAt && now >= *m_rewriteAt) {
+        m_rewriteAt.reset();
+        write(now, m_newestEdit);
+    }
+    if (m_otherWriteInterval > Duration {} && now >= m_nextOtherWriteAt) {
+        m_nextOtherWriteAt = now + m_otherWriteInterval;
+        write(now, m_contents.back().edit);
+    }
     if (now < m_nextEditAt)
         return;
     m_nextEditAt = now + m_editInterval;
-    ++m_version;
-    m_unapplied.emplace_back(m_version, now);
+    write(now, ++m_newestEdit);
+    m_unapplied.emplace_back(m_newestEdit, now);
+}
+
+void FakeStore::write(Instant now, std::uint64_t edit)
+{
+    auto content = m_contents.back();
+    content.writtenAt = now;
+    ++content.version;
+    if (content.edit != edit)
+        content.rowVersion = content.version;
+    content.edit = edit;
+    m_contents.push_back(content);
+}
+
+void FakeStore::restoreCopy(Instant now)
+{
+    const auto copiedAt = m_outage.start - *m_copyAge;
+    while (m_contents.size() > 1 && m_contents.back().writtenAt > copiedAt)
+        m_contents.pop_back();
+    m_era = StoreEra(m_era.value() + 1);
+    m_copyAge.reset();
+    m_rewriteAt = now + m_rewriteDelay;
+    m_nextEditAt = std::max(m_nextEditAt, *m_rewriteAt + step);
 }
 
 void FakeStore::finishCall(StoreFollower& follower, Instant now)
 {
     const auto call = *m_call;
-    const bool hasAnswer = call.isRead || call.after < RowVersion(m_version) || now >= call.answerAt;
+    const auto& content = m_contents.back();
+    const bool isGone = call.after.value() < m_lostHistory || call.after.value() > content.version;
+    const bool hasAnswer = call.isRead || isGone || call.after.value() < content.rowVersion || now >= call.answerAt;
     if (!call.isLost && hasAnswer && now >= call.sentAt + m_roundTrip) {
         m_call.reset();
         if (call.isRead)
@@ -77,19 +111,31 @@
 
 StorePage FakeStore::page(const Call& call) const
 {
-    if (!call.isRead && call.after < m_lostHistory)
-        return { {}, RowVersion(m_version), false, true };
-    return { { { rowKey, RowVersion(m_version), "", false } }, RowVersion(m_version), false, false };
+    const auto& content = m_contents.back();
+    const RowVersion asOf(content.version, m_era);
+    if (!call.isRead && (call.after.value() < m_lostHistory || call.after.value() > content.version))
+        return { {}, RowVersion(0, m_era), false, true };
+    StorePage page { {}, asOf, false, false };
+    if (call.isRead || call.after.value() < content.rowVersion)
+        page.rows.push_back({ rowKey, RowVersion(content.rowVersion, m_era), std::to_string(content.edit), false });
+    return page;
+}
+
+void FakeStore::start(Call call)
+{
+    ++m_calls;
+    call.isLost = isOut(m_now);
+    m_call = call;
 }
 
 void FakeStore::readTable(StoreTable, const std::string&, Duration timeout)
 {
-    m_call = { m_now, m_now + timeout, m_now, {}, true, isOut(m_now) };
+    start({ m_now, m_now + timeout, m_now, {}, true, false });
 }
 
 void FakeStore::followTable(StoreTable, RowVersion after, Duration wait, Duration timeout)
 {
-    m_call = { m_now, m_now + timeout, m_now + wait, after, false, isOut(m_now) };
+    start({ m_now, m_now + timeout, m_now + wait, after, false, false });
 }
 
 } // namespace Auburnpost::Proxy
--- a/tests/proxy/FakeStore.h
+++ b/tests/proxy/FakeStore.h
@@ -6,8 +6,8 @@
 
 namespace Auburnpost::Proxy {
 
-/// The platform's store in simulated time, with one table of one row that is edited at intervals. During an outage
-/// every call is lost, those in progress at its start included.
+/// The platform's store in simulated time, with one table of one row that is edited at intervals. The value of the row
+/// is the number of the edit. During an outage every call is lost, those in progress at its start included.
 class FakeStore final : public StoreDelegate {
 public:
     struct Outage {
@@ -25,6 +25,18 @@
 
     /// Makes the store lose the history of changes at the end of the outage.
     void loseHistory() { m_losesHistory = true; }
+    /// Makes the store come back from the outage in a new era, from a copy of itself. The newest edit is written again.
+    /// @param age of the copy at the start of the outage.
+    /// @param rewriteDelay time from the end of the outage until the newest edit is written again.
+    void comeBackFromCopy(Duration age, Duration rewriteDelay)
+    {
+        m_copyAge = age;
+        m_rewriteDelay = rewriteDelay;
+    }
+    /// Writes rows of other tables at intervals, which use versions of the same counter.
+    void writeOtherRows(Duration interval) { m_otherWriteInterval = interval; }
+    /// @return the calls since the start.
+    [[nodiscard]] std::size_t calls() const { return m_calls; }
 
     /// Runs a follower of the table until the given time.
     /// @return the maximum time by which an edit was applied later than the bounds demand.
@@ -46,7 +58,18 @@
         bool isLost { false };
     };
 
+    /// What a copy of the store holds.
+    struct Content {
+        Instant writtenAt;
+        std::uint64_t version { 1 };
+        std::uint64_t rowVersion { 1 };
+        std::uint64_t edit { 0 };
+    };
+
     [[nodiscard]] bool isOut(Instant now) const { return m_outage.start <= now && now < m_outage.end; }
+    void write(Instant now, std::uint64_t edit);
+    void restoreCopy(Instant now);
+    void start(Call);
     void advance(Instant now);
     void finishCall(StoreFollower&, Instant now);
     [[nodiscard]] StorePage page(const Call&) const;
@@ -57,9 +80,18 @@
     bool m_losesHistory { false };
     Instant m_now {};
     Instant m_nextEditAt {};
-    std::uint64_t m_version { 1 };
+    Duration m_otherWriteInterval {};
+    Instant m_nextOtherWriteAt {};
+    StoreEra m_era;
+    /// All contents of this era, the present one last.
+    std::vector<Content> m_contents { {} };
+    std::uint64_t m_newestEdit { 0 };
+    std::optional<Duration> m_copyAge;
+    Duration m_rewriteDelay {};
+    std::optional<Instant> m_rewriteAt;
+    std::size_t m_calls { 0 };
     /// The changes up to this version are no longer in the history.
-    RowVersion m_lostHistory;
+    std::uint64_t m_lostHistory { 0 };
     /// Acknowledgements of the edits that the follower has not applied yet.
     std::deque<std::pair<std::uint64_t, Instant>> m_unapplied;
     std::optional<Call> m_call;
--- a/tests/proxy/StoreFollowerTests.cpp
+++ b/tests/proxy/StoreFollowerTests.cpp
@@ -192,3 +192,58 @@
         CHECK(table.follower.state().rows.contains("b"));
     }
 }
+
+namespace {
+
+/// A store that comes back from a copy and is edited afterwards, followed by one host.
+struct CopyCase {
+    Duration age {};
+    Duration outage {};
+    Duration rewriteDelay {};
+    Duration editInterval {};
+    Duration otherWriteInterval {};
+};
+
+std::ostream& operator<<(std::ostream& stream, const CopyCase& copy)
+{
+    return stream << "copy of " << toMilliseconds(copy.age) << " ms, outage of " << toMilliseconds(copy.outage)
+                  << " ms, written again after " << toMilliseconds(copy.rewriteDelay) << " ms, an edit each "
+                  << toMilliseconds(copy.editInterval) << " ms, other rows each "
+                  << toMilliseconds(copy.otherWriteInterval) << " ms";
+}
+
+} // namespace
+
+TEST_CASE(
+    "An edit whose version the store gives out again after it came back from a copy is known in time", "[proxy][store]")
+{
+    const TimeBounds bounds;
+    CopyCase copy;
+    copy.age = GENERATE(Duration(500ms), Duration(2s), Duration(8s));
+    copy.otherWriteInterval = GENERATE(Duration(0ms), Duration(40ms), Duration(400ms));
+    copy.editInterval = GENERATE(Duration(700ms), Duration(9s));
+    copy.rewriteDelay = 300ms;
+    for (const Duration outage : { 50ms, 1000ms, 7000ms }) {
+        copy.outage = outage;
+        const Instant start(12s);
+        FakeStore store({ start, start + copy.outage }, copy.editInterval, 5ms);
+        store.comeBackFromCopy(copy.age, copy.rewriteDelay);
+        store.writeOtherRows(copy.otherWriteInterval);
+        StoreFollower follower(StoreTable::Configuration, TableTimes::forConfiguration(bounds), store);
+        INFO(copy);
+        CHECK(toMilliseconds(store.run(follower, start + copy.outage + 40s, bounds)) == 0);
+    }
+}
+
+TEST_CASE("A store that came back from a copy is not called without a pause", "[proxy][store]")
+{
+    const Instant start(12s);
+    FakeStore store({ start, start + 100ms }, 1min, 5ms);
+    store.writeOtherRows(1s);
+    store.comeBackFromCopy(8s, 300ms);
+    StoreFollower follower(StoreTable::Configuration, TableTimes::forConfiguration({}), store);
+    (void)store.run(follower, start, {});
+    const auto before = store.calls();
+    (void)store.run(follower, start + 6s, {});
+    CHECK(store.calls() - before <= 20);
+}
