Order versions of the store by its era, and read a table again in a new one

Cause: the store may come back from an older copy of itself; it then gives versions out again and states a higher era. The follower of a table ordered versions by number alone. A host whose copy was as of a later number ignored every read of the table, polled on after that number, and never got an edit that had been given a number below it. Until the store had passed the number, each poll was answered with 410 and each read was ignored, with no delay between them. Change: versions are ordered by era first. An answer of a later era makes the host read the whole table, which replaces the copy whatever its number; an answer of an earlier era, or a read that is older than the copy, counts as a failed call, with the usual delay before the next one. Why it works: a number is never compared with one of another era, and a table is never followed from a version that the store may have given out again.

--- a/src/app/ProxyAssemblyPlatform.cpp
+++ b/src/app/ProxyAssemblyPlatform.cpp
@@ -13,7 +13,8 @@
     constexpr int statusOk = 200;
     constexpr int statusNotFound = 404;
     constexpr int statusUnavailable = 503;
-    /// Followers request "/v1/tables/TABLE/VERSION/WAIT", with the version that they have and the wait in milliseconds.
+    /// Followers request "/v1/tables/TABLE/VERSION/WAIT", with the version that they have, as NUMBER or ERA.NUMBER, and
+    /// the wait in milliseconds.
     constexpr auto feedFolder = "tables";
     constexpr std::size_t feedPathSegments = 5;
     constexpr std::uint64_t maxFeedWaitMs = 60'000;
@@ -29,6 +30,24 @@
         return {};
     }
 
+    std::string writeVersion(const Proxy::RowVersion& version)
+    {
+        const auto number = std::to_string(version.value());
+        const auto era = version.era();
+        return era == Proxy::StoreEra {} ? number : std::to_string(era.value()) + "." + number;
+    }
+
+    std::optional<Proxy::RowVersion> readVersion(std::string_view text)
+    {
+        const auto dot = text.find('.');
+        const auto era = dot == std::string_view::npos ? std::optional<std::uint64_t>(0)
+                                                       : Platform::readNumber(text.substr(0, dot));
+        const auto number = Platform::readNumber(dot == std::string_view::npos ? text : text.substr(dot + 1));
+        if (!era || !number)
+            return {};
+        return Proxy::RowVersion(*number, Proxy::StoreEra(*era));
+    }
+
     Expected<Proxy::StorePage> readPage(Proxy::StoreTable table, const Expected<PlatformReply>& reply)
     {
         auto page = Platform::readPage(reply);
@@ -169,8 +188,8 @@
         client->answered().connect([this](const PlatformAnswer& answer) { onPlatformAnswer(answer); });
     }
     PlatformCall feedCall;
-    feedCall.path = "/v1/" + std::string(feedFolder) + "/" + std::string(toString(table)) + "/"
-        + std::to_string(after.value()) + "/" + std::to_string(toMilliseconds(wait));
+    feedCall.path = "/v1/" + std::string(feedFolder) + "/" + std::string(toString(table)) + "/" + writeVersion(after)
+        + "/" + std::to_string(toMilliseconds(wait));
     feedCall.timeout = timeout;
     call(*client, std::move(feedCall), [this, feeder, table](const Expected<PlatformReply>& reply) {
         auto page = reply.and_then([&feeder](const PlatformReply& answered) -> Expected<Proxy::FeedPage> {
@@ -186,13 +205,13 @@
 void ProxyAssembly::serveFeed(const Wire::HttpRequest& request)
 {
     const auto table = readTableName(request.path[2]);
-    const auto after = Platform::readNumber(request.path[3]);
+    const auto after = readVersion(request.path[3]);
     const auto wait = Platform::readNumber(request.path[4]);
     if (!table || !after || !wait || *wait > maxFeedWaitMs) {
         m_peerServer.reply(request.id, { statusNotFound, {}, {} });
         return;
     }
-    m_proxy.feedRequested(now(), request.id, *table, Proxy::RowVersion(*after), std::chrono::milliseconds(*wait));
+    m_proxy.feedRequested(now(), request.id, *table, *after, std::chrono::milliseconds(*wait));
 }
 
 void ProxyAssembly::answerFeed(RequestId id, const std::optional<Proxy::FeedPage>& page)
--- a/src/proxy/PeerSnapshot.cpp
+++ b/src/proxy/PeerSnapshot.cpp
@@ -15,18 +15,25 @@
         Json rows = Json::array();
         for (const auto& [key, row] : table.rows)
             rows.push_back({ key, row.version.value(), Json::binary({ row.value.begin(), row.value.end() }) });
-        return { { "as_of", table.asOf.value() }, { "rows", std::move(rows) } };
+        return { { "as_of", table.asOf.value() }, { "era", table.asOf.era().value() }, { "rows", std::move(rows) } };
+    }
+
+    /// @return the version; of the first era if it is of a program that does not know of eras.
+    RowVersion decodeVersion(const Json& encoded)
+    {
+        return RowVersion(
+            encoded.at("as_of").get<std::uint64_t>(), StoreEra(encoded.value("era", std::uint64_t { 0 })));
     }
 
     TableState decodeTable(const Json& encoded)
     {
         TableState table;
-        table.asOf = RowVersion(encoded.at("as_of").get<std::uint64_t>());
+        table.asOf = decodeVersion(encoded);
         for (const auto& row : encoded.at("rows")) {
             const auto& bytes = row.at(2).get_binary();
             const auto key = row.at(0).get<std::string>();
-            table.rows[key]
-                = { key, RowVersion(row.at(1).get<std::uint64_t>()), std::string(bytes.begin(), bytes.end()), false };
+            table.rows[key] = { key, RowVersion(row.at(1).get<std::uint64_t>(), table.asOf.era()),
+                std::string(bytes.begin(), bytes.end()), false };
         }
         return table;
     }
@@ -57,7 +64,8 @@
 
 std::string encodeFeedPage(const FeedPage& page)
 {
-    Json encoded { { "as_of", page.asOf.value() }, { "age_ms", toMilliseconds(page.age) } };
+    Json encoded { { "as_of", page.asOf.value() }, { "era", page.asOf.era().value() },
+        { "age_ms", toMilliseconds(page.age) } };
     if (page.table)
         encoded["table"] = encodeTable(*page.table);
     const auto bytes = Json::to_msgpack(encoded);
@@ -69,7 +77,7 @@
     FeedPage page;
     try {
         const auto encoded = Json::from_msgpack(bytes.begin(), bytes.end());
-        page.asOf = RowVersion(encoded.at("as_of").get<std::uint64_t>());
+        page.asOf = decodeVersion(encoded);
         page.age = std::chrono::milliseconds(encoded.at("age_ms").get<std::uint32_t>());
         if (encoded.contains("table"))
             page.table = decodeTable(encoded.at("table"));
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -169,9 +169,11 @@
     void logTargetChanges(const TargetDirectory::Changes&);
     /// Logs a failed call, and a success that follows failed ones.
     /// @param before the calls before the one that ended.
-    void logStoreCall(Instant, StoreTable, const StoreFollower::CallHistory& before, const Expected<StorePage>&);
+    /// @param failure why it failed; empty if it succeeded.
+    void logStoreCall(
+        Instant, StoreTable, const StoreFollower::CallHistory& before, const std::optional<Error>& failure);
     /// Notes the era of the store that an answer states.
-    void recordEra(StoreTable, const Expected<StorePage>&);
+    void recordEra(StoreTable, const RowVersion& asOf);
     void queryPeers(Instant now);
     /// Decides from whom the tables are followed.
     void updateFeeders(Instant now);
--- a/src/proxy/ProxyFeeds.cpp
+++ b/src/proxy/ProxyFeeds.cpp
@@ -32,6 +32,8 @@
     const auto limit = TableTimes::hopLimit(m_settings.bounds);
     if (page && limit && page->age > *limit)
         page = fail(ErrorCode::PlatformUnavailable, "follow table", feeder.toString(), "the feeder's copy is too old");
+    if (page)
+        recordEra(table, page->asOf);
     const auto before = follower(table).calls();
     const bool hasChanged = follower(table).feederAnswered(now, m_random, page);
     if (!follower(table).calls().isConnected) {
--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -22,11 +22,13 @@
             m_allotments->setHosts(now, m_hosts.hosts());
         return;
     }
-    recordEra(table, page);
+    if (page)
+        recordEra(table, page->asOf);
+    const auto failure = page ? follower(table).rejectionOfRead(*page) : page.error();
     const auto before = follower(table).calls();
     const bool hasChanged = follower(table).tableRead(now, m_random, page);
     updateListOrigin();
-    logStoreCall(now, table, before, page);
+    logStoreCall(now, table, before, failure);
     if (hasChanged)
         tableChanged(now, table);
     follower(table).tick(now);
@@ -35,11 +37,13 @@
 void Proxy::tableFollowed(Instant now, StoreTable table, const Expected<StorePage>& page)
 {
     m_now = now;
-    recordEra(table, page);
+    if (page)
+        recordEra(table, page->asOf);
+    const auto failure = page ? follower(table).rejectionOfPoll(*page) : page.error();
     const auto before = follower(table).calls();
     const bool hasChanged = follower(table).tableFollowed(now, m_random, page);
     updateListOrigin();
-    logStoreCall(now, table, before, page);
+    logStoreCall(now, table, before, failure);
     if (hasChanged)
         tableChanged(now, table);
     follower(table).tick(now);
@@ -79,15 +83,15 @@
 }
 
 void Proxy::logStoreCall(
-    Instant now, StoreTable table, const StoreFollower::CallHistory& before, const Expected<StorePage>& page)
+    Instant now, StoreTable table, const StoreFollower::CallHistory& before, const std::optional<Error>& failure)
 {
     std::vector<LogField> fields { { "table", std::string(toString(table)) } };
-    if (!page) {
+    if (failure) {
         const auto waited = now - before.sentAt;
         m_delegate.measure("store_call_failed_ms", static_cast<double>(toMilliseconds(waited)));
         fields.push_back({ "waited_ms", std::to_string(toMilliseconds(waited)) });
         fields.push_back({ "failures", std::to_string(before.failures + 1) });
-        fields.push_back({ "reason", page.error().describe() });
+        fields.push_back({ "reason", failure->describe() });
         const bool isFirst = !before.failingSince;
         log({ isFirst ? LogEvent::PlatformOutage : LogEvent::PlatformCallFailed, std::move(fields) });
         return;
@@ -101,16 +105,16 @@
     log({ LogEvent::PlatformRecovered, std::move(fields) });
 }
 
-void Proxy::recordEra(StoreTable table, const Expected<StorePage>& page)
+void Proxy::recordEra(StoreTable table, const RowVersion& asOf)
 {
-    if (!page || page->asOf.era() <= m_storeEra)
+    if (asOf.era() <= m_storeEra)
         return;
-    const auto before = std::exchange(m_storeEra, page->asOf.era());
+    const auto before = std::exchange(m_storeEra, asOf.era());
     if (!follower(table).isKnown())
         return;
     log({ LogEvent::StoreEraChanged,
         { { "era", std::to_string(m_storeEra.value()) }, { "before", std::to_string(before.value()) },
-            { "table", std::string(toString(table)) }, { "as_of", toString(page->asOf) },
+            { "table", std::string(toString(table)) }, { "as_of", toString(asOf) },
             { "known", toString(follower(table).state().asOf) } } });
 }
 
@@ -282,6 +286,7 @@
         return;
     }
     for (const auto& [table, state] : *tables) {
+        recordEra(table, state.asOf);
         if (!follower(table).adopt(state, peer))
             continue;
         updateListOrigin();
--- a/src/proxy/RowVersion.h
+++ b/src/proxy/RowVersion.h
@@ -8,7 +8,7 @@
 using StoreEra = StrongId<std::uint64_t, struct StoreEraTag>;
 
 /// Version of a row in the platform's store, from one counter for all rows. In a new era of the store the counter goes
-/// back, and numbers of the era before are given out again.
+/// back and numbers of the era before are given out again, so versions are ordered by era first.
 class RowVersion {
 public:
     RowVersion() = default;
@@ -21,8 +21,7 @@
     [[nodiscard]] StoreEra era() const { return m_era; }
     /// @return the number within the era.
     [[nodiscard]] std::uint64_t value() const { return m_number; }
-    auto operator<=>(const RowVersion& other) const { return m_number <=> other.m_number; }
-    bool operator==(const RowVersion& other) const { return m_number == other.m_number; }
+    auto operator<=>(const RowVersion&) const = default;
 
 private:
     StoreEra m_era;
--- a/src/proxy/StoreFollower.cpp
+++ b/src/proxy/StoreFollower.cpp
@@ -4,6 +4,15 @@
 
 namespace Auburnpost::Proxy {
 
+namespace {
+
+    Error rejection(StoreTable table, const char* reason)
+    {
+        return { ErrorCode::PlatformUnavailable, "read " + std::string(toString(table)), "store", reason };
+    }
+
+} // namespace
+
 StoreFollower::StoreFollower(StoreTable table, TableTimes times, StoreDelegate& delegate)
     : m_table(table)
     , m_times(times)
@@ -31,10 +40,27 @@
     }
 }
 
+std::optional<Error> StoreFollower::rejectionOfRead(const StorePage& page) const
+{
+    const bool isFirst = m_partialRead.asOf == RowVersion {};
+    if (isFirst && page.asOf < m_state.asOf)
+        return rejection(m_table, "the answer is older than this host's copy");
+    if (!isFirst && page.asOf.era() != m_partialRead.asOf.era())
+        return rejection(m_table, "the store came back from an older copy during the read");
+    return {};
+}
+
+std::optional<Error> StoreFollower::rejectionOfPoll(const StorePage& page) const
+{
+    if (page.asOf.era() < m_state.asOf.era())
+        return rejection(m_table, "the answer is of an earlier era of the store");
+    return {};
+}
+
 bool StoreFollower::tableRead(Instant now, RandomEngine& random, const Expected<StorePage>& page)
 {
     m_isCalling = false;
-    if (!page) {
+    if (!page || rejectionOfRead(*page)) {
         recordFailure(now, random);
         return false;
     }
@@ -51,6 +77,7 @@
         return false;
     }
     m_needsRead = false;
+    // A peer's copy may have been adopted since the first page.
     if (m_partialRead.asOf < m_state.asOf)
         return false;
     m_state = std::move(m_partialRead);
@@ -61,12 +88,12 @@
 bool StoreFollower::tableFollowed(Instant now, RandomEngine& random, const Expected<StorePage>& page)
 {
     m_isCalling = false;
-    if (!page) {
+    if (!page || rejectionOfPoll(*page)) {
         recordFailure(now, random);
         return false;
     }
     recordAnswer(now);
-    if (page->isHistoryUnavailable) {
+    if (page->isHistoryUnavailable || page->asOf.era() > m_state.asOf.era()) {
         m_needsRead = true;
         return false;
     }
--- a/src/proxy/StoreFollower.h
+++ b/src/proxy/StoreFollower.h
@@ -34,7 +34,8 @@
 /// Maintains a local copy of one table of the platform's store: reads the whole table, then follows its changes by
 /// long polls, and reads the whole table again when the store no longer has the history of changes. After a failed call
 /// it polls without a wait until the store answers, as a long poll that an outage swallowed would outlast the outage.
-/// A row is never replaced by an older version.
+/// A row is never replaced by an older version. Once an answer is of a later era of the store, the whole table is read
+/// again, as the changes after a version of an earlier era are not known.
 class StoreFollower {
 public:
     /// The outcome of the calls so far.
@@ -59,7 +60,10 @@
 
     /// Starts the next call if one is due.
     void tick(Instant now);
-    /// Handles the result of a read or of a long poll.
+    /// @return why the answer to a read or a long poll can't be used; empty if it can.
+    [[nodiscard]] std::optional<Error> rejectionOfRead(const StorePage&) const;
+    [[nodiscard]] std::optional<Error> rejectionOfPoll(const StorePage&) const;
+    /// Handles the result of a read or of a long poll. An answer that can't be used counts as a failed call.
     /// @return whether the table changed.
     bool tableRead(Instant now, RandomEngine&, const Expected<StorePage>&);
     bool tableFollowed(Instant now, RandomEngine&, const Expected<StorePage>&);
--- a/tests/proxy/TablesTests.cpp
+++ b/tests/proxy/TablesTests.cpp
@@ -128,24 +128,88 @@
     }
 }
 
+TEST_CASE("Versions of different eras of the store are not compared by their numbers", "[proxy][store]")
+{
+    CallRecorder calls;
+    RandomEngine random { 1 };
+    const auto times = TableTimes::forTargets({});
+    const SocketAddress peer { "10.0.0.9", 7 };
+    const auto inEra = [](std::uint64_t era, std::uint64_t number, const std::string& key) {
+        const RowVersion version(number, StoreEra(era));
+        return StorePage { { { key, version, "value", false } }, version, false, false };
+    };
+    StoreFollower follower(StoreTable::Targets, times, calls);
+    follower.tick(start);
+    REQUIRE(follower.tableRead(start, random, inEra(1, 120, "old")));
+    follower.tick(start);
+
+    SECTION("a poll's answer of a later era is not merged, and the table is read again")
+    {
+        CHECK_FALSE(follower.tableFollowed(start, random, inEra(2, 130, "new")));
+        CHECK(follower.state().rows.count("new") == 0);
+        follower.tick(start);
+        CHECK(calls.reads == 2);
+        CHECK(follower.tableRead(start, random, inEra(2, 90, "new")));
+        CHECK(follower.state().rows.count("old") == 0);
+        CHECK(follower.state().asOf == RowVersion(90, StoreEra(2)));
+        // A peer that has not noticed the return yet.
+        CHECK_FALSE(follower.adopt({ RowVersion(125, StoreEra(1)), {} }, peer));
+    }
+    SECTION("a late answer of an earlier era counts as a failed call")
+    {
+        CHECK(follower.adopt({ RowVersion(90, StoreEra(2)), {} }, peer));
+        CHECK_FALSE(follower.tableFollowed(start, random, inEra(1, 130, "late")));
+        CHECK_FALSE(follower.calls().isConnected);
+        CHECK(follower.state().rows.empty());
+    }
+    SECTION("a read whose pages are of different eras counts as a failed call")
+    {
+        StorePage gone;
+        gone.isHistoryUnavailable = true;
+        gone.asOf = RowVersion(0, StoreEra(2));
+        CHECK_FALSE(follower.tableFollowed(start, random, gone));
+        follower.tick(start);
+        auto first = inEra(2, 90, "first");
+        first.hasMore = true;
+        CHECK_FALSE(follower.tableRead(start, random, first));
+        CHECK_FALSE(follower.tableRead(start, random, inEra(3, 95, "second")));
+        CHECK_FALSE(follower.calls().isConnected);
+        CHECK(follower.state().rows.count("old") == 1);
+    }
+    SECTION("a read that is older than the copy counts as a failed call, so that calls are not repeated at once")
+    {
+        StorePage gone;
+        gone.isHistoryUnavailable = true;
+        gone.asOf = RowVersion(0, StoreEra(1));
+        CHECK_FALSE(follower.tableFollowed(start, random, gone));
+        follower.tick(start);
+        CHECK_FALSE(follower.tableRead(start, random, inEra(1, 110, "stale")));
+        CHECK_FALSE(follower.calls().isConnected);
+        follower.tick(start);
+        CHECK(calls.reads == 2);
+    }
+}
+
 TEST_CASE("Snapshots and leases can be encoded and decoded", "[proxy][store]")
 {
     rc::prop("a decoded snapshot equals the encoded tables",
-        [](const std::map<std::string, std::string>& values, std::uint64_t asOf) {
+        [](const std::map<std::string, std::string>& values, std::uint64_t number, std::uint64_t era) {
+            const RowVersion asOf(number, StoreEra(era));
             TableStates tables;
             for (const auto table : followedTables)
-                tables[table].asOf = RowVersion(asOf);
+                tables[table].asOf = asOf;
             for (const auto& [key, value] : values) {
                 // Keys are text, values arbitrary bytes.
                 const auto name = std::to_string(std::hash<std::string> {}(key));
-                tables[StoreTable::Targets].rows[name] = { name, RowVersion(asOf), value, false };
+                tables[StoreTable::Targets].rows[name] = { name, asOf, value, false };
             }
             const auto back = decodeSnapshot(encodeSnapshot(tables));
             RC_ASSERT(back.has_value());
-            RC_ASSERT(back->at(StoreTable::Targets).asOf == RowVersion(asOf));
+            RC_ASSERT(back->at(StoreTable::Targets).asOf == asOf);
             RC_ASSERT(back->at(StoreTable::Targets).rows.size() == tables[StoreTable::Targets].rows.size());
             for (const auto& [key, row] : tables[StoreTable::Targets].rows)
-                RC_ASSERT(back->at(StoreTable::Targets).rows.at(key).value == row.value);
+                RC_ASSERT(back->at(StoreTable::Targets).rows.at(key).value == row.value
+                    && back->at(StoreTable::Targets).rows.at(key).version == row.version);
         });
     rc::prop("the decoders handle arbitrary bytes without an exception", [](const std::string& bytes) {
         (void)decodeSnapshot(bytes);
