Log each refusal with its id, the host and the configuration that decided it

A statement refused on an open session had no log line, and neither had one refused for a missing group, a lost connection, the session's state or a rate limit, nor a session that waited in vain for a configuration. No line told by which version a statement was decided, and a host that forwards a session logged nothing of the answers, so the host that decided could not be found.

E0610, E0611 and E0613 now have the version, refusals also for how long the host has applied it and when the store last confirmed it; a forwarded session names the host that forwards it, and that host logs each failure that it passes on (E0619). The state dump has the origin of the configuration.

--- a/src/app/ProxyAssemblyCallers.cpp
+++ b/src/app/ProxyAssemblyCallers.cpp
@@ -68,6 +68,13 @@
     });
     m_forwarder.answerCompleted().connect(
         [this](Proxy::SessionId id) { m_callers.resume(clientOf(id), stageOf(m_forwarder.isInTransaction(id))); });
+    m_forwarder.requestFailed().connect(
+        [this](Proxy::SessionId id, const std::string& statement, const DatabaseName& database, const HostName& host,
+            std::string_view failure) {
+            log({ LogEvent::ForwardedStatementFailed,
+                { { "id", statement }, { "session", std::to_string(id.value()) }, { "database", database.value() },
+                    { "host", host.value() }, { "answer", std::string(failure) } } });
+        });
     m_forwarder.openFailed().connect([this](Proxy::SessionId id, const DatabaseName& database, const HostName& host) {
         onForwardFailed(id, database, host);
     });
--- a/src/app/SessionForwarder.cpp
+++ b/src/app/SessionForwarder.cpp
@@ -42,6 +42,7 @@
 {
     auto& forward = m_forwards.at(id);
     forward.hasOpenRequest = true;
+    forward.statement = Platform::statementIdOf(line);
     m_connections.send(forward.connection, std::string(line) + "\r\n");
 }
 
@@ -64,6 +65,8 @@
         forward.state = *state;
         forward.hasOpenRequest = false;
     }
+    if (const auto failure = Platform::readFailure(line))
+        m_requestFailed.emit(id, forward.statement, forward.request.database, forward.host, *failure);
     m_answerLineReceived.emit(id, line);
     if (!state)
         return;
--- a/src/app/SessionForwarder.h
+++ b/src/app/SessionForwarder.h
@@ -41,6 +41,14 @@
     sigc::signal<void(Proxy::SessionId, std::string_view line)>& answerLineReceived() { return m_answerLineReceived; }
     /// Emitted when an answer is complete and the caller's next line may be sent.
     sigc::signal<void(Proxy::SessionId)>& answerCompleted() { return m_answerCompleted; }
+    /// Emitted when the other host answers a request with a failure, before the line is sent to the caller.
+    /// @param statement id of the statement; "-" for the request to open the session.
+    sigc::signal<void(Proxy::SessionId, const std::string& statement, const DatabaseName&, const HostName&,
+        std::string_view failure)>&
+    requestFailed()
+    {
+        return m_requestFailed;
+    }
     /// Emitted when the other host did not open the session.
     sigc::signal<void(Proxy::SessionId, const DatabaseName&, const HostName&)>& openFailed() { return m_openFailed; }
     /// Emitted when an open session has ended, by the other host or by closeIdle() or endSessionsWithoutRequest().
@@ -59,6 +67,8 @@
         /// The other host has answered the request to open the session, also by a refusal.
         bool isAnswered { false };
         bool hasOpenRequest { false };
+        /// Id of the last statement.
+        std::string statement { "-" };
         /// Whether the session ends with the answer to the open request.
         bool isEnding { false };
         Session::TransactionState state { Session::TransactionState::Idle };
@@ -83,6 +93,8 @@
     bool m_isClosingIdle { false };
     sigc::signal<void(Proxy::SessionId, std::string_view)> m_answerLineReceived;
     sigc::signal<void(Proxy::SessionId)> m_answerCompleted;
+    sigc::signal<void(Proxy::SessionId, const std::string&, const DatabaseName&, const HostName&, std::string_view)>
+        m_requestFailed;
     sigc::signal<void(Proxy::SessionId, const DatabaseName&, const HostName&)> m_openFailed;
     sigc::signal<void(Proxy::SessionId, const DatabaseName&, const HostName&, bool)> m_sessionEnded;
 };
--- a/src/base/LogEvent.cpp
+++ b/src/base/LogEvent.cpp
@@ -17,7 +17,7 @@
     constexpr std::size_t numberDigits = 4;
 
     /// Sorted by number.
-    constexpr std::array<Definition, 75> definitions { {
+    constexpr std::array<Definition, 76> definitions { {
         { LogEvent::Started, LogLevel::Info, "host started" },
         { LogEvent::ShutdownStarted, LogLevel::Info, "host shutdown started" },
         { LogEvent::ShutdownCompleted, LogLevel::Info, "host shutdown completed" },
@@ -91,6 +91,7 @@
         { LogEvent::SessionForwardEnded, LogLevel::Info, "forwarded session ended" },
         { LogEvent::CallerMessageRefused, LogLevel::Info, "message of a caller refused" },
         { LogEvent::SessionRevoked, LogLevel::Info, "session ended as its key was removed" },
+        { LogEvent::ForwardedStatementFailed, LogLevel::Info, "forwarded statement failed at another host" },
         { LogEvent::RateLimitExceeded, LogLevel::Info, "operations over an organisation's rate limit refused" },
         { LogEvent::CallersLimited, LogLevel::Warn, "connections of callers closed by limits" },
         { LogEvent::PeerMessageRejected, LogLevel::Warn, "message from a peer rejected" },
--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -86,6 +86,7 @@
     SessionForwardEnded = 616,
     CallerMessageRefused = 617,
     SessionRevoked = 618,
+    ForwardedStatementFailed = 619,
     RateLimitExceeded = 620,
     CallersLimited = 630,
 
--- a/src/platform/CallerCodec.cpp
+++ b/src/platform/CallerCodec.cpp
@@ -129,6 +129,7 @@
             return malformed("the database is missing");
         OpenSession open { DatabaseName(std::string(database)), std::string(nextField(line)), {} };
         open.version = ConfigVersion(readNumber(nextField(line)).value_or(0));
+        open.forwardedBy = HostName(std::string(nextField(line)));
         return open;
     }
     if (keyword != "QUERY")
@@ -159,6 +160,7 @@
         if (open.credential != noOrganisation)
             request.organisation = OrganisationName(open.credential);
         request.version = open.version;
+        request.forwardedBy = open.forwardedBy;
     } else if (!open.credential.empty()) {
         request.key = Config::KeyDigest::of(open.credential);
     }
@@ -168,11 +170,14 @@
 std::string writeSessionRequest(const Proxy::SessionRequest& request)
 {
     auto line = "START " + request.database.value();
-    if (request.version != ConfigVersion {}) {
+    const auto& host = request.forwardedBy.value();
+    if (request.version != ConfigVersion {} || !host.empty()) {
         const auto& organisation = request.organisation.value();
         line.append(" ").append(organisation.empty() ? noOrganisation : organisation);
         line.append(" ").append(std::to_string(request.version.value()));
     }
+    if (!host.empty())
+        line.append(" ").append(host);
     return line.append(lineEnd);
 }
 
@@ -183,6 +188,20 @@
     return readState(nextField(line));
 }
 
+std::optional<std::string_view> readFailure(std::string_view line)
+{
+    if (nextField(line) != "ERROR")
+        return {};
+    return line;
+}
+
+std::string statementIdOf(std::string_view line)
+{
+    if (nextField(line) != "QUERY")
+        return std::string(proxyStatementId);
+    return std::string(nextField(line));
+}
+
 std::string writeAnswer(const Session::Answer& answer)
 {
     std::string text;
--- a/src/platform/CallerCodec.h
+++ b/src/platform/CallerCodec.h
@@ -19,6 +19,8 @@
     std::string credential;
     /// The third field, of forwarded sessions: the version of the configuration; zero if there is none.
     ConfigVersion version;
+    /// The fourth field, of forwarded sessions: the host that forwards; empty if there is none.
+    HostName forwardedBy {};
 };
 /// A caller sends a statement.
 struct SendStatement {
@@ -46,6 +48,10 @@
 std::string writeSessionRequest(const Proxy::SessionRequest&);
 /// @return the session's transaction state if the line ends an answer; empty otherwise.
 std::optional<Session::TransactionState> readAnswerEnd(std::string_view line);
+/// @return the code and text if the line is a failure; empty otherwise.
+std::optional<std::string_view> readFailure(std::string_view line);
+/// @return the id of the statement in a caller's line; "-" for another line.
+std::string statementIdOf(std::string_view line);
 /// @return the line that refuses a session.
 std::string writeFailure(const Session::Failure&);
 
--- a/src/proxy/CallerSession.h
+++ b/src/proxy/CallerSession.h
@@ -21,6 +21,8 @@
     OrganisationName organisation;
     /// Forwarded sessions: the version of the configuration by which the other host authorised the session.
     ConfigVersion forwardedVersion;
+    /// Forwarded sessions: the other host, for logs.
+    HostName forwardedBy;
     /// Whether the caller's key was removed while a statement was in progress; the session ends with the answer.
     bool isRevoked { false };
     /// Whether the session was reported open to the caller.
@@ -29,6 +31,8 @@
     bool hasRefusedMessage { false };
     Instant openedAt;
 
+    /// The configuration by which the session was accepted, and then by which its last operation was routed.
+    ConfigVersion routedBy;
     /// The open transaction's route as of its begin.
     std::optional<Route> transactionRoute;
     Instant transactionBegunAt;
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -72,11 +72,9 @@
                 endTransaction(now, session);
         }
     }
-    for (const auto id : timedOut) {
-        m_sessions.erase(id);
-        m_delegate.refuseSession(
-            id, { Session::FailureCode::Busy, "no configuration is known yet; retry after 500 ms" });
-    }
+    for (const auto id : timedOut)
+        refuseOpening(m_sessions.at(id),
+            { Session::FailureCode::Busy, "the configuration is not known yet; retry after 500 ms" });
 }
 
 void Proxy::setBounds(const TimeBounds& bounds)
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -155,6 +155,10 @@
     [[nodiscard]] GroupService* findGroup(const GroupName&);
     [[nodiscard]] GroupService* groupOwning(ConnectionId);
     void logStatement(const CallerSession&, const StatementResult&, Duration elapsed);
+    /// Logs and answers a statement that is not submitted to a group.
+    void refuse(CallerSession&, const Session::Failure&, Session::TransactionState);
+    /// Appends since when this host has its configuration, and how long ago the store confirmed it.
+    void appendConfigurationAge(std::vector<LogField>&, const CallerSession&) const;
 
     // Configuration and targets.
     void tableChanged(Instant now, StoreTable);
@@ -194,6 +198,7 @@
     Instant m_lastTickAt;
     std::array<StoreFollower, followedTables.size()> m_followers;
     std::optional<Catalog> m_catalog;
+    Instant m_catalogAppliedAt {};
     /// The latest era of the store that an answer stated.
     StoreEra m_storeEra;
     TargetDirectory m_directory;
--- a/src/proxy/ProxyOrganisations.cpp
+++ b/src/proxy/ProxyOrganisations.cpp
@@ -92,8 +92,7 @@
     const auto refusal = m_allotments->refuse(now, session.organisation, retryAfter);
     const bool isOpen = session.state.transaction() == Session::TransactionState::Open;
     const auto state = isOpen ? Session::TransactionState::Failed : Session::TransactionState::Idle;
-    session.state.setTransaction(state);
-    sendAnswer(session, { refusal, state, {} });
+    refuse(session, refusal, state);
 }
 
 void Proxy::serveWaitingOperations(Instant now)
--- a/src/proxy/ProxySessions.cpp
+++ b/src/proxy/ProxySessions.cpp
@@ -10,13 +10,6 @@
 
 namespace {
 
-    std::string positionText(const std::optional<LogPoint>& point)
-    {
-        if (!point)
-            return "-";
-        return std::to_string(point->term.value()) + "." + std::to_string(point->position.value());
-    }
-
     bool needsRoute(StatementKind kind)
     {
         switch (kind) {
@@ -57,6 +50,7 @@
     session.key = request.key;
     session.organisation = request.organisation;
     session.forwardedVersion = request.version;
+    session.forwardedBy = request.forwardedBy;
     session.openedAt = now;
     session.idleSince = now;
     routeSession(session);
@@ -81,6 +75,7 @@
         m_groupUsedAt[route->group] = m_now;
         updateServedGroups(m_now);
         session.isAccepted = true;
+        session.routedBy = m_catalog->version;
         if (m_allotments)
             m_allotments->expect(m_now, session.organisation);
         m_delegate.acceptSession(session.id);
@@ -91,9 +86,11 @@
 
 void Proxy::refuseOpening(const CallerSession& session, const Session::Failure& failure)
 {
-    log({ LogEvent::SessionRefused,
-        { { "database", session.database.value() }, { "reason", std::string(Session::toString(failure.code)) },
-            { "version", std::to_string(m_catalog->version.value()) } } });
+    std::vector<LogField> fields { { "session", std::to_string(session.id.value()) },
+        { "database", session.database.value() }, { "reason", std::string(Session::toString(failure.code)) },
+        { "version", std::to_string(m_catalog ? m_catalog->version.value() : 0) } };
+    appendConfigurationAge(fields, session);
+    log({ LogEvent::SessionRefused, std::move(fields) });
     const auto id = session.id;
     const bool isForwarded = session.isForwarded;
     m_sessions.erase(id);
@@ -119,7 +116,7 @@
         { { "session", std::to_string(session.id.value()) }, { "database", session.database.value() },
             { "host", home.name.value() } } });
     const auto id = session.id;
-    SessionRequest request { session.database, session.key, false, session.organisation, {} };
+    SessionRequest request { session.database, session.key, false, session.organisation, {}, m_settings.host };
     if (!m_catalog->organisations.isEmpty())
         request.version = m_catalog->version;
     m_sessions.erase(id);
@@ -152,9 +149,10 @@
     session->statementArrivedAt = now;
     const bool isIdle = session->state.transaction() == TransactionState::Idle;
     const auto* const route = findRoute(session->database);
+    if (isIdle && m_catalog)
+        session->routedBy = m_catalog->version;
     if (isIdle && needsRoute(statement.kind) && !route) {
-        sendAnswer(*session,
-            { Session::Failure { FailureCode::UnknownDatabase, "no such database" }, TransactionState::Idle, {} });
+        refuse(*session, { FailureCode::UnknownDatabase, "no such database" }, TransactionState::Idle);
         return;
     }
     if (isIdle && (statement.kind == StatementKind::Begin || statement.kind == StatementKind::BeginReadOnly)) {
@@ -164,7 +162,10 @@
     if (const auto local = session->state.answerLocally(statement, session->pinned.has_value())) {
         if (session->pinned && session->state.transaction() == TransactionState::Idle)
             endTransaction(now, *session);
-        sendAnswer(*session, *local);
+        if (const auto* const failure = std::get_if<Session::Failure>(&local->body))
+            refuse(*session, *failure, local->state);
+        else
+            sendAnswer(*session, *local);
         return;
     }
     serveStatement(now, *session, statement);
@@ -197,9 +198,7 @@
                                : nullptr;
     if (!group) {
         const auto state = isOpen ? TransactionState::Failed : TransactionState::Idle;
-        session.state.setTransaction(state);
-        sendAnswer(session,
-            { Session::Failure { FailureCode::Busy, "the group is not known yet; retry after 500 ms" }, state, {} });
+        refuse(session, { FailureCode::Busy, "the group is not known yet; retry after 500 ms" }, state);
         return;
     }
     if (!hasPermit && !takePermit(now, session, statement))
@@ -216,10 +215,7 @@
         return;
     session.pendingId.reset();
     session.pinned.reset();
-    session.state.setTransaction(TransactionState::Failed);
-    sendAnswer(session,
-        { Session::Failure { FailureCode::Aborted, "the transaction's connection was lost" }, TransactionState::Failed,
-            {} });
+    refuse(session, { FailureCode::Aborted, "the transaction's connection was lost" }, TransactionState::Failed);
 }
 
 PendingStatement Proxy::makePendingStatement(
@@ -271,34 +267,6 @@
     sendAnswer(*session, answer);
 }
 
-void Proxy::logStatement(const CallerSession& session, const StatementResult& result, Duration elapsed)
-{
-    const auto* const failure = std::get_if<Session::Failure>(&result.answer.body);
-    const std::chrono::duration<double, std::milli> milliseconds = elapsed;
-    const auto outcome = failure ? std::string(Session::toString(failure->code)) : "done";
-    m_delegate.measure("statement_" + outcome + "_ms", milliseconds.count());
-    std::vector<LogField> fields { { "id", session.statementId.value() },
-        { "session", std::to_string(session.id.value()) }, { "database", session.database.value() },
-        { "group", session.group.value() }, { "outcome", outcome },
-        { "target", result.target.value().empty() ? "-" : result.target.value() },
-        { "after", positionText(result.requiredLogPoint) }, { "attempts", std::to_string(result.attempts) },
-        { "waited_for", std::string(toString(result.waitReason)) }, { "ms", std::to_string(toMilliseconds(elapsed)) } };
-    if (const auto* const group = findGroup(session.group)) {
-        const auto confirmedAt = group->watcher().confirmations().newestRequestedAt();
-        fields.push_back({ "term", std::to_string(group->watcher().primaryTerm().value()) });
-        fields.push_back({ "proof_age_ms", confirmedAt ? std::to_string(toMilliseconds(m_now - *confirmedAt)) : "-" });
-    }
-    if (!session.organisation.value().empty())
-        fields.push_back({ "organisation", session.organisation.value() });
-    if (failure)
-        fields.push_back({ "reason", failure->text });
-    const bool isUnknown = failure && failure->code == FailureCode::InDoubt;
-    log({ isUnknown   ? LogEvent::OutcomeUnknown
-            : failure ? LogEvent::StatementFailed
-                      : LogEvent::StatementServed,
-        std::move(fields) });
-}
-
 void Proxy::transactionLost(SessionId id)
 {
     auto* const session = findSession(id);
--- /dev/null
+++ b/src/proxy/ProxyStatementLog.cpp
@@ -0,0 +1,74 @@
+#include "proxy/Proxy.h"
+
+namespace Auburnpost::Proxy {
+
+namespace {
+
+    std::string positionText(const std::optional<LogPoint>& point)
+    {
+        if (!point)
+            return "-";
+        return std::to_string(point->term.value()) + "." + std::to_string(point->position.value());
+    }
+
+} // namespace
+
+void Proxy::appendConfigurationAge(std::vector<LogField>& fields, const CallerSession& session) const
+{
+    if (m_catalog)
+        fields.push_back({ "known_ms", std::to_string(toMilliseconds(m_now - m_catalogAppliedAt)) });
+    const auto confirmedAt = m_followers[static_cast<std::size_t>(StoreTable::Configuration)].origin().confirmedAt;
+    fields.push_back({ "confirmed_ms", confirmedAt ? std::to_string(toMilliseconds(m_now - *confirmedAt)) : "-" });
+    if (!session.forwardedBy.value().empty())
+        fields.push_back({ "forwarded_by", session.forwardedBy.value() });
+}
+
+void Proxy::refuse(CallerSession& session, const Session::Failure& failure, Session::TransactionState state)
+{
+    std::vector<LogField> fields { { "id", session.statementId.value().empty() ? "-" : session.statementId.value() },
+        { "session", std::to_string(session.id.value()) }, { "database", session.database.value() },
+        { "outcome", std::string(Session::toString(failure.code)) }, { "target", "-" }, { "attempts", "0" } };
+    if (!session.organisation.value().empty())
+        fields.push_back({ "organisation", session.organisation.value() });
+    fields.push_back({ "version", std::to_string(session.routedBy.value()) });
+    appendConfigurationAge(fields, session);
+    fields.push_back({ "reason", failure.text });
+    log({ LogEvent::StatementFailed, std::move(fields) });
+    session.state.setTransaction(state);
+    sendAnswer(session, { failure, state, {} });
+}
+
+void Proxy::logStatement(const CallerSession& session, const StatementResult& result, Duration elapsed)
+{
+    const auto* const failure = std::get_if<Session::Failure>(&result.answer.body);
+    const std::chrono::duration<double, std::milli> milliseconds = elapsed;
+    const auto outcome = failure ? std::string(Session::toString(failure->code)) : "done";
+    m_delegate.measure("statement_" + outcome + "_ms", milliseconds.count());
+    std::vector<LogField> fields { { "id", session.statementId.value() },
+        { "session", std::to_string(session.id.value()) }, { "database", session.database.value() },
+        { "group", session.group.value() }, { "outcome", outcome },
+        { "target", result.target.value().empty() ? "-" : result.target.value() },
+        { "after", positionText(result.requiredLogPoint) }, { "attempts", std::to_string(result.attempts) },
+        { "waited_for", std::string(toString(result.waitReason)) }, { "ms", std::to_string(toMilliseconds(elapsed)) } };
+    if (const auto* const group = findGroup(session.group)) {
+        const auto confirmedAt = group->watcher().confirmations().newestRequestedAt();
+        fields.push_back({ "term", std::to_string(group->watcher().primaryTerm().value()) });
+        fields.push_back({ "proof_age_ms", confirmedAt ? std::to_string(toMilliseconds(m_now - *confirmedAt)) : "-" });
+    }
+    if (!session.organisation.value().empty())
+        fields.push_back({ "organisation", session.organisation.value() });
+    fields.push_back({ "version", std::to_string(session.routedBy.value()) });
+    if (failure) {
+        appendConfigurationAge(fields, session);
+        fields.push_back({ "reason", failure->text });
+    } else if (!session.forwardedBy.value().empty()) {
+        fields.push_back({ "forwarded_by", session.forwardedBy.value() });
+    }
+    const bool isUnknown = failure && failure->code == Session::FailureCode::InDoubt;
+    log({ isUnknown   ? LogEvent::OutcomeUnknown
+            : failure ? LogEvent::StatementFailed
+                      : LogEvent::StatementServed,
+        std::move(fields) });
+}
+
+} // namespace Auburnpost::Proxy
--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -147,6 +147,7 @@
             continue;
         }
         m_catalog = std::move(**catalog);
+        m_catalogAppliedAt = now;
         log({ LogEvent::ConfigurationApplied,
             { { "version", std::to_string(m_catalog->version.value()) },
                 { "routes", std::to_string(m_catalog->routes.size()) }, { "row_version", toString(row.version) },
@@ -315,6 +316,9 @@
         { "configuration", m_catalog ? m_catalog->version.value() : 0 }, { "sessions", m_sessions.size() },
         { "statements", statements() }, { "store_era", m_storeEra.value() }, { "uses_feeders", m_usesFeeders },
         { "feeder", m_feeder ? m_feeder->toString() : "" }, { "followers_waiting", m_feed.size() },
+        { "configuration_known_ms", m_catalog ? Json(toMilliseconds(now - m_catalogAppliedAt)) : Json() },
+        { "configuration_copy",
+            describeOrigin(now, m_followers[static_cast<std::size_t>(StoreTable::Configuration)].origin()) },
         { "targets_list", describeOrigin(now, m_followers[static_cast<std::size_t>(StoreTable::Targets)].origin()) },
         { "groups", std::move(groups) } };
     if (usesDatagrams())
--- a/src/proxy/SessionRequest.h
+++ b/src/proxy/SessionRequest.h
@@ -18,6 +18,8 @@
     OrganisationName organisation {};
     /// Forwarded sessions: the version of the configuration by which the other host authorised the session.
     ConfigVersion version {};
+    /// Forwarded sessions: the other host; empty if it is of a version of the program that does not state it.
+    HostName forwardedBy {};
 };
 
 } // namespace Auburnpost::Proxy
--- a/tests/app/SessionForwarderTests.cpp
+++ b/tests/app/SessionForwarderTests.cpp
@@ -80,6 +80,23 @@
     CHECK(host.answers == std::vector<std::string> { "READY I -", "ROW v", "DONE 7.1", "READY I 1.4" });
 }
 
+TEST_CASE("A failure that another host answers is reported with the statement and that host", "[app][forward]")
+{
+    Fixture host;
+    host.openAndAccept();
+    std::vector<std::string> failures;
+    host.forwarder.requestFailed().connect(
+        [&failures](Proxy::SessionId, const std::string& statement, const DatabaseName&, const HostName& decidedBy,
+            std::string_view failure) {
+            failures.push_back(statement + " at " + decidedBy.value() + ": " + std::string(failure));
+        });
+    host.forwarder.send(session, "QUERY 1a READ k");
+    host.answer("ERROR NODATABASE no such database\r\nREADY I -\r\n");
+    REQUIRE(host.loop.runUntil([&] { return host.finished == 2; }));
+    CHECK(failures == std::vector<std::string> { "1a at home: NODATABASE no such database" });
+    CHECK(host.answers[1] == "ERROR NODATABASE no such database");
+}
+
 TEST_CASE("A line feed alone does not divide a line that is forwarded", "[app][forward]")
 {
     Fixture host;
--- a/tests/platform/CallerCodecTests.cpp
+++ b/tests/platform/CallerCodecTests.cpp
@@ -100,6 +100,11 @@
 TEST_CASE("The lines that request a forwarded session and end its answers", "[platform]")
 {
     CHECK(writeSessionRequest({ DatabaseName("orders") }) == "START orders\r\n");
+    Proxy::SessionRequest forwarded { DatabaseName("orders") };
+    forwarded.forwardedBy = HostName("host-3");
+    CHECK(writeSessionRequest(forwarded) == "START orders - 0 host-3\r\n");
+    const auto read = readCallerLine("START orders - 0 host-3");
+    CHECK(sessionRequestOf(std::get<OpenSession>(read), true).forwardedBy == HostName("host-3"));
     CHECK(readAnswerEnd("READY I -") == Session::TransactionState::Idle);
     CHECK(readAnswerEnd("READY T 3.7") == Session::TransactionState::Open);
     CHECK(readAnswerEnd("READY E 3.7") == Session::TransactionState::Failed);
