Decide forwarded sessions by no older route than that of the forwarding host

Cause: the home of a forwarded session routed it by its own configuration. In a deployment without organisations the forwarding host stated no version, and none after the session was opened. A home that had been paused, or that the store refused, decided for callers of hosts that had the newer one. Change: the forwarding host states the version of its configuration and a digest of the route, when it opens a session and again before a statement once its configuration has changed; it refuses a dropped route itself. A home with an older configuration serves the session only if its own route is the same; otherwise the statement waits up to 300 ms for the newer one and is then refused as not run, and the session ends so that the next one is opened at another host. Why it works: a route older than the forwarding host's is used only if it is the same route, so the age of the home's configuration no longer matters. Hosts of an earlier version are told no routes, and behave as before.

--- a/src/app/ProxyAssembly.h
+++ b/src/app/ProxyAssembly.h
@@ -75,9 +75,12 @@
     [[nodiscard]] Wire::LineServer& serverOf(Proxy::SessionId);
     void onCallerLine(Wire::AcceptedConnectionId, std::string_view line);
     void onSessionLine(Proxy::SessionId, std::string_view line);
+    /// Handles a line of a caller whose session another host serves.
+    void onForwardedLine(Proxy::SessionId, std::string_view line);
     void onCallerEnded(Wire::AcceptedConnectionId, Wire::DisconnectReason);
     void acceptSession(Proxy::SessionId) override;
     void forwardSession(Proxy::SessionId, const Proxy::SessionRequest&, const Proxy::HostEntry&) override;
+    void stateRoute(Proxy::SessionId, const Proxy::StatedRoute&) override;
     void endForwardedSession(Proxy::SessionId) override;
     void onForwardFailed(Proxy::SessionId, const DatabaseName&, const HostName&);
     void onForwardEnded(Proxy::SessionId, const DatabaseName&, const HostName&, bool hasOpenRequest);
--- a/src/app/ProxyAssemblyCallers.cpp
+++ b/src/app/ProxyAssemblyCallers.cpp
@@ -103,17 +103,33 @@
 {
     const auto session = sessionOf(id);
     if (m_forwarder.has(session))
-        m_forwarder.send(session, text);
+        onForwardedLine(session, text);
     else
         onSessionLine(session, text);
 }
 
+void ProxyAssembly::onForwardedLine(Proxy::SessionId session, std::string_view text)
+{
+    if (m_forwarder.isIdle(session)) {
+        const auto line = Platform::readCallerLine(text);
+        const auto* const sent = std::get_if<Platform::SendStatement>(&line);
+        if (sent && !m_proxy.forwardedStatementArrived(now(), session, sent->id, sent->statement))
+            return;
+    }
+    m_forwarder.send(session, text);
+}
+
 void ProxyAssembly::onSessionLine(Proxy::SessionId session, std::string_view text)
 {
+    const bool isForwarded = session.value() > forwardedIdBase;
+    if (const auto route = isForwarded ? Platform::readStatedRoute(text) : std::nullopt) {
+        m_proxy.routeStated(session, *route);
+        m_forwardedSessions.resume(clientOf(session));
+        return;
+    }
     const auto line = Platform::readCallerLine(text);
     const bool isOpen = m_proxy.hasSession(session);
     if (const auto* const open = std::get_if<Platform::OpenSession>(&line); open && !isOpen) {
-        const bool isForwarded = session.value() > forwardedIdBase;
         // The forwarding host then tries the next host.
         if (isForwarded && m_shutdownAnnouncedAt)
             m_forwardedSessions.close(clientOf(session));
@@ -165,6 +181,11 @@
     m_forwarder.open(now(), id, request, host);
 }
 
+void ProxyAssembly::stateRoute(Proxy::SessionId id, const Proxy::StatedRoute& route)
+{
+    m_forwarder.stateRoute(id, route);
+}
+
 void ProxyAssembly::endForwardedSession(Proxy::SessionId id)
 {
     m_forwarder.endAfterRequest(id);
--- a/src/app/SessionForwarder.cpp
+++ b/src/app/SessionForwarder.cpp
@@ -46,6 +46,17 @@
     m_connections.send(forward.connection, std::string(line) + "\r\n");
 }
 
+bool SessionForwarder::isIdle(Proxy::SessionId id) const
+{
+    const auto found = m_forwards.find(id);
+    return found != m_forwards.end() && found->second.isIdle();
+}
+
+void SessionForwarder::stateRoute(Proxy::SessionId id, const Proxy::StatedRoute& route)
+{
+    m_connections.send(m_forwards.at(id).connection, Platform::writeStatedRoute(route));
+}
+
 void SessionForwarder::close(Proxy::SessionId id)
 {
     const auto forward = m_forwards.extract(id);
--- a/src/app/SessionForwarder.h
+++ b/src/app/SessionForwarder.h
@@ -25,7 +25,12 @@
     [[nodiscard]] std::size_t size() const { return m_forwards.size(); }
     /// @return whether a session was in an open transaction at its last answer.
     [[nodiscard]] bool isInTransaction(Proxy::SessionId) const;
+    /// @return whether a session is open at the other host and outside a transaction.
+    [[nodiscard]] bool isIdle(Proxy::SessionId) const;
+    /// Sends a caller's line.
     void send(Proxy::SessionId, std::string_view line);
+    /// States the session's route to the other host, which does not answer.
+    void stateRoute(Proxy::SessionId, const Proxy::StatedRoute&);
     /// Closes the connection of a session whose caller has disconnected. Emits no signal.
     void close(Proxy::SessionId);
     /// Fails the sessions that are not opened within openTimeout.
--- a/src/platform/CallerCodec.cpp
+++ b/src/platform/CallerCodec.cpp
@@ -19,6 +19,8 @@
     constexpr std::string_view proxyStatementId = "-";
     /// Stands for the organisation in a forwarded request whose caller has none.
     constexpr std::string_view noOrganisation = "-";
+    /// Starts a line between hosts that states the route of a forwarded session.
+    constexpr std::string_view routeKeyword = "ROUTE";
 
     /// Stores the arguments of a statement.
     /// @return whether they are well-formed.
@@ -108,6 +110,12 @@
         return { { Session::FailureCode::Malformed, text } };
     }
 
+    std::optional<Proxy::RouteDigest> readDigest(std::string_view text)
+    {
+        const auto number = readNumber(text);
+        return number ? std::optional(Proxy::RouteDigest(*number)) : std::nullopt;
+    }
+
     char letterOf(Session::TransactionState state)
     {
         constexpr std::string_view letters = "ITE";
@@ -130,6 +138,7 @@
         OpenSession open { DatabaseName(std::string(database)), std::string(nextField(line)), {} };
         open.version = ConfigVersion(readNumber(nextField(line)).value_or(0));
         open.forwardedBy = HostName(std::string(nextField(line)));
+        open.routeDigest = readDigest(nextField(line));
         return open;
     }
     if (keyword != "QUERY")
@@ -159,7 +168,7 @@
     if (isForwarded) {
         if (open.credential != noOrganisation)
             request.organisation = OrganisationName(open.credential);
-        request.version = open.version;
+        request.route = { open.version, open.routeDigest };
         request.forwardedBy = open.forwardedBy;
     } else if (!open.credential.empty()) {
         request.key = Config::KeyDigest::of(open.credential);
@@ -171,16 +180,37 @@
 {
     auto line = "START " + request.database.value();
     const auto& host = request.forwardedBy.value();
-    if (request.version != ConfigVersion {} || !host.empty()) {
+    if (request.route.version != ConfigVersion {} || !host.empty()) {
         const auto& organisation = request.organisation.value();
         line.append(" ").append(organisation.empty() ? noOrganisation : organisation);
-        line.append(" ").append(std::to_string(request.version.value()));
+        line.append(" ").append(std::to_string(request.route.version.value()));
     }
-    if (!host.empty())
+    if (!host.empty()) {
         line.append(" ").append(host);
+        if (request.route.digest)
+            line.append(" ").append(std::to_string(request.route.digest->value()));
+    }
     return line.append(lineEnd);
 }
 
+std::string writeStatedRoute(const Proxy::StatedRoute& route)
+{
+    auto line = std::string(routeKeyword) + " " + std::to_string(route.version.value());
+    if (route.digest)
+        line.append(" ").append(std::to_string(route.digest->value()));
+    return line.append(lineEnd);
+}
+
+std::optional<Proxy::StatedRoute> readStatedRoute(std::string_view line)
+{
+    if (nextField(line) != routeKeyword)
+        return {};
+    const auto version = readNumber(nextField(line));
+    if (!version)
+        return {};
+    return Proxy::StatedRoute { ConfigVersion(*version), readDigest(nextField(line)) };
+}
+
 std::optional<Session::TransactionState> readAnswerEnd(std::string_view line)
 {
     if (nextField(line) != "READY")
--- a/src/platform/CallerCodec.h
+++ b/src/platform/CallerCodec.h
@@ -21,6 +21,8 @@
     ConfigVersion version;
     /// The fourth field, of forwarded sessions: the host that forwards; empty if there is none.
     HostName forwardedBy {};
+    /// The fifth field, of forwarded sessions: the digest of the route; empty if there is none.
+    std::optional<Proxy::RouteDigest> routeDigest {};
 };
 /// A caller sends a statement.
 struct SendStatement {
@@ -46,6 +48,10 @@
 Proxy::SessionRequest sessionRequestOf(const OpenSession&, bool isForwarded);
 /// @return the line that forwards a session to another host. It names the organisation, never the caller's key.
 std::string writeSessionRequest(const Proxy::SessionRequest&);
+/// @return the line that states the route of a forwarded session, in front of a statement.
+std::string writeStatedRoute(const Proxy::StatedRoute&);
+/// @return the route that a line of a forwarded session states; empty for another line.
+std::optional<Proxy::StatedRoute> readStatedRoute(std::string_view line);
 /// @return the session's transaction state if the line ends an answer; empty otherwise.
 std::optional<Session::TransactionState> readAnswerEnd(std::string_view line);
 /// @return the code and text if the line is a failure; empty otherwise.
--- a/src/proxy/CallerSession.h
+++ b/src/proxy/CallerSession.h
@@ -2,6 +2,7 @@
 
 #include "config/KeyDigest.h"
 #include "proxy/PendingStatement.h"
+#include "proxy/RouteDigest.h"
 #include "session/SessionState.h"
 
 #include <optional>
@@ -19,8 +20,8 @@
     std::optional<Config::KeyDigest> key;
     /// Empty if the deployment has no organisations.
     OrganisationName organisation;
-    /// Forwarded sessions: the version of the configuration by which the other host authorised the session.
-    ConfigVersion forwardedVersion;
+    /// Forwarded sessions: the route that the other host stated last.
+    StatedRoute statedRoute;
     /// Forwarded sessions: the other host, for logs.
     HostName forwardedBy;
     /// Whether the caller's key was removed while a statement was in progress; the session ends with the answer.
@@ -43,6 +44,8 @@
 
     /// Whether a statement waits for a permit of the organisation's rate limit.
     bool awaitsPermit { false };
+    /// A statement that waits until this host's configuration is as new as that of the host that forwards the session.
+    std::optional<Session::Statement> heldStatement;
     /// The statement in progress.
     std::optional<PendingStatementId> pendingId;
     Session::StatementId statementId;
@@ -52,8 +55,10 @@
     /// @return whether the session may be closed: it has no statement in progress and no open transaction.
     [[nodiscard]] bool isIdle() const
     {
-        return !pendingId && !awaitsPermit && state.transaction() == Session::TransactionState::Idle;
+        return !hasOpenStatement() && state.transaction() == Session::TransactionState::Idle;
     }
+    /// @return whether a statement has not been answered.
+    [[nodiscard]] bool hasOpenStatement() const { return pendingId || awaitsPermit || heldStatement; }
 };
 
 } // namespace Auburnpost::Proxy
--- a/src/proxy/HostDirectory.cpp
+++ b/src/proxy/HostDirectory.cpp
@@ -12,6 +12,7 @@
     constexpr auto relayField = "relay";
     constexpr auto sessionsField = "sessions";
     constexpr auto peersField = "peers";
+    constexpr auto readsRoutesField = "reads_routes";
     constexpr auto processorShareField = "processor_share";
 
     std::string textOf(const nlohmann::json& record, const char* field)
@@ -42,6 +43,8 @@
             processorShareOf(record) };
         if (const auto peers = SocketAddress::parse(textOf(record, peersField)))
             host.peers = *peers;
+        const auto readsRoutes = record.find(readsRoutesField);
+        host.readsRoutes = readsRoutes != record.end() && *readsRoutes == true;
         return host;
     }
 
@@ -58,7 +61,8 @@
 std::string HostDirectory::encode(const HostEntry& host)
 {
     nlohmann::json record { { dataCentreField, host.dataCentre.value() }, { relayField, host.relay.toString() },
-        { sessionsField, host.sessions.toString() }, { processorShareField, host.processorShare } };
+        { sessionsField, host.sessions.toString() }, { processorShareField, host.processorShare },
+        { readsRoutesField, host.readsRoutes } };
     if (host.peers)
         record[peersField] = host.peers->toString();
     return record.dump();
--- a/src/proxy/HostEntry.h
+++ b/src/proxy/HostEntry.h
@@ -19,6 +19,8 @@
     double processorShare { 1.0 };
     /// Address at which the host answers other hosts' requests for tables; empty if it does not publish one.
     std::optional<SocketAddress> peers {};
+    /// Whether the host reads the routes that are stated on forwarded sessions.
+    bool readsRoutes { false };
 
     bool operator==(const HostEntry&) const = default;
 };
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -18,7 +18,7 @@
         StoreFollower(StoreTable::Targets, TableTimes::forTargets(m_settings.bounds), delegate) }
     , m_directory(m_settings.bounds)
     , m_hosts({ m_settings.host, m_settings.dataCentre, m_settings.relay, m_settings.sessions,
-                  m_settings.processorShare, m_settings.peers },
+                  m_settings.processorShare, m_settings.peers, true },
           delegate)
     , m_homes(m_settings.host, m_settings.dataCentre)
     , m_feeders(m_settings.host, m_settings.dataCentre)
@@ -72,6 +72,7 @@
                 endTransaction(now, session);
         }
     }
+    serveHeldStatements(now);
     for (const auto id : timedOut)
         refuseOpening(m_sessions.at(id),
             { Session::FailureCode::Busy, "the configuration is not known yet; retry after 500 ms" });
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -28,6 +28,9 @@
     static constexpr Duration pauseThreshold = std::chrono::milliseconds(300);
     /// Maximum time that a session waits for the first configuration; callers time out after 2 s.
     static constexpr Duration acceptTimeout = std::chrono::milliseconds(1500);
+    /// Maximum time for which a statement waits until this host's configuration is as new as that of the host that
+    /// forwards the session; that host waits as long for a session to be opened.
+    static constexpr Duration maxRouteWait = std::chrono::milliseconds(300);
     /// Time for which a host keeps watching a group's targets after its last session on the group.
     static constexpr Duration groupLinger = std::chrono::seconds(10);
     /// Peers are queried while a table has not been read yet, and once calls to the store have failed for peerDelay; in
@@ -48,6 +51,13 @@
     void statementArrived(Instant now, SessionId, const Session::StatementId&, const Session::Statement&);
     /// Sends the failure as the answer to a statement that could not be parsed.
     void malformedStatementArrived(Instant now, SessionId, const Session::Failure&);
+    /// A statement arrived on a session that another host serves, outside a transaction. Refuses it, or states a route
+    /// that has changed to the other host.
+    /// @return whether the statement is to be forwarded.
+    [[nodiscard]] bool forwardedStatementArrived(
+        Instant now, SessionId, const Session::StatementId&, const Session::Statement&);
+    /// The host that forwards a session states its route, before the next statement.
+    void routeStated(SessionId, const StatedRoute&);
     void sessionClosed(Instant now, SessionId);
 
     // Targets.
@@ -131,6 +141,11 @@
     [[nodiscard]] std::optional<OrganisationName> authorise(
         const std::optional<Config::KeyDigest>&, const Route&, const std::optional<OrganisationName>& forwarded) const;
     [[nodiscard]] std::optional<OrganisationName> authorise(const CallerSession&, const Route&) const;
+    /// @return whether this host routes the session as the host that forwards it, or by a configuration that is not
+    /// older. True for sessions of this host's own callers.
+    [[nodiscard]] bool isRoutedAlike(const CallerSession&) const;
+    /// Serves the held statements whose route is now known, and refuses those that have waited for too long.
+    void serveHeldStatements(Instant now);
     /// Refuses a session that is not open yet. A forwarded one is closed, so that the other host serves it otherwise.
     void refuseOpening(const CallerSession&, const Session::Failure&);
     /// Ends the sessions whose key was removed from the configuration or is now another organisation's.
@@ -223,8 +238,14 @@
     std::set<GroupName> m_servedGroups;
     std::map<GroupName, std::unique_ptr<GroupService>> m_groups;
     std::unordered_map<SessionId, CallerSession> m_sessions;
+    struct ForwardedSession {
+        SessionRequest request;
+        /// Whether the other host reads the routes that are stated.
+        bool hostReadsRoutes { false };
+    };
+
     /// The sessions of this host's callers that other hosts serve.
-    std::unordered_map<SessionId, SessionRequest> m_forwardedSessions;
+    std::unordered_map<SessionId, ForwardedSession> m_forwardedSessions;
     std::uint64_t m_lastConnection { 0 };
     std::uint64_t m_lastStatement { 0 };
     /// Index in m_settings.seeds of the peer that was queried last.
--- a/src/proxy/ProxyDelegate.h
+++ b/src/proxy/ProxyDelegate.h
@@ -18,6 +18,8 @@
     virtual void answer(SessionId, const Session::Answer&) = 0;
     /// Forwards the session to another host, which answers its statements from then on.
     virtual void forwardSession(SessionId, const SessionRequest&, const HostEntry&) = 0;
+    /// States to the host that serves a forwarded session by which route it is forwarded from now on.
+    virtual void stateRoute(SessionId, const StatedRoute&) = 0;
     /// Ends a session that is forwarded to another host once no request of it is in progress.
     virtual void endForwardedSession(SessionId) = 0;
     /// Closes an idle session.
--- a/src/proxy/ProxyOrganisations.cpp
+++ b/src/proxy/ProxyOrganisations.cpp
@@ -36,13 +36,14 @@
         endRevokedSession(now, id);
     }
     std::vector<SessionId> forwarded;
-    for (const auto& [id, request] : m_forwardedSessions) {
+    for (const auto& [id, session] : m_forwardedSessions) {
+        const auto& request = session.request;
         const auto* const route = findRoute(request.database);
         if (route && authorise(request.key, *route, {}) != request.organisation)
             forwarded.push_back(id);
     }
     for (const auto id : forwarded) {
-        logRevocation(id, m_forwardedSessions.at(id).organisation);
+        logRevocation(id, m_forwardedSessions.at(id).request.organisation);
         m_forwardedSessions.erase(id);
         m_delegate.endForwardedSession(id);
     }
@@ -54,7 +55,7 @@
     if (!session)
         return;
     session->isRevoked = true;
-    if (session->pendingId || session->awaitsPermit)
+    if (session->hasOpenStatement())
         return;
     endTransaction(now, *session);
     m_sessions.erase(id);
--- a/src/proxy/ProxySessions.cpp
+++ b/src/proxy/ProxySessions.cpp
@@ -8,24 +8,6 @@
 using Session::StatementKind;
 using Session::TransactionState;
 
-namespace {
-
-    bool needsRoute(StatementKind kind)
-    {
-        switch (kind) {
-        case StatementKind::Begin:
-        case StatementKind::BeginReadOnly:
-        case StatementKind::Read:
-        case StatementKind::Write:
-        case StatementKind::Execute:
-            return true;
-        default:
-            return false;
-        }
-    }
-
-} // namespace
-
 CallerSession* Proxy::findSession(SessionId id)
 {
     const auto found = m_sessions.find(id);
@@ -49,7 +31,7 @@
     session.isForwarded = request.isForwarded;
     session.key = request.key;
     session.organisation = request.organisation;
-    session.forwardedVersion = request.version;
+    session.statedRoute = request.route;
     session.forwardedBy = request.forwardedBy;
     session.openedAt = now;
     session.idleSince = now;
@@ -58,8 +40,11 @@
 
 void Proxy::routeSession(CallerSession& session)
 {
-    // A forwarded session is not handled by an older configuration than that of the host that forwards it.
-    if (session.isAccepted || !m_catalog || session.forwardedVersion > m_catalog->version)
+    if (session.isAccepted || !m_catalog)
+        return;
+    // Which organisations there are is not part of the route.
+    const bool needsVersion = session.isForwarded && session.organisation != OrganisationName {};
+    if (needsVersion ? session.statedRoute.version > m_catalog->version : !isRoutedAlike(session))
         return;
     if (const auto* const route = findRoute(session.database)) {
         const auto organisation = authorise(session, *route);
@@ -101,54 +86,22 @@
         m_delegate.refuseSession(id, failure);
 }
 
-std::optional<HostEntry> Proxy::homeForSession(const CallerSession& session, const Route& route)
-{
-    const auto group = m_catalog->groups.find(route.group);
-    const bool isFixed = session.isForwarded || m_isClosingIdleSessions || group == m_catalog->groups.end();
-    if (isFixed || !m_homes.areNeeded(group->second.connectionLimit))
-        return {};
-    return m_homes.homeFor(m_now, route.group);
-}
-
-void Proxy::forward(const CallerSession& session, const HostEntry& home)
-{
-    log({ LogEvent::SessionForwarded,
-        { { "session", std::to_string(session.id.value()) }, { "database", session.database.value() },
-            { "host", home.name.value() } } });
-    const auto id = session.id;
-    SessionRequest request { session.database, session.key, false, session.organisation, {}, m_settings.host };
-    if (!m_catalog->organisations.isEmpty())
-        request.version = m_catalog->version;
-    m_sessions.erase(id);
-    m_forwardedSessions[id] = request;
-    m_delegate.forwardSession(id, request, home);
-}
-
-void Proxy::forwardFailed(Instant now, SessionId id, const HostName& host)
-{
-    m_homes.recordFailure(now, host);
-    const auto forwarded = m_forwardedSessions.extract(id);
-    if (!forwarded)
-        return;
-    auto request = forwarded.mapped();
-    // The session is authorised again by this host's present configuration.
-    request.organisation = {};
-    request.version = {};
-    sessionOpened(now, id, request);
-}
-
 void Proxy::statementArrived(
     Instant now, SessionId id, const Session::StatementId& statementId, const Session::Statement& statement)
 {
     m_now = now;
     auto* const session = findSession(id);
-    if (!session || session->pendingId)
+    if (!session || session->hasOpenStatement())
         return;
     session->statementId = statementId;
     session->statementKind = statement.kind;
     session->statementArrivedAt = now;
     const bool isIdle = session->state.transaction() == TransactionState::Idle;
     const auto* const route = findRoute(session->database);
+    if (isIdle && needsRoute(statement.kind) && !isRoutedAlike(*session)) {
+        session->heldStatement = statement;
+        return;
+    }
     if (isIdle && m_catalog)
         session->routedBy = m_catalog->version;
     if (isIdle && needsRoute(statement.kind) && !route) {
@@ -341,7 +294,7 @@
     m_now = now;
     std::vector<SessionId> ended;
     for (auto& [id, session] : m_sessions) {
-        if (session.pendingId || session.awaitsPermit || session.state.transaction() == TransactionState::Idle)
+        if (session.hasOpenStatement() || session.state.transaction() == TransactionState::Idle)
             continue;
         endTransaction(now, session);
         ended.push_back(id);
--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -176,6 +176,7 @@
         if (auto* const session = findSession(id))
             routeSession(*session);
     }
+    serveHeldStatements(now);
 }
 
 void Proxy::updateTargets(Instant now)
--- a/src/proxy/SessionRequest.h
+++ b/src/proxy/SessionRequest.h
@@ -2,6 +2,7 @@
 
 #include "base/Ids.h"
 #include "config/KeyDigest.h"
+#include "proxy/RouteDigest.h"
 
 #include <optional>
 
@@ -16,8 +17,9 @@
     bool isForwarded { false };
     /// Forwarded sessions: the organisation that the other host found by the caller's key; empty if there is none.
     OrganisationName organisation {};
-    /// Forwarded sessions: the version of the configuration by which the other host authorised the session.
-    ConfigVersion version {};
+    /// Forwarded sessions: the route by which the other host forwards the session. The session is authorised by the
+    /// configuration of the same version.
+    StatedRoute route {};
     /// Forwarded sessions: the other host; empty if it is of a version of the program that does not state it.
     HostName forwardedBy {};
 };
--- a/src/session/Statement.h
+++ b/src/session/Statement.h
@@ -29,6 +29,21 @@
     Forget,
 };
 
+/// @return whether a statement of the kind, outside a transaction, is routed by its database.
+constexpr bool needsRoute(StatementKind kind)
+{
+    switch (kind) {
+    case StatementKind::Begin:
+    case StatementKind::BeginReadOnly:
+    case StatementKind::Read:
+    case StatementKind::Write:
+    case StatementKind::Execute:
+        return true;
+    default:
+        return false;
+    }
+}
+
 /// Definition of a prepared statement. Names with the same shape are interchangeable on a target.
 struct PreparedShape {
     Access access { Access::Read };
--- a/tests/app/SessionForwarderTests.cpp
+++ b/tests/app/SessionForwarderTests.cpp
@@ -97,6 +97,21 @@
     CHECK(host.answers[1] == "ERROR NODATABASE no such database");
 }
 
+TEST_CASE("A route is stated to the other host in front of the next statement", "[app][forward]")
+{
+    Fixture host;
+    host.openAndAccept();
+    CHECK(host.forwarder.isIdle(session));
+    host.forwarder.stateRoute(session, { ConfigVersion(12), Proxy::RouteDigest(77) });
+    host.forwarder.send(session, "QUERY 1 READ k");
+    CHECK_FALSE(host.forwarder.isIdle(session));
+    REQUIRE(host.loop.runUntil([&] { return host.received.size() == 2; }));
+    CHECK(host.received[1] == "ROUTE 12 77");
+    host.remoteHost.resume(host.client);
+    REQUIRE(host.loop.runUntil([&] { return host.received.size() == 3; }));
+    CHECK(host.received[2] == "QUERY 1 READ k");
+}
+
 TEST_CASE("A line feed alone does not divide a line that is forwarded", "[app][forward]")
 {
     Fixture host;
--- a/tests/platform/CallerCodecTests.cpp
+++ b/tests/platform/CallerCodecTests.cpp
@@ -103,8 +103,21 @@
     Proxy::SessionRequest forwarded { DatabaseName("orders") };
     forwarded.forwardedBy = HostName("host-3");
     CHECK(writeSessionRequest(forwarded) == "START orders - 0 host-3\r\n");
-    const auto read = readCallerLine("START orders - 0 host-3");
-    CHECK(sessionRequestOf(std::get<OpenSession>(read), true).forwardedBy == HostName("host-3"));
+    forwarded.route = { ConfigVersion(12), Proxy::RouteDigest(77) };
+    CHECK(writeSessionRequest(forwarded) == "START orders - 12 host-3 77\r\n");
+    const auto read = readCallerLine("START orders - 12 host-3 77");
+    const auto received = sessionRequestOf(std::get<OpenSession>(read), true);
+    CHECK(received.forwardedBy == HostName("host-3"));
+    CHECK(received.route == forwarded.route);
+
+    const auto line = writeStatedRoute(forwarded.route);
+    CHECK(line == "ROUTE 12 77\r\n");
+    CHECK(readStatedRoute("ROUTE 12 77") == forwarded.route);
+    CHECK(readStatedRoute("ROUTE 12") == Proxy::StatedRoute { ConfigVersion(12), {} });
+    CHECK_FALSE(readStatedRoute("ROUTE x 77"));
+    CHECK_FALSE(readStatedRoute("QUERY 1 READ k"));
+    // Only hosts state routes.
+    CHECK(std::holds_alternative<MalformedLine>(readCallerLine("ROUTE 12 77")));
     CHECK(readAnswerEnd("READY I -") == Session::TransactionState::Idle);
     CHECK(readAnswerEnd("READY T 3.7") == Session::TransactionState::Open);
     CHECK(readAnswerEnd("READY E 3.7") == Session::TransactionState::Failed);
--- a/tests/platform/OrganisationTests.cpp
+++ b/tests/platform/OrganisationTests.cpp
@@ -161,21 +161,21 @@
 {
     Proxy::SessionRequest request = callerRequest("key-1");
     request.organisation = OrganisationName("miny420");
-    request.version = ConfigVersion(12);
+    request.route.version = ConfigVersion(12);
     const auto line = writeSessionRequest(request);
     CHECK(line == "START orders miny420 12\r\n");
 
     const auto read = readCallerLine(line.substr(0, line.size() - 2));
     const auto received = sessionRequestOf(std::get<OpenSession>(read), true);
     CHECK(received.organisation == request.organisation);
-    CHECK(received.version == request.version);
+    CHECK(received.route == request.route);
     CHECK_FALSE(received.key);
 }
 
 TEST_CASE("A host does not serve a forwarded session by an older configuration", "[platform][organisations]")
 {
     Fixture fixture;
-    Proxy::SessionRequest request { database, {}, true, OrganisationName("sipo7"), ConfigVersion(5) };
+    Proxy::SessionRequest request { database, {}, true, OrganisationName("sipo7"), { ConfigVersion(5) } };
     fixture.proxy.sessionOpened(start, forwardedSession, request);
     CHECK(fixture.delegate.accepted.empty());
     CHECK(fixture.delegate.closed.empty());
--- a/tests/platform/SessionRecorder.h
+++ b/tests/platform/SessionRecorder.h
@@ -16,6 +16,8 @@
     std::map<Proxy::SessionId, Session::FailureCode> refused;
     std::map<Proxy::SessionId, std::size_t> answers;
     std::map<Proxy::SessionId, Session::Answer> lastAnswers;
+    std::map<Proxy::SessionId, Proxy::SessionRequest> forwarded;
+    std::map<Proxy::SessionId, std::vector<Proxy::StatedRoute>> statedRoutes;
     std::vector<SocketAddress> datagrams;
     std::vector<LogRecord> records;
 
@@ -31,7 +33,14 @@
         ++answers[id];
         lastAnswers[id] = answer;
     }
-    void forwardSession(Proxy::SessionId, const Proxy::SessionRequest&, const Proxy::HostEntry&) override { }
+    void forwardSession(Proxy::SessionId id, const Proxy::SessionRequest& request, const Proxy::HostEntry&) override
+    {
+        forwarded[id] = request;
+    }
+    void stateRoute(Proxy::SessionId id, const Proxy::StatedRoute& route) override
+    {
+        statedRoutes[id].push_back(route);
+    }
     void endForwardedSession(Proxy::SessionId) override { }
     void closeSession(Proxy::SessionId id) override { closed.insert(id); }
     void openConnection(
--- a/tests/proxy/SimulatedHost.h
+++ b/tests/proxy/SimulatedHost.h
@@ -32,6 +32,7 @@
     void refuseSession(SessionId, const Session::Failure&) override;
     void answer(SessionId, const Session::Answer&) override;
     void forwardSession(SessionId, const SessionRequest&, const HostEntry&) override { }
+    void stateRoute(SessionId, const StatedRoute&) override { }
     void endForwardedSession(SessionId) override { }
     void closeSession(SessionId id) override { m_endings[id] = "closed"; }
     void openConnection(
