--- /dev/null
+++ b/tests/proxy/RecordedProxy.h
@@ -0,0 +1,241 @@
+#pragma once
+
+#include "proxy/Proxy.h"
+
+#include <map>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace Auburnpost::Proxy {
+
+using namespace std::chrono_literals;
+
+/// Records what a proxy does. Nothing answers its calls.
+struct ProxyRecorder final : ProxyDelegate {
+    /// A call to the store for a followed table.
+    struct TableCall {
+        StoreTable table;
+        Duration timeout;
+        bool isRead { false };
+    };
+
+    std::vector<TableCall> tableCalls;
+    std::vector<SocketAddress> queriedPeers;
+    std::set<SessionId> accepted;
+    std::map<SessionId, Session::FailureCode> refused;
+    std::map<SessionId, Session::Answer> answers;
+    std::map<ConnectionId, TargetRecord> opened;
+    std::vector<std::pair<ConnectionId, TargetRequest>> sent;
+    std::vector<PromotionLease> leaseWrites;
+    std::size_t leaseReads { 0 };
+
+    void readTable(StoreTable table, const std::string&, Duration timeout) override
+    {
+        if (table != StoreTable::Hosts)
+            tableCalls.push_back({ table, timeout, true });
+    }
+    void followTable(StoreTable table, RowVersion, Duration, Duration timeout) override
+    {
+        tableCalls.push_back({ table, timeout, false });
+    }
+    void followFeeder(const SocketAddress&, StoreTable, RowVersion, Duration, Duration) override { }
+    void writeHost(const HostName&, const std::string&) override { }
+    void acceptSession(SessionId id) override { accepted.insert(id); }
+    void refuseSession(SessionId id, const Session::Failure& failure) override { refused[id] = failure.code; }
+    void answer(SessionId id, const Session::Answer& answer) override { answers[id] = answer; }
+    void forwardSession(SessionId, const SessionRequest&, const HostEntry&) override { }
+    void endForwardedSession(SessionId) override { }
+    void closeSession(SessionId) override { }
+    void openConnection(ConnectionId id, const TargetRecord& target, const OrganisationName&,
+        const std::optional<SocketAddress>&) override
+    {
+        opened[id] = target;
+    }
+    void closeConnection(ConnectionId) override { }
+    void send(ConnectionId id, const std::vector<TargetRequest>& requests) override
+    {
+        for (const auto& request : requests)
+            sent.emplace_back(id, request);
+    }
+    void readLease(const GroupName&) override { ++leaseReads; }
+    void writeLease(const GroupName&, const PromotionLease& lease, RowVersion) override
+    {
+        leaseWrites.push_back(lease);
+    }
+    void readMembers(const GroupName&, const std::string&) override { }
+    void promote(const GroupName&, const TargetName&, RowVersion, Instant) override { }
+    void answerFeed(RequestId, const std::optional<FeedPage>&) override { }
+    void queryPeer(const SocketAddress& peer) override { queriedPeers.push_back(peer); }
+    void sendDatagram(const SocketAddress&, std::string_view) override { }
+    void log(const LogRecord&) override { }
+    void measure(std::string_view, double) override { }
+};
+
+/// Reads a row of the configuration as "VERSION DATABASE GROUP DATABASE GROUP ...", and a row of a target as "GROUP
+/// PORT" or "GROUP PORT leaving".
+struct TextRowReader final : RowReader {
+    [[nodiscard]] Expected<std::optional<Catalog>> readCatalog(const StoreRow& row) const override
+    {
+        std::istringstream words(row.value);
+        std::uint64_t version = 0;
+        if (!(words >> version))
+            return fail(ErrorCode::BadDocument, "read configuration", row.key, "no version");
+        Catalog catalog;
+        catalog.version = ConfigVersion(version);
+        std::string database;
+        std::string group;
+        while (words >> database >> group) {
+            Route route;
+            route.group = GroupName(group);
+            route.statementTimeout = 2s;
+            catalog.routes[DatabaseName(database)] = route;
+            catalog.groups[route.group] = { 50, 1 };
+        }
+        return std::optional(catalog);
+    }
+    [[nodiscard]] Expected<TargetRecord> readTarget(const StoreRow& row) const override
+    {
+        std::istringstream words(row.value);
+        std::string group;
+        std::string state;
+        TargetRecord record;
+        words >> group >> record.address.port >> state;
+        record.name = TargetName(row.key);
+        record.group = GroupName(group);
+        record.address.ip = "10.0.0.1";
+        record.isLeaving = state == "leaving";
+        return record;
+    }
+};
+
+/// A proxy in simulated time that has read a configuration of one database and the records of the group "group": the
+/// primary p and the replicas r and s. Targets answer at once unless they are down.
+struct RecordedProxy {
+    /// @param settings of the host; the store's tables are read unless they are to be read by the test.
+    explicit RecordedProxy(ProxySettings settings = {}, bool readsTables = true)
+        : proxy(now, std::move(settings), reader, delegate, 1)
+    {
+        proxy.tick(now);
+        if (!readsTables)
+            return;
+        read(StoreTable::Configuration, { 110, StoreEra(1) }, { { "config", "10 orders group" } });
+        read(StoreTable::Targets, { 110, StoreEra(1) }, members());
+    }
+
+    struct Version {
+        std::uint64_t number;
+        StoreEra era;
+    };
+    using Rows = std::map<std::string, std::string>;
+
+    static Rows members() { return { { "p", "group 1" }, { "r", "group 2" }, { "s", "group 3" } }; }
+    static StorePage page(const Version& asOf, const Rows& rows)
+    {
+        const RowVersion version(asOf.number, asOf.era);
+        StorePage made;
+        made.asOf = version;
+        for (const auto& [key, value] : rows)
+            made.rows.push_back({ key, version, value, false });
+        return made;
+    }
+    void read(StoreTable table, const Version& asOf, const Rows& rows)
+    {
+        proxy.tableRead(now, table, page(asOf, rows));
+    }
+    void change(StoreTable table, const Version& asOf, const Rows& rows)
+    {
+        proxy.tableFollowed(now, table, page(asOf, rows));
+    }
+    /// Makes the store answer in a new era with the given copies of both tables.
+    void returnStore(const Version& asOf, const Rows& configuration, const Rows& targets)
+    {
+        change(StoreTable::Configuration, asOf, {});
+        read(StoreTable::Configuration, asOf, configuration);
+        change(StoreTable::Targets, asOf, {});
+        read(StoreTable::Targets, asOf, targets);
+    }
+
+    /// Opens a session and sends a statement on it.
+    void open(std::uint64_t session, const std::string& database)
+    {
+        proxy.sessionOpened(now, SessionId(session), { DatabaseName(database) });
+    }
+    void send(std::uint64_t session, Session::StatementKind kind)
+    {
+        Session::Statement statement;
+        statement.kind = kind;
+        statement.text = "text";
+        delegate.answers.erase(SessionId(session));
+        proxy.statementArrived(now, SessionId(session), Session::StatementId("id"), statement);
+    }
+    /// @return why the last statement of the session failed; empty if it succeeded or was not answered yet.
+    [[nodiscard]] std::optional<Session::FailureCode> failureOf(std::uint64_t session) const
+    {
+        const auto answer = delegate.answers.find(SessionId(session));
+        if (answer == delegate.answers.end())
+            return {};
+        const auto* const failure = std::get_if<Session::Failure>(&answer->second.body);
+        return failure ? std::optional(failure->code) : std::nullopt;
+    }
+
+    /// Lets time pass, in which targets that are not down answer.
+    void run(Duration length)
+    {
+        for (const auto end = now + length; now < end; now += Proxy::tickInterval) {
+            for (const auto& [id, target] : std::exchange(delegate.opened, {})) {
+                targets[id] = target;
+                if (down.contains(target.name))
+                    proxy.connectionRefused(now, id, Session::FailureCode::Failed);
+                else
+                    proxy.connectionOpened(now, id, {});
+            }
+            for (const auto& [id, request] : std::exchange(delegate.sent, {}))
+                reply(id, request);
+            proxy.tick(now);
+        }
+    }
+    /// Ends the connections to the target and refuses new ones.
+    void stop(const std::string& name)
+    {
+        down.insert(TargetName(name));
+        for (const auto& [id, target] : targets) {
+            if (target.name == TargetName(name))
+                proxy.connectionLost(now, id);
+        }
+    }
+
+    Instant now { 100s };
+    ProxyRecorder delegate;
+    TextRowReader reader;
+    Proxy proxy;
+    std::map<ConnectionId, TargetRecord> targets;
+    std::set<TargetName> down;
+    /// The groups at which statements of callers ran, in order.
+    std::vector<GroupName> ran;
+
+private:
+    void reply(ConnectionId id, const TargetRequest& request)
+    {
+        const auto& target = targets.at(id);
+        if (down.contains(target.name))
+            return;
+        TargetReply reply { Session::Success {}, Session::TransactionState::Idle, {}, {} };
+        if (std::holds_alternative<RunStatement>(request))
+            ran.push_back(target.group);
+        if (std::holds_alternative<BeginTransaction>(request))
+            isInTransaction.insert(id);
+        if (isInTransaction.contains(id))
+            reply.state = Session::TransactionState::Open;
+        reply.position = LogPoint { Term(2), Position(9) };
+        reply.status = TargetStatus {};
+        reply.status->isPrimary = target.name == TargetName("p") || target.group != GroupName("group");
+        reply.status->term = Term(2);
+        reply.status->received = { Term(2), Position(9) };
+        proxy.replied(now, id, reply);
+    }
+
+    std::set<ConnectionId> isInTransaction;
+};
+
+} // namespace Auburnpost::Proxy
