--- /dev/null
+++ b/tests/proxy/PeerAgeTests.cpp
@@ -0,0 +1,126 @@
+#include "proxy/HostDirectory.h"
+#include "proxy/RecordedProxy.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace Auburnpost;
+using namespace Auburnpost::Proxy;
+using namespace std::chrono_literals;
+
+namespace {
+
+const StoreEra firstEra(1);
+const StoreEra secondEra(2);
+/// The bounds of the deployments in which the store may turn single hosts away: the configuration's, and the time by
+/// which the store's trouble may stretch it.
+constexpr Duration stretchedBound = 4000ms + 15000ms;
+/// Timeout of a request for a peer's tables.
+constexpr Duration peerTimeout = 600ms;
+
+SocketAddress peerAddress(std::size_t index)
+{
+    return { "10.2.0." + std::to_string(index + 1), 8080 };
+}
+
+/// A host that the store has turned away since it answered last, and peers that answer as late as they may.
+struct TurnedAwayHost : RecordedProxy {
+    static constexpr std::size_t seeds = 3;
+
+    TurnedAwayHost()
+        : RecordedProxy(settings())
+    {
+    }
+
+    static ProxySettings settings()
+    {
+        ProxySettings made;
+        made.host = HostName("host-9");
+        made.peers = peerAddress(9);
+        for (std::size_t index = 0; index < seeds; ++index)
+            made.seeds.push_back(peerAddress(index));
+        return made;
+    }
+    /// @return the configuration as a peer has it, with the database "bills" from version 12 on.
+    [[nodiscard]] TableStates tablesOf(const SocketAddress& peer) const
+    {
+        const RowVersion version(isTurnedAway(peer) ? 110 : 120, firstEra);
+        const std::string value(isTurnedAway(peer) ? "10 orders group" : "12 orders group bills group");
+        const TableState state { version, { { "config", { "config", version, value, false } } } };
+        return { { StoreTable::Configuration, state } };
+    }
+    [[nodiscard]] bool isTurnedAway(const SocketAddress& peer) const
+    {
+        return std::find(turnedAway.begin(), turnedAway.end(), peer) != turnedAway.end();
+    }
+    [[nodiscard]] bool hasChange()
+    {
+        open(++m_sessions, "bills");
+        return delegate.accepted.contains(SessionId(m_sessions));
+    }
+    /// @return the time until the host knows the change, at most the limit.
+    Duration timeUntilChange(Duration limit)
+    {
+        const auto begin = now;
+        while (now - begin < limit && !hasChange()) {
+            for (const auto& call : std::exchange(delegate.tableCalls, {}))
+                m_calls.emplace_back(now + call.timeout, call);
+            for (const auto& asked : std::exchange(delegate.queriedPeers, {}))
+                m_queries.emplace_back(now + peerTimeout, asked);
+            now += Auburnpost::Proxy::Proxy::tickInterval;
+            finishCalls();
+            finishQueries();
+            proxy.tick(now);
+        }
+        return now - begin;
+    }
+
+    std::vector<SocketAddress> turnedAway;
+
+private:
+    void finishCalls()
+    {
+        const auto isOver = [this](const auto& call) { return call.first <= now; };
+        const auto over = std::stable_partition(m_calls.begin(), m_calls.end(), std::not_fn(isOver));
+        const std::vector<std::pair<Instant, ProxyRecorder::TableCall>> ended(over, m_calls.end());
+        m_calls.erase(over, m_calls.end());
+        const auto refusal = fail(ErrorCode::PlatformUnavailable, "call", "store", "no answer");
+        for (const auto& [endsAt, call] : ended) {
+            if (call.isRead)
+                proxy.tableRead(now, call.table, refusal);
+            else
+                proxy.tableFollowed(now, call.table, refusal);
+        }
+    }
+    void finishQueries()
+    {
+        for (auto query = m_queries.begin(); query != m_queries.end();) {
+            if (query->first > now) {
+                ++query;
+                continue;
+            }
+            proxy.peerAnswered(now, query->second, tablesOf(query->second));
+            query = m_queries.erase(query);
+        }
+    }
+
+    std::vector<std::pair<Instant, ProxyRecorder::TableCall>> m_calls;
+    std::vector<std::pair<Instant, SocketAddress>> m_queries;
+    std::uint64_t m_sessions { 100 };
+};
+
+} // namespace
+
+TEST_CASE("A host that the store turns away learns a change from its last seed within the stretched bound",
+    "[proxy][age]")
+{
+    TurnedAwayHost host;
+    // The host asks the seeds in turn from the second one on.
+    host.turnedAway = { peerAddress(1), peerAddress(2) };
+    const auto poll = TableTimes::forConfiguration({}).pollTimeout();
+    const auto seeds = TurnedAwayHost::seeds * Auburnpost::Proxy::Proxy::peerQueryInterval + peerTimeout;
+    const auto limit = poll + Auburnpost::Proxy::Proxy::peerDelay + seeds + 2 * Auburnpost::Proxy::Proxy::tickInterval;
+    CHECK(limit < stretchedBound);
+    CHECK(toMilliseconds(host.timeUntilChange(stretchedBound)) <= toMilliseconds(limit));
+}
--- a/tests/proxy/RecordedProxy.h
+++ b/tests/proxy/RecordedProxy.h
@@ -141,10 +141,12 @@
     }
     void read(StoreTable table, const Version& asOf, const Rows& rows)
     {
+        forgetCalls(table);
         proxy.tableRead(now, table, page(asOf, rows));
     }
     void change(StoreTable table, const Version& asOf, const Rows& rows)
     {
+        forgetCalls(table);
         proxy.tableFollowed(now, table, page(asOf, rows));
     }
     /// Makes the store answer in a new era with the given copies of both tables.
@@ -215,6 +217,11 @@
     std::vector<GroupName> ran;
 
 private:
+    /// Forgets the call that is being answered.
+    void forgetCalls(StoreTable table)
+    {
+        std::erase_if(delegate.tableCalls, [table](const auto& call) { return call.table == table; });
+    }
     void reply(ConnectionId id, const TargetRequest& request)
     {
         const auto& target = targets.at(id);
