Test that a host whose seeds are turned away by the store learns a change

Fails: Proxy::queryPeers asks the seeds of the settings only, three at most. If the store turns them away as well, the host never learns a change, though it knows the addresses of nine more hosts from their records. Seen: not known after 20.0 s, of 19 s (ConfigPropagationMs and OuterBoundMs).

--- a/tests/proxy/PeerAgeTests.cpp
+++ b/tests/proxy/PeerAgeTests.cpp
@@ -124,3 +124,19 @@
     CHECK(limit < stretchedBound);
     CHECK(toMilliseconds(host.timeUntilChange(stretchedBound)) <= toMilliseconds(limit));
 }
+
+// The settings name three hosts at most, and the store may turn all of them away.
+TEST_CASE("A host that the store turns away learns a change although all of its seeds are turned away", "[proxy][age]")
+{
+    TurnedAwayHost host;
+    RecordedProxy::Rows records;
+    for (std::size_t index = 0; index < 9; ++index) {
+        const auto name = "host-" + std::to_string(index);
+        const HostEntry entry { HostName(name), DataCentreName("east"), { "10.2.0.9", 7440 }, { "10.2.0.9", 7455 }, 1.0,
+            peerAddress(index) };
+        records[name] = HostDirectory::encode(entry);
+    }
+    host.read(StoreTable::Hosts, { 110, firstEra }, records);
+    host.turnedAway = { peerAddress(0), peerAddress(1), peerAddress(2) };
+    CHECK(toMilliseconds(host.timeUntilChange(stretchedBound + 1s)) <= toMilliseconds(stretchedBound));
+}
