Test that a host hands on the configuration that it applies

After the store came back from an older copy that row is older than the configuration that the host applies, until the operator has written it again; a host that starts in that time refuses a route that its peer serves.

--- a/tests/proxy/PeerAgeTests.cpp
+++ b/tests/proxy/PeerAgeTests.cpp
@@ -140,3 +140,16 @@
     host.turnedAway = { peerAddress(0), peerAddress(1), peerAddress(2) };
     CHECK(toMilliseconds(host.timeUntilChange(stretchedBound + 1s)) <= toMilliseconds(stretchedBound));
 }
+
+// Guards against a snapshot of the store's rows by which a starting host decides by an older configuration.
+TEST_CASE("A host's tables hold the configuration that it applies after the store came back from an older copy",
+    "[proxy][age]")
+{
+    RecordedProxy host;
+    host.change(StoreTable::Configuration, { 120, firstEra }, { { "config", "12 orders group bills group" } });
+    host.returnStore({ 115, secondEra }, { { "config", "10 orders group" } }, RecordedProxy::members());
+    RecordedProxy started({}, false);
+    started.proxy.peerAnswered(started.now, peerAddress(0), host.proxy.tables());
+    started.open(1, "bills");
+    CHECK(started.delegate.accepted.contains(SessionId(1)));
+}
