Test that a host which starts applies the configuration of its peers

Fails: a host that reads the store asks no peer, and Proxy::queryPeers asks only while a table is unknown or calls fail.

--- a/tests/proxy/PeerAgeTests.cpp
+++ b/tests/proxy/PeerAgeTests.cpp
@@ -153,3 +153,24 @@
     started.open(1, "bills");
     CHECK(started.delegate.accepted.contains(SessionId(1)));
 }
+
+TEST_CASE("A host that starts after the store came back from an older copy applies the configuration of its peers",
+    "[proxy][age]")
+{
+    RecordedProxy known;
+    known.change(StoreTable::Configuration, { 120, firstEra }, { { "config", "12 orders group bills group" } });
+    const RecordedProxy::Rows older { { "config", "10 orders group" } };
+    known.returnStore({ 115, secondEra }, older, RecordedProxy::members());
+
+    RecordedProxy started(TurnedAwayHost::settings(), false);
+    started.read(StoreTable::Configuration, { 115, secondEra }, older);
+    started.read(StoreTable::Targets, { 115, secondEra }, RecordedProxy::members());
+    const auto end = started.now + TimeBounds {}.recovery;
+    while (started.now < end) {
+        started.run(Auburnpost::Proxy::Proxy::tickInterval);
+        for (const auto& peer : std::exchange(started.delegate.queriedPeers, {}))
+            started.proxy.peerAnswered(started.now, peer, known.proxy.tables());
+    }
+    started.open(1, "bills");
+    CHECK(started.delegate.accepted.contains(SessionId(1)));
+}
