Test that a host writes its record again after the store lost it

Fails: HostDirectory::recordWritten is final, and HostDirectory::updateHosts does not look for this host's own record. A host whose record was written after the copy was made stays unknown to the others until it starts again: it is no home, feeder or relay of theirs, while it counts itself among the hosts.

--- a/tests/proxy/RecordedProxy.h
+++ b/tests/proxy/RecordedProxy.h
@@ -29,6 +29,7 @@
     std::vector<std::pair<ConnectionId, TargetRequest>> sent;
     std::vector<PromotionLease> leaseWrites;
     std::size_t leaseReads { 0 };
+    std::size_t hostWrites { 0 };
 
     void readTable(StoreTable table, const std::string&, Duration timeout) override
     {
@@ -40,7 +41,7 @@
         tableCalls.push_back({ table, timeout, false });
     }
     void followFeeder(const SocketAddress&, StoreTable, RowVersion, Duration, Duration) override { }
-    void writeHost(const HostName&, const std::string&) override { }
+    void writeHost(const HostName&, const std::string&) override { ++hostWrites; }
     void acceptSession(SessionId id) override { accepted.insert(id); }
     void refuseSession(SessionId id, const Session::Failure& failure) override { refused[id] = failure.code; }
     void answer(SessionId id, const Session::Answer& answer) override { answers[id] = answer; }
