Test that the members are recorded again after the store lost the record

Fails: MemberRecorder::isCurrent compares the members with what this host read or wrote last, and nothing tells it that the store came back from an older copy. The record stays older or missing until the members or the term change, and a host that starts and promotes counts by it.

--- a/tests/proxy/StoreReturnTests.cpp
+++ b/tests/proxy/StoreReturnTests.cpp
@@ -43,3 +43,23 @@
     host.run(HostDirectory::writeRetryInterval);
     CHECK(host.delegate.hostWrites == 2);
 }
+
+// Guards against a promotion that counts by an older record and misses a member with an acknowledged commit.
+TEST_CASE("The members are recorded again after the store came back from an older copy", "[proxy][return]")
+{
+    RecordedProxy host(settings());
+    host.read(StoreTable::Hosts, { 110, firstEra }, otherHost());
+    const GroupName group("group");
+    for (const auto end = host.now + 10s; host.now < end && host.delegate.leaseReads == 0;)
+        host.run(Auburnpost::Proxy::Proxy::tickInterval);
+    REQUIRE(host.delegate.leaseReads == 1);
+    host.proxy.leaseRead(host.now, group, PromotionLeaseRow { {}, {}, 1000 });
+    REQUIRE(host.delegate.leaseWrites.size() == 1);
+    host.proxy.leaseWritten(host.now, group, std::optional(RowVersion(120, firstEra)));
+    host.run(30s);
+    REQUIRE(host.delegate.leaseReads == 1);
+
+    host.returnStore({ 105, secondEra }, { { "config", "10 orders group" } }, RecordedProxy::members());
+    host.run(30s);
+    CHECK(host.delegate.leaseReads > 1);
+}
