Test that no lease is taken while one of an earlier era of the store may be held

Fails: the lease that a host was granted before the store came back from an older copy is not in the copy, and Promotion::leaseRead takes a row that looks free at once.

--- a/tests/proxy/StoreReturnTests.cpp
+++ b/tests/proxy/StoreReturnTests.cpp
@@ -63,3 +63,28 @@
     host.run(30s);
     CHECK(host.delegate.leaseReads > 1);
 }
+
+// Guards against two holders at a time: the lease that a host was granted before the return is not in the copy.
+TEST_CASE("No lease is taken after the store came back from an older copy until the earlier ones have ended",
+    "[proxy][return]")
+{
+    RecordedProxy host(settings());
+    host.run(1s);
+    host.returnStore({ 105, secondEra }, { { "config", "10 orders group" } }, RecordedProxy::members());
+    const auto returnedAt = host.now;
+    host.stop("p");
+    const PromotionLeaseRow free { RowVersion(104, secondEra), PromotionLease { HostName("other"), 0, {} }, 1000 };
+    std::optional<Instant> takenAt;
+    std::size_t answered = 0;
+    while (!takenAt && host.now < returnedAt + 2 * Promotion::leaseLifetime) {
+        host.run(Auburnpost::Proxy::Proxy::tickInterval);
+        if (host.delegate.leaseReads > answered) {
+            answered = host.delegate.leaseReads;
+            host.proxy.leaseRead(host.now, GroupName("group"), free);
+        }
+        if (!host.delegate.leaseWrites.empty())
+            takenAt = host.now;
+    }
+    REQUIRE(takenAt);
+    CHECK(toMilliseconds(*takenAt - returnedAt) >= toMilliseconds(Promotion::leaseLifetime));
+}
