Test that no promotion rests on a condition of an earlier era of the store

Fails: a conditional write names the number of the row's version without the era, so it may hold for another content of the row after the store came back from an older copy, and Promotion::leaseWritten compares the era of the answer with nothing. Both the lease and the record of the candidate are taken.

--- a/tests/proxy/StoreReturnTests.cpp
+++ b/tests/proxy/StoreReturnTests.cpp
@@ -1,4 +1,5 @@
 #include "proxy/HostDirectory.h"
+#include "proxy/PromotionFixture.h"
 #include "proxy/RecordedProxy.h"
 
 #include <catch2/catch.hpp>
@@ -88,3 +89,40 @@
     REQUIRE(takenAt);
     CHECK(toMilliseconds(*takenAt - returnedAt) >= toMilliseconds(Promotion::leaseLifetime));
 }
+
+// Guards against a version that was given out again: the condition held for another row content than the one read.
+TEST_CASE("A lease that is written in a later era of the store than it was read is not held", "[proxy][return]")
+{
+    PromotionFixture group;
+    group.promotion.start(
+        group.now, group.watcher, group.random, PromotionGoal::ReplacePrimary, FailoverReason::Down);
+    group.tick(Promotion::startJitter);
+    group.promotion.leaseRead(
+        group.now, group.watcher, PromotionLeaseRow { RowVersion(120, firstEra), {}, 1000 });
+    REQUIRE(group.delegate.writes == 1);
+    group.promotion.leaseWritten(group.now, group.watcher, std::optional(RowVersion(121, secondEra)));
+    CHECK(group.delegate.commands.empty());
+    group.tick(Promotion::retryDelay);
+    CHECK(group.delegate.reads == 2);
+}
+
+TEST_CASE("A candidate that is recorded in a later era of the store than the lease was granted is not called for",
+    "[proxy][return]")
+{
+    PromotionFixture group;
+    group.promotion.start(
+        group.now, group.watcher, group.random, PromotionGoal::ReplacePrimary, FailoverReason::Down);
+    group.tick(Promotion::startJitter);
+    group.promotion.leaseRead(
+        group.now, group.watcher, PromotionLeaseRow { RowVersion(120, firstEra), {}, 1000 });
+    group.promotion.leaseWritten(group.now, group.watcher, std::optional(RowVersion(121, firstEra)));
+    group.reportFenced();
+    group.promotion.membersRead(group.now, group.watcher, true);
+    group.tick(30ms);
+    REQUIRE(group.promotion.state() == "Recording");
+    group.now += 10ms;
+    group.promotion.leaseWritten(group.now, group.watcher, std::optional(RowVersion(122, secondEra)));
+    group.reportFenced();
+    group.tick(30ms);
+    CHECK_FALSE(group.delegate.promoted);
+}
