Test that a token of a later era of the store is higher than earlier ones

Fails: makePromotionCall sends the number of the row's version, which goes back when the store comes back from an older copy.

--- a/tests/platform/StoreCallsTests.cpp
+++ b/tests/platform/StoreCallsTests.cpp
@@ -127,3 +127,16 @@
     CHECK(readPromotionOutcome(reply(503, "")) == PromotionOutcome::Unanswered);
     CHECK(readPromotionOutcome(noAnswer()) == PromotionOutcome::Unanswered);
 }
+
+// Guards against a token that the platform has seen exceeded, after the store gave versions out again.
+TEST_CASE("A token of a later era of the store is higher than those of earlier eras", "[platform]")
+{
+    const auto tokenOf = [](std::uint64_t number, std::uint64_t era) {
+        const auto call = makePromotionCall(GroupName("finy74a"), TargetName("i-1"), HostName("front-1"),
+            RowVersion(number, StoreEra(era)), std::chrono::milliseconds(600));
+        return std::stoull(call.headers.at(1).value);
+    };
+    CHECK(tokenOf(120, 1) < tokenOf(121, 1));
+    CHECK(tokenOf(120, 1) < tokenOf(90, 2));
+    CHECK(tokenOf(4'000'000'000, 1) < tokenOf(1, 2));
+}
