--- a/tests/limit/AllotmentPoolTests.cpp
+++ b/tests/limit/AllotmentPoolTests.cpp
@@ -130,3 +130,21 @@
     CHECK(fixture.pool.claim(start + 5s, other, { organisation, 0, 0, 30 }).total > 0);
     CHECK(fixture.claim(start + 5s, 2, { organisation, 17, 0, 30 }).total == 8);
 }
+
+// Permits that were granted by an older configuration have to be gone before a lower limit binds.
+TEST_CASE("A lowered limit is kept once the permits of the higher one have expired", "[limit][allotments]")
+{
+    constexpr auto grantLifetime = AllotmentTimes {}.grantLifetime;
+    Fixture fixture;
+    fixture.pool.setOwnShare(start, 1);
+    const auto filledAt = start + 5s;
+    REQUIRE(fixture.claim(filledAt, 1, { organisation, 0, 0, 15 }).total == 15);
+    fixture.pool.setLimits(filledAt, { { organisation, { 1, 2 } } });
+    CHECK(fixture.pool.available(organisation) == Approx(0));
+    // Nothing is created while the permits of the higher limit may be used.
+    fixture.pool.expire(filledAt + grantLifetime);
+    CHECK(fixture.pool.available(organisation) == Approx(0));
+    fixture.pool.expire(filledAt + AllotmentTimes::withDrift(grantLifetime) + 10s);
+    CHECK(fixture.pool.available(organisation) <= 2);
+    CHECK(fixture.claim(filledAt + 12s, 2, { organisation, 0, 15, 15 }).total <= 2);
+}
