--- a/tests/proxy/ConfigurationAgeTests.cpp
+++ b/tests/proxy/ConfigurationAgeTests.cpp
@@ -89,3 +89,41 @@
     host.run(300ms);
     CHECK(host.ran == std::vector { GroupName("group"), GroupName("other") });
 }
+
+// The process wakes with a poll that has failed meanwhile, and each further call is answered as late as it may be.
+TEST_CASE("A host that wakes from a pause knows the configuration before its statements count again", "[proxy][age]")
+{
+    RecordedProxy host;
+    const auto times = TableTimes::forConfiguration({});
+    host.run(100ms);
+    host.now += GENERATE(Duration(400ms), Duration(2500ms), Duration(5500ms));
+    const auto wokeAt = host.now;
+    const auto noAnswer = fail(ErrorCode::PlatformUnavailable, "call", "store", "no answer");
+    host.delegate.tableCalls.clear();
+    host.proxy.tableFollowed(host.now, StoreTable::Configuration, noAnswer);
+    std::optional<Instant> sentAt;
+    bool isProbed = false;
+    while (!host.delegate.accepted.contains(SessionId(1)) && host.now < wokeAt + 10s) {
+        host.run(Auburnpost::Proxy::Proxy::tickInterval);
+        for (const auto& call : std::exchange(host.delegate.tableCalls, {}))
+            sentAt = call.table == StoreTable::Configuration ? std::optional(host.now) : sentAt;
+        if (!sentAt || host.now < *sentAt + times.callTimeout(0))
+            continue;
+        sentAt.reset();
+        if (std::exchange(isProbed, true)) {
+            host.read(StoreTable::Configuration, { 120, firstEra }, { { "config", "12 bills group" } });
+        } else {
+            StorePage gone;
+            gone.isHistoryUnavailable = true;
+            gone.asOf = RowVersion(0, firstEra);
+            host.proxy.tableFollowed(host.now, StoreTable::Configuration, gone);
+            // The read that follows has been sent.
+            sentAt = host.now;
+            host.delegate.tableCalls.clear();
+        }
+        host.open(1, "bills");
+    }
+    const auto elapsed = host.now - wokeAt;
+    CHECK(elapsed <= times.maxDelay() - times.pollTimeout() + 3 * Auburnpost::Proxy::Proxy::tickInterval);
+    CHECK(elapsed < TimeBounds {}.recovery);
+}
--- a/tests/proxy/PeerAgeTests.cpp
+++ b/tests/proxy/PeerAgeTests.cpp
@@ -112,8 +112,8 @@
 
 } // namespace
 
-TEST_CASE("A host that the store turns away learns a change from its last seed within the stretched bound",
-    "[proxy][age]")
+TEST_CASE(
+    "A host that the store turns away learns a change from its last seed within the stretched bound", "[proxy][age]")
 {
     TurnedAwayHost host;
     // The host asks the seeds in turn from the second one on.
--- a/tests/proxy/StoreReturnTests.cpp
+++ b/tests/proxy/StoreReturnTests.cpp
@@ -31,8 +31,8 @@
 } // namespace
 
 // Guards against a host that is no home, feeder or relay of others any more, and does not know it.
-TEST_CASE("A host writes its record again when it is missing after the store came back from an older copy",
-    "[proxy][return]")
+TEST_CASE(
+    "A host writes its record again when it is missing after the store came back from an older copy", "[proxy][return]")
 {
     RecordedProxy host(settings());
     host.proxy.hostWritten(true);
@@ -94,11 +94,9 @@
 TEST_CASE("A lease that is written in a later era of the store than it was read is not held", "[proxy][return]")
 {
     PromotionFixture group;
-    group.promotion.start(
-        group.now, group.watcher, group.random, PromotionGoal::ReplacePrimary, FailoverReason::Down);
+    group.promotion.start(group.now, group.watcher, group.random, PromotionGoal::ReplacePrimary, FailoverReason::Down);
     group.tick(Promotion::startJitter);
-    group.promotion.leaseRead(
-        group.now, group.watcher, PromotionLeaseRow { RowVersion(120, firstEra), {}, 1000 });
+    group.promotion.leaseRead(group.now, group.watcher, PromotionLeaseRow { RowVersion(120, firstEra), {}, 1000 });
     REQUIRE(group.delegate.writes == 1);
     group.promotion.leaseWritten(group.now, group.watcher, std::optional(RowVersion(121, secondEra)));
     CHECK(group.delegate.commands.empty());
@@ -110,11 +108,9 @@
     "[proxy][return]")
 {
     PromotionFixture group;
-    group.promotion.start(
-        group.now, group.watcher, group.random, PromotionGoal::ReplacePrimary, FailoverReason::Down);
+    group.promotion.start(group.now, group.watcher, group.random, PromotionGoal::ReplacePrimary, FailoverReason::Down);
     group.tick(Promotion::startJitter);
-    group.promotion.leaseRead(
-        group.now, group.watcher, PromotionLeaseRow { RowVersion(120, firstEra), {}, 1000 });
+    group.promotion.leaseRead(group.now, group.watcher, PromotionLeaseRow { RowVersion(120, firstEra), {}, 1000 });
     group.promotion.leaseWritten(group.now, group.watcher, std::optional(RowVersion(121, firstEra)));
     group.reportFenced();
     group.promotion.membersRead(group.now, group.watcher, true);
