--- a/tests/proxy/RecordedProxy.h
+++ b/tests/proxy/RecordedProxy.h
@@ -232,8 +232,8 @@
         if (std::holds_alternative<RunStatement>(request))
             ran.push_back(target.group);
         if (std::holds_alternative<BeginTransaction>(request))
-            isInTransaction.insert(id);
-        if (isInTransaction.contains(id))
+            m_openTransactions.insert(id);
+        if (m_openTransactions.contains(id))
             reply.state = Session::TransactionState::Open;
         reply.position = LogPoint { Term(2), Position(9) };
         reply.status = TargetStatus {};
@@ -243,7 +243,7 @@
         proxy.replied(now, id, reply);
     }
 
-    std::set<ConnectionId> isInTransaction;
+    std::set<ConnectionId> m_openTransactions;
 };
 
 } // namespace Auburnpost::Proxy
