Test the age of a copy that a pause of the process left unconfirmed

Fails: StoreFollower::recordConfirmation dates an answer by the moment at which it is handled. An answer that lay in the socket while the process was paused is handled before the first tick after the pause; the host then hands on a copy that is 5 s old with an age of 0 ms, and its own followers take it for fresh.

--- a/tests/proxy/ConfigurationAgeTests.cpp
+++ b/tests/proxy/ConfigurationAgeTests.cpp
@@ -127,3 +127,25 @@
     CHECK(elapsed <= times.maxDelay() - times.pollTimeout() + 3 * Auburnpost::Proxy::Proxy::tickInterval);
     CHECK(elapsed < TimeBounds {}.recovery);
 }
+
+// The answer lay in the socket during the pause, and is handled before the first tick after it.
+TEST_CASE("An answer that was received before a pause does not confirm the configuration after it", "[proxy][age]")
+{
+    RecordedProxy host;
+    host.run(300ms);
+    constexpr Duration pause = 5s;
+    host.now += pause;
+    SECTION("an answer of the store")
+    {
+        host.change(StoreTable::Configuration, { 110, firstEra }, {});
+    }
+    SECTION("an answer of a feeder")
+    {
+        const FeedPage unchanged { RowVersion(110, firstEra), 10ms, {} };
+        host.proxy.feederAnswered(host.now, peer, StoreTable::Configuration, unchanged);
+    }
+    host.proxy.feedRequested(host.now, RequestId(1), StoreTable::Configuration, RowVersion(100, firstEra), Duration {});
+    REQUIRE(host.delegate.feedAnswers.size() == 1);
+    const auto& answer = host.delegate.feedAnswers.front();
+    CHECK(toMilliseconds(answer ? answer->age : pause) >= toMilliseconds(pause));
+}
--- a/tests/proxy/RecordedProxy.h
+++ b/tests/proxy/RecordedProxy.h
@@ -28,6 +28,7 @@
     std::map<ConnectionId, TargetRecord> opened;
     std::vector<std::pair<ConnectionId, TargetRequest>> sent;
     std::vector<PromotionLease> leaseWrites;
+    std::vector<std::optional<FeedPage>> feedAnswers;
     std::size_t leaseReads { 0 };
     std::size_t hostWrites { 0 };
 
@@ -66,7 +67,7 @@
     }
     void readMembers(const GroupName&, const std::string&) override { }
     void promote(const GroupName&, const TargetName&, RowVersion, Instant) override { }
-    void answerFeed(RequestId, const std::optional<FeedPage>&) override { }
+    void answerFeed(RequestId, const std::optional<FeedPage>& page) override { feedAnswers.push_back(page); }
     void queryPeer(const SocketAddress& peer) override { queriedPeers.push_back(peer); }
     void sendDatagram(const SocketAddress&, std::string_view) override { }
     void log(const LogRecord&) override { }
@@ -233,6 +234,8 @@
             ran.push_back(target.group);
         if (std::holds_alternative<BeginTransaction>(request))
             m_openTransactions.insert(id);
+        if (std::holds_alternative<RollbackTransaction>(request))
+            m_openTransactions.erase(id);
         if (m_openTransactions.contains(id))
             reply.state = Session::TransactionState::Open;
         reply.position = LogPoint { Term(2), Position(9) };
