Notice a pause of the process at its first event, and call the store at once

Cause: a pause was noticed at the next tick only, so lines of callers and answers that had waited in the sockets were handled before it as if no time had passed. An answer from before the pause confirmed the copy as of its end, and the copy was handed on to other hosts with an age of 0. Change: every event checks the time since the one before. Answers to calls that were sent before the pause confirm a copy as of its start, and after a pause the store is called without the delay of a failed call.

--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -13,7 +13,6 @@
     , m_delegate(delegate)
     , m_random(seed)
     , m_now(now)
-    , m_lastTickAt(now)
     , m_followers { StoreFollower(StoreTable::Configuration, TableTimes::forConfiguration(m_settings.bounds), delegate),
         StoreFollower(StoreTable::Targets, TableTimes::forTargets(m_settings.bounds), delegate) }
     , m_directory(m_settings.bounds)
@@ -30,16 +29,22 @@
     }
 }
 
+void Proxy::beginEvent(Instant now)
+{
+    const auto before = std::exchange(m_now, now);
+    const auto gap = now - before;
+    if (gap < pauseThreshold)
+        return;
+    log({ LogEvent::ProcessPaused, { { "gap_ms", std::to_string(toMilliseconds(gap)) } } });
+    for (auto& follower : m_followers)
+        follower.resumedAfterPause(before, now);
+    for (auto& [name, group] : m_groups)
+        group->resumedAfterPause(now);
+}
+
 void Proxy::tick(Instant now)
 {
-    m_now = now;
-    const auto gap = now - m_lastTickAt;
-    m_lastTickAt = now;
-    if (gap >= pauseThreshold) {
-        log({ LogEvent::ProcessPaused, { { "gap_ms", std::to_string(toMilliseconds(gap)) } } });
-        for (auto& [name, group] : m_groups)
-            group->resumedAfterPause(now);
-    }
+    beginEvent(now);
     updateFeeders(now);
     for (auto& follower : m_followers)
         follower.tick(now);
@@ -87,7 +92,7 @@
 
 void Proxy::datagramReceived(Instant now, const SocketAddress& from, std::string_view datagram)
 {
-    m_now = now;
+    beginEvent(now);
     if (!m_allotments)
         return;
     m_allotments->datagramReceived(now, from, datagram);
@@ -116,49 +121,49 @@
 
 void Proxy::connectionOpened(Instant now, ConnectionId id, const std::optional<LogPoint>& position)
 {
-    m_now = now;
+    beginEvent(now);
     if (auto* const group = groupOwning(id))
         group->connectionOpened(now, id, position);
 }
 
 void Proxy::connectionRefused(Instant now, ConnectionId id, Session::FailureCode code)
 {
-    m_now = now;
+    beginEvent(now);
     if (auto* const group = groupOwning(id))
         group->connectionRefused(now, id, code);
 }
 
 void Proxy::connectionLost(Instant now, ConnectionId id)
 {
-    m_now = now;
+    beginEvent(now);
     if (auto* const group = groupOwning(id))
         group->connectionLost(now, id);
 }
 
 void Proxy::replied(Instant now, ConnectionId id, const TargetReply& reply)
 {
-    m_now = now;
+    beginEvent(now);
     if (auto* const group = groupOwning(id))
         group->replied(now, id, reply);
 }
 
 void Proxy::leaseRead(Instant now, const GroupName& name, const Expected<PromotionLeaseRow>& row)
 {
-    m_now = now;
+    beginEvent(now);
     if (auto* const group = findGroup(name))
         group->leaseRead(now, row);
 }
 
 void Proxy::leaseWritten(Instant now, const GroupName& name, const Expected<std::optional<RowVersion>>& version)
 {
-    m_now = now;
+    beginEvent(now);
     if (auto* const group = findGroup(name))
         group->leaseWritten(now, version);
 }
 
 void Proxy::promoteAnswered(Instant now, const GroupName& name, PromotionOutcome outcome)
 {
-    m_now = now;
+    beginEvent(now);
     if (auto* const group = findGroup(name))
         group->promoteAnswered(now, outcome);
 }
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -24,7 +24,7 @@
 class Proxy final : private GroupServiceDelegate {
 public:
     static constexpr Duration tickInterval = std::chrono::milliseconds(30);
-    /// Minimum gap between two ticks that counts as a pause of this process.
+    /// Minimum gap between two events, ticks included, that counts as a pause of this process.
     static constexpr Duration pauseThreshold = std::chrono::milliseconds(300);
     /// Maximum time that a session waits for the first configuration; callers time out after 2 s.
     static constexpr Duration acceptTimeout = std::chrono::milliseconds(1500);
@@ -130,6 +130,9 @@
     RandomEngine& random() override { return m_random; }
     [[nodiscard]] const std::vector<SocketAddress>& relays() const override { return m_hosts.relays(); }
 
+    /// Starts the handling of an event. An event that was waiting at the end of a pause may precede the first tick.
+    void beginEvent(Instant now);
+
     // Sessions.
     void routeSession(CallerSession&);
     /// @return the host to forward the session to; empty when this host serves it.
@@ -208,9 +211,8 @@
     const RowReader& m_reader;
     ProxyDelegate& m_delegate;
     RandomEngine m_random;
-    /// Time of the event that is being handled.
+    /// Time of the event that is being handled, or of the last one.
     Instant m_now;
-    Instant m_lastTickAt;
     std::array<StoreFollower, followedTables.size()> m_followers;
     std::optional<Catalog> m_catalog;
     Instant m_catalogAppliedAt {};
--- a/src/proxy/ProxyFeeds.cpp
+++ b/src/proxy/ProxyFeeds.cpp
@@ -27,7 +27,7 @@
 void Proxy::feederAnswered(
     Instant now, const SocketAddress& feeder, StoreTable table, const Expected<FeedPage>& answered)
 {
-    m_now = now;
+    beginEvent(now);
     auto page = answered;
     const auto limit = TableTimes::hopLimit(m_settings.bounds);
     if (page && limit && page->age > *limit)
@@ -53,7 +53,7 @@
 
 void Proxy::feedRequested(Instant now, RequestId id, StoreTable table, RowVersion after, Duration wait)
 {
-    m_now = now;
+    beginEvent(now);
     const auto page = m_isFeedingStopped ? std::nullopt : feedPage(now, table, after);
     const bool mayWait = page && !page->table && wait > Duration {};
     if (!mayWait || !m_feed.add({ id, table, after, now + std::min(wait, TableFeed::maxWait) }))
--- a/src/proxy/ProxyForwarding.cpp
+++ b/src/proxy/ProxyForwarding.cpp
@@ -41,7 +41,7 @@
 bool Proxy::forwardedStatementArrived(
     Instant now, SessionId id, const Session::StatementId& statementId, const Session::Statement& statement)
 {
-    m_now = now;
+    beginEvent(now);
     const auto found = m_forwardedSessions.find(id);
     if (found == m_forwardedSessions.end() || !Session::needsRoute(statement.kind))
         return true;
--- a/src/proxy/ProxySessions.cpp
+++ b/src/proxy/ProxySessions.cpp
@@ -24,7 +24,7 @@
 
 void Proxy::sessionOpened(Instant now, SessionId id, const SessionRequest& request)
 {
-    m_now = now;
+    beginEvent(now);
     auto& session = m_sessions[id];
     session.id = id;
     session.database = request.database;
@@ -89,7 +89,7 @@
 void Proxy::statementArrived(
     Instant now, SessionId id, const Session::StatementId& statementId, const Session::Statement& statement)
 {
-    m_now = now;
+    beginEvent(now);
     auto* const session = findSession(id);
     if (!session || session->hasOpenStatement())
         return;
@@ -126,7 +126,7 @@
 
 void Proxy::malformedStatementArrived(Instant now, SessionId id, const Session::Failure& failure)
 {
-    m_now = now;
+    beginEvent(now);
     auto* const session = findSession(id);
     if (!session)
         return;
@@ -255,7 +255,7 @@
 
 void Proxy::sessionClosed(Instant now, SessionId id)
 {
-    m_now = now;
+    beginEvent(now);
     m_forwardedSessions.erase(id);
     m_permitQueue.remove(id);
     auto* const session = findSession(id);
@@ -291,7 +291,7 @@
 
 void Proxy::endIdleTransactions(Instant now)
 {
-    m_now = now;
+    beginEvent(now);
     std::vector<SessionId> ended;
     for (auto& [id, session] : m_sessions) {
         if (session.hasOpenStatement() || session.state.transaction() == TransactionState::Idle)
--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -10,7 +10,7 @@
 
 void Proxy::tableRead(Instant now, StoreTable table, const Expected<StorePage>& page)
 {
-    m_now = now;
+    beginEvent(now);
     if (table == StoreTable::Hosts) {
         // After a failed read the known hosts are kept; the followed tables report that the store is unavailable.
         if (page && m_hosts.updateHosts(now, *page)) {
@@ -36,7 +36,7 @@
 
 void Proxy::tableFollowed(Instant now, StoreTable table, const Expected<StorePage>& page)
 {
-    m_now = now;
+    beginEvent(now);
     if (page)
         recordEra(table, page->asOf);
     const auto failure = page ? follower(table).rejectionOfPoll(*page) : page.error();
@@ -57,7 +57,7 @@
 
 void Proxy::membersRead(Instant now, const GroupName& name, const Expected<StorePage>& page)
 {
-    m_now = now;
+    beginEvent(now);
     auto* const group = findGroup(name);
     if (!group)
         return;
@@ -281,7 +281,7 @@
 
 void Proxy::peerAnswered(Instant now, const SocketAddress& peer, const Expected<TableStates>& tables)
 {
-    m_now = now;
+    beginEvent(now);
     if (!tables) {
         log({ LogEvent::PeerMessageRejected,
             { { "peer", peer.toString() }, { "reason", tables.error().describe() } } });
--- a/src/proxy/StoreFollower.cpp
+++ b/src/proxy/StoreFollower.cpp
@@ -20,6 +20,13 @@
 {
 }
 
+void StoreFollower::resumedAfterPause(Instant pausedAt, Instant now)
+{
+    m_pausedAt = pausedAt;
+    m_resumedAt = now;
+    m_nextCallAt = now;
+}
+
 void StoreFollower::tick(Instant now)
 {
     if (m_isCalling || now < m_nextCallAt)
@@ -81,7 +88,7 @@
     if (m_partialRead.asOf < m_state.asOf)
         return false;
     m_state = std::move(m_partialRead);
-    recordConfirmation(now);
+    recordConfirmation(answeredAt(now));
     return true;
 }
 
@@ -98,7 +105,7 @@
         return false;
     }
     if (page->asOf >= m_state.asOf)
-        recordConfirmation(now);
+        recordConfirmation(answeredAt(now));
     return mergeChanges(*page);
 }
 
@@ -112,7 +119,8 @@
     }
     recordAnswer(now);
     m_needsRead = false;
-    recordConfirmation(std::max(now - page->age, m_confirmedAt.value_or(now - page->age)));
+    const auto confirmedAt = answeredAt(now) - page->age;
+    recordConfirmation(std::max(confirmedAt, m_confirmedAt.value_or(confirmedAt)));
     if (!page->table || page->table->asOf <= m_state.asOf)
         return false;
     m_state = *page->table;
@@ -179,6 +187,11 @@
     if (!m_calls.failingSince)
         m_calls.failingSince = now;
     ++m_calls.failures;
+    // The call may have failed only because of the pause.
+    if (m_calls.sentAt < m_resumedAt) {
+        m_nextCallAt = now;
+        return;
+    }
     std::uniform_int_distribution<Duration::rep> delay(
         m_times.minRetryDelay().count(), m_times.maxRetryDelay().count());
     m_nextCallAt = now + Duration(delay(random));
--- a/src/proxy/StoreFollower.h
+++ b/src/proxy/StoreFollower.h
@@ -58,6 +58,8 @@
     /// @param feeder the address of that host; empty to follow the store.
     void setFeeder(const std::optional<SocketAddress>& feeder) { m_feeder = feeder; }
 
+    /// The process was paused. Calls that were sent before count as answered, or failed, at the start of the pause.
+    void resumedAfterPause(Instant pausedAt, Instant now);
     /// Starts the next call if one is due.
     void tick(Instant now);
     /// @return why the answer to a read or a long poll can't be used; empty if it can.
@@ -86,6 +88,8 @@
     [[nodiscard]] const CallHistory& calls() const { return m_calls; }
 
 private:
+    /// @return the latest moment that the answer to the call in progress is known to reflect.
+    [[nodiscard]] Instant answeredAt(Instant now) const { return m_calls.sentAt < m_resumedAt ? m_pausedAt : now; }
     void recordFailure(Instant now, RandomEngine&);
     void recordAnswer(Instant now);
     bool mergeChanges(const StorePage&);
@@ -106,6 +110,9 @@
     std::optional<SocketAddress> m_peer;
     std::optional<SocketAddress> m_feeder;
     Instant m_nextCallAt {};
+    /// Start and end of the last pause of the process.
+    Instant m_pausedAt {};
+    Instant m_resumedAt {};
 };
 
 } // namespace Auburnpost::Proxy
--- a/tests/platform/DecisionLogTests.cpp
+++ b/tests/platform/DecisionLogTests.cpp
@@ -62,6 +62,9 @@
     request.isForwarded = true;
     request.forwardedBy = HostName("host-3");
     proxy.sessionOpened(start, session, request);
+    // Without ticks the time counts as a pause of the process.
+    for (auto now = start; now < start + 1s; now += Proxy::Proxy::tickInterval)
+        proxy.tick(now);
     proxy.tableFollowed(start + 1s, Proxy::StoreTable::Configuration, configurationPage(5, "profiles"));
 
     SECTION("of a statement on a session that was open before")
