Write a host's record again when a read of the hosts does not find it

Cause: a host wrote its record once. After the store came back from a copy without it, no other host listed it: it was no home, feeder or relay any more until its next start. A read that began before the write was acknowledged does not count, so that a start costs no second write.

--- a/src/proxy/HostDirectory.cpp
+++ b/src/proxy/HostDirectory.cpp
@@ -77,6 +77,8 @@
     if (now >= m_readAt) {
         m_readAt = now + (m_relays.empty() ? writeRetryInterval : readInterval);
         m_partialRead = { m_self };
+        m_isSelfListed = false;
+        m_wasWrittenBeforeRead = m_isRecordWritten;
         m_delegate.readTable(StoreTable::Hosts, {}, readTimeout);
     }
 }
@@ -85,6 +87,7 @@
 {
     for (const auto& row : page.rows) {
         const auto host = decode(row);
+        m_isSelfListed = m_isSelfListed || row.key == m_self.name.value();
         if (host && host->name != m_self.name)
             m_partialRead.push_back(*host);
     }
@@ -95,6 +98,9 @@
         return false;
     }
     m_hasRead = true;
+    // The store may have come back from an older copy that lacks the record.
+    if (m_wasWrittenBeforeRead && !std::exchange(m_isSelfListed, false))
+        m_isRecordWritten = false;
     auto hosts = std::exchange(m_partialRead, { m_self });
     std::sort(hosts.begin(), hosts.end(),
         [](const HostEntry& left, const HostEntry& right) { return left.name < right.name; });
--- a/src/proxy/HostDirectory.h
+++ b/src/proxy/HostDirectory.h
@@ -22,7 +22,8 @@
 
     HostDirectory(HostEntry self, StoreDelegate&);
 
-    /// Writes this host's record until the write is acknowledged, and reads all records at intervals.
+    /// Writes this host's record until the write is acknowledged, and again if a read does not find it. Reads all
+    /// records at intervals.
     void tick(Instant now);
     void recordWritten(bool isAcknowledged) { m_isRecordWritten = m_isRecordWritten || isAcknowledged; }
     /// Adds a page of records to the read in progress. The last page ends the read and replaces the list of hosts.
@@ -46,6 +47,10 @@
     /// The hosts on the pages received so far by the read in progress.
     std::vector<HostEntry> m_partialRead;
     bool m_isRecordWritten { false };
+    /// Whether the record was acknowledged before the read in progress began.
+    bool m_wasWrittenBeforeRead { false };
+    /// Whether the read in progress has found this host's record.
+    bool m_isSelfListed { false };
     bool m_hasRead { false };
     Instant m_writeAt {};
     Instant m_readAt {};
