Order configurations of peers by their own version, and ask recorded hosts

After a return of the store from an older copy, its row of the configuration is older than the one that the hosts apply until the operator's edit is written again. A host handed on that row, and a host that started applied it, as it asked no peer and took a peer's copy only if it was of a later version of the store. Hosts now hand on the row that they apply; a peer's configuration is applied if its own version is newer, and a host asks one peer after its start if the store states an era. With a store that states none, no call is added. A host that the store turned away asked only its seeds, three at most, which may be turned away as well; every second query now goes to one of the recorded hosts, chosen at random.

--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -181,6 +181,14 @@
     // Configuration and targets.
     void tableChanged(Instant now, StoreTable);
     void adoptCatalog(Instant now);
+    /// Applies the configuration in a peer's copy if it is newer by its own version, whatever the copy's version is:
+    /// the store may have come back from a copy that lacks it.
+    void adoptPeersCatalog(Instant now, const TableState&);
+    /// @return whether the configuration is newer than the one applied, and now applies.
+    bool applyCatalog(Instant now, const StoreRow&, Catalog);
+    void catalogChanged(Instant now);
+    /// @return this host's copy of a table, with the row of the applied configuration if that of the store is older.
+    [[nodiscard]] TableState tableForPeers(StoreTable) const;
     void updateTargets(Instant now);
     void updateGroupMembers(Instant now);
     /// Tells the groups where the list of targets came from.
@@ -197,6 +205,7 @@
     /// Notes the era of the store that an answer states.
     void recordEra(StoreTable, const RowVersion& asOf);
     void queryPeers(Instant now);
+    [[nodiscard]] std::optional<SocketAddress> nextPeer();
     /// Decides from whom the tables are followed.
     void updateFeeders(Instant now);
     /// Adapts the times of the followed tables to the bounds and to the number of hops.
@@ -216,6 +225,10 @@
     std::array<StoreFollower, followedTables.size()> m_followers;
     std::optional<Catalog> m_catalog;
     Instant m_catalogAppliedAt {};
+    /// The row from which the applied configuration was read.
+    StoreRow m_appliedRow;
+    /// Whether the store's table has an older configuration than the applied one.
+    bool m_isOlderCatalogListed { false };
     /// The latest era of the store that an answer stated.
     StoreEra m_storeEra;
     TargetDirectory m_directory;
@@ -252,6 +265,8 @@
     std::uint64_t m_lastStatement { 0 };
     /// Index in m_settings.seeds of the peer that was queried last.
     std::size_t m_lastSeed { 0 };
+    bool m_wasSeedQueried { false };
+    bool m_hasPeerAnswered { false };
     Instant m_peerQueriedAt {};
     bool m_isClosingIdleSessions { false };
 };
--- a/src/proxy/ProxyFeeds.cpp
+++ b/src/proxy/ProxyFeeds.cpp
@@ -84,7 +84,7 @@
         return {};
     FeedPage page { follower.state().asOf, now - *confirmedAt, {} };
     if (follower.state().asOf > after)
-        page.table = follower.state();
+        page.table = tableForPeers(table);
     return page;
 }
 
--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -120,15 +120,30 @@
 
 void Proxy::tableChanged(Instant now, StoreTable table)
 {
-    answerFeeds(now);
     if (table == StoreTable::Configuration)
         adoptCatalog(now);
     else
         updateTargets(now);
+    answerFeeds(now);
+}
+
+bool Proxy::applyCatalog(Instant now, const StoreRow& row, Catalog catalog)
+{
+    if (m_catalog && catalog.version <= m_catalog->version)
+        return false;
+    m_catalog = std::move(catalog);
+    m_catalogAppliedAt = now;
+    m_appliedRow = row;
+    log({ LogEvent::ConfigurationApplied,
+        { { "version", std::to_string(m_catalog->version.value()) },
+            { "routes", std::to_string(m_catalog->routes.size()) }, { "row_version", toString(row.version) },
+            { "as_of", toString(follower(StoreTable::Configuration).state().asOf) } } });
+    return true;
 }
 
 void Proxy::adoptCatalog(Instant now)
 {
+    m_isOlderCatalogListed = false;
     for (const auto& [key, row] : follower(StoreTable::Configuration).state().rows) {
         auto catalog = m_reader.readCatalog(row);
         if (!catalog) {
@@ -138,21 +153,41 @@
         }
         if (!*catalog)
             continue;
-        if (m_catalog && (*catalog)->version <= m_catalog->version) {
-            if ((*catalog)->version < m_catalog->version)
-                log({ LogEvent::OlderConfigurationIgnored,
-                    { { "version", std::to_string((*catalog)->version.value()) },
-                        { "applied", std::to_string(m_catalog->version.value()) },
-                        { "row_version", toString(row.version) } } });
+        const auto version = (*catalog)->version;
+        if (applyCatalog(now, row, std::move(**catalog)) || version >= m_catalog->version)
             continue;
-        }
-        m_catalog = std::move(**catalog);
-        m_catalogAppliedAt = now;
-        log({ LogEvent::ConfigurationApplied,
-            { { "version", std::to_string(m_catalog->version.value()) },
-                { "routes", std::to_string(m_catalog->routes.size()) }, { "row_version", toString(row.version) },
-                { "as_of", toString(follower(StoreTable::Configuration).state().asOf) } } });
+        m_isOlderCatalogListed = true;
+        log({ LogEvent::OlderConfigurationIgnored,
+            { { "version", std::to_string(version.value()) }, { "applied", std::to_string(m_catalog->version.value()) },
+                { "row_version", toString(row.version) } } });
     }
+    catalogChanged(now);
+}
+
+void Proxy::adoptPeersCatalog(Instant now, const TableState& peers)
+{
+    bool hasChanged = false;
+    for (const auto& [key, row] : peers.rows) {
+        auto catalog = m_reader.readCatalog(row);
+        if (catalog && *catalog)
+            hasChanged = applyCatalog(now, row, std::move(**catalog)) || hasChanged;
+    }
+    if (!hasChanged)
+        return;
+    m_isOlderCatalogListed = true;
+    catalogChanged(now);
+}
+
+TableState Proxy::tableForPeers(StoreTable table) const
+{
+    auto state = m_followers[static_cast<std::size_t>(table)].state();
+    if (table == StoreTable::Configuration && m_isOlderCatalogListed)
+        state.rows[m_appliedRow.key] = m_appliedRow;
+    return state;
+}
+
+void Proxy::catalogChanged(Instant now)
+{
     if (!m_catalog)
         return;
     for (const auto& [name, rules] : m_catalog->groups) {
@@ -263,20 +298,41 @@
 
 void Proxy::queryPeers(Instant now)
 {
-    if (m_settings.seeds.empty() || now - m_peerQueriedAt < peerQueryInterval)
+    if (now - m_peerQueriedAt < peerQueryInterval)
         return;
+    // After a return of the store from an older copy, only hosts that ran before may have the newest configuration.
+    const bool maySeeOlderCopy = m_storeEra != StoreEra {} && !m_hasPeerAnswered;
     const bool needsPeers = std::any_of(m_followers.begin(), m_followers.end(), [now](const StoreFollower& follower) {
         return (!follower.isKnown())
             || (follower.calls().failingSince && now - *follower.calls().failingSince >= peerDelay);
     });
-    if (!needsPeers)
+    if (!needsPeers && !maySeeOlderCopy)
         return;
     m_peerQueriedAt = now;
+    if (const auto peer = nextPeer())
+        m_delegate.queryPeer(*peer);
+}
+
+std::optional<SocketAddress> Proxy::nextPeer()
+{
+    // The store may turn all seeds away, so every second query goes to one of the recorded hosts.
+    m_wasSeedQueried = !m_wasSeedQueried && !m_settings.seeds.empty();
+    if (!m_wasSeedQueried) {
+        std::vector<SocketAddress> recorded;
+        for (const auto& host : m_hosts.hosts()) {
+            if (host.peers && *host.peers != m_settings.peers)
+                recorded.push_back(*host.peers);
+        }
+        if (!recorded.empty())
+            return recorded[std::uniform_int_distribution<std::size_t>(0, recorded.size() - 1)(m_random)];
+    }
+    if (m_settings.seeds.empty())
+        return {};
     m_lastSeed = (m_lastSeed + 1) % m_settings.seeds.size();
     if (m_settings.seeds[m_lastSeed] == m_settings.peers)
         m_lastSeed = (m_lastSeed + 1) % m_settings.seeds.size();
-    if (m_settings.seeds[m_lastSeed] != m_settings.peers)
-        m_delegate.queryPeer(m_settings.seeds[m_lastSeed]);
+    return m_settings.seeds[m_lastSeed] == m_settings.peers ? std::nullopt
+                                                            : std::optional(m_settings.seeds[m_lastSeed]);
 }
 
 void Proxy::peerAnswered(Instant now, const SocketAddress& peer, const Expected<TableStates>& tables)
@@ -287,10 +343,14 @@
             { { "peer", peer.toString() }, { "reason", tables.error().describe() } } });
         return;
     }
+    m_hasPeerAnswered = true;
     for (const auto& [table, state] : *tables) {
         recordEra(table, state.asOf);
-        if (!follower(table).adopt(state, peer))
+        if (!follower(table).adopt(state, peer)) {
+            if (table == StoreTable::Configuration)
+                adoptPeersCatalog(now, state);
             continue;
+        }
         updateListOrigin();
         log({ LogEvent::PeerStateAdopted,
             { { "peer", peer.toString() }, { "table", std::string(toString(table)) },
@@ -303,7 +363,7 @@
 {
     TableStates tables;
     for (const auto table : followedTables)
-        tables[table] = m_followers[static_cast<std::size_t>(table)].state();
+        tables[table] = tableForPeers(table);
     return tables;
 }
 
