Put the era of the store into the fencing token

The token was the number of the version of the lease's row, which goes back when the store comes back from an older copy: a later holder could send a lower token than the platform had seen. The era now stands above the 40 bits of the number. A store that states no era gets the same tokens as before. Evidence: platform_tests "A token of a later era of the store is higher than those of earlier eras" failed (90 after 120) and passes.

--- a/src/platform/StoreCalls.cpp
+++ b/src/platform/StoreCalls.cpp
@@ -139,6 +139,13 @@
         }
     }
 
+    /// @return the fencing token for a version, which has to rise also when the numbers of a new era begin again.
+    std::uint64_t fencingToken(const RowVersion& version)
+    {
+        constexpr unsigned numberBits = 40;
+        return (version.era().value() << numberBits) + version.value();
+    }
+
     Json rowKey(const Proxy::GroupName& group)
     {
         return { { "Table", leaseTable }, { "part", "" }, { "Key", group.value() } };
@@ -209,7 +216,7 @@
     call.path = "/promotion";
     call.body = Json { { "Service", group.value() }, { "Id", target.value() } }.dump();
     call.timeout = timeout;
-    call.headers = { { "X-Lease-Holder", holder.value() }, { "X-Fencing-Token", std::to_string(token.value()) } };
+    call.headers = { { "X-Lease-Holder", holder.value() }, { "X-Fencing-Token", std::to_string(fencingToken(token)) } };
     return call;
 }
 
--- a/src/platform/StoreCalls.h
+++ b/src/platform/StoreCalls.h
@@ -19,7 +19,7 @@
 PlatformCall makeLeaseReadCall(const Proxy::GroupName&);
 /// The lease is written only if its row still has the expected version; zero if there must be no row.
 PlatformCall makeLeaseWriteCall(const Proxy::GroupName&, const Proxy::PromotionLease&, Proxy::RowVersion expected);
-/// @param token the fencing token: the version of the lease's row.
+/// @param token the version of the lease's row, from which the fencing token is made.
 PlatformCall makePromotionCall(
     const Proxy::GroupName&, const TargetName&, const HostName& holder, Proxy::RowVersion token, Duration timeout);
 
