Test a poll that is answered after a copy of a later era was adopted

A poll is sent after a version of one era, the copy of a peer of the next era is adopted while it waits, and the poll's answer is of that era too. The answer has the changes after a number of the earlier era, but is merged into the adopted copy, and the changes between the two are not read.

--- a/tests/proxy/TablesTests.cpp
+++ b/tests/proxy/TablesTests.cpp
@@ -190,6 +190,28 @@
     }
 }
 
+TEST_CASE("A poll that was sent before a copy of a later era was adopted does not hide the changes before its version",
+    "[proxy][store]")
+{
+    CallRecorder calls;
+    RandomEngine random { 1 };
+    const auto inEra = [](std::uint64_t era, std::uint64_t number, const std::string& key) {
+        const RowVersion version(number, StoreEra(era));
+        return StorePage { { { key, version, "value", false } }, version, false, false };
+    };
+    StoreFollower follower(StoreTable::Targets, TableTimes::forTargets({}), calls);
+    follower.tick(start);
+    REQUIRE(follower.tableRead(start, random, inEra(1, 120, "old")));
+    follower.tick(start);
+    REQUIRE(calls.after == RowVersion(120, StoreEra(1)));
+    REQUIRE(follower.adopt({ RowVersion(100, StoreEra(2)), {} }, { "10.0.0.9", 7 }));
+
+    // Changes 101 to 120 of the later era are neither in the copy nor in the answer.
+    follower.tableFollowed(start, random, inEra(2, 125, "new"));
+    follower.tick(start);
+    CHECK(calls.reads == 2);
+}
+
 TEST_CASE("Snapshots and leases can be encoded and decoded", "[proxy][store]")
 {
     rc::prop("a decoded snapshot equals the encoded tables",
