Test that a caller whose key is removed while its session is forwarded is answered

endRevokedSessions forgets a session that another host has not opened yet, and asks the forwarder to end it after its answer. If the other host then closes it or does not open it in time, forwardFailed finds no session and returns: the caller gets neither a refusal nor a close, and no line of it is read.

--- a/tests/platform/OrganisationTests.cpp
+++ b/tests/platform/OrganisationTests.cpp
@@ -192,6 +192,32 @@
     }
 }
 
+TEST_CASE("A caller is answered if its key is removed while another host that does not open its session is tried",
+    "[platform][organisations][homes]")
+{
+    Fixture fixture;
+    const SocketAddress address { "10.0.0.2", 1 };
+    Proxy::HostEntry home { HostName("host-2"), {}, address, address };
+    // The host with far the largest processor share is the home of every group.
+    home.processorShare = 1e9;
+    Proxy::StorePage hosts;
+    hosts.asOf = Proxy::RowVersion(1);
+    constexpr int hostCount = 40;
+    for (int count = 0; count < hostCount; ++count) {
+        hosts.rows.push_back(
+            { "host-2" + std::to_string(count), hosts.asOf, Proxy::HostDirectory::encode(home), false });
+    }
+    fixture.proxy.tableRead(start, Proxy::StoreTable::Hosts, hosts);
+    fixture.proxy.sessionOpened(start, session, callerRequest("key-1"));
+    REQUIRE(fixture.delegate.forwarded.contains(session));
+    fixture.apply(5, json::array({ organisation("miny420", { "key-2" }), organisation("lomi221", { "key-3" }) }));
+
+    fixture.proxy.forwardFailed(start, session, HostName("host-20"));
+    const bool isAnswered
+        = fixture.delegate.refused.contains(session) || fixture.delegate.closed.contains(session);
+    CHECK(isAnswered);
+}
+
 TEST_CASE("No key of a caller is kept, given to a peer or logged", "[platform][organisations]")
 {
     Fixture fixture;
