Test that a statement's time limit includes its wait for a configuration

serveHeldStatements passes a held statement to statementArrived, which sets its arrival and so its deadline anew. The test fails: a statement with a limit of 200 ms that waited 150 ms for the newer configuration is not answered at 230 ms.

--- a/tests/platform/ForwardedRouteTests.cpp
+++ b/tests/platform/ForwardedRouteTests.cpp
@@ -251,3 +251,17 @@
         CHECK(home.delegate.accepted.contains(other));
     }
 }
+
+TEST_CASE("A statement's time limit includes its wait for the configuration of the forwarding host", "[homes]")
+{
+    constexpr int timeoutMs = 200;
+    const Edit moved { 2, "orders", "group-b", timeoutMs };
+    Home home;
+    const auto now = start + 2s;
+    home.proxy.routeStated(session, statedRoute(moved));
+    home.send(now);
+    home.apply(now + 150ms, moved);
+    REQUIRE(home.proxy.statements() == 1);
+    home.proxy.tick(now + std::chrono::milliseconds(timeoutMs) + Proxy::Proxy::tickInterval);
+    CHECK(home.delegate.answers.contains(session));
+}
