--- a/tests/platform/OrganisationTests.cpp
+++ b/tests/platform/OrganisationTests.cpp
@@ -213,8 +213,7 @@
     fixture.apply(5, json::array({ organisation("miny420", { "key-2" }), organisation("lomi221", { "key-3" }) }));
 
     fixture.proxy.forwardFailed(start, session, HostName("host-20"));
-    const bool isAnswered
-        = fixture.delegate.refused.contains(session) || fixture.delegate.closed.contains(session);
+    const bool isAnswered = fixture.delegate.refused.contains(session) || fixture.delegate.closed.contains(session);
     CHECK(isAnswered);
 }
 
