Compare the era of a poll's answer with that of the version polled

Cause: the answer to a poll was compared with the copy at its arrival. If a peer's copy of a later era was adopted while a poll after a version of the earlier era waited, an answer of the later era was merged into it, and the changes between the copy and the version polled were lost without a log line. An answer 410 without a readable era counted as a failed call, and the table was not read again. Change: an answer of another era than that of the version polled, and each 410, makes the host read the whole table. Evidence: proxy_tests "A poll that was sent before a copy of a later era was adopted does not hide the changes before its version" failed and passes.

--- a/src/proxy/StoreFollower.cpp
+++ b/src/proxy/StoreFollower.cpp
@@ -33,6 +33,7 @@
         return;
     m_isCalling = true;
     m_calls.sentAt = now;
+    m_polledAfter = m_state.asOf;
     if (m_feeder) {
         const bool mayWait = m_calls.isConnected && !m_needsRead;
         m_delegate.followFeeder(*m_feeder, m_table, m_state.asOf, mayWait ? m_times.pollWait() : Duration {},
@@ -59,7 +60,7 @@
 
 std::optional<Error> StoreFollower::rejectionOfPoll(const StorePage& page) const
 {
-    if (page.asOf.era() < m_state.asOf.era())
+    if (!page.isHistoryUnavailable && page.asOf.era() < m_state.asOf.era())
         return rejection(m_table, "the answer is of an earlier era of the store");
     return {};
 }
@@ -100,7 +101,7 @@
         return false;
     }
     recordAnswer(now);
-    if (page->isHistoryUnavailable || page->asOf.era() > m_state.asOf.era()) {
+    if (page->isHistoryUnavailable || page->asOf.era() != m_polledAfter.era()) {
         m_needsRead = true;
         return false;
     }
--- a/src/proxy/StoreFollower.h
+++ b/src/proxy/StoreFollower.h
@@ -103,6 +103,8 @@
     TableState m_partialRead;
     bool m_needsRead { true };
     bool m_isCalling { false };
+    /// The version after which changes were requested in the call in progress.
+    RowVersion m_polledAfter;
     CallHistory m_calls;
     /// When the store last answered with all changes up to then.
     std::optional<Instant> m_confirmedAt;
