Refuse to feed a table of a later era to a follower that names none

A follower of an earlier version of the program ignores a table whose number is not higher than its own and asks again at once, without a pause until it is replaced. It is refused now and follows the store. Found by review, not played: hosts of two versions side by side are not part of a test.

--- a/src/proxy/ProxyFeeds.cpp
+++ b/src/proxy/ProxyFeeds.cpp
@@ -82,6 +82,10 @@
     const auto limit = TableTimes::hopLimit(m_settings.bounds);
     if (!confirmedAt || !limit || now - *confirmedAt > *limit)
         return {};
+    // A follower of an earlier version of the program names no era, and would ignore a table of a lower number.
+    const bool hasNoEra = after != RowVersion {} && after.era() == StoreEra {};
+    if (hasNoEra && follower.state().asOf.era() != StoreEra {})
+        return {};
     FeedPage page { follower.state().asOf, now - *confirmedAt, {} };
     if (follower.state().asOf > after)
         page.table = tableForPeers(table);
