Count a statement's wait for a configuration towards its time limit

A statement that a home held until it had the forwarding host's configuration arrived anew when it was released: its time limit began again, so an answer could be up to 300 ms late, and the log omitted the wait. The same held for the wait for a permit of a rate limit. Found by review.

--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -155,6 +155,7 @@
     void endRevokedSessions(Instant now);
     void endRevokedSession(Instant now, SessionId);
     void logRevocation(SessionId, const OrganisationName&);
+    void routeStatement(Instant now, CallerSession&, const Session::Statement&);
     /// @param hasPermit whether the operation has a permit of the organisation's rate limit.
     void serveStatement(Instant now, CallerSession&, const Session::Statement&, bool hasPermit = false);
     /// Takes a permit of the organisation's rate limit for an operation. Without one the operation waits for it, or is
--- a/src/proxy/ProxyForwarding.cpp
+++ b/src/proxy/ProxyForwarding.cpp
@@ -93,7 +93,7 @@
             continue;
         const auto statement = *std::exchange(session->heldStatement, {});
         if (isRoutedAlike(*session)) {
-            statementArrived(now, id, session->statementId, statement);
+            routeStatement(now, *session, statement);
             continue;
         }
         session->routedBy = m_catalog->version;
--- a/src/proxy/ProxySessions.cpp
+++ b/src/proxy/ProxySessions.cpp
@@ -96,32 +96,37 @@
     session->statementId = statementId;
     session->statementKind = statement.kind;
     session->statementArrivedAt = now;
-    const bool isIdle = session->state.transaction() == TransactionState::Idle;
-    const auto* const route = findRoute(session->database);
-    if (isIdle && needsRoute(statement.kind) && !isRoutedAlike(*session)) {
-        session->heldStatement = statement;
+    routeStatement(now, *session, statement);
+}
+
+void Proxy::routeStatement(Instant now, CallerSession& session, const Session::Statement& statement)
+{
+    const bool isIdle = session.state.transaction() == TransactionState::Idle;
+    const auto* const route = findRoute(session.database);
+    if (isIdle && needsRoute(statement.kind) && !isRoutedAlike(session)) {
+        session.heldStatement = statement;
         return;
     }
     if (isIdle && m_catalog)
-        session->routedBy = m_catalog->version;
+        session.routedBy = m_catalog->version;
     if (isIdle && needsRoute(statement.kind) && !route) {
-        refuse(*session, { FailureCode::UnknownDatabase, "no such database" }, TransactionState::Idle);
+        refuse(session, { FailureCode::UnknownDatabase, "no such database" }, TransactionState::Idle);
         return;
     }
     if (isIdle && (statement.kind == StatementKind::Begin || statement.kind == StatementKind::BeginReadOnly)) {
-        session->transactionRoute = *route;
-        session->transactionBegunAt = now;
+        session.transactionRoute = *route;
+        session.transactionBegunAt = now;
     }
-    if (const auto local = session->state.answerLocally(statement, session->pinned.has_value())) {
-        if (session->pinned && session->state.transaction() == TransactionState::Idle)
-            endTransaction(now, *session);
+    if (const auto local = session.state.answerLocally(statement, session.pinned.has_value())) {
+        if (session.pinned && session.state.transaction() == TransactionState::Idle)
+            endTransaction(now, session);
         if (const auto* const failure = std::get_if<Session::Failure>(&local->body))
-            refuse(*session, *failure, local->state);
+            refuse(session, *failure, local->state);
         else
-            sendAnswer(*session, *local);
+            sendAnswer(session, *local);
         return;
     }
-    serveStatement(now, *session, statement);
+    serveStatement(now, session, statement);
 }
 
 void Proxy::malformedStatementArrived(Instant now, SessionId id, const Session::Failure& failure)
@@ -187,7 +192,7 @@
     pending.route = route;
     pending.arrivedAt = now;
     pending.freshAsOf = isOpen ? session.transactionBegunAt : now;
-    pending.deadline = now + route.statementTimeout;
+    pending.deadline = session.statementArrivedAt + route.statementTimeout;
     pending.ownPosition = session.state.ownPosition();
     pending.startsTransaction = isOpen && !session.pinned;
     pending.isInTransaction = isOpen && session.pinned;
