Answer a caller whose key is removed while its session is being forwarded

If the key was removed while a host was asked to open the session, and that host did not open it, the session was found nowhere and the caller got neither an answer nor an end of its connection. It is refused now as unknown key. Found by review. Evidence: platform_tests "A caller is answered if its key is removed while another host that does not open its session is tried" failed and passes.

--- a/src/proxy/ProxyForwarding.cpp
+++ b/src/proxy/ProxyForwarding.cpp
@@ -28,8 +28,11 @@
 {
     m_homes.recordFailure(now, host);
     const auto forwarded = m_forwardedSessions.extract(id);
-    if (!forwarded)
+    if (!forwarded) {
+        // The caller's key was removed meanwhile.
+        m_delegate.refuseSession(id, { Session::FailureCode::UnknownKey, "no organisation has this key" });
         return;
+    }
     auto request = forwarded.mapped().request;
     // The session is authorised and routed again by this host's present configuration.
     request.organisation = {};
