Avoid a host that refused a session for that group only

A home that was not as new as the forwarding host let the opening of a session time out, and was then avoided for all its groups for 5 s, though its other routes had not changed: more connections to targets, and a wait of 300 ms for one caller in 5 s. Found by review. A home now closes a session that it can't open within 200 ms, before the other host takes it for unreachable, and a refusal concerns the group only. A host that does not answer or can't be reached is avoided for all groups as before. To a host of an earlier version the version is stated only in a deployment with organisations, as before. proxy_tests "A host that did not accept a session is avoided for a while" and platform_tests "A home opens a forwarded session only by the same route or a configuration that is not older" have new sections.

--- a/src/app/ProxyAssembly.h
+++ b/src/app/ProxyAssembly.h
@@ -82,7 +82,7 @@
     void forwardSession(Proxy::SessionId, const Proxy::SessionRequest&, const Proxy::HostEntry&) override;
     void stateRoute(Proxy::SessionId, const Proxy::StatedRoute&) override;
     void endForwardedSession(Proxy::SessionId) override;
-    void onForwardFailed(Proxy::SessionId, const DatabaseName&, const HostName&);
+    void onForwardFailed(Proxy::SessionId, const DatabaseName&, const HostName&, bool isRefused);
     void onForwardEnded(Proxy::SessionId, const DatabaseName&, const HostName&, bool hasOpenRequest);
     void refuseSession(Proxy::SessionId, const Session::Failure&) override;
     /// Refuses a message, and with it a session that is not open.
--- a/src/app/ProxyAssemblyCallers.cpp
+++ b/src/app/ProxyAssemblyCallers.cpp
@@ -75,9 +75,8 @@
                 { { "id", statement }, { "session", std::to_string(id.value()) }, { "database", database.value() },
                     { "host", host.value() }, { "answer", std::string(failure) } } });
         });
-    m_forwarder.openFailed().connect([this](Proxy::SessionId id, const DatabaseName& database, const HostName& host) {
-        onForwardFailed(id, database, host);
-    });
+    m_forwarder.openFailed().connect([this](Proxy::SessionId id, const DatabaseName& database, const HostName& host,
+                                         bool isRefused) { onForwardFailed(id, database, host, isRefused); });
     m_forwarder.sessionEnded().connect(
         [this](Proxy::SessionId id, const DatabaseName& database, const HostName& host, bool hasOpenRequest) {
             onForwardEnded(id, database, host, hasOpenRequest);
@@ -191,12 +190,13 @@
     m_forwarder.endAfterRequest(id);
 }
 
-void ProxyAssembly::onForwardFailed(Proxy::SessionId id, const DatabaseName& database, const HostName& host)
+void ProxyAssembly::onForwardFailed(
+    Proxy::SessionId id, const DatabaseName& database, const HostName& host, bool isRefused)
 {
     log({ LogEvent::SessionForwardFailed,
         { { "session", std::to_string(id.value()) }, { "database", database.value() }, { "host", host.value() },
-            { "reason", "the host refused the session or did not open it in time" } } });
-    m_proxy.forwardFailed(now(), id, host);
+            { "reason", isRefused ? "the host refused the session" : "the host did not open the session in time" } } });
+    m_proxy.forwardFailed(now(), id, host, isRefused);
 }
 
 void ProxyAssembly::onForwardEnded(
--- a/src/app/SessionForwarder.cpp
+++ b/src/app/SessionForwarder.cpp
@@ -11,7 +11,7 @@
     m_connections.lineReceived().connect(
         [this](ConnectionId connection, std::string_view line) { onLine(connection, line); });
     m_connections.disconnected().connect(
-        [this](ConnectionId connection, Wire::DisconnectReason) { onEnded(connection); });
+        [this](ConnectionId connection, Wire::DisconnectReason reason) { onEnded(connection, reason); });
 }
 
 void SessionForwarder::open(
@@ -91,22 +91,22 @@
         end(id, false);
 }
 
-void SessionForwarder::onEnded(ConnectionId connection)
+void SessionForwarder::onEnded(ConnectionId connection, Wire::DisconnectReason reason)
 {
     const auto id = m_sessionIds.at(connection);
     const auto& forward = m_forwards.at(id);
     if (forward.isAnswered)
         end(id, forward.hasOpenRequest);
     else
-        fail(id);
+        fail(id, reason == Wire::DisconnectReason::Closed);
 }
 
-void SessionForwarder::fail(Proxy::SessionId id)
+void SessionForwarder::fail(Proxy::SessionId id, bool isRefused)
 {
     const auto database = m_forwards.at(id).request.database;
     const auto host = m_forwards.at(id).host;
     close(id);
-    m_openFailed.emit(id, database, host);
+    m_openFailed.emit(id, database, host, isRefused);
 }
 
 void SessionForwarder::end(Proxy::SessionId id, bool hasOpenRequest)
@@ -125,7 +125,7 @@
             overdue.push_back(id);
     }
     for (const auto id : overdue)
-        fail(id);
+        fail(id, false);
 }
 
 void SessionForwarder::endAfterRequest(Proxy::SessionId id)
--- a/src/app/SessionForwarder.h
+++ b/src/app/SessionForwarder.h
@@ -55,7 +55,11 @@
         return m_requestFailed;
     }
     /// Emitted when the other host did not open the session.
-    sigc::signal<void(Proxy::SessionId, const DatabaseName&, const HostName&)>& openFailed() { return m_openFailed; }
+    /// @param isRefused whether it was reached and closed the connection.
+    sigc::signal<void(Proxy::SessionId, const DatabaseName&, const HostName&, bool isRefused)>& openFailed()
+    {
+        return m_openFailed;
+    }
     /// Emitted when an open session has ended, by the other host or by closeIdle() or endSessionsWithoutRequest().
     /// @param hasOpenRequest whether the host closed the connection before it answered a request.
     sigc::signal<void(Proxy::SessionId, const DatabaseName&, const HostName& host, bool hasOpenRequest)>& sessionEnded()
@@ -86,8 +90,8 @@
 
     void onConnected(ConnectionId);
     void onLine(ConnectionId, std::string_view line);
-    void onEnded(ConnectionId);
-    void fail(Proxy::SessionId);
+    void onEnded(ConnectionId, Wire::DisconnectReason);
+    void fail(Proxy::SessionId, bool isRefused);
     /// @param hasOpenRequest whether a request was left unanswered.
     void end(Proxy::SessionId, bool hasOpenRequest);
 
@@ -100,7 +104,7 @@
     sigc::signal<void(Proxy::SessionId)> m_answerCompleted;
     sigc::signal<void(Proxy::SessionId, const std::string&, const DatabaseName&, const HostName&, std::string_view)>
         m_requestFailed;
-    sigc::signal<void(Proxy::SessionId, const DatabaseName&, const HostName&)> m_openFailed;
+    sigc::signal<void(Proxy::SessionId, const DatabaseName&, const HostName&, bool)> m_openFailed;
     sigc::signal<void(Proxy::SessionId, const DatabaseName&, const HostName&, bool)> m_sessionEnded;
 };
 
--- a/src/proxy/GroupHomes.cpp
+++ b/src/proxy/GroupHomes.cpp
@@ -25,6 +25,11 @@
     m_avoidedUntil[host] = now + avoidanceTime;
 }
 
+void GroupHomes::recordRefusal(Instant now, const HostName& host, const GroupName& group)
+{
+    m_refusedUntil[{ host, group }] = now + avoidanceTime;
+}
+
 bool GroupHomes::areNeeded(std::size_t connectionLimit) const
 {
     return connectionLimit < m_hosts.size() * minDirectConnections;
@@ -88,11 +93,13 @@
 
 std::optional<HostEntry> GroupHomes::homeFor(Instant now, const GroupName& group)
 {
-    std::erase_if(m_avoidedUntil, [now](const auto& entry) { return entry.second <= now; });
+    const auto isOver = [now](const auto& entry) { return entry.second <= now; };
+    std::erase_if(m_avoidedUntil, isOver);
+    std::erase_if(m_refusedUntil, isOver);
     for (const auto& host : ranking(group)) {
         if (host.name == m_self)
             return {};
-        if (!m_avoidedUntil.contains(host.name))
+        if (!m_avoidedUntil.contains(host.name) && !m_refusedUntil.contains({ host.name, group }))
             return host;
     }
     return {};
--- a/src/proxy/GroupHomes.h
+++ b/src/proxy/GroupHomes.h
@@ -26,8 +26,10 @@
     GroupHomes(HostName self, DataCentreName);
 
     void setHosts(std::vector<HostEntry>);
-    /// Records that the host did not accept a session, or that the connection to it was lost.
+    /// Records that the host could not be reached or did not answer, or that the connection to it was lost.
     void recordFailure(Instant now, const HostName&);
+    /// Records that the host refused a session on the group, as it may do for one group only.
+    void recordRefusal(Instant now, const HostName&, const GroupName&);
     /// @param connectionLimit connections that each target of the group admits from all hosts together.
     /// @return whether homes are needed.
     [[nodiscard]] bool areNeeded(std::size_t connectionLimit) const;
@@ -47,6 +49,7 @@
     DataCentreName m_dataCentre;
     std::vector<HostEntry> m_hosts;
     std::map<HostName, Instant> m_avoidedUntil;
+    std::map<std::pair<HostName, GroupName>, Instant> m_refusedUntil;
     /// Cache, computed on demand from m_hosts.
     mutable std::map<GroupName, std::vector<HostEntry>> m_rankings;
     mutable std::map<GroupName, std::optional<std::size_t>> m_recorderRanks;
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -68,7 +68,7 @@
     const auto idleLimit = m_catalog ? m_catalog->transactionIdleLimit : Duration {};
     std::vector<SessionId> timedOut;
     for (auto& [id, session] : m_sessions) {
-        if (!session.isAccepted && now - session.openedAt >= acceptTimeout)
+        if (!session.isAccepted && now - session.openedAt >= (session.isForwarded ? maxOpenWait : acceptTimeout))
             timedOut.push_back(id);
         else if (session.pinned && !session.pendingId && idleLimit > Duration {}) {
             const auto* const group = findGroup(session.group);
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -29,8 +29,11 @@
     /// Maximum time that a session waits for the first configuration; callers time out after 2 s.
     static constexpr Duration acceptTimeout = std::chrono::milliseconds(1500);
     /// Maximum time for which a statement waits until this host's configuration is as new as that of the host that
-    /// forwards the session; that host waits as long for a session to be opened.
+    /// forwards the session.
     static constexpr Duration maxRouteWait = std::chrono::milliseconds(300);
+    /// The same for a session to be opened. The forwarding host gives up after 300 ms, and would then avoid this host
+    /// for all groups.
+    static constexpr Duration maxOpenWait = std::chrono::milliseconds(200);
     /// Time for which a host keeps watching a group's targets after its last session on the group.
     static constexpr Duration groupLinger = std::chrono::seconds(10);
     /// Peers are queried while a table has not been read yet, and once calls to the store have failed for peerDelay; in
@@ -45,7 +48,8 @@
     // Callers.
     void sessionOpened(Instant now, SessionId, const SessionRequest&);
     /// A session could not be forwarded to the host; opens it again so that another host or this one serves it.
-    void forwardFailed(Instant now, SessionId, const HostName&);
+    /// @param isRefused whether the host was reached and refused the session.
+    void forwardFailed(Instant now, SessionId, const HostName&, bool isRefused = false);
     /// The connection to a host that sessions were forwarded to was lost.
     void forwardLost(Instant now, const HostName& host) { m_homes.recordFailure(now, host); }
     void statementArrived(Instant now, SessionId, const Session::StatementId&, const Session::Statement&);
--- a/src/proxy/ProxyForwarding.cpp
+++ b/src/proxy/ProxyForwarding.cpp
@@ -17,17 +17,23 @@
         { { "session", std::to_string(session.id.value()) }, { "database", session.database.value() },
             { "host", home.name.value() } } });
     const auto id = session.id;
-    SessionRequest request { session.database, session.key, false, session.organisation,
-        { m_catalog->version, digestOf(*findRoute(session.database)) }, m_settings.host };
+    SessionRequest request { session.database, session.key, false, session.organisation, {}, m_settings.host };
+    // A host of an earlier version of the program would wait for the version, whatever the route.
+    if (home.readsRoutes || !m_catalog->organisations.isEmpty())
+        request.route = { m_catalog->version, digestOf(*findRoute(session.database)) };
     m_sessions.erase(id);
     m_forwardedSessions[id] = { request, home.readsRoutes };
     m_delegate.forwardSession(id, request, home);
 }
 
-void Proxy::forwardFailed(Instant now, SessionId id, const HostName& host)
+void Proxy::forwardFailed(Instant now, SessionId id, const HostName& host, bool isRefused)
 {
-    m_homes.recordFailure(now, host);
     const auto forwarded = m_forwardedSessions.extract(id);
+    const auto* const route = forwarded ? findRoute(forwarded.mapped().request.database) : nullptr;
+    if (isRefused && route)
+        m_homes.recordRefusal(now, host, route->group);
+    else if (!isRefused)
+        m_homes.recordFailure(now, host);
     if (!forwarded) {
         // The caller's key was removed meanwhile.
         m_delegate.refuseSession(id, { Session::FailureCode::UnknownKey, "no organisation has this key" });
--- a/tests/app/SessionForwarderTests.cpp
+++ b/tests/app/SessionForwarderTests.cpp
@@ -24,9 +24,11 @@
         forwarder.answerLineReceived().connect(
             [this](Proxy::SessionId, std::string_view line) { answers.emplace_back(line); });
         forwarder.answerCompleted().connect([this](Proxy::SessionId) { ++finished; });
-        forwarder.openFailed().connect([this](Proxy::SessionId, const DatabaseName& database, const HostName& host) {
-            failed = database.value() + " at " + host.value();
-        });
+        forwarder.openFailed().connect(
+            [this](Proxy::SessionId, const DatabaseName& database, const HostName& host, bool wasRefused) {
+                failed = database.value() + " at " + host.value();
+                isRefused = wasRefused;
+            });
         forwarder.sessionEnded().connect(
             [this](Proxy::SessionId, const DatabaseName&, const HostName&, bool hasOpenRequest) {
                 ended = hasOpenRequest ? "with a request" : "idle";
@@ -62,6 +64,7 @@
     std::vector<std::string> answers;
     int finished { 0 };
     std::string failed;
+    bool isRefused { false };
     std::string ended;
 };
 
@@ -134,6 +137,7 @@
         REQUIRE(host.loop.runUntil([&] { return host.received.size() == 1; }));
         host.remoteHost.close(host.client);
         REQUIRE(host.loop.runUntil([&] { return !host.failed.empty(); }));
+        CHECK(host.isRefused);
     }
     SECTION("when nothing listens on its port")
     {
@@ -147,6 +151,7 @@
         host.forwarder.tick(start + SessionForwarder::openTimeout - std::chrono::milliseconds(1));
         CHECK(host.failed.empty());
         host.forwarder.tick(start + SessionForwarder::openTimeout);
+        CHECK_FALSE(host.isRefused);
     }
     CHECK(host.failed == "orders at home");
     CHECK_FALSE(host.forwarder.has(session));
--- a/tests/platform/ForwardedRouteTests.cpp
+++ b/tests/platform/ForwardedRouteTests.cpp
@@ -241,6 +241,15 @@
         home.apply(start + 2s, { 9, "orders", "group-b" });
         CHECK(home.delegate.accepted.contains(other));
     }
+    SECTION("another route, and the newer configuration does not come")
+    {
+        request.route = statedRoute({ 9, "orders", "group-b" });
+        home.proxy.sessionOpened(start + 2s, other, request);
+        home.proxy.tick(start + 2s + Proxy::Proxy::maxOpenWait);
+        CHECK(home.delegate.closed.contains(other));
+        // The forwarding host learns of the refusal before it takes this host for unreachable.
+        CHECK(Proxy::Proxy::maxOpenWait + Proxy::Proxy::tickInterval < 300ms);
+    }
     SECTION("a database that this host does not know yet is neither refused nor served")
     {
         request.database = DatabaseName("profiles");
--- a/tests/proxy/GroupHomesTests.cpp
+++ b/tests/proxy/GroupHomesTests.cpp
@@ -134,6 +134,17 @@
     CHECK(second.dataCentre == first.dataCentre);
     CHECK(homes.homeFor(start + GroupHomes::avoidanceTime, group)->name == first.name);
 
+    SECTION("one that refused it is still used for other groups")
+    {
+        homes.recordFailure(start, first.name);
+        homes.recordRefusal(start, second.name, group);
+        CHECK(homes.homeFor(start, group)->name != second.name);
+        std::set<HostName> others;
+        for (int index = 0; index < 200; ++index)
+            others.insert(homes.homeFor(start, GroupName("group-" + std::to_string(index)))->name);
+        CHECK(others.contains(second.name));
+        CHECK_FALSE(others.contains(first.name));
+    }
     SECTION("this host serves the session itself when all other hosts are avoided")
     {
         for (const auto& host : hosts(20))
