Reject the write of a lease whose condition is of an earlier era of the store

A condition names a version by its number, which the store may have given out again for another content of the row. A lease that was read before the store came back from a copy and written after it counted as held, and a candidate recorded in this way was called for.

--- a/src/proxy/Promotion.cpp
+++ b/src/proxy/Promotion.cpp
@@ -150,7 +150,10 @@
     if (!isRecording && !m_runner.isIn("Writing"))
         return;
     Context context { now, watcher };
-    if (!version || !*version) {
+    // A condition of an earlier era may have held for another content of the row.
+    const bool isOtherEra
+        = version && *version && m_expectedVersion != RowVersion {} && (*version)->era() != m_expectedVersion.era();
+    if (!version || !*version || isOtherEra) {
         fire("claimRefused", context);
         return;
     }
--- a/src/proxy/Promotion.h
+++ b/src/proxy/Promotion.h
@@ -236,6 +236,8 @@
     Instant m_leaseReadAt {};
     PromotionLeaseRow m_leaseRow;
     RowVersion m_token;
+    /// The condition of the last write of the lease's row.
+    RowVersion m_expectedVersion;
     MemberRecorder m_recorder;
     /// The record of members in the last write of the lease's row.
     std::optional<MemberRecord> m_writtenMembers;
--- a/src/proxy/PromotionLeases.cpp
+++ b/src/proxy/PromotionLeases.cpp
@@ -65,6 +65,7 @@
         lease.members = m_recorder.known();
     lease.membersProblem = lease.members ? MemberRecordProblem::None : MemberRecordProblem::Missing;
     m_writtenMembers = lease.members;
+    m_expectedVersion = expected;
     m_delegate.writeLease(m_group, lease, expected);
 }
 
