Wait for unknown leases and check the record of members after a store's return

When the store comes back from an older copy, the row of a group may lack a lease that a host still holds, and the record of the members. Another host took a lease 0.4 s after the return while the former holder's ran for 3.7 s, and the members were not read again, so a promotion could count by an older record. A host that sees the era rise takes no lease until all earlier ones have expired, and checks the record again. A host that starts after the return does not see a rise, and is not covered.

--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -57,6 +57,8 @@
     void tick(Instant now);
     /// Restarts the timeouts of all members after a pause of this process.
     void resumedAfterPause(Instant now) { m_watcher.discountPause(now); }
+    /// The store came back from an older copy of itself.
+    void storeReturned(Instant now) { m_promotion.storeReturned(now); }
 
     /// Queues and dispatches a statement that is not bound to a connection.
     void submit(Instant now, PendingStatement);
--- a/src/proxy/MemberRecorder.cpp
+++ b/src/proxy/MemberRecorder.cpp
@@ -40,7 +40,7 @@
     }
     // A promotion by a host of an earlier version removes the record. One host is enough to check for that.
     const bool isCheckDue = *m_rank == 0 && m_checkedTerm != watcher.primaryTerm();
-    if (isCurrent(watcher) && !isCheckDue)
+    if (isCurrent(watcher) && !isCheckDue && !m_mustCheck)
         return false;
     const auto delay = settleTime + rankDelay * static_cast<Duration::rep>(*m_rank);
     return now >= m_retryAt && now - m_unchangedSince >= delay;
@@ -50,6 +50,7 @@
 {
     m_known = row.lease ? row.lease->members : std::nullopt;
     m_version = row.version;
+    m_mustCheck = false;
     return std::exchange(m_problem, problemOf(row)) != m_problem;
 }
 
--- a/src/proxy/MemberRecorder.h
+++ b/src/proxy/MemberRecorder.h
@@ -38,6 +38,8 @@
     [[nodiscard]] bool isCurrent(const GroupWatcher&) const;
     /// Records that the row was found or brought up to date.
     void finish(const GroupWatcher&);
+    /// Requests that the row is read again, as the store may have come back from a copy that lacks the record.
+    void checkAgain() { m_mustCheck = true; }
     /// Postpones the next attempt.
     void postpone(Instant now) { m_retryAt = now + retryInterval; }
     /// Stores what this host wrote to the row.
@@ -60,6 +62,7 @@
     RowVersion m_version;
     MemberRecordProblem m_problem { MemberRecordProblem::None };
     Term m_checkedTerm;
+    bool m_mustCheck { false };
     /// The members as of the last call of isDue().
     std::vector<RecordedMember> m_members;
     Instant m_unchangedSince {};
--- a/src/proxy/Promotion.cpp
+++ b/src/proxy/Promotion.cpp
@@ -79,13 +79,19 @@
     m_delayUntil = now;
     if (goal != PromotionGoal::RecordMembers) {
         std::uniform_int_distribution<Duration::rep> jitter(0, startJitter.count());
-        m_delayUntil += Duration(jitter(random));
+        m_delayUntil = std::max(now, m_unknownLeaseUntil) + Duration(jitter(random));
         beginReplacement(now, watcher, failoverReason);
     }
     Context context { now, watcher, failoverReason };
     fire("start", context);
 }
 
+void Promotion::storeReturned(Instant now)
+{
+    m_unknownLeaseUntil = now + leaseLifetime;
+    m_recorder.checkAgain();
+}
+
 void Promotion::beginReplacement(Instant now, const GroupWatcher& watcher, FailoverReason failoverReason)
 {
     m_replacedTerm = watcher.primaryTerm();
@@ -139,6 +145,10 @@
         fire("claimHeld", context);
         return;
     }
+    if (now < m_unknownLeaseUntil) {
+        fire("claimRefused", context);
+        return;
+    }
     adoptPending(context);
     fire(isHandoverPostponed(context) ? "handoverPostponed" : "claimFree", context);
 }
@@ -318,7 +328,7 @@
 
 void Promotion::delayRetry(Context& context)
 {
-    m_delayUntil = context.now + retryDelay;
+    m_delayUntil = std::max<Instant>(context.now + retryDelay, m_unknownLeaseUntil);
 }
 
 void Promotion::callPromotion(Context& context)
--- a/src/proxy/Promotion.h
+++ b/src/proxy/Promotion.h
@@ -102,6 +102,9 @@
     void membersRead(Instant now, const GroupWatcher&, bool isKnown);
     void promoteAnswered(Instant now, const GroupWatcher&, PromotionOutcome);
 
+    /// The store came back from an older copy of itself, which may lack a lease that is still held and the members that
+    /// were recorded. No lease is taken until all earlier ones have expired.
+    void storeReturned(Instant now);
     /// Sets the position of this host in the order of the hosts that record the members; empty for none.
     void setRecorderRank(std::optional<std::size_t> rank) { m_recorder.setRank(rank); }
     /// @return whether an attempt to record the members should be started.
@@ -231,6 +234,8 @@
     /// The highest term that a member has joined, as known when the candidate was recorded.
     Term m_formerTerm;
     Instant m_delayUntil {};
+    /// Until then another host may hold a lease that the store no longer knows.
+    Instant m_unknownLeaseUntil {};
     Instant m_commandedAt {};
     /// When the read of the lease's row was sent; the lifetime of the lease starts no earlier.
     Instant m_leaseReadAt {};
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -150,6 +150,8 @@
 void Proxy::leaseRead(Instant now, const GroupName& name, const Expected<PromotionLeaseRow>& row)
 {
     beginEvent(now);
+    if (row)
+        recordEra(StoreTable::Targets, row->version);
     if (auto* const group = findGroup(name))
         group->leaseRead(now, row);
 }
--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -112,6 +112,8 @@
     const auto before = std::exchange(m_storeEra, asOf.era());
     if (!follower(table).isKnown())
         return;
+    for (auto& [name, group] : m_groups)
+        group->storeReturned(m_now);
     log({ LogEvent::StoreEraChanged,
         { { "era", std::to_string(m_storeEra.value()) }, { "before", std::to_string(before.value()) },
             { "table", std::string(toString(table)) }, { "as_of", toString(asOf) },
