Test two paths by which an older copy could stay in force

Both hold: a target that an older copy of the store lists as ready leaves again with its next record, and a session whose key and route went together does not go on when the route returns.

--- a/tests/platform/OrganisationTests.cpp
+++ b/tests/platform/OrganisationTests.cpp
@@ -157,6 +157,22 @@
     }
 }
 
+TEST_CASE(
+    "A session whose key and route went together does not go on when the route returns", "[platform][organisations]")
+{
+    Fixture fixture;
+    fixture.proxy.sessionOpened(start, session, callerRequest("key-1"));
+    REQUIRE(fixture.delegate.accepted.contains(session));
+    const auto withoutKey = json::array({ organisation("miny420", { "key-2" }) });
+    auto withoutRoute = configurationPage(5, withoutKey);
+    auto configuration = json::parse(withoutRoute.rows.front().value);
+    configuration["Routes"] = json::array();
+    withoutRoute.rows.front().value = configuration.dump();
+    fixture.proxy.tableFollowed(start, Proxy::StoreTable::Configuration, withoutRoute);
+    fixture.apply(6, withoutKey);
+    CHECK_FALSE(fixture.proxy.hasSession(session));
+}
+
 TEST_CASE("A forwarded session names the organisation and the version, and never the key", "[platform][organisations]")
 {
     Proxy::SessionRequest request = callerRequest("key-1");
--- a/tests/proxy/RecordedProxy.h
+++ b/tests/proxy/RecordedProxy.h
@@ -31,10 +31,13 @@
     std::vector<std::optional<FeedPage>> feedAnswers;
     std::size_t leaseReads { 0 };
     std::size_t hostWrites { 0 };
+    std::size_t hostReads { 0 };
 
     void readTable(StoreTable table, const std::string&, Duration timeout) override
     {
-        if (table != StoreTable::Hosts)
+        if (table == StoreTable::Hosts)
+            ++hostReads;
+        else
             tableCalls.push_back({ table, timeout, true });
     }
     void followTable(StoreTable table, RowVersion, Duration, Duration timeout) override
--- a/tests/proxy/StoreReturnTests.cpp
+++ b/tests/proxy/StoreReturnTests.cpp
@@ -3,6 +3,7 @@
 #include "proxy/RecordedProxy.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace Auburnpost;
 using namespace Auburnpost::Proxy;
@@ -122,3 +123,20 @@
     group.tick(30ms);
     CHECK_FALSE(group.delegate.promoted);
 }
+
+TEST_CASE(
+    "A target that is ready again in an older copy of the store leaves again with its next record", "[proxy][return]")
+{
+    RecordedProxy host(settings());
+    const auto isLeaving = [&host] {
+        const auto state = nlohmann::json::parse(host.proxy.dump(host.now));
+        return state.at("groups").at("group").at("members").at("r").at("leaving").get<bool>();
+    };
+    const RecordedProxy::Rows leaving { { "r", "group 2 leaving" } };
+    host.run(300ms);
+    host.change(StoreTable::Targets, { 120, firstEra }, leaving);
+    CHECK(isLeaving());
+    host.returnStore({ 115, secondEra }, { { "config", "10 orders group" } }, RecordedProxy::members());
+    host.change(StoreTable::Targets, { 118, secondEra }, leaving);
+    CHECK(isLeaving());
+}
