Test that a failed read of the hosts' records is made up in time

Fails: after a read without an answer HostDirectory reads again 12 s later, so a new host is known after 24.9 s in the worst case. Limit::AllotmentTimes lets it use its share after 15 s, as by then all have read its record.

--- a/tests/proxy/PeerAgeTests.cpp
+++ b/tests/proxy/PeerAgeTests.cpp
@@ -174,3 +174,30 @@
     started.open(1, "bills");
     CHECK(started.delegate.accepted.contains(SessionId(1)));
 }
+
+// Guards against hosts that divide a rate limit by too few: a new host uses its share after listingDelay.
+TEST_CASE("A host that failed to read the hosts' records knows a new host before that uses its share", "[proxy][age]")
+{
+    RecordedProxy host(TurnedAwayHost::settings());
+    const HostEntry other { HostName("other"), DataCentreName("west"), { "10.2.0.2", 7440 }, { "10.2.0.2", 7455 } };
+    const RecordedProxy::Rows records { { "other", HostDirectory::encode(other) } };
+    const auto runUntilRead = [&host] {
+        const auto reads = host.delegate.hostReads;
+        while (host.delegate.hostReads == reads)
+            host.run(Auburnpost::Proxy::Proxy::tickInterval);
+    };
+    for (int count = 0; count < 2; ++count) {
+        host.read(StoreTable::Hosts, { 110, firstEra }, records);
+        runUntilRead();
+    }
+    // The new host writes its record just after this read, and the next one has no answer.
+    host.read(StoreTable::Hosts, { 110, firstEra }, records);
+    const auto writtenAt = host.now;
+    runUntilRead();
+    host.run(HostDirectory::readTimeout);
+    host.proxy.tableRead(
+        host.now, StoreTable::Hosts, fail(ErrorCode::PlatformUnavailable, "call", "store", "no answer"));
+    runUntilRead();
+    const auto known = host.now + HostDirectory::readTimeout - writtenAt;
+    CHECK(toMilliseconds(known) <= toMilliseconds(Limit::AllotmentTimes {}.listingDelay));
+}
