--- a/src/app/SessionForwarder.cpp
+++ b/src/app/SessionForwarder.cpp
@@ -42,9 +42,21 @@
 {
     auto& forward = m_forwards.at(id);
     forward.hasOpenRequest = true;
+    forward.statement = Platform::statementIdOf(line);
     m_connections.send(forward.connection, std::string(line) + "\r\n");
 }
 
+bool SessionForwarder::isIdle(Proxy::SessionId id) const
+{
+    const auto found = m_forwards.find(id);
+    return found != m_forwards.end() && found->second.isIdle();
+}
+
+void SessionForwarder::stateRoute(Proxy::SessionId id, const Proxy::StatedRoute& route)
+{
+    m_connections.send(m_forwards.at(id).connection, Platform::writeStatedRoute(route));
+}
+
 void SessionForwarder::close(Proxy::SessionId id)
 {
     const auto forward = m_forwards.extract(id);
@@ -64,6 +76,8 @@
         forward.state = *state;
         forward.hasOpenRequest = false;
     }
+    if (const auto failure = Platform::readFailure(line))
+        m_requestFailed.emit(id, forward.statement, forward.request.database, forward.host, *failure);
     m_answerLineReceived.emit(id, line);
     if (!state)
         return;
