--- a/tests/proxy/RecordedProxy.h
+++ b/tests/proxy/RecordedProxy.h
@@ -50,6 +50,7 @@
     void refuseSession(SessionId id, const Session::Failure& failure) override { refused[id] = failure.code; }
     void answer(SessionId id, const Session::Answer& answer) override { answers[id] = answer; }
     void forwardSession(SessionId, const SessionRequest&, const HostEntry&) override { }
+    void stateRoute(SessionId, const StatedRoute&) override { }
     void endForwardedSession(SessionId) override { }
     void closeSession(SessionId) override { }
     void openConnection(ConnectionId id, const TargetRecord& target, const OrganisationName&,
