--- a/tests/proxy/PeerAgeTests.cpp
+++ b/tests/proxy/PeerAgeTests.cpp
@@ -149,7 +149,18 @@
     host.change(StoreTable::Configuration, { 120, firstEra }, { { "config", "12 orders group bills group" } });
     host.returnStore({ 115, secondEra }, { { "config", "10 orders group" } }, RecordedProxy::members());
     RecordedProxy started({}, false);
-    started.proxy.peerAnswered(started.now, peerAddress(0), host.proxy.tables());
+    SECTION("which it gives to a peer")
+    {
+        started.proxy.peerAnswered(started.now, peerAddress(0), host.proxy.tables());
+    }
+    SECTION("which it feeds to a follower")
+    {
+        host.proxy.feedRequested(host.now, RequestId(1), StoreTable::Configuration, {}, Duration {});
+        REQUIRE(host.delegate.feedAnswers.size() == 1);
+        REQUIRE(host.delegate.feedAnswers.front());
+        started.proxy.feederAnswered(
+            started.now, peerAddress(0), StoreTable::Configuration, *host.delegate.feedAnswers.front());
+    }
     started.open(1, "bills");
     CHECK(started.delegate.accepted.contains(SessionId(1)));
 }
--- a/tests/proxy/StoreReturnTests.cpp
+++ b/tests/proxy/StoreReturnTests.cpp
@@ -32,8 +32,7 @@
 } // namespace
 
 // Guards against a host that is no home, feeder or relay of others any more, and does not know it.
-TEST_CASE(
-    "A host writes its record again when it is missing after the store came back from an older copy", "[proxy][return]")
+TEST_CASE("A host writes its record again after the store came back from an older copy", "[proxy][return]")
 {
     RecordedProxy host(settings());
     host.proxy.hostWritten(true);
@@ -41,7 +40,14 @@
     host.run(HostDirectory::readInterval);
     CHECK(host.delegate.hostWrites == 1);
     host.returnStore({ 105, secondEra }, { { "config", "10 orders group" } }, RecordedProxy::members());
-    host.read(StoreTable::Hosts, { 105, secondEra }, otherHost());
+    auto records = otherHost();
+    SECTION("which lacks it") { }
+    SECTION("which has an earlier one of the same host")
+    {
+        const HostEntry earlier { HostName("self"), DataCentreName("east"), { "10.2.0.7", 1 }, { "10.2.0.7", 2 } };
+        records["self"] = HostDirectory::encode(earlier);
+    }
+    host.read(StoreTable::Hosts, { 105, secondEra }, records);
     host.run(HostDirectory::writeRetryInterval);
     CHECK(host.delegate.hostWrites == 2);
 }
