--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -24,7 +24,7 @@
 class Proxy final : private GroupServiceDelegate {
 public:
     static constexpr Duration tickInterval = std::chrono::milliseconds(30);
-    /// Minimum gap between two ticks that counts as a pause of this process.
+    /// Minimum gap between two events, ticks included, that counts as a pause of this process.
     static constexpr Duration pauseThreshold = std::chrono::milliseconds(300);
     /// Maximum time that a session waits for the first configuration; callers time out after 2 s.
     static constexpr Duration acceptTimeout = std::chrono::milliseconds(1500);
@@ -130,6 +130,9 @@
     RandomEngine& random() override { return m_random; }
     [[nodiscard]] const std::vector<SocketAddress>& relays() const override { return m_hosts.relays(); }
 
+    /// Starts the handling of an event. An event that was waiting at the end of a pause may precede the first tick.
+    void beginEvent(Instant now);
+
     // Sessions.
     void routeSession(CallerSession&);
     /// @return the host to forward the session to; empty when this host serves it.
@@ -178,6 +181,14 @@
     // Configuration and targets.
     void tableChanged(Instant now, StoreTable);
     void adoptCatalog(Instant now);
+    /// Applies the configuration in a peer's copy if it is newer by its own version, whatever the copy's version is:
+    /// the store may have come back from a copy that lacks it.
+    void adoptPeersCatalog(Instant now, const TableState&);
+    /// @return whether the configuration is newer than the one applied, and now applies.
+    bool applyCatalog(Instant now, const StoreRow&, Catalog);
+    void catalogChanged(Instant now);
+    /// @return this host's copy of a table, with the row of the applied configuration if that of the store is older.
+    [[nodiscard]] TableState tableForPeers(StoreTable) const;
     void updateTargets(Instant now);
     void updateGroupMembers(Instant now);
     /// Tells the groups where the list of targets came from.
@@ -194,6 +205,7 @@
     /// Notes the era of the store that an answer states.
     void recordEra(StoreTable, const RowVersion& asOf);
     void queryPeers(Instant now);
+    [[nodiscard]] std::optional<SocketAddress> nextPeer();
     /// Decides from whom the tables are followed.
     void updateFeeders(Instant now);
     /// Adapts the times of the followed tables to the bounds and to the number of hops.
@@ -208,12 +220,15 @@
     const RowReader& m_reader;
     ProxyDelegate& m_delegate;
     RandomEngine m_random;
-    /// Time of the event that is being handled.
+    /// Time of the event that is being handled, or of the last one.
     Instant m_now;
-    Instant m_lastTickAt;
     std::array<StoreFollower, followedTables.size()> m_followers;
     std::optional<Catalog> m_catalog;
     Instant m_catalogAppliedAt {};
+    /// The row from which the applied configuration was read.
+    StoreRow m_appliedRow;
+    /// Whether the store's table has an older configuration than the applied one.
+    bool m_isOlderCatalogListed { false };
     /// The latest era of the store that an answer stated.
     StoreEra m_storeEra;
     TargetDirectory m_directory;
@@ -250,6 +265,8 @@
     std::uint64_t m_lastStatement { 0 };
     /// Index in m_settings.seeds of the peer that was queried last.
     std::size_t m_lastSeed { 0 };
+    bool m_wasSeedQueried { false };
+    bool m_hasPeerAnswered { false };
     Instant m_peerQueriedAt {};
     bool m_isClosingIdleSessions { false };
 };
--- a/tests/proxy/StoreReturnTests.cpp
+++ b/tests/proxy/StoreReturnTests.cpp
@@ -32,7 +32,8 @@
 } // namespace
 
 // Guards against a host that is no home, feeder or relay of others any more, and does not know it.
-TEST_CASE("A host writes its record again after the store came back from an older copy", "[proxy][return]")
+TEST_CASE(
+    "A host writes its record again when it is missing after the store came back from an older copy", "[proxy][return]")
 {
     RecordedProxy host(settings());
     host.proxy.hostWritten(true);
@@ -40,13 +41,22 @@
     host.run(HostDirectory::readInterval);
     CHECK(host.delegate.hostWrites == 1);
     host.returnStore({ 105, secondEra }, { { "config", "10 orders group" } }, RecordedProxy::members());
+    host.read(StoreTable::Hosts, { 105, secondEra }, otherHost());
+    host.run(HostDirectory::writeRetryInterval);
+    CHECK(host.delegate.hostWrites == 2);
+}
+
+// Guards against a host that others take for one of an earlier version, or reach at an earlier address.
+TEST_CASE("A host replaces its earlier record after the store came back from an older copy", "[proxy][return]")
+{
+    RecordedProxy host(settings());
+    host.proxy.hostWritten(true);
+    host.run(HostDirectory::readInterval);
+    REQUIRE(host.delegate.hostWrites == 1);
+    host.returnStore({ 105, secondEra }, { { "config", "10 orders group" } }, RecordedProxy::members());
+    const HostEntry earlier { HostName("self"), DataCentreName("east"), { "10.2.0.7", 1 }, { "10.2.0.7", 2 } };
     auto records = otherHost();
-    SECTION("which lacks it") { }
-    SECTION("which has an earlier one of the same host")
-    {
-        const HostEntry earlier { HostName("self"), DataCentreName("east"), { "10.2.0.7", 1 }, { "10.2.0.7", 2 } };
-        records["self"] = HostDirectory::encode(earlier);
-    }
+    records["self"] = HostDirectory::encode(earlier);
     host.read(StoreTable::Hosts, { 105, secondEra }, records);
     host.run(HostDirectory::writeRetryInterval);
     CHECK(host.delegate.hostWrites == 2);
