--- a/tests/proxy/PeerAgeTests.cpp
+++ b/tests/proxy/PeerAgeTests.cpp
@@ -1,4 +1,5 @@
 #include "proxy/HostDirectory.h"
+#include "proxy/PeerSnapshot.h"
 #include "proxy/RecordedProxy.h"
 
 #include <catch2/catch.hpp>
@@ -212,3 +213,28 @@
     const auto known = host.now + HostDirectory::readTimeout - writtenAt;
     CHECK(toMilliseconds(known) <= toMilliseconds(Limit::AllotmentTimes {}.listingDelay));
 }
+
+// Guards against a handed-on row of an earlier era whose number hides the edits that the store numbers below it.
+TEST_CASE("An edit after the store came back from an older copy is applied by a host that took a peer's tables",
+    "[proxy][age]")
+{
+    RecordedProxy host;
+    host.change(StoreTable::Configuration, { 120, firstEra }, { { "config", "12 orders group bills group" } });
+    host.returnStore({ 115, secondEra }, { { "config", "10 orders group" } }, RecordedProxy::members());
+    RecordedProxy started({}, false);
+    SECTION("from a snapshot")
+    {
+        started.proxy.peerAnswered(started.now, peerAddress(0), decodeSnapshot(encodeSnapshot(host.proxy.tables())));
+    }
+    SECTION("from a feed")
+    {
+        host.proxy.feedRequested(host.now, RequestId(1), StoreTable::Configuration, {}, Duration {});
+        REQUIRE(host.delegate.feedAnswers.size() == 1);
+        REQUIRE(host.delegate.feedAnswers.front());
+        started.proxy.feederAnswered(started.now, peerAddress(0), StoreTable::Configuration,
+            decodeFeedPage(encodeFeedPage(*host.delegate.feedAnswers.front())));
+    }
+    started.change(StoreTable::Configuration, { 117, secondEra }, { { "config", "13 orders group invoices group" } });
+    started.open(1, "invoices");
+    CHECK(started.delegate.accepted.contains(SessionId(1)));
+}
