Test that a starting host asks more peers than one that started as well

Fails: Proxy::peerAnswered ends the queries after a start with the first answer, whatever the peer knows. When many hosts start together after the store came back from an older copy, each may ask one that knows no more, and refuses a route that hosts which ran before serve.

--- a/tests/proxy/PeerAgeTests.cpp
+++ b/tests/proxy/PeerAgeTests.cpp
@@ -238,3 +238,31 @@
     started.open(1, "invoices");
     CHECK(started.delegate.accepted.contains(SessionId(1)));
 }
+
+// Many hosts may start at the same time, and then know no more than the store tells them.
+TEST_CASE("A host that starts after the store came back asks more peers than one that started as well", "[proxy][age]")
+{
+    const RecordedProxy::Rows older { { "config", "10 orders group" } };
+    RecordedProxy known;
+    known.change(StoreTable::Configuration, { 120, firstEra }, { { "config", "12 orders group bills group" } });
+    known.returnStore({ 115, secondEra }, older, RecordedProxy::members());
+    const auto start = [&older](RecordedProxy& host) {
+        host.read(StoreTable::Configuration, { 115, secondEra }, older);
+        host.read(StoreTable::Targets, { 115, secondEra }, RecordedProxy::members());
+    };
+    RecordedProxy alsoStarted({}, false);
+    start(alsoStarted);
+
+    RecordedProxy started(TurnedAwayHost::settings(), false);
+    start(started);
+    std::size_t asked = 0;
+    const auto end = started.now + TimeBounds {}.recovery;
+    while (started.now < end) {
+        started.run(Auburnpost::Proxy::Proxy::tickInterval);
+        for (const auto& peer : std::exchange(started.delegate.queriedPeers, {}))
+            started.proxy.peerAnswered(
+                started.now, peer, asked++ == 0 ? alsoStarted.proxy.tables() : known.proxy.tables());
+    }
+    started.open(1, "bills");
+    CHECK(started.delegate.accepted.contains(SessionId(1)));
+}
