--- a/tests/proxy/StoreReturnTests.cpp
+++ b/tests/proxy/StoreReturnTests.cpp
@@ -3,6 +3,7 @@
 #include "proxy/RecordedProxy.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace Auburnpost;
 using namespace Auburnpost::Proxy;
@@ -45,6 +46,22 @@
     CHECK(host.delegate.hostWrites == 2);
 }
 
+// Guards against a host that others take for one of an earlier version, or reach at an earlier address.
+TEST_CASE("A host replaces its earlier record after the store came back from an older copy", "[proxy][return]")
+{
+    RecordedProxy host(settings());
+    host.proxy.hostWritten(true);
+    host.run(HostDirectory::readInterval);
+    REQUIRE(host.delegate.hostWrites == 1);
+    host.returnStore({ 105, secondEra }, { { "config", "10 orders group" } }, RecordedProxy::members());
+    const HostEntry earlier { HostName("self"), DataCentreName("east"), { "10.2.0.7", 1 }, { "10.2.0.7", 2 } };
+    auto records = otherHost();
+    records["self"] = HostDirectory::encode(earlier);
+    host.read(StoreTable::Hosts, { 105, secondEra }, records);
+    host.run(HostDirectory::writeRetryInterval);
+    CHECK(host.delegate.hostWrites == 2);
+}
+
 // Guards against a promotion that counts by an older record and misses a member with an acknowledged commit.
 TEST_CASE("The members are recorded again after the store came back from an older copy", "[proxy][return]")
 {
@@ -122,3 +139,20 @@
     group.tick(30ms);
     CHECK_FALSE(group.delegate.promoted);
 }
+
+TEST_CASE(
+    "A target that is ready again in an older copy of the store leaves again with its next record", "[proxy][return]")
+{
+    RecordedProxy host(settings());
+    const auto isLeaving = [&host] {
+        const auto state = nlohmann::json::parse(host.proxy.dump(host.now));
+        return state.at("groups").at("group").at("members").at("r").at("leaving").get<bool>();
+    };
+    const RecordedProxy::Rows leaving { { "r", "group 2 leaving" } };
+    host.run(300ms);
+    host.change(StoreTable::Targets, { 120, firstEra }, leaving);
+    CHECK(isLeaving());
+    host.returnStore({ 115, secondEra }, { { "config", "10 orders group" } }, RecordedProxy::members());
+    host.change(StoreTable::Targets, { 118, secondEra }, leaving);
+    CHECK(isLeaving());
+}
