Hand on the applied configuration under the version of the store's row

The row that a host hands on in place of the store's older one kept its number, which was read as one of the later era: 1/120 became 2/120 and hid an edit that the store numbered 2/117. It now has the version of the store's row. Evidence: proxy_tests "An edit after the store came back from an older copy is applied by a host that took a peer's tables" failed. Its schedule answered a poll that the host had not sent; the host now reads its tables, loses a call and polls after the copy it took, and the test still fails without the fix, in both sections.

--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -183,8 +183,12 @@
 TableState Proxy::tableForPeers(StoreTable table) const
 {
     auto state = m_followers[static_cast<std::size_t>(table)].state();
-    if (table == StoreTable::Configuration && m_isOlderCatalogListed)
-        state.rows[m_appliedRow.key] = m_appliedRow;
+    if (table == StoreTable::Configuration && m_isOlderCatalogListed) {
+        // The version stays that of the store's row, so that later edits of the row count as newer.
+        auto& row = state.rows[m_appliedRow.key];
+        row.key = m_appliedRow.key;
+        row.value = m_appliedRow.value;
+    }
     return state;
 }
 
--- a/tests/proxy/PeerAgeTests.cpp
+++ b/tests/proxy/PeerAgeTests.cpp
@@ -221,7 +221,10 @@
     RecordedProxy host;
     host.change(StoreTable::Configuration, { 120, firstEra }, { { "config", "12 orders group bills group" } });
     host.returnStore({ 115, secondEra }, { { "config", "10 orders group" } }, RecordedProxy::members());
-    RecordedProxy started({}, false);
+    RecordedProxy started;
+    started.run(Auburnpost::Proxy::Proxy::tickInterval);
+    const auto noAnswer = fail(ErrorCode::PlatformUnavailable, "call", "store", "no answer");
+    started.proxy.tableFollowed(started.now, StoreTable::Configuration, noAnswer);
     SECTION("from a snapshot")
     {
         started.proxy.peerAnswered(started.now, peerAddress(0), decodeSnapshot(encodeSnapshot(host.proxy.tables())));
@@ -234,6 +237,8 @@
         started.proxy.feederAnswered(started.now, peerAddress(0), StoreTable::Configuration,
             decodeFeedPage(encodeFeedPage(*host.delegate.feedAnswers.front())));
     }
+    // The store is polled after the version of the copy that was taken.
+    started.run(TableTimes::forConfiguration({}).maxRetryDelay());
     started.change(StoreTable::Configuration, { 117, secondEra }, { { "config", "13 orders group invoices group" } });
     started.open(1, "invoices");
     CHECK(started.delegate.accepted.contains(SessionId(1)));
