Read the hosts' records again soon after a failed read, and replace an own old one

A failed read of the hosts was made up 12 s later, so a host could divide the rate limits by one host too few for 9.9 s after a new one used its share. After a return of the store from a copy, an own record of before the last start was taken for the present one. Evidence: proxy_tests "A host that failed to read the hosts' records knows a new host before that uses its share" (24.9 s, now within 15 s) and "A host replaces its earlier record after the store came back from an older copy" failed and pass.

--- a/src/proxy/HostDirectory.cpp
+++ b/src/proxy/HostDirectory.cpp
@@ -83,11 +83,16 @@
     }
 }
 
+void HostDirectory::recordReadFailed(Instant now)
+{
+    m_readAt = std::min(m_readAt, now + writeRetryInterval);
+}
+
 bool HostDirectory::updateHosts(Instant now, const StorePage& page)
 {
     for (const auto& row : page.rows) {
         const auto host = decode(row);
-        m_isSelfListed = m_isSelfListed || row.key == m_self.name.value();
+        m_isSelfListed = m_isSelfListed || (row.key == m_self.name.value() && row.value == encode(m_self));
         if (host && host->name != m_self.name)
             m_partialRead.push_back(*host);
     }
--- a/src/proxy/HostDirectory.h
+++ b/src/proxy/HostDirectory.h
@@ -17,15 +17,18 @@
     /// The same after a change, as hosts are often added one after another.
     static constexpr Duration readIntervalAfterChange = std::chrono::seconds(2);
     static constexpr Duration readTimeout = std::chrono::milliseconds(900);
-    /// Interval between attempts to write this host's record, and between reads while no other host is known.
+    /// Interval between attempts to write this host's record, and between reads while no other host is known or after a
+    /// failed one.
     static constexpr Duration writeRetryInterval = std::chrono::seconds(1);
 
     HostDirectory(HostEntry self, StoreDelegate&);
 
-    /// Writes this host's record until the write is acknowledged, and again if a read does not find it. Reads all
-    /// records at intervals.
+    /// Writes this host's record until the write is acknowledged, and again if a read does not find it as written.
+    /// Reads all records at intervals.
     void tick(Instant now);
     void recordWritten(bool isAcknowledged) { m_isRecordWritten = m_isRecordWritten || isAcknowledged; }
+    /// Repeats a read that failed, as rate limits depend on the number of hosts.
+    void recordReadFailed(Instant now);
     /// Adds a page of records to the read in progress. The last page ends the read and replaces the list of hosts.
     /// @return whether the list changed.
     bool updateHosts(Instant now, const StorePage&);
--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -13,6 +13,8 @@
     beginEvent(now);
     if (table == StoreTable::Hosts) {
         // After a failed read the known hosts are kept; the followed tables report that the store is unavailable.
+        if (!page)
+            m_hosts.recordReadFailed(now);
         if (page && m_hosts.updateHosts(now, *page)) {
             m_homes.setHosts(m_hosts.hosts());
             m_feeders.setHosts(m_hosts.hosts());
