Ask three peers after a start, as the first may have started as well

Where the store states an era, a host that starts asks a peer for its configuration, since the store's copy may be older. The first answer ended the queries, also if that peer had started at the same time and knew no more.

--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -38,6 +38,9 @@
     static constexpr Duration groupLinger = std::chrono::seconds(10);
     /// Peers are queried while a table has not been read yet, and once calls to the store have failed for peerDelay; in
     /// both cases at intervals of peerQueryInterval.
+    /// Where the store states an era, a host that starts queries as many peers: the store's copy may be older than the
+    /// configuration that others apply, and some of these hosts may have started as well.
+    static constexpr std::size_t startPeers = 3;
     static constexpr Duration peerDelay = std::chrono::milliseconds(400);
     static constexpr Duration peerQueryInterval = std::chrono::milliseconds(700);
 
@@ -271,7 +274,8 @@
     /// Index in m_settings.seeds of the peer that was queried last.
     std::size_t m_lastSeed { 0 };
     bool m_wasSeedQueried { false };
-    bool m_hasPeerAnswered { false };
+    /// Answers of peers since the start.
+    std::size_t m_peerAnswers { 0 };
     Instant m_peerQueriedAt {};
     bool m_isClosingIdleSessions { false };
 };
--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -309,7 +309,7 @@
     if (now - m_peerQueriedAt < peerQueryInterval)
         return;
     // After a return of the store from an older copy, only hosts that ran before may have the newest configuration.
-    const bool maySeeOlderCopy = m_storeEra != StoreEra {} && !m_hasPeerAnswered;
+    const bool maySeeOlderCopy = m_storeEra != StoreEra {} && m_peerAnswers < startPeers;
     const bool needsPeers = std::any_of(m_followers.begin(), m_followers.end(), [now](const StoreFollower& follower) {
         return (!follower.isKnown())
             || (follower.calls().failingSince && now - *follower.calls().failingSince >= peerDelay);
@@ -351,7 +351,7 @@
             { { "peer", peer.toString() }, { "reason", tables.error().describe() } } });
         return;
     }
-    m_hasPeerAnswered = true;
+    ++m_peerAnswers;
     for (const auto& [table, state] : *tables) {
         recordEra(table, state.asOf);
         if (!follower(table).adopt(state, peer)) {
