Run hosts in front of stand-ins of the store, and check what callers see of each edit

The unit tests play one fault at a time on simulated time. Here real processes of "auburnpost proxy" follow a store that comes back from an older copy, loses its history or turns hosts away, while hosts are stopped, killed and started, and callers use new and open connections. The store and the target of the client tests are split out and extended for it.

--- a/tests/process/ChildProcess.cpp
+++ b/tests/process/ChildProcess.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <set>
@@ -21,16 +22,38 @@
     constexpr auto waitTimeout = std::chrono::seconds(20);
     constexpr auto pollInterval = std::chrono::milliseconds(5);
 
+    /// @return pointers to the texts, as the functions that start a process take them.
+    std::vector<char*> pointersTo(const std::vector<std::string>& texts)
+    {
+        std::vector<char*> pointers;
+        pointers.reserve(texts.size() + 1);
+        for (const std::string& text : texts)
+            pointers.push_back(const_cast<char*>(text.c_str()));
+        return pointers;
+    }
+
 } // namespace
 
-ChildProcess::ChildProcess(const std::vector<std::string>& arguments)
+ChildProcess::ChildProcess(const std::vector<std::string>& arguments, const ChildProcessOptions& options)
 {
-    std::vector<char*> pointers;
-    pointers.reserve(arguments.size() + 1);
-    for (const std::string& argument : arguments)
-        pointers.push_back(const_cast<char*>(argument.c_str()));
+    auto pointers = pointersTo(arguments);
     pointers.push_back(nullptr);
-    if (posix_spawn(&m_pid, pointers[0], nullptr, nullptr, pointers.data(), environ) != 0)
+    // The first of two variables of the same name counts.
+    auto environment = pointersTo(options.environment);
+    for (char** variable = environ; *variable; ++variable)
+        environment.push_back(*variable);
+    environment.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    if (!options.outputPath.empty()) {
+        constexpr mode_t mode = 0644;
+        posix_spawn_file_actions_addopen(
+            &actions, STDOUT_FILENO, options.outputPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, mode);
+        posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    }
+    const int outcome = posix_spawn(&m_pid, pointers[0], &actions, nullptr, pointers.data(), environment.data());
+    posix_spawn_file_actions_destroy(&actions);
+    if (outcome != 0)
         throw std::runtime_error("can't start " + arguments.front());
 }
 
@@ -72,7 +95,8 @@
 TemporaryFolder::~TemporaryFolder()
 {
     std::error_code ignored;
-    std::filesystem::remove_all(m_path, ignored);
+    if (!m_isKept)
+        std::filesystem::remove_all(m_path, ignored);
 }
 
 std::string TemporaryFolder::write(const std::string& name, const std::string& content) const
--- a/tests/process/ChildProcess.h
+++ b/tests/process/ChildProcess.h
@@ -8,10 +8,18 @@
 
 namespace Auburnpost::Test {
 
+/// What a child process gets besides its arguments.
+struct ChildProcessOptions {
+    /// Variables as "NAME=VALUE", added to the environment of the test.
+    std::vector<std::string> environment;
+    /// File that the output of the process is appended to; empty: the output of the test.
+    std::string outputPath;
+};
+
 /// A child process of a test, killed by the destructor.
 class ChildProcess {
 public:
-    explicit ChildProcess(const std::vector<std::string>& arguments);
+    explicit ChildProcess(const std::vector<std::string>& arguments, const ChildProcessOptions& = {});
     ~ChildProcess();
     ChildProcess(const ChildProcess&) = delete;
     ChildProcess& operator=(const ChildProcess&) = delete;
@@ -28,7 +36,7 @@
     pid_t m_pid { 0 };
 };
 
-/// A temporary folder, removed by the destructor.
+/// A temporary folder, removed by the destructor unless it is kept.
 class TemporaryFolder {
 public:
     TemporaryFolder();
@@ -39,9 +47,12 @@
     [[nodiscard]] const std::string& path() const { return m_path; }
     /// Writes a file. @return its path.
     [[nodiscard]] std::string write(const std::string& name, const std::string& content) const;
+    /// Leaves the folder in place.
+    void keep() { m_isKept = true; }
 
 private:
     std::string m_path;
+    bool m_isKept { false };
 };
 
 /// @return a port on 127.0.0.1 that no process listens on.
--- /dev/null
+++ b/tests/process/StoreServer.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "process/RowStore.h"
+#include "process/ThreadServer.h"
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace Auburnpost::Test {
+
+/// What the store does with the calls of a host.
+enum class StoreFault {
+    None,
+    /// No answer; the connections deliver nothing any more.
+    Silent,
+    RefuseTooMany,
+    RefuseUnavailable,
+    Reset,
+    /// Calls are performed and answered late.
+    Late,
+};
+
+/// The platform's store over HTTP on 127.0.0.1, as far as hosts use it, with faults for each host or for all of them.
+class StoreServer {
+public:
+    using Moment = RowStore::Moment;
+
+    StoreServer() = default;
+    ~StoreServer();
+    StoreServer(const StoreServer&) = delete;
+    StoreServer& operator=(const StoreServer&) = delete;
+
+    [[nodiscard]] std::uint16_t port() const { return m_server.port(); }
+    /// Writes a row for the operator or for a target. It is acknowledged when this returns.
+    void write(const std::string& table, const std::string& key, const std::string& value);
+    /// Counts a transaction that changes no row, as the pings of targets do.
+    void countTransaction();
+    /// @param host host to which the fault applies; empty: all hosts.
+    void setFault(const std::string& host, StoreFault);
+    void discardHistory();
+    /// Brings back the rows of a moment in the past, and raises the era.
+    void restoreCopy(std::chrono::milliseconds age);
+
+private:
+    struct Call;
+
+    void serve(const LoopbackSocket&);
+    [[nodiscard]] RowStoreAnswer perform(const Call&, StoreFault);
+    [[nodiscard]] RowStoreAnswer poll(const Call&);
+    /// @return the fault that applies to the host's calls. The caller holds the lock.
+    [[nodiscard]] StoreFault faultOf(const std::string& host) const;
+    /// Waits until a silent or resetting fault of the host has ended.
+    void awaitEndOfSilence(const std::string& host);
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    bool m_isStopping { false };
+    RowStore m_rows;
+    /// By host; the empty name stands for all hosts.
+    std::map<std::string, StoreFault> m_faults;
+    ThreadServer m_server { [this](const LoopbackSocket& connection) { serve(connection); } };
+};
+
+} // namespace Auburnpost::Test
--- a/tests/process/ThreadServer.cpp
+++ b/tests/process/ThreadServer.cpp
@@ -26,11 +26,23 @@
             return;
         m_listener.shutDown();
         for (const auto& connection : m_connections)
-            connection.shutDown();
+            connection.socket.shutDown();
     }
     m_acceptor.join();
-    for (auto& thread : m_threads)
-        thread.join();
+    for (auto& connection : m_connections)
+        connection.thread.join();
+}
+
+void ThreadServer::removeServedConnections()
+{
+    for (auto connection = m_connections.begin(); connection != m_connections.end();) {
+        if (!connection->isServed) {
+            ++connection;
+            continue;
+        }
+        connection->thread.join();
+        connection = m_connections.erase(connection);
+    }
 }
 
 void ThreadServer::acceptConnections()
@@ -42,13 +54,16 @@
             return;
         if (!accepted.isOpen())
             continue;
+        removeServedConnections();
         const int on = 1;
         setsockopt(accepted.descriptor(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-        m_connections.push_back(std::move(accepted));
-        const auto connection = std::prev(m_connections.end());
-        m_threads.emplace_back([this, connection] {
-            m_serve(*connection);
-            connection->shutDown();
+        auto& connection = m_connections.emplace_back();
+        connection.socket = std::move(accepted);
+        connection.thread = std::thread([this, &connection] {
+            m_serve(connection.socket);
+            connection.socket.shutDown();
+            const std::lock_guard served(m_mutex);
+            connection.isServed = true;
         });
     }
 }
--- a/tests/process/ThreadServer.h
+++ b/tests/process/ThreadServer.h
@@ -27,15 +27,22 @@
     void stop();
 
 private:
+    struct Connection {
+        LoopbackSocket socket;
+        std::thread thread;
+        bool isServed { false };
+    };
+
     void acceptConnections();
+    /// Frees the connections that are served, as a soak opens more of them than a process may have descriptors.
+    void removeServedConnections();
 
     Handler m_serve;
     std::uint16_t m_port { freePort() };
     LoopbackSocket m_listener { LoopbackSocket::listenOn(m_port) };
     std::mutex m_mutex;
     bool m_isStopping { false };
-    std::list<LoopbackSocket> m_connections;
-    std::list<std::thread> m_threads;
+    std::list<Connection> m_connections;
     std::thread m_acceptor;
 };
 
