--- a/src/app/SessionForwarder.h
+++ b/src/app/SessionForwarder.h
@@ -25,7 +25,12 @@
     [[nodiscard]] std::size_t size() const { return m_forwards.size(); }
     /// @return whether a session was in an open transaction at its last answer.
     [[nodiscard]] bool isInTransaction(Proxy::SessionId) const;
+    /// @return whether a session is open at the other host and outside a transaction.
+    [[nodiscard]] bool isIdle(Proxy::SessionId) const;
+    /// Sends a caller's line.
     void send(Proxy::SessionId, std::string_view line);
+    /// States the session's route to the other host, which does not answer.
+    void stateRoute(Proxy::SessionId, const Proxy::StatedRoute&);
     /// Closes the connection of a session whose caller has disconnected. Emits no signal.
     void close(Proxy::SessionId);
     /// Fails the sessions that are not opened within openTimeout.
@@ -41,8 +46,20 @@
     sigc::signal<void(Proxy::SessionId, std::string_view line)>& answerLineReceived() { return m_answerLineReceived; }
     /// Emitted when an answer is complete and the caller's next line may be sent.
     sigc::signal<void(Proxy::SessionId)>& answerCompleted() { return m_answerCompleted; }
+    /// Emitted when the other host answers a request with a failure, before the line is sent to the caller.
+    /// @param statement id of the statement; "-" for the request to open the session.
+    sigc::signal<void(Proxy::SessionId, const std::string& statement, const DatabaseName&, const HostName&,
+        std::string_view failure)>&
+    requestFailed()
+    {
+        return m_requestFailed;
+    }
     /// Emitted when the other host did not open the session.
-    sigc::signal<void(Proxy::SessionId, const DatabaseName&, const HostName&)>& openFailed() { return m_openFailed; }
+    /// @param isRefused whether it was reached and closed the connection.
+    sigc::signal<void(Proxy::SessionId, const DatabaseName&, const HostName&, bool isRefused)>& openFailed()
+    {
+        return m_openFailed;
+    }
     /// Emitted when an open session has ended, by the other host or by closeIdle() or endSessionsWithoutRequest().
     /// @param hasOpenRequest whether the host closed the connection before it answered a request.
     sigc::signal<void(Proxy::SessionId, const DatabaseName&, const HostName& host, bool hasOpenRequest)>& sessionEnded()
@@ -59,6 +76,8 @@
         /// The other host has answered the request to open the session, also by a refusal.
         bool isAnswered { false };
         bool hasOpenRequest { false };
+        /// Id of the last statement.
+        std::string statement { "-" };
         /// Whether the session ends with the answer to the open request.
         bool isEnding { false };
         Session::TransactionState state { Session::TransactionState::Idle };
@@ -71,8 +90,8 @@
 
     void onConnected(ConnectionId);
     void onLine(ConnectionId, std::string_view line);
-    void onEnded(ConnectionId);
-    void fail(Proxy::SessionId);
+    void onEnded(ConnectionId, Wire::DisconnectReason);
+    void fail(Proxy::SessionId, bool isRefused);
     /// @param hasOpenRequest whether a request was left unanswered.
     void end(Proxy::SessionId, bool hasOpenRequest);
 
@@ -83,7 +102,9 @@
     bool m_isClosingIdle { false };
     sigc::signal<void(Proxy::SessionId, std::string_view)> m_answerLineReceived;
     sigc::signal<void(Proxy::SessionId)> m_answerCompleted;
-    sigc::signal<void(Proxy::SessionId, const DatabaseName&, const HostName&)> m_openFailed;
+    sigc::signal<void(Proxy::SessionId, const std::string&, const DatabaseName&, const HostName&, std::string_view)>
+        m_requestFailed;
+    sigc::signal<void(Proxy::SessionId, const DatabaseName&, const HostName&, bool)> m_openFailed;
     sigc::signal<void(Proxy::SessionId, const DatabaseName&, const HostName&, bool)> m_sessionEnded;
 };
 
--- a/src/proxy/HostDirectory.cpp
+++ b/src/proxy/HostDirectory.cpp
@@ -12,6 +12,7 @@
     constexpr auto relayField = "relay";
     constexpr auto sessionsField = "sessions";
     constexpr auto peersField = "peers";
+    constexpr auto readsRoutesField = "reads_routes";
     constexpr auto processorShareField = "processor_share";
 
     std::string textOf(const nlohmann::json& record, const char* field)
@@ -42,6 +43,8 @@
             processorShareOf(record) };
         if (const auto peers = SocketAddress::parse(textOf(record, peersField)))
             host.peers = *peers;
+        const auto readsRoutes = record.find(readsRoutesField);
+        host.readsRoutes = readsRoutes != record.end() && *readsRoutes == true;
         return host;
     }
 
@@ -58,7 +61,8 @@
 std::string HostDirectory::encode(const HostEntry& host)
 {
     nlohmann::json record { { dataCentreField, host.dataCentre.value() }, { relayField, host.relay.toString() },
-        { sessionsField, host.sessions.toString() }, { processorShareField, host.processorShare } };
+        { sessionsField, host.sessions.toString() }, { processorShareField, host.processorShare },
+        { readsRoutesField, host.readsRoutes } };
     if (host.peers)
         record[peersField] = host.peers->toString();
     return record.dump();
@@ -73,6 +77,8 @@
     if (now >= m_readAt) {
         m_readAt = now + (m_relays.empty() ? writeRetryInterval : readInterval);
         m_partialRead = { m_self };
+        m_isSelfListed = false;
+        m_wasWrittenBeforeRead = m_isRecordWritten;
         m_delegate.readTable(StoreTable::Hosts, {}, readTimeout);
     }
 }
@@ -81,6 +87,7 @@
 {
     for (const auto& row : page.rows) {
         const auto host = decode(row);
+        m_isSelfListed = m_isSelfListed || row.key == m_self.name.value();
         if (host && host->name != m_self.name)
             m_partialRead.push_back(*host);
     }
@@ -91,6 +98,9 @@
         return false;
     }
     m_hasRead = true;
+    // The store may have come back from an older copy that lacks the record.
+    if (m_wasWrittenBeforeRead && !std::exchange(m_isSelfListed, false))
+        m_isRecordWritten = false;
     auto hosts = std::exchange(m_partialRead, { m_self });
     std::sort(hosts.begin(), hosts.end(),
         [](const HostEntry& left, const HostEntry& right) { return left.name < right.name; });
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -24,10 +24,16 @@
 class Proxy final : private GroupServiceDelegate {
 public:
     static constexpr Duration tickInterval = std::chrono::milliseconds(30);
-    /// Minimum gap between two ticks that counts as a pause of this process.
+    /// Minimum gap between two events, ticks included, that counts as a pause of this process.
     static constexpr Duration pauseThreshold = std::chrono::milliseconds(300);
     /// Maximum time that a session waits for the first configuration; callers time out after 2 s.
     static constexpr Duration acceptTimeout = std::chrono::milliseconds(1500);
+    /// Maximum time for which a statement waits until this host's configuration is as new as that of the host that
+    /// forwards the session.
+    static constexpr Duration maxRouteWait = std::chrono::milliseconds(300);
+    /// The same for a session to be opened. The forwarding host gives up after 300 ms, and would then avoid this host
+    /// for all groups.
+    static constexpr Duration maxOpenWait = std::chrono::milliseconds(200);
     /// Time for which a host keeps watching a group's targets after its last session on the group.
     static constexpr Duration groupLinger = std::chrono::seconds(10);
     /// Peers are queried while a table has not been read yet, and once calls to the store have failed for peerDelay; in
@@ -42,12 +48,20 @@
     // Callers.
     void sessionOpened(Instant now, SessionId, const SessionRequest&);
     /// A session could not be forwarded to the host; opens it again so that another host or this one serves it.
-    void forwardFailed(Instant now, SessionId, const HostName&);
+    /// @param isRefused whether the host was reached and refused the session.
+    void forwardFailed(Instant now, SessionId, const HostName&, bool isRefused = false);
     /// The connection to a host that sessions were forwarded to was lost.
     void forwardLost(Instant now, const HostName& host) { m_homes.recordFailure(now, host); }
     void statementArrived(Instant now, SessionId, const Session::StatementId&, const Session::Statement&);
     /// Sends the failure as the answer to a statement that could not be parsed.
     void malformedStatementArrived(Instant now, SessionId, const Session::Failure&);
+    /// A statement arrived on a session that another host serves, outside a transaction. Refuses it, or states a route
+    /// that has changed to the other host.
+    /// @return whether the statement is to be forwarded.
+    [[nodiscard]] bool forwardedStatementArrived(
+        Instant now, SessionId, const Session::StatementId&, const Session::Statement&);
+    /// The host that forwards a session states its route, before the next statement.
+    void routeStated(SessionId, const StatedRoute&);
     void sessionClosed(Instant now, SessionId);
 
     // Targets.
@@ -120,6 +134,9 @@
     RandomEngine& random() override { return m_random; }
     [[nodiscard]] const std::vector<SocketAddress>& relays() const override { return m_hosts.relays(); }
 
+    /// Starts the handling of an event. An event that was waiting at the end of a pause may precede the first tick.
+    void beginEvent(Instant now);
+
     // Sessions.
     void routeSession(CallerSession&);
     /// @return the host to forward the session to; empty when this host serves it.
@@ -131,12 +148,18 @@
     [[nodiscard]] std::optional<OrganisationName> authorise(
         const std::optional<Config::KeyDigest>&, const Route&, const std::optional<OrganisationName>& forwarded) const;
     [[nodiscard]] std::optional<OrganisationName> authorise(const CallerSession&, const Route&) const;
+    /// @return whether this host routes the session as the host that forwards it, or by a configuration that is not
+    /// older. True for sessions of this host's own callers.
+    [[nodiscard]] bool isRoutedAlike(const CallerSession&) const;
+    /// Serves the held statements whose route is now known, and refuses those that have waited for too long.
+    void serveHeldStatements(Instant now);
     /// Refuses a session that is not open yet. A forwarded one is closed, so that the other host serves it otherwise.
     void refuseOpening(const CallerSession&, const Session::Failure&);
     /// Ends the sessions whose key was removed from the configuration or is now another organisation's.
     void endRevokedSessions(Instant now);
     void endRevokedSession(Instant now, SessionId);
     void logRevocation(SessionId, const OrganisationName&);
+    void routeStatement(Instant now, CallerSession&, const Session::Statement&);
     /// @param hasPermit whether the operation has a permit of the organisation's rate limit.
     void serveStatement(Instant now, CallerSession&, const Session::Statement&, bool hasPermit = false);
     /// Takes a permit of the organisation's rate limit for an operation. Without one the operation waits for it, or is
@@ -155,10 +178,22 @@
     [[nodiscard]] GroupService* findGroup(const GroupName&);
     [[nodiscard]] GroupService* groupOwning(ConnectionId);
     void logStatement(const CallerSession&, const StatementResult&, Duration elapsed);
+    /// Logs and answers a statement that is not submitted to a group.
+    void refuse(CallerSession&, const Session::Failure&, Session::TransactionState);
+    /// Appends since when this host has its configuration, and how long ago the store confirmed it.
+    void appendConfigurationAge(std::vector<LogField>&, const CallerSession&) const;
 
     // Configuration and targets.
     void tableChanged(Instant now, StoreTable);
     void adoptCatalog(Instant now);
+    /// Applies the configuration in a peer's copy if it is newer by its own version, whatever the copy's version is:
+    /// the store may have come back from a copy that lacks it.
+    void adoptPeersCatalog(Instant now, const TableState&);
+    /// @return whether the configuration is newer than the one applied, and now applies.
+    bool applyCatalog(Instant now, const StoreRow&, Catalog);
+    void catalogChanged(Instant now);
+    /// @return this host's copy of a table, with the row of the applied configuration if that of the store is older.
+    [[nodiscard]] TableState tableForPeers(StoreTable) const;
     void updateTargets(Instant now);
     void updateGroupMembers(Instant now);
     /// Tells the groups where the list of targets came from.
@@ -169,10 +204,13 @@
     void logTargetChanges(const TargetDirectory::Changes&);
     /// Logs a failed call, and a success that follows failed ones.
     /// @param before the calls before the one that ended.
-    void logStoreCall(Instant, StoreTable, const StoreFollower::CallHistory& before, const Expected<StorePage>&);
+    /// @param failure why it failed; empty if it succeeded.
+    void logStoreCall(
+        Instant, StoreTable, const StoreFollower::CallHistory& before, const std::optional<Error>& failure);
     /// Notes the era of the store that an answer states.
-    void recordEra(StoreTable, const Expected<StorePage>&);
+    void recordEra(StoreTable, const RowVersion& asOf);
     void queryPeers(Instant now);
+    [[nodiscard]] std::optional<SocketAddress> nextPeer();
     /// Decides from whom the tables are followed.
     void updateFeeders(Instant now);
     /// Adapts the times of the followed tables to the bounds and to the number of hops.
@@ -187,11 +225,15 @@
     const RowReader& m_reader;
     ProxyDelegate& m_delegate;
     RandomEngine m_random;
-    /// Time of the event that is being handled.
+    /// Time of the event that is being handled, or of the last one.
     Instant m_now;
-    Instant m_lastTickAt;
     std::array<StoreFollower, followedTables.size()> m_followers;
     std::optional<Catalog> m_catalog;
+    Instant m_catalogAppliedAt {};
+    /// The row from which the applied configuration was read.
+    StoreRow m_appliedRow;
+    /// Whether the store's table has an older configuration than the applied one.
+    bool m_isOlderCatalogListed { false };
     /// The latest era of the store that an answer stated.
     StoreEra m_storeEra;
     TargetDirectory m_directory;
@@ -216,12 +258,20 @@
     std::set<GroupName> m_servedGroups;
     std::map<GroupName, std::unique_ptr<GroupService>> m_groups;
     std::unordered_map<SessionId, CallerSession> m_sessions;
+    struct ForwardedSession {
+        SessionRequest request;
+        /// Whether the other host reads the routes that are stated.
+        bool hostReadsRoutes { false };
+    };
+
     /// The sessions of this host's callers that other hosts serve.
-    std::unordered_map<SessionId, SessionRequest> m_forwardedSessions;
+    std::unordered_map<SessionId, ForwardedSession> m_forwardedSessions;
     std::uint64_t m_lastConnection { 0 };
     std::uint64_t m_lastStatement { 0 };
     /// Index in m_settings.seeds of the peer that was queried last.
     std::size_t m_lastSeed { 0 };
+    bool m_wasSeedQueried { false };
+    bool m_hasPeerAnswered { false };
     Instant m_peerQueriedAt {};
     bool m_isClosingIdleSessions { false };
 };
--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -10,7 +10,7 @@
 
 void Proxy::tableRead(Instant now, StoreTable table, const Expected<StorePage>& page)
 {
-    m_now = now;
+    beginEvent(now);
     if (table == StoreTable::Hosts) {
         // After a failed read the known hosts are kept; the followed tables report that the store is unavailable.
         if (page && m_hosts.updateHosts(now, *page)) {
@@ -22,11 +22,13 @@
             m_allotments->setHosts(now, m_hosts.hosts());
         return;
     }
-    recordEra(table, page);
+    if (page)
+        recordEra(table, page->asOf);
+    const auto failure = page ? follower(table).rejectionOfRead(*page) : page.error();
     const auto before = follower(table).calls();
     const bool hasChanged = follower(table).tableRead(now, m_random, page);
     updateListOrigin();
-    logStoreCall(now, table, before, page);
+    logStoreCall(now, table, before, failure);
     if (hasChanged)
         tableChanged(now, table);
     follower(table).tick(now);
@@ -34,12 +36,14 @@
 
 void Proxy::tableFollowed(Instant now, StoreTable table, const Expected<StorePage>& page)
 {
-    m_now = now;
-    recordEra(table, page);
+    beginEvent(now);
+    if (page)
+        recordEra(table, page->asOf);
+    const auto failure = page ? follower(table).rejectionOfPoll(*page) : page.error();
     const auto before = follower(table).calls();
     const bool hasChanged = follower(table).tableFollowed(now, m_random, page);
     updateListOrigin();
-    logStoreCall(now, table, before, page);
+    logStoreCall(now, table, before, failure);
     if (hasChanged)
         tableChanged(now, table);
     follower(table).tick(now);
@@ -53,7 +57,7 @@
 
 void Proxy::membersRead(Instant now, const GroupName& name, const Expected<StorePage>& page)
 {
-    m_now = now;
+    beginEvent(now);
     auto* const group = findGroup(name);
     if (!group)
         return;
@@ -79,15 +83,15 @@
 }
 
 void Proxy::logStoreCall(
-    Instant now, StoreTable table, const StoreFollower::CallHistory& before, const Expected<StorePage>& page)
+    Instant now, StoreTable table, const StoreFollower::CallHistory& before, const std::optional<Error>& failure)
 {
     std::vector<LogField> fields { { "table", std::string(toString(table)) } };
-    if (!page) {
+    if (failure) {
         const auto waited = now - before.sentAt;
         m_delegate.measure("store_call_failed_ms", static_cast<double>(toMilliseconds(waited)));
         fields.push_back({ "waited_ms", std::to_string(toMilliseconds(waited)) });
         fields.push_back({ "failures", std::to_string(before.failures + 1) });
-        fields.push_back({ "reason", page.error().describe() });
+        fields.push_back({ "reason", failure->describe() });
         const bool isFirst = !before.failingSince;
         log({ isFirst ? LogEvent::PlatformOutage : LogEvent::PlatformCallFailed, std::move(fields) });
         return;
@@ -101,30 +105,45 @@
     log({ LogEvent::PlatformRecovered, std::move(fields) });
 }
 
-void Proxy::recordEra(StoreTable table, const Expected<StorePage>& page)
+void Proxy::recordEra(StoreTable table, const RowVersion& asOf)
 {
-    if (!page || page->asOf.era() <= m_storeEra)
+    if (asOf.era() <= m_storeEra)
         return;
-    const auto before = std::exchange(m_storeEra, page->asOf.era());
+    const auto before = std::exchange(m_storeEra, asOf.era());
     if (!follower(table).isKnown())
         return;
     log({ LogEvent::StoreEraChanged,
         { { "era", std::to_string(m_storeEra.value()) }, { "before", std::to_string(before.value()) },
-            { "table", std::string(toString(table)) }, { "as_of", toString(page->asOf) },
+            { "table", std::string(toString(table)) }, { "as_of", toString(asOf) },
             { "known", toString(follower(table).state().asOf) } } });
 }
 
 void Proxy::tableChanged(Instant now, StoreTable table)
 {
-    answerFeeds(now);
     if (table == StoreTable::Configuration)
         adoptCatalog(now);
     else
         updateTargets(now);
+    answerFeeds(now);
+}
+
+bool Proxy::applyCatalog(Instant now, const StoreRow& row, Catalog catalog)
+{
+    if (m_catalog && catalog.version <= m_catalog->version)
+        return false;
+    m_catalog = std::move(catalog);
+    m_catalogAppliedAt = now;
+    m_appliedRow = row;
+    log({ LogEvent::ConfigurationApplied,
+        { { "version", std::to_string(m_catalog->version.value()) },
+            { "routes", std::to_string(m_catalog->routes.size()) }, { "row_version", toString(row.version) },
+            { "as_of", toString(follower(StoreTable::Configuration).state().asOf) } } });
+    return true;
 }
 
 void Proxy::adoptCatalog(Instant now)
 {
+    m_isOlderCatalogListed = false;
     for (const auto& [key, row] : follower(StoreTable::Configuration).state().rows) {
         auto catalog = m_reader.readCatalog(row);
         if (!catalog) {
@@ -134,20 +153,41 @@
         }
         if (!*catalog)
             continue;
-        if (m_catalog && (*catalog)->version <= m_catalog->version) {
-            if ((*catalog)->version < m_catalog->version)
-                log({ LogEvent::OlderConfigurationIgnored,
-                    { { "version", std::to_string((*catalog)->version.value()) },
-                        { "applied", std::to_string(m_catalog->version.value()) },
-                        { "row_version", toString(row.version) } } });
+        const auto version = (*catalog)->version;
+        if (applyCatalog(now, row, std::move(**catalog)) || version >= m_catalog->version)
             continue;
-        }
-        m_catalog = std::move(**catalog);
-        log({ LogEvent::ConfigurationApplied,
-            { { "version", std::to_string(m_catalog->version.value()) },
-                { "routes", std::to_string(m_catalog->routes.size()) }, { "row_version", toString(row.version) },
-                { "as_of", toString(follower(StoreTable::Configuration).state().asOf) } } });
+        m_isOlderCatalogListed = true;
+        log({ LogEvent::OlderConfigurationIgnored,
+            { { "version", std::to_string(version.value()) }, { "applied", std::to_string(m_catalog->version.value()) },
+                { "row_version", toString(row.version) } } });
     }
+    catalogChanged(now);
+}
+
+void Proxy::adoptPeersCatalog(Instant now, const TableState& peers)
+{
+    bool hasChanged = false;
+    for (const auto& [key, row] : peers.rows) {
+        auto catalog = m_reader.readCatalog(row);
+        if (catalog && *catalog)
+            hasChanged = applyCatalog(now, row, std::move(**catalog)) || hasChanged;
+    }
+    if (!hasChanged)
+        return;
+    m_isOlderCatalogListed = true;
+    catalogChanged(now);
+}
+
+TableState Proxy::tableForPeers(StoreTable table) const
+{
+    auto state = m_followers[static_cast<std::size_t>(table)].state();
+    if (table == StoreTable::Configuration && m_isOlderCatalogListed)
+        state.rows[m_appliedRow.key] = m_appliedRow;
+    return state;
+}
+
+void Proxy::catalogChanged(Instant now)
+{
     if (!m_catalog)
         return;
     for (const auto& [name, rules] : m_catalog->groups) {
@@ -171,6 +211,7 @@
         if (auto* const session = findSession(id))
             routeSession(*session);
     }
+    serveHeldStatements(now);
 }
 
 void Proxy::updateTargets(Instant now)
@@ -257,33 +298,59 @@
 
 void Proxy::queryPeers(Instant now)
 {
-    if (m_settings.seeds.empty() || now - m_peerQueriedAt < peerQueryInterval)
+    if (now - m_peerQueriedAt < peerQueryInterval)
         return;
+    // After a return of the store from an older copy, only hosts that ran before may have the newest configuration.
+    const bool maySeeOlderCopy = m_storeEra != StoreEra {} && !m_hasPeerAnswered;
     const bool needsPeers = std::any_of(m_followers.begin(), m_followers.end(), [now](const StoreFollower& follower) {
         return (!follower.isKnown())
             || (follower.calls().failingSince && now - *follower.calls().failingSince >= peerDelay);
     });
-    if (!needsPeers)
+    if (!needsPeers && !maySeeOlderCopy)
         return;
     m_peerQueriedAt = now;
+    if (const auto peer = nextPeer())
+        m_delegate.queryPeer(*peer);
+}
+
+std::optional<SocketAddress> Proxy::nextPeer()
+{
+    // The store may turn all seeds away, so every second query goes to one of the recorded hosts.
+    m_wasSeedQueried = !m_wasSeedQueried && !m_settings.seeds.empty();
+    if (!m_wasSeedQueried) {
+        std::vector<SocketAddress> recorded;
+        for (const auto& host : m_hosts.hosts()) {
+            if (host.peers && *host.peers != m_settings.peers)
+                recorded.push_back(*host.peers);
+        }
+        if (!recorded.empty())
+            return recorded[std::uniform_int_distribution<std::size_t>(0, recorded.size() - 1)(m_random)];
+    }
+    if (m_settings.seeds.empty())
+        return {};
     m_lastSeed = (m_lastSeed + 1) % m_settings.seeds.size();
     if (m_settings.seeds[m_lastSeed] == m_settings.peers)
         m_lastSeed = (m_lastSeed + 1) % m_settings.seeds.size();
-    if (m_settings.seeds[m_lastSeed] != m_settings.peers)
-        m_delegate.queryPeer(m_settings.seeds[m_lastSeed]);
+    return m_settings.seeds[m_lastSeed] == m_settings.peers ? std::nullopt
+                                                            : std::optional(m_settings.seeds[m_lastSeed]);
 }
 
 void Proxy::peerAnswered(Instant now, const SocketAddress& peer, const Expected<TableStates>& tables)
 {
-    m_now = now;
+    beginEvent(now);
     if (!tables) {
         log({ LogEvent::PeerMessageRejected,
             { { "peer", peer.toString() }, { "reason", tables.error().describe() } } });
         return;
     }
+    m_hasPeerAnswered = true;
     for (const auto& [table, state] : *tables) {
-        if (!follower(table).adopt(state, peer))
+        recordEra(table, state.asOf);
+        if (!follower(table).adopt(state, peer)) {
+            if (table == StoreTable::Configuration)
+                adoptPeersCatalog(now, state);
             continue;
+        }
         updateListOrigin();
         log({ LogEvent::PeerStateAdopted,
             { { "peer", peer.toString() }, { "table", std::string(toString(table)) },
@@ -296,7 +363,7 @@
 {
     TableStates tables;
     for (const auto table : followedTables)
-        tables[table] = m_followers[static_cast<std::size_t>(table)].state();
+        tables[table] = tableForPeers(table);
     return tables;
 }
 
@@ -310,6 +377,9 @@
         { "configuration", m_catalog ? m_catalog->version.value() : 0 }, { "sessions", m_sessions.size() },
         { "statements", statements() }, { "store_era", m_storeEra.value() }, { "uses_feeders", m_usesFeeders },
         { "feeder", m_feeder ? m_feeder->toString() : "" }, { "followers_waiting", m_feed.size() },
+        { "configuration_known_ms", m_catalog ? Json(toMilliseconds(now - m_catalogAppliedAt)) : Json() },
+        { "configuration_copy",
+            describeOrigin(now, m_followers[static_cast<std::size_t>(StoreTable::Configuration)].origin()) },
         { "targets_list", describeOrigin(now, m_followers[static_cast<std::size_t>(StoreTable::Targets)].origin()) },
         { "groups", std::move(groups) } };
     if (usesDatagrams())
--- a/src/proxy/StoreFollower.cpp
+++ b/src/proxy/StoreFollower.cpp
@@ -4,6 +4,15 @@
 
 namespace Auburnpost::Proxy {
 
+namespace {
+
+    Error rejection(StoreTable table, const char* reason)
+    {
+        return { ErrorCode::PlatformUnavailable, "read " + std::string(toString(table)), "store", reason };
+    }
+
+} // namespace
+
 StoreFollower::StoreFollower(StoreTable table, TableTimes times, StoreDelegate& delegate)
     : m_table(table)
     , m_times(times)
@@ -11,12 +20,20 @@
 {
 }
 
+void StoreFollower::resumedAfterPause(Instant pausedAt, Instant now)
+{
+    m_pausedAt = pausedAt;
+    m_resumedAt = now;
+    m_nextCallAt = now;
+}
+
 void StoreFollower::tick(Instant now)
 {
     if (m_isCalling || now < m_nextCallAt)
         return;
     m_isCalling = true;
     m_calls.sentAt = now;
+    m_polledAfter = m_state.asOf;
     if (m_feeder) {
         const bool mayWait = m_calls.isConnected && !m_needsRead;
         m_delegate.followFeeder(*m_feeder, m_table, m_state.asOf, mayWait ? m_times.pollWait() : Duration {},
@@ -31,10 +48,27 @@
     }
 }
 
+std::optional<Error> StoreFollower::rejectionOfRead(const StorePage& page) const
+{
+    const bool isFirst = m_partialRead.asOf == RowVersion {};
+    if (isFirst && page.asOf < m_state.asOf)
+        return rejection(m_table, "the answer is older than this host's copy");
+    if (!isFirst && page.asOf.era() != m_partialRead.asOf.era())
+        return rejection(m_table, "the store came back from an older copy during the read");
+    return {};
+}
+
+std::optional<Error> StoreFollower::rejectionOfPoll(const StorePage& page) const
+{
+    if (!page.isHistoryUnavailable && page.asOf.era() < m_state.asOf.era())
+        return rejection(m_table, "the answer is of an earlier era of the store");
+    return {};
+}
+
 bool StoreFollower::tableRead(Instant now, RandomEngine& random, const Expected<StorePage>& page)
 {
     m_isCalling = false;
-    if (!page) {
+    if (!page || rejectionOfRead(*page)) {
         recordFailure(now, random);
         return false;
     }
@@ -51,27 +85,28 @@
         return false;
     }
     m_needsRead = false;
+    // A peer's copy may have been adopted since the first page.
     if (m_partialRead.asOf < m_state.asOf)
         return false;
     m_state = std::move(m_partialRead);
-    recordConfirmation(now);
+    recordConfirmation(answeredAt(now));
     return true;
 }
 
 bool StoreFollower::tableFollowed(Instant now, RandomEngine& random, const Expected<StorePage>& page)
 {
     m_isCalling = false;
-    if (!page) {
+    if (!page || rejectionOfPoll(*page)) {
         recordFailure(now, random);
         return false;
     }
     recordAnswer(now);
-    if (page->isHistoryUnavailable) {
+    if (page->isHistoryUnavailable || page->asOf.era() != m_polledAfter.era()) {
         m_needsRead = true;
         return false;
     }
     if (page->asOf >= m_state.asOf)
-        recordConfirmation(now);
+        recordConfirmation(answeredAt(now));
     return mergeChanges(*page);
 }
 
@@ -85,7 +120,8 @@
     }
     recordAnswer(now);
     m_needsRead = false;
-    recordConfirmation(std::max(now - page->age, m_confirmedAt.value_or(now - page->age)));
+    const auto confirmedAt = answeredAt(now) - page->age;
+    recordConfirmation(std::max(confirmedAt, m_confirmedAt.value_or(confirmedAt)));
     if (!page->table || page->table->asOf <= m_state.asOf)
         return false;
     m_state = *page->table;
@@ -152,6 +188,11 @@
     if (!m_calls.failingSince)
         m_calls.failingSince = now;
     ++m_calls.failures;
+    // The call may have failed only because of the pause.
+    if (m_calls.sentAt < m_resumedAt) {
+        m_nextCallAt = now;
+        return;
+    }
     std::uniform_int_distribution<Duration::rep> delay(
         m_times.minRetryDelay().count(), m_times.maxRetryDelay().count());
     m_nextCallAt = now + Duration(delay(random));
--- a/src/proxy/StoreFollower.h
+++ b/src/proxy/StoreFollower.h
@@ -34,7 +34,8 @@
 /// Maintains a local copy of one table of the platform's store: reads the whole table, then follows its changes by
 /// long polls, and reads the whole table again when the store no longer has the history of changes. After a failed call
 /// it polls without a wait until the store answers, as a long poll that an outage swallowed would outlast the outage.
-/// A row is never replaced by an older version.
+/// A row is never replaced by an older version. Once an answer is of a later era of the store, the whole table is read
+/// again, as the changes after a version of an earlier era are not known.
 class StoreFollower {
 public:
     /// The outcome of the calls so far.
@@ -57,9 +58,14 @@
     /// @param feeder the address of that host; empty to follow the store.
     void setFeeder(const std::optional<SocketAddress>& feeder) { m_feeder = feeder; }
 
+    /// The process was paused. Calls that were sent before count as answered, or failed, at the start of the pause.
+    void resumedAfterPause(Instant pausedAt, Instant now);
     /// Starts the next call if one is due.
     void tick(Instant now);
-    /// Handles the result of a read or of a long poll.
+    /// @return why the answer to a read or a long poll can't be used; empty if it can.
+    [[nodiscard]] std::optional<Error> rejectionOfRead(const StorePage&) const;
+    [[nodiscard]] std::optional<Error> rejectionOfPoll(const StorePage&) const;
+    /// Handles the result of a read or of a long poll. An answer that can't be used counts as a failed call.
     /// @return whether the table changed.
     bool tableRead(Instant now, RandomEngine&, const Expected<StorePage>&);
     bool tableFollowed(Instant now, RandomEngine&, const Expected<StorePage>&);
@@ -82,6 +88,8 @@
     [[nodiscard]] const CallHistory& calls() const { return m_calls; }
 
 private:
+    /// @return the latest moment that the answer to the call in progress is known to reflect.
+    [[nodiscard]] Instant answeredAt(Instant now) const { return m_calls.sentAt < m_resumedAt ? m_pausedAt : now; }
     void recordFailure(Instant now, RandomEngine&);
     void recordAnswer(Instant now);
     bool mergeChanges(const StorePage&);
@@ -95,6 +103,8 @@
     TableState m_partialRead;
     bool m_needsRead { true };
     bool m_isCalling { false };
+    /// The version after which changes were requested in the call in progress.
+    RowVersion m_polledAfter;
     CallHistory m_calls;
     /// When the store last answered with all changes up to then.
     std::optional<Instant> m_confirmedAt;
@@ -102,6 +112,9 @@
     std::optional<SocketAddress> m_peer;
     std::optional<SocketAddress> m_feeder;
     Instant m_nextCallAt {};
+    /// Start and end of the last pause of the process.
+    Instant m_pausedAt {};
+    Instant m_resumedAt {};
 };
 
 } // namespace Auburnpost::Proxy
