--- a/tests/process/ChildProcess.cpp
+++ b/tests/process/ChildProcess.cpp
@@ -4,9 +4,9 @@
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
-#include <set>
 #include <spawn.h>
 #include <stdexcept>
 #include <sys/socket.h>
@@ -20,17 +20,44 @@
 
     constexpr auto waitTimeout = std::chrono::seconds(20);
     constexpr auto pollInterval = std::chrono::milliseconds(5);
+    /// A port that the kernel picks may be given to a connection or to another process before its owner listens on it.
+    /// So ports come from below the kernel's range, and each process has a block of its own.
+    constexpr std::uint16_t firstPort = 12000;
+    constexpr std::uint16_t portsPerBlock = 200;
+    constexpr int portBlocks = 100;
+
+    /// @return pointers to the texts, as the functions that start a process take them.
+    std::vector<char*> pointersTo(const std::vector<std::string>& texts)
+    {
+        std::vector<char*> pointers;
+        pointers.reserve(texts.size() + 1);
+        for (const std::string& text : texts)
+            pointers.push_back(const_cast<char*>(text.c_str()));
+        return pointers;
+    }
 
 } // namespace
 
-ChildProcess::ChildProcess(const std::vector<std::string>& arguments)
+ChildProcess::ChildProcess(const std::vector<std::string>& arguments, const ChildProcessOptions& options)
 {
-    std::vector<char*> pointers;
-    pointers.reserve(arguments.size() + 1);
-    for (const std::string& argument : arguments)
-        pointers.push_back(const_cast<char*>(argument.c_str()));
+    auto pointers = pointersTo(arguments);
     pointers.push_back(nullptr);
-    if (posix_spawn(&m_pid, pointers[0], nullptr, nullptr, pointers.data(), environ) != 0)
+    // The first of two variables of the same name counts.
+    auto environment = pointersTo(options.environment);
+    for (char** variable = environ; *variable; ++variable)
+        environment.push_back(*variable);
+    environment.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    if (!options.outputPath.empty()) {
+        constexpr mode_t mode = 0644;
+        posix_spawn_file_actions_addopen(
+            &actions, STDOUT_FILENO, options.outputPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, mode);
+        posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    }
+    const int outcome = posix_spawn(&m_pid, pointers[0], &actions, nullptr, pointers.data(), environment.data());
+    posix_spawn_file_actions_destroy(&actions);
+    if (outcome != 0)
         throw std::runtime_error("can't start " + arguments.front());
 }
 
@@ -72,7 +99,8 @@
 TemporaryFolder::~TemporaryFolder()
 {
     std::error_code ignored;
-    std::filesystem::remove_all(m_path, ignored);
+    if (!m_isKept)
+        std::filesystem::remove_all(m_path, ignored);
 }
 
 std::string TemporaryFolder::write(const std::string& name, const std::string& content) const
@@ -84,20 +112,22 @@
 
 std::uint16_t freePort()
 {
-    static std::set<std::uint16_t> issuedPorts;
-    while (true) {
-        const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    static std::uint16_t next = 0;
+    const auto block = static_cast<std::uint16_t>(getpid() % portBlocks);
+    for (std::uint16_t tried = 0; tried < portsPerBlock; ++tried) {
+        const auto port = static_cast<std::uint16_t>(firstPort + block * portsPerBlock + next);
+        next = static_cast<std::uint16_t>((next + 1) % portsPerBlock);
+        const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         sockaddr_in address {};
         address.sin_family = AF_INET;
+        address.sin_port = htons(port);
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof address;
-        if (bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) != 0)
-            throw std::runtime_error("no port can be bound");
-        getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+        const bool isFree = bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
         close(descriptor);
-        if (issuedPorts.insert(ntohs(address.sin_port)).second)
-            return ntohs(address.sin_port);
+        if (isFree)
+            return port;
     }
+    throw std::runtime_error("no port can be bound");
 }
 
 bool eventually(const std::function<bool()>& condition)
