--- /dev/null
+++ b/tests/proxy/ConfigurationHost.cpp
@@ -0,0 +1,444 @@
+#include "proxy/ConfigurationHost.h"
+
+#include "proxy/ConfigurationSimulation.h"
+#include "proxy/FakeTarget.h"
+#include "proxy/PeerSnapshot.h"
+
+#include <cstdlib>
+#include <iostream>
+
+namespace Auburnpost::Proxy {
+
+namespace {
+
+    /// Timeout of a host's calls for leases, members and its own record.
+    constexpr Duration storeCallTimeout = std::chrono::milliseconds(900);
+    /// As of SessionForwarder, the time within which another host has to open a forwarded session.
+    constexpr Duration forwardTimeout = std::chrono::milliseconds(300);
+    /// From this host to a target.
+    constexpr Duration targetDelay = std::chrono::milliseconds(1);
+    constexpr Duration refusalDelay = std::chrono::milliseconds(1);
+
+    SocketAddress addressOf(std::size_t host, std::uint16_t firstPort)
+    {
+        return { "10.9.0.1", static_cast<std::uint16_t>(firstPort + host) };
+    }
+    constexpr std::uint16_t relayPort = 100;
+    constexpr std::uint16_t sessionsPort = 200;
+    constexpr std::uint16_t peerPort = 300;
+
+    tl::unexpected<Error> storeFailure(const char* reason)
+    {
+        return fail(ErrorCode::PlatformUnavailable, "call", "store", reason);
+    }
+
+} // namespace
+
+ConfigurationHost::ConfigurationHost(ConfigurationSimulation& simulation, std::size_t index, std::uint64_t seed)
+    : m_simulation(simulation)
+    , m_index(index)
+{
+    ProxySettings settings;
+    settings.host = ConfigurationSimulation::hostName(index);
+    settings.dataCentre = ConfigurationSimulation::dataCentreOf(index);
+    settings.relay = addressOf(index, relayPort);
+    settings.sessions = addressOf(index, sessionsPort);
+    settings.peers = addressOf(index, peerPort);
+    for (std::size_t host = 0; host < ConfigurationSimulation::hostCount; ++host)
+        settings.seeds.push_back(addressOf(host, peerPort));
+    const RowReader& reader = *this;
+    m_proxy = std::make_unique<Proxy>(simulation.now(), settings, reader, *this, seed);
+    simulation.after(Duration(1), [this] { tick(); });
+}
+
+void ConfigurationHost::tick()
+{
+    if (m_isKilled)
+        return;
+    if (!m_pausedUntil)
+        m_proxy->tick(m_simulation.now());
+    m_simulation.after(Proxy::tickInterval, [this] { tick(); });
+}
+
+void ConfigurationHost::pause(Instant until)
+{
+    m_pausedUntil = std::max(until, m_pausedUntil.value_or(until));
+    m_simulation.after(*m_pausedUntil - m_simulation.now(), [this] { resume(); });
+}
+
+void ConfigurationHost::resume()
+{
+    if (!m_pausedUntil || m_simulation.now() < *m_pausedUntil)
+        return;
+    m_pausedUntil.reset();
+    for (const auto& task : std::exchange(m_waiting, {}))
+        run(task);
+}
+
+void ConfigurationHost::kill()
+{
+    m_isKilled = true;
+    m_connections.clear();
+    for (const auto& [id, forward] : std::exchange(m_forwards, {}))
+        closeAtHome(forward);
+    for (const auto& [id, origin] : std::exchange(m_origins, {})) {
+        auto* const host = origin.host;
+        host->deliver(m_simulation.delayBetween(m_index, host->index()),
+            [host, idAtHost = origin.idAtHost] { host->forwardEnded(idAtHost); });
+    }
+}
+
+void ConfigurationHost::deliver(Duration delay, std::function<void()> task)
+{
+    m_simulation.after(delay, [this, task = std::move(task)] { run(task); });
+}
+
+void ConfigurationHost::run(const std::function<void()>& task)
+{
+    if (m_isKilled)
+        return;
+    if (m_pausedUntil)
+        m_waiting.push_back(task);
+    else
+        task();
+}
+
+// Callers.
+
+void ConfigurationHost::openSession(SessionId id, const DatabaseName& database)
+{
+    deliver(ConfigurationSimulation::callerDelay,
+        [this, id, database] { m_proxy->sessionOpened(m_simulation.now(), id, { database }); });
+}
+
+void ConfigurationHost::sendStatement(SessionId id, const Session::StatementId& statement)
+{
+    deliver(ConfigurationSimulation::callerDelay, [this, id, statement] {
+        const Session::Statement read { Session::StatementKind::Read, {}, {}, {}, "SELECT 1" };
+        const auto forward = m_forwards.find(id);
+        if (forward == m_forwards.end()) {
+            m_proxy->statementArrived(m_simulation.now(), id, statement, read);
+            return;
+        }
+        forward->second.hasOpenRequest = true;
+        auto* const home = forward->second.home;
+        home->deliver(m_simulation.delayBetween(m_index, home->index()),
+            [this, home, idAtHome = forward->second.idAtHome, statement, read] {
+                home->m_proxy->statementArrived(m_simulation.now(), idAtHome, statement, read);
+            });
+    });
+}
+
+void ConfigurationHost::endSession(SessionId id)
+{
+    deliver(ConfigurationSimulation::callerDelay, [this, id] {
+        if (const auto forward = m_forwards.extract(id))
+            closeAtHome(forward.mapped());
+        m_proxy->sessionClosed(m_simulation.now(), id);
+    });
+}
+
+void ConfigurationHost::acceptSession(SessionId id)
+{
+    if (!tellOrigin(id, false, [](ConfigurationHost& host, SessionId own) { host.forwardAccepted(own); }))
+        m_simulation.after(ConfigurationSimulation::callerDelay, [this, id] { m_simulation.accepted(id); });
+}
+
+void ConfigurationHost::refuseSession(SessionId id, const Session::Failure& failure)
+{
+    if (!tellOrigin(id, true,
+            [failure, by = m_index](ConfigurationHost& host, SessionId own) { host.forwardRefused(own, failure, by); }))
+        m_simulation.after(
+            ConfigurationSimulation::callerDelay, [this, id, failure] { m_simulation.refused(id, failure, m_index); });
+}
+
+void ConfigurationHost::answer(SessionId id, const Session::Answer& answer)
+{
+    if (!tellOrigin(id, false,
+            [answer, by = m_index](ConfigurationHost& host, SessionId own) { host.forwardAnswered(own, answer, by); }))
+        m_simulation.after(
+            ConfigurationSimulation::callerDelay, [this, id, answer] { m_simulation.answered(id, answer, m_index); });
+}
+
+void ConfigurationHost::closeSession(SessionId id)
+{
+    if (!tellOrigin(id, true, [](ConfigurationHost& host, SessionId own) { host.forwardEnded(own); }))
+        m_simulation.after(ConfigurationSimulation::callerDelay, [this, id] { m_simulation.closed(id); });
+}
+
+// Forwarded sessions.
+
+void ConfigurationHost::forwardSession(SessionId id, const SessionRequest& request, const HostEntry& entry)
+{
+    auto& home = m_simulation.host(ConfigurationSimulation::indexOf(entry.name));
+    const auto idAtHome = m_simulation.nextForwardedSession();
+    m_forwards[id] = { &home, idAtHome };
+    const auto delay = m_simulation.delayBetween(m_index, home.index());
+    const auto fail = [this, id, idAtHome] {
+        const auto forward = m_forwards.find(id);
+        if (forward != m_forwards.end() && forward->second.idAtHome == idAtHome && !forward->second.isAnswered)
+            failForward(id);
+    };
+    if (home.isKilled()) {
+        deliver(2 * delay, fail);
+        return;
+    }
+    deliver(forwardTimeout, fail);
+    auto forwarded = request;
+    forwarded.isForwarded = true;
+    forwarded.key.reset();
+    // The connection is opened first.
+    home.deliver(
+        3 * delay, [this, id, idAtHome, forwarded, &home] { home.forwardArrived(*this, id, idAtHome, forwarded); });
+}
+
+void ConfigurationHost::forwardArrived(
+    ConfigurationHost& origin, SessionId idAtOrigin, SessionId id, const SessionRequest& request)
+{
+    m_origins[id] = { &origin, idAtOrigin };
+    m_proxy->sessionOpened(m_simulation.now(), id, request);
+}
+
+bool ConfigurationHost::tellOrigin(
+    SessionId id, bool isLast, const std::function<void(ConfigurationHost&, SessionId)>& report)
+{
+    if (!ConfigurationSimulation::isForwarded(id))
+        return false;
+    const auto origin = m_origins.find(id);
+    if (origin == m_origins.end())
+        return true;
+    auto* const host = origin->second.host;
+    host->deliver(
+        m_simulation.delayBetween(m_index, host->index()), [host, report, id, idAtHost = origin->second.idAtHost] {
+            // The session may have been closed, or forwarded elsewhere, since.
+            const auto forward = host->m_forwards.find(idAtHost);
+            if (forward != host->m_forwards.end() && forward->second.idAtHome == id)
+                report(*host, idAtHost);
+        });
+    if (isLast)
+        m_origins.erase(origin);
+    return true;
+}
+
+void ConfigurationHost::forwardAccepted(SessionId id)
+{
+    m_forwards.at(id).isAnswered = true;
+    m_simulation.after(ConfigurationSimulation::callerDelay, [this, id] { m_simulation.accepted(id); });
+}
+
+void ConfigurationHost::forwardRefused(SessionId id, const Session::Failure& failure, std::size_t decidedBy)
+{
+    m_forwards.erase(id);
+    m_proxy->sessionClosed(m_simulation.now(), id);
+    m_simulation.after(ConfigurationSimulation::callerDelay,
+        [this, id, failure, decidedBy] { m_simulation.refused(id, failure, decidedBy); });
+}
+
+void ConfigurationHost::forwardAnswered(SessionId id, const Session::Answer& answer, std::size_t decidedBy)
+{
+    auto& forward = m_forwards.at(id);
+    forward.hasOpenRequest = false;
+    m_simulation.after(ConfigurationSimulation::callerDelay,
+        [this, id, answer, decidedBy] { m_simulation.answered(id, answer, decidedBy); });
+    if (forward.isEnding)
+        forwardEnded(id);
+}
+
+void ConfigurationHost::forwardEnded(SessionId id)
+{
+    const auto found = m_forwards.find(id);
+    if (found == m_forwards.end())
+        return;
+    if (!found->second.isAnswered) {
+        failForward(id);
+        return;
+    }
+    const auto forward = found->second;
+    m_forwards.erase(found);
+    closeAtHome(forward);
+    if (forward.hasOpenRequest)
+        m_proxy->forwardLost(m_simulation.now(), ConfigurationSimulation::hostName(forward.home->index()));
+    m_proxy->sessionClosed(m_simulation.now(), id);
+    m_simulation.after(ConfigurationSimulation::callerDelay, [this, id] { m_simulation.closed(id); });
+}
+
+void ConfigurationHost::endForwardedSession(SessionId id)
+{
+    const auto forward = m_forwards.find(id);
+    if (forward == m_forwards.end())
+        return;
+    forward->second.isEnding = true;
+    if (forward->second.isAnswered && !forward->second.hasOpenRequest)
+        forwardEnded(id);
+}
+
+void ConfigurationHost::failForward(SessionId id)
+{
+    const auto forward = m_forwards.extract(id).mapped();
+    closeAtHome(forward);
+    m_proxy->forwardFailed(m_simulation.now(), id, ConfigurationSimulation::hostName(forward.home->index()));
+}
+
+void ConfigurationHost::closeAtHome(const Forward& forward)
+{
+    auto* const home = forward.home;
+    home->deliver(m_simulation.delayBetween(m_index, home->index()), [home, this, id = forward.idAtHome] {
+        home->m_origins.erase(id);
+        home->m_proxy->sessionClosed(m_simulation.now(), id);
+    });
+}
+
+// Targets.
+
+void ConfigurationHost::openConnection(
+    ConnectionId id, const TargetRecord& record, const OrganisationName&, const std::optional<SocketAddress>&)
+{
+    m_connections[id] = record.group;
+    deliver(2 * targetDelay, [this, id] {
+        if (m_connections.contains(id))
+            m_proxy->connectionOpened(m_simulation.now(), id, {});
+    });
+}
+
+void ConfigurationHost::send(ConnectionId id, const std::vector<TargetRequest>& requests)
+{
+    for (const auto& request : requests)
+        m_simulation.after(targetDelay, [this, id, request] { runRequest(id, request); });
+}
+
+void ConfigurationHost::runRequest(ConnectionId id, const TargetRequest& request)
+{
+    const auto connection = m_connections.find(id);
+    if (connection == m_connections.end())
+        return;
+    FakeTarget target;
+    target.isPrimary = true;
+    if (const auto* const statement = std::get_if<RunStatement>(&request))
+        m_simulation.statementRun(statement->id, connection->second, m_index);
+    TargetReply reply { Session::Success { "signed", {} }, Session::TransactionState::Idle, target.logEnd(), {} };
+    if (std::holds_alternative<QueryStatus>(request))
+        reply.status = target.status();
+    deliver(targetDelay, [this, id, reply] {
+        if (m_connections.contains(id))
+            m_proxy->replied(m_simulation.now(), id, reply);
+    });
+}
+
+// The store and peers.
+
+void ConfigurationHost::callStore(Duration timeout, const StoreRequest& request, const PageHandler& handle)
+{
+    auto isEnded = std::make_shared<bool>(false);
+    const auto finish = [this, isEnded, handle](Duration delay, const Expected<StorePage>& page) {
+        deliver(delay, [isEnded, handle, page] {
+            if (!std::exchange(*isEnded, true))
+                handle(page);
+        });
+    };
+    finish(timeout, storeFailure("no answer in time"));
+    if (m_simulation.isStoreSilent(m_index))
+        return;
+    m_simulation.after(m_simulation.storeDelay(m_index), [this, finish, request] {
+        if (m_simulation.isStoreRefusing(m_index)) {
+            finish(m_simulation.storeDelay(m_index) + refusalDelay, storeFailure("429"));
+            return;
+        }
+        request([this, finish](const StorePage& page) {
+            if (!m_simulation.isStoreSilent(m_index))
+                finish(m_simulation.storeDelay(m_index), page);
+        });
+    });
+}
+
+void ConfigurationHost::readTable(StoreTable table, const std::string& fromKey, Duration timeout)
+{
+    callStore(
+        timeout, [this, table, fromKey](const auto& answer) { answer(m_simulation.store().read(table, fromKey)); },
+        [this, table](const auto& page) { m_proxy->tableRead(m_simulation.now(), table, page); });
+}
+
+void ConfigurationHost::followTable(StoreTable table, RowVersion after, Duration wait, Duration timeout)
+{
+    callStore(
+        timeout,
+        [this, table, after, wait](const auto& answer) {
+            m_simulation.store().poll(table, after, m_simulation.now() + wait, answer);
+            m_simulation.after(wait, [this] { m_simulation.store().endPolls(m_simulation.now()); });
+        },
+        [this, table](const auto& page) { m_proxy->tableFollowed(m_simulation.now(), table, page); });
+}
+
+void ConfigurationHost::writeHost(const HostName& name, const std::string& value)
+{
+    callStore(
+        storeCallTimeout,
+        [this, name, value](const auto& answer) {
+            m_simulation.store().write(StoreTable::Hosts, name.value(), value);
+            answer({});
+        },
+        [this](const auto& page) { m_proxy->hostWritten(page.has_value()); });
+}
+
+void ConfigurationHost::readMembers(const GroupName& group, const std::string& fromKey)
+{
+    callStore(
+        storeCallTimeout,
+        [this, fromKey](const auto& answer) { answer(m_simulation.store().read(StoreTable::Targets, fromKey)); },
+        [this, group](const auto& page) { m_proxy->membersRead(m_simulation.now(), group, page); });
+}
+
+void ConfigurationHost::readLease(const GroupName& group)
+{
+    callStore(
+        storeCallTimeout, [](const auto& answer) { answer({}); },
+        [this, group](const auto& page) {
+            m_proxy->leaseRead(
+                m_simulation.now(), group, page.map([](const StorePage&) { return PromotionLeaseRow {}; }));
+        });
+}
+
+void ConfigurationHost::writeLease(const GroupName& group, const PromotionLease&, RowVersion)
+{
+    // The targets are never promoted, so another host may hold the lease all the time.
+    callStore(
+        storeCallTimeout, [](const auto& answer) { answer({}); },
+        [this, group](const auto& page) {
+            m_proxy->leaseWritten(
+                m_simulation.now(), group, page.map([](const StorePage&) { return std::optional<RowVersion>(); }));
+        });
+}
+
+void ConfigurationHost::queryPeer(const SocketAddress& address)
+{
+    auto& peer = m_simulation.host(static_cast<std::size_t>(address.port - peerPort));
+    const auto delay = m_simulation.delayBetween(m_index, peer.index());
+    peer.deliver(3 * delay, [this, &peer, address, delay] {
+        deliver(delay, [this, address, snapshot = encodeSnapshot(peer.m_proxy->tables())] {
+            m_proxy->peerAnswered(m_simulation.now(), address, decodeSnapshot(snapshot));
+        });
+    });
+}
+
+void ConfigurationHost::log(const LogRecord& record)
+{
+    static const bool isTraced = std::getenv("PROXY_TRACE") != nullptr;
+    if (!isTraced)
+        return;
+    std::cout << toMilliseconds(m_simulation.now().time_since_epoch()) << " host-" << m_index << ' '
+              << describe(record.event);
+    for (const auto& field : record.fields)
+        std::cout << ' ' << field.name << '=' << field.value;
+    std::cout << '\n';
+}
+
+Expected<std::optional<Catalog>> ConfigurationHost::readCatalog(const StoreRow& row) const
+{
+    return m_simulation.catalog(std::stoul(row.value));
+}
+
+Expected<TargetRecord> ConfigurationHost::readTarget(const StoreRow& row) const
+{
+    return m_simulation.targetOf(GroupName(row.value));
+}
+
+} // namespace Auburnpost::Proxy
--- /dev/null
+++ b/tests/proxy/ConfigurationHost.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "proxy/Proxy.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace Auburnpost::Proxy {
+
+class ConfigurationSimulation;
+
+/// A proxy in simulated time, with its calls to the store, its connections to targets and the sessions that it
+/// forwards to other hosts.
+class ConfigurationHost final : public ProxyDelegate, private RowReader {
+public:
+    ConfigurationHost(ConfigurationSimulation&, std::size_t index, std::uint64_t seed);
+
+    [[nodiscard]] std::size_t index() const { return m_index; }
+    [[nodiscard]] bool isKilled() const { return m_isKilled; }
+    /// Ends the process and its connections.
+    void kill();
+    /// Runs nothing until the given time; events that arrive until then are handled at its end, before the next tick.
+    void pause(Instant until);
+    /// Runs a task on this host after a delay, at the end of the host's pause if that is later.
+    void deliver(Duration delay, std::function<void()> task);
+
+    // Callers.
+    void openSession(SessionId, const DatabaseName&);
+    void sendStatement(SessionId, const Session::StatementId&);
+    void endSession(SessionId);
+
+    void acceptSession(SessionId) override;
+    void refuseSession(SessionId, const Session::Failure&) override;
+    void answer(SessionId, const Session::Answer&) override;
+    void forwardSession(SessionId, const SessionRequest&, const HostEntry&) override;
+    void endForwardedSession(SessionId) override;
+    void closeSession(SessionId) override;
+    void openConnection(
+        ConnectionId, const TargetRecord&, const OrganisationName&, const std::optional<SocketAddress>& relay) override;
+    void closeConnection(ConnectionId id) override { m_connections.erase(id); }
+    void send(ConnectionId, const std::vector<TargetRequest>&) override;
+    void readTable(StoreTable, const std::string& fromKey, Duration timeout) override;
+    void followTable(StoreTable, RowVersion after, Duration wait, Duration timeout) override;
+    void followFeeder(const SocketAddress&, StoreTable, RowVersion, Duration, Duration) override { }
+    void answerFeed(RequestId, const std::optional<FeedPage>&) override { }
+    void writeHost(const HostName&, const std::string& value) override;
+    void readLease(const GroupName&) override;
+    void writeLease(const GroupName&, const PromotionLease&, RowVersion expected) override;
+    void readMembers(const GroupName&, const std::string& fromKey) override;
+    void promote(const GroupName&, const TargetName&, RowVersion, Instant) override { }
+    void queryPeer(const SocketAddress&) override;
+    void sendDatagram(const SocketAddress&, std::string_view) override { }
+    /// Prints the record if PROXY_TRACE is set.
+    void log(const LogRecord&) override;
+    void measure(std::string_view, double) override { }
+
+private:
+    /// A session of a caller of this host that another host serves.
+    struct Forward {
+        ConfigurationHost* home { nullptr };
+        SessionId idAtHome;
+        bool isAnswered { false };
+        bool hasOpenRequest { false };
+        /// Whether the session ends with the answer to the open request.
+        bool isEnding { false };
+    };
+    /// A session that another host forwarded to this one.
+    struct Origin {
+        ConfigurationHost* host { nullptr };
+        SessionId idAtHost;
+    };
+    using PageHandler = std::function<void(const Expected<StorePage>&)>;
+    using StoreRequest = std::function<void(const std::function<void(const StorePage&)>& answer)>;
+
+    void tick();
+    void run(const std::function<void()>& task);
+    void resume();
+    /// Sends a call to the store, whose request or answer may be lost, late or refused.
+    void callStore(Duration timeout, const StoreRequest&, const PageHandler&);
+    void runRequest(ConnectionId, const TargetRequest&);
+    void forwardArrived(ConfigurationHost& origin, SessionId idAtOrigin, SessionId, const SessionRequest&);
+    /// Reports to the host that forwarded the session. @return whether the session is forwarded.
+    bool tellOrigin(SessionId, bool isLast, const std::function<void(ConfigurationHost&, SessionId)>& report);
+    void forwardAccepted(SessionId);
+    void forwardRefused(SessionId, const Session::Failure&, std::size_t decidedBy);
+    void forwardAnswered(SessionId, const Session::Answer&, std::size_t decidedBy);
+    void forwardEnded(SessionId);
+    void failForward(SessionId);
+    void closeAtHome(const Forward&);
+    [[nodiscard]] Expected<std::optional<Catalog>> readCatalog(const StoreRow&) const override;
+    [[nodiscard]] Expected<TargetRecord> readTarget(const StoreRow&) const override;
+
+    ConfigurationSimulation& m_simulation;
+    std::size_t m_index;
+    std::unique_ptr<Proxy> m_proxy;
+    std::map<ConnectionId, GroupName> m_connections;
+    std::map<SessionId, Forward> m_forwards;
+    std::map<SessionId, Origin> m_origins;
+    std::optional<Instant> m_pausedUntil;
+    std::deque<std::function<void()>> m_waiting;
+    bool m_isKilled { false };
+};
+
+} // namespace Auburnpost::Proxy
--- /dev/null
+++ b/tests/proxy/ConfigurationSimulation.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "group/EventQueue.h"
+#include "proxy/ConfigurationCaller.h"
+#include "proxy/ConfigurationChecker.h"
+#include "proxy/ConfigurationHost.h"
+#include "proxy/ConfigurationStore.h"
+
+#include <memory>
+#include <set>
+
+namespace Auburnpost::Proxy {
+
+/// The faults of a schedule.
+struct ConfigurationFaults {
+    bool hostsPause { true };
+    bool hostsRestart { true };
+    bool storeFails { true };
+    bool storeReturnsFromCopy { true };
+};
+
+/// Several proxies in simulated time in front of one store whose configuration is edited all the time, with callers at
+/// each host. Sessions on two of the three groups are forwarded to homes.
+class ConfigurationSimulation {
+public:
+    static constexpr std::size_t hostCount = 6;
+    static constexpr std::size_t databaseCount = 5;
+    /// From a caller to its host.
+    static constexpr Duration callerDelay = std::chrono::microseconds(300);
+
+    ConfigurationSimulation(std::uint64_t seed, ConfigurationFaults = {});
+    ~ConfigurationSimulation();
+
+    /// Runs a schedule of edits and faults.
+    void run(Duration length);
+
+    [[nodiscard]] Instant now() const { return m_queue.now(); }
+    void after(Duration delay, std::function<void()> task) { m_queue.after(delay, std::move(task)); }
+    [[nodiscard]] Duration between(Duration low, Duration high);
+    [[nodiscard]] ConfigurationChecker& checker() { return m_checker; }
+    [[nodiscard]] ConfigurationHost& host(std::size_t index) { return *m_hosts.at(index); }
+    static HostName hostName(std::size_t index) { return HostName(std::to_string(index)); }
+    static std::size_t indexOf(const HostName& name) { return std::stoul(name.value()); }
+    static DataCentreName dataCentreOf(std::size_t host) { return DataCentreName(host % 2 == 0 ? "west" : "east"); }
+    [[nodiscard]] Duration delayBetween(std::size_t left, std::size_t right) const;
+
+    // The store.
+    [[nodiscard]] ConfigurationStore& store() { return m_store; }
+    [[nodiscard]] Duration storeDelay(std::size_t host) const;
+    [[nodiscard]] bool isStoreSilent(std::size_t host) const { return m_storeFaults[host].silentUntil > now(); }
+    [[nodiscard]] bool isStoreRefusing(std::size_t host) const { return m_storeFaults[host].refusingUntil > now(); }
+    [[nodiscard]] Catalog catalog(std::size_t version) const;
+    [[nodiscard]] static TargetRecord targetOf(const GroupName&);
+
+    // Callers.
+    [[nodiscard]] DatabaseName chooseDatabase();
+    SessionId addSession(ConfigurationCaller&);
+    void forgetSession(SessionId id) { m_sessions.erase(id); }
+    Session::StatementId addStatement(const ConfigurationChecker::Request&);
+    [[nodiscard]] SessionId nextForwardedSession() { return SessionId(forwardedIdBase + ++m_lastForwardedSession); }
+    [[nodiscard]] static bool isForwarded(SessionId id) { return id.value() > forwardedIdBase; }
+    void statementRun(const Session::StatementId&, const GroupName&, std::size_t decidedBy);
+    void accepted(SessionId);
+    void refused(SessionId, const Session::Failure&, std::size_t decidedBy);
+    void answered(SessionId, const Session::Answer&, std::size_t decidedBy);
+    void closed(SessionId);
+
+private:
+    static constexpr std::uint64_t forwardedIdBase = 1'000'000'000;
+
+    struct StoreFault {
+        Instant silentUntil;
+        Instant refusingUntil;
+        Instant slowUntil;
+        Duration delay {};
+    };
+
+    [[nodiscard]] std::size_t index(std::size_t count);
+    [[nodiscard]] bool chance(double share);
+    void trace(const std::string&) const;
+    [[nodiscard]] ConfigurationCaller* callerOf(SessionId);
+    void edit();
+    void writeConfiguration();
+    void writeTargets();
+    /// Writes a target's record again from time to time, which raises the store's version.
+    void renewTarget();
+    void saveCopies();
+    void injectFaults();
+    void injectFault();
+    void pauseHost();
+    void restartHost();
+    void disturbStore();
+    void returnFromCopy();
+
+    Group::EventQueue m_queue;
+    RandomEngine m_random;
+    ConfigurationFaults m_faults;
+    ConfigurationStore m_store;
+    std::array<StoreFault, hostCount> m_storeFaults {};
+    /// Whether the store has lost the latest configuration and the operator has not written it again yet.
+    bool m_isConfigurationLost { false };
+    ConfigurationChecker m_checker;
+    std::vector<std::unique_ptr<ConfigurationHost>> m_hosts;
+    std::vector<std::unique_ptr<ConfigurationHost>> m_killedHosts;
+    std::vector<std::unique_ptr<ConfigurationCaller>> m_callers;
+    std::map<SessionId, ConfigurationCaller*> m_sessions;
+    std::map<Session::StatementId, ConfigurationChecker::Request> m_statements;
+    std::uint64_t m_lastSession { 0 };
+    std::uint64_t m_lastForwardedSession { 0 };
+};
+
+} // namespace Auburnpost::Proxy
