Simulate edits of the configuration in front of several proxies with forwarded sessions

The simulation checks by which version each request is decided, in random schedules of edits, pauses, restarts, faults of the store and returns of it from an older copy.

--- a/tests/proxy/ConfigurationSimulation.h
+++ b/tests/proxy/ConfigurationSimulation.h
@@ -95,6 +95,9 @@
     Group::EventQueue m_queue;
     RandomEngine m_random;
     ConfigurationFaults m_faults;
+    /// Longest time from one edit to the next, and from one series of faults to the next.
+    Duration m_maxEditGap;
+    Duration m_maxFaultGap;
     ConfigurationStore m_store;
     std::array<StoreFault, hostCount> m_storeFaults {};
     /// Whether the store has lost the latest configuration and the operator has not written it again yet.
