--- a/tests/proxy/ConfigurationHost.cpp
+++ b/tests/proxy/ConfigurationHost.cpp
@@ -2,7 +2,6 @@
 
 #include "proxy/ConfigurationSimulation.h"
 #include "proxy/FakeTarget.h"
-#include "proxy/PeerSnapshot.h"
 
 #include <cstdlib>
 #include <iostream>
@@ -11,13 +10,10 @@
 
 namespace {
 
-    /// Timeout of a host's calls for leases, members and its own record.
-    constexpr Duration storeCallTimeout = std::chrono::milliseconds(900);
     /// As of SessionForwarder, the time within which another host has to open a forwarded session.
     constexpr Duration forwardTimeout = std::chrono::milliseconds(300);
     /// From this host to a target.
     constexpr Duration targetDelay = std::chrono::milliseconds(1);
-    constexpr Duration refusalDelay = std::chrono::milliseconds(1);
 
     SocketAddress addressOf(std::size_t host, std::uint16_t firstPort)
     {
@@ -25,12 +21,6 @@
     }
     constexpr std::uint16_t relayPort = 100;
     constexpr std::uint16_t sessionsPort = 200;
-    constexpr std::uint16_t peerPort = 300;
-
-    tl::unexpected<Error> storeFailure(const char* reason)
-    {
-        return fail(ErrorCode::PlatformUnavailable, "call", "store", reason);
-    }
 
 } // namespace
 
@@ -44,7 +34,7 @@
     settings.relay = addressOf(index, relayPort);
     settings.sessions = addressOf(index, sessionsPort);
     settings.peers = addressOf(index, peerPort);
-    for (std::size_t host = 0; host < ConfigurationSimulation::hostCount; ++host)
+    for (std::size_t host = 0; host < simulation.hostCount(); ++host)
         settings.seeds.push_back(addressOf(host, peerPort));
     const RowReader& reader = *this;
     m_proxy = std::make_unique<Proxy>(simulation.now(), settings, reader, *this, seed);
@@ -339,101 +329,6 @@
     });
 }
 
-// The store and peers.
-
-void ConfigurationHost::callStore(Duration timeout, const StoreRequest& request, const PageHandler& handle)
-{
-    auto isEnded = std::make_shared<bool>(false);
-    const auto end = [isEnded, handle](const Expected<StorePage>& page) {
-        if (!std::exchange(*isEnded, true))
-            handle(page);
-    };
-    const auto finish
-        = [this, end](Duration delay, const Expected<StorePage>& page) { deliver(delay, [end, page] { end(page); }); };
-    runAfter(timeout, [end] { end(storeFailure("no answer in time")); });
-    if (m_simulation.isStoreSilent(m_index))
-        return;
-    m_simulation.after(m_simulation.storeDelay(m_index), [this, finish, request] {
-        if (m_simulation.isStoreRefusing(m_index)) {
-            finish(m_simulation.storeDelay(m_index) + refusalDelay, storeFailure("429"));
-            return;
-        }
-        request([this, finish](const StorePage& page) {
-            if (!m_simulation.isStoreSilent(m_index))
-                finish(m_simulation.storeDelay(m_index), page);
-        });
-    });
-}
-
-void ConfigurationHost::readTable(StoreTable table, const std::string& fromKey, Duration timeout)
-{
-    callStore(
-        timeout, [this, table, fromKey](const auto& answer) { answer(m_simulation.store().read(table, fromKey)); },
-        [this, table](const auto& page) { m_proxy->tableRead(m_simulation.now(), table, page); });
-}
-
-void ConfigurationHost::followTable(StoreTable table, RowVersion after, Duration wait, Duration timeout)
-{
-    callStore(
-        timeout,
-        [this, table, after, wait](const auto& answer) {
-            m_simulation.store().poll(table, after, m_simulation.now() + wait, answer);
-            m_simulation.after(wait, [this] { m_simulation.store().endPolls(m_simulation.now()); });
-        },
-        [this, table](const auto& page) { m_proxy->tableFollowed(m_simulation.now(), table, page); });
-}
-
-void ConfigurationHost::writeHost(const HostName& name, const std::string& value)
-{
-    callStore(
-        storeCallTimeout,
-        [this, name, value](const auto& answer) {
-            m_simulation.store().write(StoreTable::Hosts, name.value(), value);
-            answer({});
-        },
-        [this](const auto& page) { m_proxy->hostWritten(page.has_value()); });
-}
-
-void ConfigurationHost::readMembers(const GroupName& group, const std::string& fromKey)
-{
-    callStore(
-        storeCallTimeout,
-        [this, fromKey](const auto& answer) { answer(m_simulation.store().read(StoreTable::Targets, fromKey)); },
-        [this, group](const auto& page) { m_proxy->membersRead(m_simulation.now(), group, page); });
-}
-
-void ConfigurationHost::readLease(const GroupName& group)
-{
-    callStore(
-        storeCallTimeout, [](const auto& answer) { answer({}); },
-        [this, group](const auto& page) {
-            m_proxy->leaseRead(
-                m_simulation.now(), group, page.map([](const StorePage&) { return PromotionLeaseRow {}; }));
-        });
-}
-
-void ConfigurationHost::writeLease(const GroupName& group, const PromotionLease&, RowVersion)
-{
-    // The targets are never promoted, so another host may hold the lease all the time.
-    callStore(
-        storeCallTimeout, [](const auto& answer) { answer({}); },
-        [this, group](const auto& page) {
-            m_proxy->leaseWritten(
-                m_simulation.now(), group, page.map([](const StorePage&) { return std::optional<RowVersion>(); }));
-        });
-}
-
-void ConfigurationHost::queryPeer(const SocketAddress& address)
-{
-    auto& peer = m_simulation.host(static_cast<std::size_t>(address.port - peerPort));
-    const auto delay = m_simulation.delayBetween(m_index, peer.index());
-    peer.deliver(3 * delay, [this, &peer, address, delay] {
-        deliver(delay, [this, address, snapshot = encodeSnapshot(peer.m_proxy->tables())] {
-            m_proxy->peerAnswered(m_simulation.now(), address, decodeSnapshot(snapshot));
-        });
-    });
-}
-
 void ConfigurationHost::log(const LogRecord& record)
 {
     if (record.event == LogEvent::ConfigurationApplied)
--- a/tests/proxy/ConfigurationHost.h
+++ b/tests/proxy/ConfigurationHost.h
@@ -15,6 +15,9 @@
 /// forwards to other hosts.
 class ConfigurationHost final : public ProxyDelegate, private RowReader {
 public:
+    /// The port of the first host at which it answers other hosts; further hosts have the ports after it.
+    static constexpr std::uint16_t peerPort = 300;
+
     ConfigurationHost(ConfigurationSimulation&, std::size_t index, std::uint64_t seed);
 
     [[nodiscard]] std::size_t index() const { return m_index; }
@@ -44,8 +47,8 @@
     void send(ConnectionId, const std::vector<TargetRequest>&) override;
     void readTable(StoreTable, const std::string& fromKey, Duration timeout) override;
     void followTable(StoreTable, RowVersion after, Duration wait, Duration timeout) override;
-    void followFeeder(const SocketAddress&, StoreTable, RowVersion, Duration, Duration) override { }
-    void answerFeed(RequestId, const std::optional<FeedPage>&) override { }
+    void followFeeder(const SocketAddress&, StoreTable, RowVersion after, Duration wait, Duration timeout) override;
+    void answerFeed(RequestId, const std::optional<FeedPage>&) override;
     void writeHost(const HostName&, const std::string& value) override;
     void readLease(const GroupName&) override;
     void writeLease(const GroupName&, const PromotionLease&, RowVersion expected) override;
@@ -94,6 +97,10 @@
     void forwardEnded(SessionId);
     void failForward(SessionId);
     void closeAtHome(const Forward&);
+    /// @return a function that handles the answer to a call unless the call has ended or timed out already.
+    template <typename Page>
+    std::function<void(const Expected<Page>&)> startCall(
+        Duration timeout, std::function<void(const Expected<Page>&)> handle);
     [[nodiscard]] Expected<std::optional<Catalog>> readCatalog(const StoreRow&) const override;
     [[nodiscard]] Expected<TargetRecord> readTarget(const StoreRow&) const override;
 
@@ -103,6 +110,9 @@
     std::map<ConnectionId, GroupName> m_connections;
     std::map<SessionId, Forward> m_forwards;
     std::map<SessionId, Origin> m_origins;
+    /// Sends the answers to other hosts' requests for tables.
+    std::map<RequestId, std::function<void(const std::optional<FeedPage>&)>> m_feedRequests;
+    std::uint64_t m_lastFeedRequest { 0 };
     std::optional<Instant> m_pausedUntil;
     /// What arrived, and the timeouts that passed, during the pause.
     std::vector<std::function<void()>> m_keptMessages;
--- a/tests/proxy/ConfigurationScheduleTests.cpp
+++ b/tests/proxy/ConfigurationScheduleTests.cpp
@@ -11,23 +11,33 @@
 
 namespace {
 
-constexpr std::uint64_t defaultSchedules = 40;
 constexpr std::uint64_t firstSeed = 1;
 constexpr Duration scheduleLength = 40s;
 
-enum class FaultKind : std::uint8_t { None, Hosts, Store, Copy, All };
+enum class FaultKind : std::uint8_t {
+    None,
+    Hosts,
+    Store,
+    Copy,
+    All,
+    /// All faults at more hosts, which follow the tables at feeders. Slower to run.
+    AllWithFeeders,
+};
 
 struct FaultCase {
     const char* name;
-    ConfigurationFaults faults;
+    ConfigurationScenario scenario;
+    std::uint64_t schedules { 40 };
 };
 
+constexpr std::size_t hostsWithFeeders = 20;
 constexpr std::array faultCases {
-    FaultCase { "no faults", { false, false, false, false } },
-    FaultCase { "hosts pause and restart", { true, true, false, false } },
-    FaultCase { "the store fails", { false, false, true, false } },
-    FaultCase { "the store returns from a copy", { false, false, false, true } },
-    FaultCase { "all faults", { true, true, true, true } },
+    FaultCase { "no faults", { 6, false, false, false, false } },
+    FaultCase { "hosts pause and restart", { 6, true, true, false, false } },
+    FaultCase { "the store fails", { 6, false, false, true, false } },
+    FaultCase { "the store returns from a copy", { 6, false, false, false, true } },
+    FaultCase { "all faults", { 6, true, true, true, true } },
+    FaultCase { "all faults with feeders", { hostsWithFeeders, true, true, true, true }, 10 },
 };
 
 struct Outcome {
@@ -54,10 +64,10 @@
         return outcome;
     const auto& faultCase = faultCases[static_cast<std::size_t>(kind)];
     const auto seed = numberFrom("PROXY_SEED", firstSeed);
-    const auto schedules = numberFrom("PROXY_SCHEDULES", defaultSchedules);
+    const auto schedules = numberFrom("PROXY_SCHEDULES", faultCase.schedules);
     std::map<std::string, std::size_t> schedulesByKind;
     for (auto each = seed; each < seed + schedules; ++each) {
-        ConfigurationSimulation simulation(each, faultCase.faults);
+        ConfigurationSimulation simulation(each, faultCase.scenario);
         simulation.run(scheduleLength);
         const auto& checker = simulation.checker();
         outcome.violations[each] = checker.violations();
@@ -142,3 +152,15 @@
 {
     check(FaultKind::All, ConfigurationChecker::back);
 }
+
+TEST_CASE("No request is decided too late by an older configuration in a mix of faults with feeders",
+    "[proxy][configuration]")
+{
+    check(FaultKind::AllWithFeeders, ConfigurationChecker::late);
+}
+
+TEST_CASE("Callers of a host see no older configuration after a newer one in a mix of faults with feeders",
+    "[proxy][configuration]")
+{
+    check(FaultKind::AllWithFeeders, ConfigurationChecker::back);
+}
--- a/tests/proxy/ConfigurationSimulation.cpp
+++ b/tests/proxy/ConfigurationSimulation.cpp
@@ -38,11 +38,12 @@
 
 } // namespace
 
-ConfigurationSimulation::ConfigurationSimulation(std::uint64_t seed, ConfigurationFaults faults)
+ConfigurationSimulation::ConfigurationSimulation(std::uint64_t seed, const ConfigurationScenario& scenario)
     : m_random(seed)
-    , m_faults(faults)
+    , m_scenario(scenario)
     , m_maxEditGap(chance(0.5) ? 2s : 10s)
     , m_maxFaultGap(chance(0.5) ? 8s : 20s)
+    , m_storeFaults(scenario.hosts)
 {
     m_queue.runUntil(Instant(100s));
     ConfigurationChecker::Routes routes;
@@ -52,7 +53,7 @@
     writeConfiguration();
     writeTargets();
     m_store.saveCopy();
-    for (std::size_t index = 0; index < hostCount; ++index) {
+    for (std::size_t index = 0; index < hostCount(); ++index) {
         m_hosts.push_back(std::make_unique<ConfigurationHost>(*this, index, m_random()));
         m_checker.recordDisturbance(index, now(), now());
         for (std::size_t caller = 0; caller < keptSessionsPerHost + newSessionCallersPerHost; ++caller)
@@ -186,13 +187,13 @@
 void ConfigurationSimulation::injectFault()
 {
     std::vector<void (ConfigurationSimulation::*)()> faults;
-    if (m_faults.hostsPause)
+    if (m_scenario.hostsPause)
         faults.push_back(&ConfigurationSimulation::pauseHost);
-    if (m_faults.hostsRestart)
+    if (m_scenario.hostsRestart)
         faults.push_back(&ConfigurationSimulation::restartHost);
-    if (m_faults.storeFails)
+    if (m_scenario.storeFails)
         faults.push_back(&ConfigurationSimulation::disturbStore);
-    if (m_faults.storeReturnsFromCopy)
+    if (m_scenario.storeReturnsFromCopy)
         faults.push_back(&ConfigurationSimulation::returnFromCopy);
     if (!faults.empty())
         (this->*faults[index(faults.size())])();
@@ -200,7 +201,7 @@
 
 void ConfigurationSimulation::pauseHost()
 {
-    const auto paused = index(hostCount);
+    const auto paused = index(hostCount());
     const auto length = between(100ms, 6s);
     if (host(paused).isKilled())
         return;
@@ -211,7 +212,7 @@
 
 void ConfigurationSimulation::restartHost()
 {
-    const auto restarted = index(hostCount);
+    const auto restarted = index(hostCount());
     const auto downTime = between(100ms, 3s);
     if (host(restarted).isKilled())
         return;
@@ -235,8 +236,8 @@
     const auto length = between(100ms, 6s);
     const auto kind = static_cast<StoreFaultKind>(index(storeFaultKinds.size()));
     const bool isForAll = chance(0.5);
-    const auto first = isForAll ? 0 : index(hostCount);
-    const auto end = isForAll ? hostCount : first + 1;
+    const auto first = isForAll ? 0 : index(hostCount());
+    const auto end = isForAll ? hostCount() : first + 1;
     trace(std::string(storeFaultKinds[static_cast<std::size_t>(kind)]) + " store for hosts " + std::to_string(first)
         + " to " + std::to_string(end - 1) + " for " + std::to_string(toMilliseconds(length)) + " ms");
     if (kind == StoreFaultKind::Forgetful)
@@ -263,7 +264,7 @@
     const auto copiesAgo = index(maxCopiesAgo);
     trace("the store returns from a copy, " + std::to_string(copiesAgo) + " copies ago");
     const auto downTime = between(0ms, 1s);
-    for (std::size_t host = 0; host < hostCount; ++host) {
+    for (std::size_t host = 0; host < hostCount(); ++host) {
         m_checker.recordDisturbance(host, now(), now() + downTime);
         m_storeFaults[host].silentUntil = std::max(m_storeFaults[host].silentUntil, now() + downTime);
     }
--- a/tests/proxy/ConfigurationSimulation.h
+++ b/tests/proxy/ConfigurationSimulation.h
@@ -11,24 +11,25 @@
 
 namespace Auburnpost::Proxy {
 
-/// The faults of a schedule.
-struct ConfigurationFaults {
-    bool hostsPause { true };
-    bool hostsRestart { true };
-    bool storeFails { true };
-    bool storeReturnsFromCopy { true };
+/// The hosts and the faults of a schedule.
+struct ConfigurationScenario {
+    /// Half of them in each data centre. From 20 hosts on, most follow the tables at feeders.
+    std::size_t hosts { 6 };
+    bool hostsPause { false };
+    bool hostsRestart { false };
+    bool storeFails { false };
+    bool storeReturnsFromCopy { false };
 };
 
 /// Several proxies in simulated time in front of one store whose configuration is edited all the time, with callers at
 /// each host. Sessions on two of the three groups are forwarded to homes.
 class ConfigurationSimulation {
 public:
-    static constexpr std::size_t hostCount = 6;
     static constexpr std::size_t databaseCount = 5;
     /// From a caller to its host.
     static constexpr Duration callerDelay = std::chrono::microseconds(300);
 
-    ConfigurationSimulation(std::uint64_t seed, ConfigurationFaults = {});
+    ConfigurationSimulation(std::uint64_t seed, const ConfigurationScenario&);
     ~ConfigurationSimulation();
 
     /// Runs a schedule of edits and faults.
@@ -39,6 +40,7 @@
     [[nodiscard]] Duration between(Duration low, Duration high);
     [[nodiscard]] bool chance(double share);
     [[nodiscard]] ConfigurationChecker& checker() { return m_checker; }
+    [[nodiscard]] std::size_t hostCount() const { return m_scenario.hosts; }
     [[nodiscard]] ConfigurationHost& host(std::size_t index) { return *m_hosts.at(index); }
     static HostName hostName(std::size_t index) { return HostName(std::to_string(index)); }
     static std::size_t indexOf(const HostName& name) { return std::stoul(name.value()); }
@@ -94,12 +96,12 @@
 
     Group::EventQueue m_queue;
     RandomEngine m_random;
-    ConfigurationFaults m_faults;
+    ConfigurationScenario m_scenario;
     /// Longest time from one edit to the next, and from one series of faults to the next.
     Duration m_maxEditGap;
     Duration m_maxFaultGap;
     ConfigurationStore m_store;
-    std::array<StoreFault, hostCount> m_storeFaults {};
+    std::vector<StoreFault> m_storeFaults;
     /// Whether the store has lost the latest configuration and the operator has not written it again yet.
     bool m_isConfigurationLost { false };
     ConfigurationChecker m_checker;
