--- a/tests/proxy/ConfigurationHost.cpp
+++ b/tests/proxy/ConfigurationHost.cpp
@@ -121,6 +121,9 @@
             m_proxy->statementArrived(m_simulation.now(), id, statement, read);
             return;
         }
+        if (!forward->second.hasOpenRequest
+            && !m_proxy->forwardedStatementArrived(m_simulation.now(), id, statement, read))
+            return;
         forward->second.hasOpenRequest = true;
         auto* const home = forward->second.home;
         home->deliver(m_simulation.delayBetween(m_index, home->index()),
@@ -267,6 +270,13 @@
     m_simulation.after(ConfigurationSimulation::callerDelay, [this, id] { m_simulation.closed(id); });
 }
 
+void ConfigurationHost::stateRoute(SessionId id, const StatedRoute& route)
+{
+    const auto& forward = m_forwards.at(id);
+    forward.home->deliver(m_simulation.delayBetween(m_index, forward.home->index()),
+        [home = forward.home, idAtHome = forward.idAtHome, route] { home->m_proxy->routeStated(idAtHome, route); });
+}
+
 void ConfigurationHost::endForwardedSession(SessionId id)
 {
     const auto forward = m_forwards.find(id);
--- a/tests/proxy/ConfigurationHost.h
+++ b/tests/proxy/ConfigurationHost.h
@@ -39,6 +39,7 @@
     void refuseSession(SessionId, const Session::Failure&) override;
     void answer(SessionId, const Session::Answer&) override;
     void forwardSession(SessionId, const SessionRequest&, const HostEntry&) override;
+    void stateRoute(SessionId, const StatedRoute&) override;
     void endForwardedSession(SessionId) override;
     void closeSession(SessionId) override;
     void openConnection(
