--- a/src/proxy/Promotion.cpp
+++ b/src/proxy/Promotion.cpp
@@ -79,13 +79,19 @@
     m_delayUntil = now;
     if (goal != PromotionGoal::RecordMembers) {
         std::uniform_int_distribution<Duration::rep> jitter(0, startJitter.count());
-        m_delayUntil += Duration(jitter(random));
+        m_delayUntil = std::max(now, m_unknownLeaseUntil) + Duration(jitter(random));
         beginReplacement(now, watcher, failoverReason);
     }
     Context context { now, watcher, failoverReason };
     fire("start", context);
 }
 
+void Promotion::storeReturned(Instant now)
+{
+    m_unknownLeaseUntil = now + leaseLifetime;
+    m_recorder.checkAgain();
+}
+
 void Promotion::beginReplacement(Instant now, const GroupWatcher& watcher, FailoverReason failoverReason)
 {
     m_replacedTerm = watcher.primaryTerm();
@@ -139,6 +145,10 @@
         fire("claimHeld", context);
         return;
     }
+    if (now < m_unknownLeaseUntil) {
+        fire("claimRefused", context);
+        return;
+    }
     adoptPending(context);
     fire(isHandoverPostponed(context) ? "handoverPostponed" : "claimFree", context);
 }
@@ -150,7 +160,10 @@
     if (!isRecording && !m_runner.isIn("Writing"))
         return;
     Context context { now, watcher };
-    if (!version || !*version) {
+    // A condition of an earlier era may have held for another content of the row.
+    const bool isOtherEra
+        = version && *version && m_expectedVersion != RowVersion {} && (*version)->era() != m_expectedVersion.era();
+    if (!version || !*version || isOtherEra) {
         fire("claimRefused", context);
         return;
     }
@@ -315,7 +328,7 @@
 
 void Promotion::delayRetry(Context& context)
 {
-    m_delayUntil = context.now + retryDelay;
+    m_delayUntil = std::max<Instant>(context.now + retryDelay, m_unknownLeaseUntil);
 }
 
 void Promotion::callPromotion(Context& context)
--- a/src/proxy/ProxyFeeds.cpp
+++ b/src/proxy/ProxyFeeds.cpp
@@ -27,7 +27,7 @@
 void Proxy::feederAnswered(
     Instant now, const SocketAddress& feeder, StoreTable table, const Expected<FeedPage>& answered)
 {
-    m_now = now;
+    beginEvent(now);
     auto page = answered;
     const auto limit = TableTimes::hopLimit(m_settings.bounds);
     if (page && limit && page->age > *limit)
@@ -53,7 +53,7 @@
 
 void Proxy::feedRequested(Instant now, RequestId id, StoreTable table, RowVersion after, Duration wait)
 {
-    m_now = now;
+    beginEvent(now);
     const auto page = m_isFeedingStopped ? std::nullopt : feedPage(now, table, after);
     const bool mayWait = page && !page->table && wait > Duration {};
     if (!mayWait || !m_feed.add({ id, table, after, now + std::min(wait, TableFeed::maxWait) }))
@@ -82,9 +82,13 @@
     const auto limit = TableTimes::hopLimit(m_settings.bounds);
     if (!confirmedAt || !limit || now - *confirmedAt > *limit)
         return {};
+    // A follower of an earlier version of the program names no era, and would ignore a table of a lower number.
+    const bool hasNoEra = after != RowVersion {} && after.era() == StoreEra {};
+    if (hasNoEra && follower.state().asOf.era() != StoreEra {})
+        return {};
     FeedPage page { follower.state().asOf, now - *confirmedAt, {} };
     if (follower.state().asOf > after)
-        page.table = follower.state();
+        page.table = tableForPeers(table);
     return page;
 }
 
--- a/src/proxy/ProxySessions.cpp
+++ b/src/proxy/ProxySessions.cpp
@@ -24,7 +24,7 @@
 
 void Proxy::sessionOpened(Instant now, SessionId id, const SessionRequest& request)
 {
-    m_now = now;
+    beginEvent(now);
     auto& session = m_sessions[id];
     session.id = id;
     session.database = request.database;
@@ -89,44 +89,49 @@
 void Proxy::statementArrived(
     Instant now, SessionId id, const Session::StatementId& statementId, const Session::Statement& statement)
 {
-    m_now = now;
+    beginEvent(now);
     auto* const session = findSession(id);
     if (!session || session->hasOpenStatement())
         return;
     session->statementId = statementId;
     session->statementKind = statement.kind;
     session->statementArrivedAt = now;
-    const bool isIdle = session->state.transaction() == TransactionState::Idle;
-    const auto* const route = findRoute(session->database);
-    if (isIdle && needsRoute(statement.kind) && !isRoutedAlike(*session)) {
-        session->heldStatement = statement;
+    routeStatement(now, *session, statement);
+}
+
+void Proxy::routeStatement(Instant now, CallerSession& session, const Session::Statement& statement)
+{
+    const bool isIdle = session.state.transaction() == TransactionState::Idle;
+    const auto* const route = findRoute(session.database);
+    if (isIdle && needsRoute(statement.kind) && !isRoutedAlike(session)) {
+        session.heldStatement = statement;
         return;
     }
     if (isIdle && m_catalog)
-        session->routedBy = m_catalog->version;
+        session.routedBy = m_catalog->version;
     if (isIdle && needsRoute(statement.kind) && !route) {
-        refuse(*session, { FailureCode::UnknownDatabase, "no such database" }, TransactionState::Idle);
+        refuse(session, { FailureCode::UnknownDatabase, "no such database" }, TransactionState::Idle);
         return;
     }
     if (isIdle && (statement.kind == StatementKind::Begin || statement.kind == StatementKind::BeginReadOnly)) {
-        session->transactionRoute = *route;
-        session->transactionBegunAt = now;
+        session.transactionRoute = *route;
+        session.transactionBegunAt = now;
     }
-    if (const auto local = session->state.answerLocally(statement, session->pinned.has_value())) {
-        if (session->pinned && session->state.transaction() == TransactionState::Idle)
-            endTransaction(now, *session);
+    if (const auto local = session.state.answerLocally(statement, session.pinned.has_value())) {
+        if (session.pinned && session.state.transaction() == TransactionState::Idle)
+            endTransaction(now, session);
         if (const auto* const failure = std::get_if<Session::Failure>(&local->body))
-            refuse(*session, *failure, local->state);
+            refuse(session, *failure, local->state);
         else
-            sendAnswer(*session, *local);
+            sendAnswer(session, *local);
         return;
     }
-    serveStatement(now, *session, statement);
+    serveStatement(now, session, statement);
 }
 
 void Proxy::malformedStatementArrived(Instant now, SessionId id, const Session::Failure& failure)
 {
-    m_now = now;
+    beginEvent(now);
     auto* const session = findSession(id);
     if (!session)
         return;
@@ -187,7 +192,7 @@
     pending.route = route;
     pending.arrivedAt = now;
     pending.freshAsOf = isOpen ? session.transactionBegunAt : now;
-    pending.deadline = now + route.statementTimeout;
+    pending.deadline = session.statementArrivedAt + route.statementTimeout;
     pending.ownPosition = session.state.ownPosition();
     pending.startsTransaction = isOpen && !session.pinned;
     pending.isInTransaction = isOpen && session.pinned;
@@ -255,7 +260,7 @@
 
 void Proxy::sessionClosed(Instant now, SessionId id)
 {
-    m_now = now;
+    beginEvent(now);
     m_forwardedSessions.erase(id);
     m_permitQueue.remove(id);
     auto* const session = findSession(id);
@@ -291,7 +296,7 @@
 
 void Proxy::endIdleTransactions(Instant now)
 {
-    m_now = now;
+    beginEvent(now);
     std::vector<SessionId> ended;
     for (auto& [id, session] : m_sessions) {
         if (session.hasOpenStatement() || session.state.transaction() == TransactionState::Idle)
--- a/src/proxy/StoreFollower.cpp
+++ b/src/proxy/StoreFollower.cpp
@@ -20,12 +20,20 @@
 {
 }
 
+void StoreFollower::resumedAfterPause(Instant pausedAt, Instant now)
+{
+    m_pausedAt = pausedAt;
+    m_resumedAt = now;
+    m_nextCallAt = now;
+}
+
 void StoreFollower::tick(Instant now)
 {
     if (m_isCalling || now < m_nextCallAt)
         return;
     m_isCalling = true;
     m_calls.sentAt = now;
+    m_polledAfter = m_state.asOf;
     if (m_feeder) {
         const bool mayWait = m_calls.isConnected && !m_needsRead;
         m_delegate.followFeeder(*m_feeder, m_table, m_state.asOf, mayWait ? m_times.pollWait() : Duration {},
@@ -52,7 +60,7 @@
 
 std::optional<Error> StoreFollower::rejectionOfPoll(const StorePage& page) const
 {
-    if (page.asOf.era() < m_state.asOf.era())
+    if (!page.isHistoryUnavailable && page.asOf.era() < m_state.asOf.era())
         return rejection(m_table, "the answer is of an earlier era of the store");
     return {};
 }
@@ -81,7 +89,7 @@
     if (m_partialRead.asOf < m_state.asOf)
         return false;
     m_state = std::move(m_partialRead);
-    recordConfirmation(now);
+    recordConfirmation(answeredAt(now));
     return true;
 }
 
@@ -93,12 +101,12 @@
         return false;
     }
     recordAnswer(now);
-    if (page->isHistoryUnavailable || page->asOf.era() > m_state.asOf.era()) {
+    if (page->isHistoryUnavailable || page->asOf.era() != m_polledAfter.era()) {
         m_needsRead = true;
         return false;
     }
     if (page->asOf >= m_state.asOf)
-        recordConfirmation(now);
+        recordConfirmation(answeredAt(now));
     return mergeChanges(*page);
 }
 
@@ -112,7 +120,8 @@
     }
     recordAnswer(now);
     m_needsRead = false;
-    recordConfirmation(std::max(now - page->age, m_confirmedAt.value_or(now - page->age)));
+    const auto confirmedAt = answeredAt(now) - page->age;
+    recordConfirmation(std::max(confirmedAt, m_confirmedAt.value_or(confirmedAt)));
     if (!page->table || page->table->asOf <= m_state.asOf)
         return false;
     m_state = *page->table;
@@ -179,6 +188,11 @@
     if (!m_calls.failingSince)
         m_calls.failingSince = now;
     ++m_calls.failures;
+    // The call may have failed only because of the pause.
+    if (m_calls.sentAt < m_resumedAt) {
+        m_nextCallAt = now;
+        return;
+    }
     std::uniform_int_distribution<Duration::rep> delay(
         m_times.minRetryDelay().count(), m_times.maxRetryDelay().count());
     m_nextCallAt = now + Duration(delay(random));
