--- a/tests/proxy/ConfigurationHost.cpp
+++ b/tests/proxy/ConfigurationHost.cpp
@@ -80,7 +80,7 @@
     for (const auto& [id, origin] : std::exchange(m_origins, {})) {
         auto* const host = origin.host;
         host->deliver(m_simulation.delayBetween(m_index, host->index()),
-            [host, idAtHost = origin.idAtHost] { host->forwardEnded(idAtHost); });
+            [host, idAtHost = origin.idAtHost] { host->forwardEnded(idAtHost, false); });
     }
 }
 
@@ -168,7 +168,7 @@
 
 void ConfigurationHost::closeSession(SessionId id)
 {
-    if (!tellOrigin(id, true, [](ConfigurationHost& host, SessionId own) { host.forwardEnded(own); }))
+    if (!tellOrigin(id, true, [](ConfigurationHost& host, SessionId own) { host.forwardEnded(own, true); }))
         m_simulation.after(ConfigurationSimulation::callerDelay, [this, id] { m_simulation.closed(id); });
 }
 
@@ -183,7 +183,7 @@
     const auto fail = [this, id, idAtHome] {
         const auto forward = m_forwards.find(id);
         if (forward != m_forwards.end() && forward->second.idAtHome == idAtHome && !forward->second.isAnswered)
-            failForward(id);
+            failForward(id, false);
     };
     if (home.isKilled()) {
         deliver(2 * delay, fail);
@@ -249,16 +249,16 @@
     m_simulation.after(ConfigurationSimulation::callerDelay,
         [this, id, answer, decider] { m_simulation.answered(id, answer, decider); });
     if (forward.isEnding)
-        forwardEnded(id);
+        forwardEnded(id, true);
 }
 
-void ConfigurationHost::forwardEnded(SessionId id)
+void ConfigurationHost::forwardEnded(SessionId id, bool isClosed)
 {
     const auto found = m_forwards.find(id);
     if (found == m_forwards.end())
         return;
     if (!found->second.isAnswered) {
-        failForward(id);
+        failForward(id, isClosed);
         return;
     }
     const auto forward = found->second;
@@ -284,14 +284,14 @@
         return;
     forward->second.isEnding = true;
     if (forward->second.isAnswered && !forward->second.hasOpenRequest)
-        forwardEnded(id);
+        forwardEnded(id, true);
 }
 
-void ConfigurationHost::failForward(SessionId id)
+void ConfigurationHost::failForward(SessionId id, bool isRefused)
 {
     const auto forward = m_forwards.extract(id).mapped();
     closeAtHome(forward);
-    m_proxy->forwardFailed(m_simulation.now(), id, ConfigurationSimulation::hostName(forward.home->index()));
+    m_proxy->forwardFailed(m_simulation.now(), id, ConfigurationSimulation::hostName(forward.home->index()), isRefused);
 }
 
 void ConfigurationHost::closeAtHome(const Forward& forward)
--- a/tests/proxy/ConfigurationHost.h
+++ b/tests/proxy/ConfigurationHost.h
@@ -95,8 +95,10 @@
     void forwardAccepted(SessionId);
     void forwardRefused(SessionId, const Session::Failure&, const ConfigurationChecker::Decider& decider);
     void forwardAnswered(SessionId, const Session::Answer&, const ConfigurationChecker::Decider& decider);
-    void forwardEnded(SessionId);
-    void failForward(SessionId);
+    /// The other host closed the session, or was killed.
+    void forwardEnded(SessionId, bool isClosed);
+    /// @param isRefused whether the other host was reached and refused the session.
+    void failForward(SessionId, bool isRefused);
     void closeAtHome(const Forward&);
     /// @return a function that handles the answer to a call unless the call has ended or timed out already.
     template <typename Page>
