--- /dev/null
+++ b/tests/proxy/ConfigurationScheduleTests.cpp
@@ -0,0 +1,166 @@
+#include "proxy/ConfigurationSimulation.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+#include <iostream>
+
+using namespace Auburnpost;
+using namespace Auburnpost::Proxy;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t firstSeed = 1;
+constexpr Duration scheduleLength = 40s;
+
+enum class FaultKind : std::uint8_t {
+    None,
+    Hosts,
+    Store,
+    Copy,
+    All,
+    /// All faults at more hosts, which follow the tables at feeders. Slower to run.
+    AllWithFeeders,
+};
+
+struct FaultCase {
+    const char* name;
+    ConfigurationScenario scenario;
+    std::uint64_t schedules { 40 };
+};
+
+constexpr std::size_t hostsWithFeeders = 20;
+constexpr std::array faultCases {
+    FaultCase { "no faults", { 6, false, false, false, false } },
+    FaultCase { "hosts pause and restart", { 6, true, true, false, false } },
+    FaultCase { "the store fails", { 6, false, false, true, false } },
+    FaultCase { "the store returns from a copy", { 6, false, false, false, true } },
+    FaultCase { "all faults", { 6, true, true, true, true } },
+    FaultCase { "all faults with feeders", { hostsWithFeeders, true, true, true, true }, 10 },
+};
+
+struct Outcome {
+    /// The violations of each schedule by its seed.
+    std::map<std::uint64_t, std::map<std::string, std::string>> violations;
+    std::size_t decisions { 0 };
+    std::size_t decisionsInTouch { 0 };
+};
+
+std::uint64_t numberFrom(const char* variable, std::uint64_t fallback)
+{
+    const auto* const text = std::getenv(variable);
+    return text ? std::strtoull(text, nullptr, 10) : fallback;
+}
+
+/// Runs random schedules with the faults, once for all tests, and prints what they covered. The environment variables
+/// PROXY_SCHEDULES and PROXY_SEED set the number of schedules and the first seed.
+const Outcome& outcomeOf(FaultKind kind)
+{
+    static std::map<FaultKind, Outcome> outcomes;
+    const auto [found, isNew] = outcomes.try_emplace(kind);
+    auto& outcome = found->second;
+    if (!isNew)
+        return outcome;
+    const auto& faultCase = faultCases[static_cast<std::size_t>(kind)];
+    const auto seed = numberFrom("PROXY_SEED", firstSeed);
+    const auto schedules = numberFrom("PROXY_SCHEDULES", faultCase.schedules);
+    std::map<std::string, std::size_t> schedulesByKind;
+    for (auto each = seed; each < seed + schedules; ++each) {
+        ConfigurationSimulation simulation(each, faultCase.scenario);
+        simulation.run(scheduleLength);
+        const auto& checker = simulation.checker();
+        outcome.violations[each] = checker.violations();
+        for (const auto& [violation, text] : checker.violations())
+            ++schedulesByKind[violation];
+        outcome.decisions += checker.decisions();
+        outcome.decisionsInTouch += checker.decisionsInTouch();
+    }
+    std::cout << faultCase.name << ", " << schedules << " schedules: " << outcome.decisions << " decisions, "
+              << outcome.decisionsInTouch << " at hosts in touch\n";
+    for (const auto& [violation, count] : schedulesByKind)
+        std::cout << "  " << violation << ": " << count << " schedules\n";
+    return outcome;
+}
+
+/// Checks that no schedule has a violation of the rule.
+void check(FaultKind kind, std::string_view rule)
+{
+    const auto& outcome = outcomeOf(kind);
+    for (const auto& [seed, violations] : outcome.violations) {
+        for (const auto& [violation, text] : violations) {
+            if (!violation.starts_with(rule))
+                continue;
+            INFO("seed " << seed << ", " << violation << ": " << text);
+            CHECK(violations.empty());
+        }
+    }
+    // Schedules in which nothing is served would pass without a check.
+    CHECK(outcome.decisions > outcome.violations.size() * 1000);
+    CHECK(outcome.decisionsInTouch > outcome.violations.size() * 500);
+}
+
+} // namespace
+
+TEST_CASE("No request is decided by an older configuration while nothing fails", "[proxy][configuration]")
+{
+    check(FaultKind::None, ConfigurationChecker::late);
+    check(FaultKind::None, ConfigurationChecker::back);
+}
+
+TEST_CASE(
+    "No request is decided too late by an older configuration when hosts pause and restart", "[proxy][configuration]")
+{
+    check(FaultKind::Hosts, ConfigurationChecker::late);
+}
+
+TEST_CASE("No request is decided too late by an older configuration when the store fails", "[proxy][configuration]")
+{
+    check(FaultKind::Store, ConfigurationChecker::late);
+}
+
+TEST_CASE("No request is decided too late by an older configuration when the store returns from a copy",
+    "[proxy][configuration]")
+{
+    check(FaultKind::Copy, ConfigurationChecker::late);
+}
+
+TEST_CASE("No request is decided too late by an older configuration in a mix of faults", "[proxy][configuration]")
+{
+    check(FaultKind::All, ConfigurationChecker::late);
+}
+
+TEST_CASE("Callers of a host see no older configuration after a newer one when hosts pause and restart",
+    "[proxy][configuration]")
+{
+    check(FaultKind::Hosts, ConfigurationChecker::back);
+}
+
+TEST_CASE(
+    "Callers of a host see no older configuration after a newer one when the store fails", "[proxy][configuration]")
+{
+    check(FaultKind::Store, ConfigurationChecker::back);
+}
+
+TEST_CASE("Callers of a host see no older configuration after a newer one when the store returns from a copy",
+    "[proxy][configuration]")
+{
+    check(FaultKind::Copy, ConfigurationChecker::back);
+}
+
+TEST_CASE("Callers of a host see no older configuration after a newer one in a mix of faults", "[proxy][configuration]")
+{
+    check(FaultKind::All, ConfigurationChecker::back);
+}
+
+TEST_CASE("No request is decided too late by an older configuration in a mix of faults with feeders",
+    "[proxy][configuration]")
+{
+    check(FaultKind::AllWithFeeders, ConfigurationChecker::late);
+}
+
+TEST_CASE("Callers of a host see no older configuration after a newer one in a mix of faults with feeders",
+    "[proxy][configuration]")
+{
+    check(FaultKind::AllWithFeeders, ConfigurationChecker::back);
+}
