Encode the era of each row that is passed on to another host

A row that a host passes on may be of an earlier era than its table, and was read as one of the table's era, so that it hid later edits.

--- a/src/proxy/PeerSnapshot.cpp
+++ b/src/proxy/PeerSnapshot.cpp
@@ -14,7 +14,8 @@
     {
         Json rows = Json::array();
         for (const auto& [key, row] : table.rows)
-            rows.push_back({ key, row.version.value(), Json::binary({ row.value.begin(), row.value.end() }) });
+            rows.push_back({ key, row.version.value(), Json::binary({ row.value.begin(), row.value.end() }),
+                row.version.era().value() });
         return { { "as_of", table.asOf.value() }, { "era", table.asOf.era().value() }, { "rows", std::move(rows) } };
     }
 
@@ -32,7 +33,9 @@
         for (const auto& row : encoded.at("rows")) {
             const auto& bytes = row.at(2).get_binary();
             const auto key = row.at(0).get<std::string>();
-            table.rows[key] = { key, RowVersion(row.at(1).get<std::uint64_t>(), table.asOf.era()),
+            // A row of a program that does not know of eras has none.
+            const StoreEra era(row.size() > 3 ? row.at(3).get<std::uint64_t>() : 0);
+            table.rows[key] = { key, RowVersion(row.at(1).get<std::uint64_t>(), era),
                 std::string(bytes.begin(), bytes.end()), false };
         }
         return table;
