Route nothing by an older configuration than the one that served a caller

Cause: the home's newer version was unknown to the host that forwarded the session. Change: a home whose configuration is newer than the stated one states its version in front of its answer. The forwarding host then routes nothing until it has that version, for 300 ms at most, and both hosts request a newer configuration that the other has stated if it does not come by itself within 60 ms. Nothing is stated to hosts of an earlier version of the program.

--- a/src/app/ProxyAssembly.h
+++ b/src/app/ProxyAssembly.h
@@ -81,6 +81,7 @@
     void acceptSession(Proxy::SessionId) override;
     void forwardSession(Proxy::SessionId, const Proxy::SessionRequest&, const Proxy::HostEntry&) override;
     void stateRoute(Proxy::SessionId, const Proxy::StatedRoute&) override;
+    void stateVersion(Proxy::SessionId, ConfigVersion) override;
     void endForwardedSession(Proxy::SessionId) override;
     void onForwardFailed(Proxy::SessionId, const DatabaseName&, const HostName&, bool isRefused);
     void onForwardEnded(Proxy::SessionId, const DatabaseName&, const HostName&, bool hasOpenRequest);
--- a/src/app/ProxyAssemblyCallers.cpp
+++ b/src/app/ProxyAssemblyCallers.cpp
@@ -68,6 +68,8 @@
     });
     m_forwarder.answerCompleted().connect(
         [this](Proxy::SessionId id) { m_callers.resume(clientOf(id), stageOf(m_forwarder.isInTransaction(id))); });
+    m_forwarder.versionStated().connect(
+        [this](const HostName& host, ConfigVersion version) { m_proxy.versionStated(now(), host, version); });
     m_forwarder.requestFailed().connect(
         [this](Proxy::SessionId id, const std::string& statement, const DatabaseName& database, const HostName& host,
             std::string_view failure) {
@@ -122,7 +124,7 @@
 {
     const bool isForwarded = session.value() > forwardedIdBase;
     if (const auto route = isForwarded ? Platform::readStatedRoute(text) : std::nullopt) {
-        m_proxy.routeStated(session, *route);
+        m_proxy.routeStated(now(), session, *route);
         m_forwardedSessions.resume(clientOf(session));
         return;
     }
@@ -185,6 +187,11 @@
     m_forwarder.stateRoute(id, route);
 }
 
+void ProxyAssembly::stateVersion(Proxy::SessionId id, ConfigVersion version)
+{
+    m_forwardedSessions.send(clientOf(id), Platform::writeStatedVersion(version));
+}
+
 void ProxyAssembly::endForwardedSession(Proxy::SessionId id)
 {
     m_forwarder.endAfterRequest(id);
--- a/src/app/SessionForwarder.cpp
+++ b/src/app/SessionForwarder.cpp
@@ -70,6 +70,10 @@
 {
     const auto id = m_sessionIds.at(connection);
     auto& forward = m_forwards.at(id);
+    if (const auto version = Platform::readStatedVersion(line)) {
+        m_versionStated.emit(forward.host, *version);
+        return;
+    }
     forward.isAnswered = true;
     const auto state = Platform::readAnswerEnd(line);
     if (state) {
--- a/src/app/SessionForwarder.h
+++ b/src/app/SessionForwarder.h
@@ -44,6 +44,8 @@
 
     /// Emitted for each line that is to be sent to the caller.
     sigc::signal<void(Proxy::SessionId, std::string_view line)>& answerLineReceived() { return m_answerLineReceived; }
+    /// Emitted when the other host states that its configuration is of a newer version.
+    sigc::signal<void(const HostName&, ConfigVersion)>& versionStated() { return m_versionStated; }
     /// Emitted when an answer is complete and the caller's next line may be sent.
     sigc::signal<void(Proxy::SessionId)>& answerCompleted() { return m_answerCompleted; }
     /// Emitted when the other host answers a request with a failure, before the line is sent to the caller.
@@ -101,6 +103,7 @@
     std::uint64_t m_lastConnectionId { 0 };
     bool m_isClosingIdle { false };
     sigc::signal<void(Proxy::SessionId, std::string_view)> m_answerLineReceived;
+    sigc::signal<void(const HostName&, ConfigVersion)> m_versionStated;
     sigc::signal<void(Proxy::SessionId)> m_answerCompleted;
     sigc::signal<void(Proxy::SessionId, const std::string&, const DatabaseName&, const HostName&, std::string_view)>
         m_requestFailed;
--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -33,6 +33,7 @@
     TableSourceChanged = 218,
     FeederFailed = 219,
     StoreEraChanged = 220,
+    NewerConfigurationStated = 221,
 
     HostJoined = 300,
     HostSuspected = 301,
--- a/src/platform/CallerCodec.cpp
+++ b/src/platform/CallerCodec.cpp
@@ -21,6 +21,8 @@
     constexpr std::string_view noOrganisation = "-";
     /// Starts a line between hosts that states the route of a forwarded session.
     constexpr std::string_view routeKeyword = "ROUTE";
+    /// Starts a line between hosts that states a newer version of the configuration.
+    constexpr std::string_view versionKeyword = "VERSION";
 
     /// Stores the arguments of a statement.
     /// @return whether they are well-formed.
@@ -211,6 +213,19 @@
     return Proxy::StatedRoute { ConfigVersion(*version), readDigest(nextField(line)) };
 }
 
+std::string writeStatedVersion(ConfigVersion version)
+{
+    return std::string(versionKeyword) + " " + std::to_string(version.value()) + std::string(lineEnd);
+}
+
+std::optional<ConfigVersion> readStatedVersion(std::string_view line)
+{
+    if (nextField(line) != versionKeyword)
+        return {};
+    const auto version = readNumber(line);
+    return version ? std::optional(ConfigVersion(*version)) : std::nullopt;
+}
+
 std::optional<Session::TransactionState> readAnswerEnd(std::string_view line)
 {
     if (nextField(line) != "READY")
--- a/src/platform/CallerCodec.h
+++ b/src/platform/CallerCodec.h
@@ -52,6 +52,10 @@
 std::string writeStatedRoute(const Proxy::StatedRoute&);
 /// @return the route that a line of a forwarded session states; empty for another line.
 std::optional<Proxy::StatedRoute> readStatedRoute(std::string_view line);
+/// @return the line that states a version to the host that forwards a session, in front of an answer.
+std::string writeStatedVersion(ConfigVersion);
+/// @return the version that a line from the host that serves a session states; empty for another line.
+std::optional<ConfigVersion> readStatedVersion(std::string_view line);
 /// @return the session's transaction state if the line ends an answer; empty otherwise.
 std::optional<Session::TransactionState> readAnswerEnd(std::string_view line);
 /// @return the code and text if the line is a failure; empty otherwise.
--- a/src/proxy/CallerSession.h
+++ b/src/proxy/CallerSession.h
@@ -22,6 +22,8 @@
     OrganisationName organisation;
     /// Forwarded sessions: the route that the other host stated last.
     StatedRoute statedRoute;
+    /// Forwarded sessions: the newest version that this host stated to the other one.
+    ConfigVersion statedVersion;
     /// Forwarded sessions: the other host, for logs.
     HostName forwardedBy;
     /// Whether the caller's key was removed while a statement was in progress; the session ends with the answer.
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -66,10 +66,14 @@
         group->tick(now);
     }
     const auto idleLimit = m_catalog ? m_catalog->transactionIdleLimit : Duration {};
+    queryNewerVersion(now);
     std::vector<SessionId> timedOut;
+    std::vector<SessionId> waiting;
     for (auto& [id, session] : m_sessions) {
         if (!session.isAccepted && now - session.openedAt >= (session.isForwarded ? maxOpenWait : acceptTimeout))
             timedOut.push_back(id);
+        else if (!session.isAccepted)
+            waiting.push_back(id);
         else if (session.pinned && !session.pendingId && idleLimit > Duration {}) {
             const auto* const group = findGroup(session.group);
             const bool isShort = group && group->isShortOfConnections(now);
@@ -78,6 +82,10 @@
         }
     }
     serveHeldStatements(now);
+    for (const auto id : waiting) {
+        if (auto* const session = findSession(id))
+            routeSession(*session);
+    }
     for (const auto id : timedOut)
         refuseOpening(m_sessions.at(id),
             { Session::FailureCode::Busy, "the configuration is not known yet; retry after 500 ms" });
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -34,6 +34,9 @@
     /// The same for a session to be opened. The forwarding host gives up after 300 ms, and would then avoid this host
     /// for all groups.
     static constexpr Duration maxOpenWait = std::chrono::milliseconds(200);
+    /// Time after which a newer configuration is requested from the host that has it. It usually arrives from the store
+    /// before.
+    static constexpr Duration versionQueryDelay = std::chrono::milliseconds(60);
     /// Time for which a host keeps watching a group's targets after its last session on the group.
     static constexpr Duration groupLinger = std::chrono::seconds(10);
     /// Peers are queried while a table has not been read yet, and once calls to the store have failed for peerDelay; in
@@ -64,7 +67,10 @@
     [[nodiscard]] bool forwardedStatementArrived(
         Instant now, SessionId, const Session::StatementId&, const Session::Statement&);
     /// The host that forwards a session states its route, before the next statement.
-    void routeStated(SessionId, const StatedRoute&);
+    void routeStated(Instant now, SessionId, const StatedRoute&);
+    /// The host that serves a forwarded session states that it routes it by a newer configuration than this host's. As
+    /// the caller may see the effect, this host routes nothing until it has that version, for maxRouteWait at most.
+    void versionStated(Instant now, const HostName&, ConfigVersion);
     void sessionClosed(Instant now, SessionId);
 
     // Targets.
@@ -154,6 +160,13 @@
     /// @return whether this host routes the session as the host that forwards it, or by a configuration that is not
     /// older. True for sessions of this host's own callers.
     [[nodiscard]] bool isRoutedAlike(const CallerSession&) const;
+    /// @return whether nothing is routed until a newer configuration arrives.
+    [[nodiscard]] bool isAwaitingVersion() const;
+    void recordNewerVersion(const HostName&, ConfigVersion);
+    /// Requests the newer configuration from the host that has it, unless it has come by itself.
+    void queryNewerVersion(Instant now);
+    /// States the version of this host's configuration to the host that forwards the session if it is newer.
+    void stateVersion(CallerSession&);
     /// Serves the held statements whose route is now known, and refuses those that have waited for too long.
     void serveHeldStatements(Instant now);
     /// Refuses a session that is not open yet. A forwarded one is closed, so that the other host serves it otherwise.
@@ -235,6 +248,18 @@
     Instant m_catalogAppliedAt {};
     /// The row from which the applied configuration was read.
     StoreRow m_appliedRow;
+    /// A version that another host stated.
+    struct NewerVersion {
+        ConfigVersion version;
+        HostName host;
+        Instant statedAt {};
+        bool isQueried { false };
+    };
+
+    NewerVersion m_newerVersion;
+    /// The newest version by which another host has served a caller of this one.
+    ConfigVersion m_servedVersion;
+    Instant m_servedVersionStatedAt {};
     /// Whether the store's table has an older configuration than the applied one.
     bool m_isOlderCatalogListed { false };
     /// The latest era of the store that an answer stated.
--- a/src/proxy/ProxyDelegate.h
+++ b/src/proxy/ProxyDelegate.h
@@ -20,6 +20,8 @@
     virtual void forwardSession(SessionId, const SessionRequest&, const HostEntry&) = 0;
     /// States to the host that serves a forwarded session by which route it is forwarded from now on.
     virtual void stateRoute(SessionId, const StatedRoute&) = 0;
+    /// States to the host that forwards a session that this host's configuration is newer, before the next answer.
+    virtual void stateVersion(SessionId, ConfigVersion) = 0;
     /// Ends a session that is forwarded to another host once no request of it is in progress.
     virtual void endForwardedSession(SessionId) = 0;
     /// Closes an idle session.
--- a/src/proxy/ProxyForwarding.cpp
+++ b/src/proxy/ProxyForwarding.cpp
@@ -56,7 +56,8 @@
         return true;
     auto& [request, hostReadsRoutes] = found->second;
     const auto* const route = findRoute(request.database);
-    if (!route) {
+    const bool isAwaiting = isAwaitingVersion();
+    if (!route && !isAwaiting) {
         CallerSession session;
         session.id = id;
         session.database = request.database;
@@ -66,7 +67,9 @@
         refuse(session, { Session::FailureCode::UnknownDatabase, "no such database" }, Session::TransactionState::Idle);
         return false;
     }
-    const StatedRoute stated { m_catalog->version, digestOf(*route) };
+    // While a newer configuration is awaited, its route is not known.
+    const auto stated
+        = isAwaiting ? StatedRoute { m_servedVersion, {} } : StatedRoute { m_catalog->version, digestOf(*route) };
     if (hostReadsRoutes && stated != request.route) {
         request.route = stated;
         m_delegate.stateRoute(id, stated);
@@ -74,10 +77,61 @@
     return true;
 }
 
-void Proxy::routeStated(SessionId id, const StatedRoute& route)
+void Proxy::routeStated(Instant now, SessionId id, const StatedRoute& route)
 {
-    if (auto* const session = findSession(id); session && session->isForwarded)
-        session->statedRoute = route;
+    beginEvent(now);
+    auto* const session = findSession(id);
+    if (!session || !session->isForwarded)
+        return;
+    session->statedRoute = route;
+    recordNewerVersion(session->forwardedBy, route.version);
+}
+
+void Proxy::versionStated(Instant now, const HostName& host, ConfigVersion version)
+{
+    beginEvent(now);
+    recordNewerVersion(host, version);
+    if (!m_catalog || version <= std::max(m_catalog->version, m_servedVersion))
+        return;
+    m_servedVersion = version;
+    m_servedVersionStatedAt = now;
+}
+
+bool Proxy::isAwaitingVersion() const
+{
+    return m_catalog && m_catalog->version < m_servedVersion && m_now - m_servedVersionStatedAt < maxRouteWait;
+}
+
+void Proxy::recordNewerVersion(const HostName& host, ConfigVersion version)
+{
+    if (!m_catalog || version <= std::max(m_catalog->version, m_newerVersion.version))
+        return;
+    m_newerVersion = { version, host, m_now };
+    log({ LogEvent::NewerConfigurationStated,
+        { { "host", host.value() }, { "version", std::to_string(version.value()) },
+            { "applied", std::to_string(m_catalog->version.value()) } } });
+}
+
+void Proxy::queryNewerVersion(Instant now)
+{
+    if (!m_catalog || m_newerVersion.isQueried || m_newerVersion.version <= m_catalog->version
+        || now - m_newerVersion.statedAt < versionQueryDelay)
+        return;
+    m_newerVersion.isQueried = true;
+    for (const auto& host : m_hosts.hosts()) {
+        if (host.name == m_newerVersion.host && host.peers)
+            m_delegate.queryPeer(*host.peers);
+    }
+}
+
+void Proxy::stateVersion(CallerSession& session)
+{
+    const auto known = std::max(session.statedRoute.version, session.statedVersion);
+    // A host that states no digest is of an earlier version of the program and would pass the line on to the caller.
+    if (!session.isForwarded || !session.statedRoute.digest || m_catalog->version <= known)
+        return;
+    session.statedVersion = m_catalog->version;
+    m_delegate.stateVersion(session.id, m_catalog->version);
 }
 
 bool Proxy::isRoutedAlike(const CallerSession& session) const
@@ -93,7 +147,8 @@
 {
     std::vector<SessionId> due;
     for (const auto& [id, session] : m_sessions) {
-        if (session.heldStatement && (isRoutedAlike(session) || now - session.statementArrivedAt >= maxRouteWait))
+        const bool mayRoute = isRoutedAlike(session) && !isAwaitingVersion();
+        if (session.heldStatement && (mayRoute || now - session.statementArrivedAt >= maxRouteWait))
             due.push_back(id);
     }
     for (const auto id : due) {
--- a/src/proxy/ProxySessions.cpp
+++ b/src/proxy/ProxySessions.cpp
@@ -35,6 +35,8 @@
     session.forwardedBy = request.forwardedBy;
     session.openedAt = now;
     session.idleSince = now;
+    if (request.isForwarded)
+        recordNewerVersion(request.forwardedBy, request.route.version);
     routeSession(session);
 }
 
@@ -42,6 +44,8 @@
 {
     if (session.isAccepted || !m_catalog)
         return;
+    if (isAwaitingVersion() && m_now - session.openedAt < maxRouteWait)
+        return;
     // Which organisations there are is not part of the route.
     const bool needsVersion = session.isForwarded && session.organisation != OrganisationName {};
     if (needsVersion ? session.statedRoute.version > m_catalog->version : !isRoutedAlike(session))
@@ -60,6 +64,7 @@
         m_groupUsedAt[route->group] = m_now;
         updateServedGroups(m_now);
         session.isAccepted = true;
+        stateVersion(session);
         session.routedBy = m_catalog->version;
         if (m_allotments)
             m_allotments->expect(m_now, session.organisation);
@@ -103,12 +108,15 @@
 {
     const bool isIdle = session.state.transaction() == TransactionState::Idle;
     const auto* const route = findRoute(session.database);
-    if (isIdle && needsRoute(statement.kind) && !isRoutedAlike(session)) {
+    const bool isAwaiting = isAwaitingVersion() && now - session.statementArrivedAt < maxRouteWait;
+    if (isIdle && needsRoute(statement.kind) && (isAwaiting || !isRoutedAlike(session))) {
         session.heldStatement = statement;
         return;
     }
-    if (isIdle && m_catalog)
+    if (isIdle && m_catalog) {
         session.routedBy = m_catalog->version;
+        stateVersion(session);
+    }
     if (isIdle && needsRoute(statement.kind) && !route) {
         refuse(session, { FailureCode::UnknownDatabase, "no such database" }, TransactionState::Idle);
         return;
--- a/tests/app/SessionForwarderTests.cpp
+++ b/tests/app/SessionForwarderTests.cpp
@@ -115,6 +115,20 @@
     CHECK(host.received[2] == "QUERY 1 READ k");
 }
 
+TEST_CASE("A version that another host states is not passed on to the caller", "[app][forward]")
+{
+    Fixture host;
+    host.openAndAccept();
+    std::vector<ConfigVersion> stated;
+    host.forwarder.versionStated().connect(
+        [&stated](const HostName&, ConfigVersion version) { stated.push_back(version); });
+    host.forwarder.send(session, "QUERY 1 READ k");
+    host.answer("VERSION 12\r\nROW v\r\nDONE 7.1\r\nREADY I 1.4\r\n");
+    REQUIRE(host.loop.runUntil([&] { return host.finished == 2; }));
+    CHECK(stated == std::vector { ConfigVersion(12) });
+    CHECK(host.answers == std::vector<std::string> { "READY I -", "ROW v", "DONE 7.1", "READY I 1.4" });
+}
+
 TEST_CASE("A line feed alone does not divide a line that is forwarded", "[app][forward]")
 {
     Fixture host;
--- a/tests/platform/CallerCodecTests.cpp
+++ b/tests/platform/CallerCodecTests.cpp
@@ -116,7 +116,11 @@
     CHECK(readStatedRoute("ROUTE 12") == Proxy::StatedRoute { ConfigVersion(12), {} });
     CHECK_FALSE(readStatedRoute("ROUTE x 77"));
     CHECK_FALSE(readStatedRoute("QUERY 1 READ k"));
-    // Only hosts state routes.
+    CHECK(writeStatedVersion(ConfigVersion(12)) == "VERSION 12\r\n");
+    CHECK(readStatedVersion("VERSION 12") == ConfigVersion(12));
+    CHECK_FALSE(readStatedVersion("VERSION x"));
+    CHECK_FALSE(readStatedVersion("READY I 1.4"));
+    // Only hosts state routes and versions.
     CHECK(std::holds_alternative<MalformedLine>(readCallerLine("ROUTE 12 77")));
     CHECK(readAnswerEnd("READY I -") == Session::TransactionState::Idle);
     CHECK(readAnswerEnd("READY T 3.7") == Session::TransactionState::Open);
--- a/tests/platform/ForwardedRouteTests.cpp
+++ b/tests/platform/ForwardedRouteTests.cpp
@@ -16,6 +16,7 @@
 constexpr Instant start { 100s };
 const DatabaseName database("orders");
 const Proxy::SessionId session { 7 };
+const SocketAddress homePeers { "10.0.0.2", 3 };
 
 struct Edit {
     std::uint64_t version { 1 };
@@ -91,10 +92,13 @@
         // The host with far the largest processor share is the home of every group.
         home.processorShare = 1e9;
         home.readsRoutes = readsRoutes;
+        home.peers = homePeers;
         Proxy::StorePage hosts;
         hosts.asOf = Proxy::RowVersion(1);
         hosts.rows.push_back({ "host-2", hosts.asOf, Proxy::HostDirectory::encode(home), false });
         proxy.tableRead(start, Proxy::StoreTable::Hosts, hosts);
+        // A host that has not read a table queries its peers.
+        proxy.tableRead(start, Proxy::StoreTable::Targets, Proxy::StorePage { {}, Proxy::RowVersion(1), false, false });
         apply(start, {});
         proxy.sessionOpened(start, session, { database });
         REQUIRE(delegate.forwarded.contains(session));
@@ -170,7 +174,7 @@
 
     SECTION("a route that was moved to another group waits for the newer configuration")
     {
-        home.proxy.routeStated(session, statedRoute({ 2, "orders", "group-b" }));
+        home.proxy.routeStated(now, session, statedRoute({ 2, "orders", "group-b" }));
         home.send(now);
         CHECK(home.proxy.statements() == 0);
         CHECK(home.delegate.answers.empty());
@@ -180,7 +184,7 @@
     SECTION("a route that was added again waits for the newer configuration")
     {
         home.apply(now, { 2, "profiles" });
-        home.proxy.routeStated(session, statedRoute({ 3 }));
+        home.proxy.routeStated(now, session, statedRoute({ 3 }));
         home.send(now);
         CHECK(home.delegate.answers.empty());
         home.apply(now + 100ms, { 3 });
@@ -189,7 +193,7 @@
     }
     SECTION("without the newer configuration the statement is refused as not run, and the session ends")
     {
-        home.proxy.routeStated(session, statedRoute({ 2, "orders", "group-b" }));
+        home.proxy.routeStated(now, session, statedRoute({ 2, "orders", "group-b" }));
         home.send(now);
         home.proxy.tick(now + Proxy::Proxy::maxRouteWait - 1ms);
         CHECK(home.delegate.answers.empty());
@@ -200,19 +204,19 @@
     }
     SECTION("a route that is the same in both configurations is served at once")
     {
-        home.proxy.routeStated(session, { ConfigVersion(9), statedRoute({ 9 }).digest });
+        home.proxy.routeStated(now, session, { ConfigVersion(9), statedRoute({ 9 }).digest });
         home.send(now);
         CHECK(home.proxy.statements() == 1);
     }
     SECTION("a route with another time limit is not the same")
     {
-        home.proxy.routeStated(session, statedRoute({ 2, "orders", "group-a", 900 }));
+        home.proxy.routeStated(now, session, statedRoute({ 2, "orders", "group-a", 900 }));
         home.send(now);
         CHECK(home.proxy.statements() == 0);
     }
     SECTION("a session that waits for the newer configuration may end")
     {
-        home.proxy.routeStated(session, statedRoute({ 2, "orders", "group-b" }));
+        home.proxy.routeStated(now, session, statedRoute({ 2, "orders", "group-b" }));
         home.send(now);
         home.proxy.sessionClosed(now + 10ms, session);
         home.apply(now + 100ms, { 2, "orders", "group-b" });
@@ -220,6 +224,53 @@
     }
 }
 
+TEST_CASE("A host does not decide by an older configuration than the one by which a home served its caller", "[homes]")
+{
+    ForwardingHost host;
+    const auto now = start + 1s;
+    host.proxy.tick(now);
+    host.proxy.versionStated(now, HostName("host-2"), ConfigVersion(2));
+    const Proxy::SessionId other(8);
+
+    SECTION("a new session waits for the newer configuration")
+    {
+        host.proxy.sessionOpened(now, other, { DatabaseName("profiles") });
+        CHECK(host.delegate.refused.empty());
+        host.apply(now + 20ms, { 2, "profiles" });
+        CHECK(host.delegate.forwarded.contains(other));
+    }
+    SECTION("the next statement is forwarded with the newer version, whose route is not known")
+    {
+        CHECK(host.forwards());
+        CHECK(host.delegate.statedRoutes.at(session).back() == Proxy::StatedRoute { ConfigVersion(2), {} });
+    }
+    SECTION("the configuration is requested from the home if it does not come by itself")
+    {
+        host.proxy.tick(now + 30ms);
+        CHECK(host.delegate.queriedPeers.empty());
+        host.proxy.tick(now + Proxy::Proxy::versionQueryDelay);
+        CHECK(host.delegate.queriedPeers == std::vector { homePeers });
+    }
+    SECTION("without it the host goes on by its own")
+    {
+        host.proxy.sessionOpened(now, other, { DatabaseName("profiles") });
+        for (auto moment = now; moment <= now + Proxy::Proxy::maxRouteWait; moment += 30ms)
+            host.proxy.tick(moment);
+        CHECK(host.delegate.refused.at(other) == Session::FailureCode::UnknownDatabase);
+    }
+}
+
+TEST_CASE("A home states a newer version to the host that forwards a session, once and before its answer", "[homes]")
+{
+    Home home;
+    CHECK(home.delegate.statedVersions.empty());
+    home.apply(start + 1s, { 2, "orders", "group-b" });
+    home.send(start + 1s, Session::StatementKind::Begin);
+    home.send(start + 1s, Session::StatementKind::Rollback);
+    home.send(start + 1s, Session::StatementKind::Begin);
+    CHECK(home.delegate.statedVersions.at(session) == std::vector { ConfigVersion(2) });
+}
+
 TEST_CASE("A home opens a forwarded session only by the same route or a configuration that is not older", "[homes]")
 {
     Home home;
@@ -267,7 +318,7 @@
     const Edit moved { 2, "orders", "group-b", timeoutMs };
     Home home;
     const auto now = start + 2s;
-    home.proxy.routeStated(session, statedRoute(moved));
+    home.proxy.routeStated(now, session, statedRoute(moved));
     home.send(now);
     home.apply(now + 150ms, moved);
     REQUIRE(home.proxy.statements() == 1);
--- a/tests/platform/RecordingDelegate.h
+++ b/tests/platform/RecordingDelegate.h
@@ -34,6 +34,7 @@
     void answer(Proxy::SessionId, const Session::Answer&) override { }
     void forwardSession(Proxy::SessionId, const Proxy::SessionRequest&, const Proxy::HostEntry&) override { }
     void stateRoute(Proxy::SessionId, const Proxy::StatedRoute&) override { }
+    void stateVersion(Proxy::SessionId, ConfigVersion) override { }
     void endForwardedSession(Proxy::SessionId) override { }
     void closeSession(Proxy::SessionId) override { }
     void openConnection(ConnectionId id, const Proxy::TargetRecord& target, const OrganisationName&,
--- a/tests/platform/SessionRecorder.h
+++ b/tests/platform/SessionRecorder.h
@@ -18,6 +18,8 @@
     std::map<Proxy::SessionId, Session::Answer> lastAnswers;
     std::map<Proxy::SessionId, Proxy::SessionRequest> forwarded;
     std::map<Proxy::SessionId, std::vector<Proxy::StatedRoute>> statedRoutes;
+    std::map<Proxy::SessionId, std::vector<ConfigVersion>> statedVersions;
+    std::vector<SocketAddress> queriedPeers;
     std::vector<SocketAddress> datagrams;
     std::vector<LogRecord> records;
 
@@ -41,6 +43,7 @@
     {
         statedRoutes[id].push_back(route);
     }
+    void stateVersion(Proxy::SessionId id, ConfigVersion version) override { statedVersions[id].push_back(version); }
     void endForwardedSession(Proxy::SessionId) override { }
     void closeSession(Proxy::SessionId id) override { closed.insert(id); }
     void openConnection(
@@ -53,7 +56,7 @@
     void writeLease(const Proxy::GroupName&, const Proxy::PromotionLease&, Proxy::RowVersion) override { }
     void readMembers(const Proxy::GroupName&, const std::string&) override { }
     void promote(const Proxy::GroupName&, const TargetName&, Proxy::RowVersion, Instant) override { }
-    void queryPeer(const SocketAddress&) override { }
+    void queryPeer(const SocketAddress& peer) override { queriedPeers.push_back(peer); }
     void sendDatagram(const SocketAddress& to, std::string_view) override { datagrams.push_back(to); }
     void log(const LogRecord& record) override { records.push_back(record); }
     void measure(std::string_view, double) override { }
--- a/tests/proxy/ConfigurationHost.cpp
+++ b/tests/proxy/ConfigurationHost.cpp
@@ -274,7 +274,17 @@
 {
     const auto& forward = m_forwards.at(id);
     forward.home->deliver(m_simulation.delayBetween(m_index, forward.home->index()),
-        [home = forward.home, idAtHome = forward.idAtHome, route] { home->m_proxy->routeStated(idAtHome, route); });
+        [this, home = forward.home, idAtHome = forward.idAtHome, route] {
+            home->m_proxy->routeStated(m_simulation.now(), idAtHome, route);
+        });
+}
+
+void ConfigurationHost::stateVersion(SessionId id, ConfigVersion version)
+{
+    tellOrigin(
+        id, false, [name = ConfigurationSimulation::hostName(m_index), version](ConfigurationHost& host, SessionId) {
+            host.m_proxy->versionStated(host.m_simulation.now(), name, version);
+        });
 }
 
 void ConfigurationHost::endForwardedSession(SessionId id)
--- a/tests/proxy/ConfigurationHost.h
+++ b/tests/proxy/ConfigurationHost.h
@@ -40,6 +40,7 @@
     void answer(SessionId, const Session::Answer&) override;
     void forwardSession(SessionId, const SessionRequest&, const HostEntry&) override;
     void stateRoute(SessionId, const StatedRoute&) override;
+    void stateVersion(SessionId, ConfigVersion) override;
     void endForwardedSession(SessionId) override;
     void closeSession(SessionId) override;
     void openConnection(
--- a/tests/proxy/RecordedProxy.h
+++ b/tests/proxy/RecordedProxy.h
@@ -51,6 +51,7 @@
     void answer(SessionId id, const Session::Answer& answer) override { answers[id] = answer; }
     void forwardSession(SessionId, const SessionRequest&, const HostEntry&) override { }
     void stateRoute(SessionId, const StatedRoute&) override { }
+    void stateVersion(SessionId, ConfigVersion) override { }
     void endForwardedSession(SessionId) override { }
     void closeSession(SessionId) override { }
     void openConnection(ConnectionId id, const TargetRecord& target, const OrganisationName&,
--- a/tests/proxy/SimulatedHost.h
+++ b/tests/proxy/SimulatedHost.h
@@ -33,6 +33,7 @@
     void answer(SessionId, const Session::Answer&) override;
     void forwardSession(SessionId, const SessionRequest&, const HostEntry&) override { }
     void stateRoute(SessionId, const StatedRoute&) override { }
+    void stateVersion(SessionId, ConfigVersion) override { }
     void endForwardedSession(SessionId) override { }
     void closeSession(SessionId id) override { m_endings[id] = "closed"; }
     void openConnection(
--- a/tests/proxy/StateDumpTests.cpp
+++ b/tests/proxy/StateDumpTests.cpp
@@ -25,6 +25,7 @@
     void answer(SessionId, const Session::Answer&) override { }
     void forwardSession(SessionId, const SessionRequest&, const HostEntry&) override { }
     void stateRoute(SessionId, const StatedRoute&) override { }
+    void stateVersion(SessionId, ConfigVersion) override { }
     void endForwardedSession(SessionId) override { }
     void closeSession(SessionId) override { }
     void openConnection(ConnectionId id, const TargetRecord& target, const OrganisationName&,
