Test that a starting host takes no lease that an earlier one may hold

Fails: Proxy::recordEra tells the groups of a rise only if a table was known before, so a host that starts after the store came back from an older copy takes a lease 0.66 s after its start, while one that the copy lacks lasts up to 3.7 s.

--- a/tests/proxy/StoreReturnTests.cpp
+++ b/tests/proxy/StoreReturnTests.cpp
@@ -156,3 +156,26 @@
     host.change(StoreTable::Targets, { 118, secondEra }, leaving);
     CHECK(isLeaving());
 }
+
+// A host that starts does not see the era rise, and can't know how long ago it rose.
+TEST_CASE("A host that starts just after the store came back takes no lease until the earlier ones have ended",
+    "[proxy][return]")
+{
+    RecordedProxy host(settings(), false);
+    const auto returnedAt = host.now;
+    host.read(StoreTable::Configuration, { 105, secondEra }, { { "config", "10 orders group" } });
+    host.read(StoreTable::Targets, { 105, secondEra }, RecordedProxy::members());
+    host.run(300ms);
+    host.stop("p");
+    const PromotionLeaseRow free { RowVersion(104, secondEra), PromotionLease { HostName("other"), 0, {} }, 1000 };
+    std::size_t answered = 0;
+    while (host.delegate.leaseWrites.empty() && host.now < returnedAt + 2 * Promotion::leaseLifetime) {
+        host.run(Auburnpost::Proxy::Proxy::tickInterval);
+        if (host.delegate.leaseReads > answered) {
+            answered = host.delegate.leaseReads;
+            host.proxy.leaseRead(host.now, GroupName("group"), free);
+        }
+    }
+    REQUIRE_FALSE(host.delegate.leaseWrites.empty());
+    CHECK(toMilliseconds(host.now - returnedAt) >= toMilliseconds(Promotion::leaseLifetime));
+}
