--- a/tests/proxy/PeerAgeTests.cpp
+++ b/tests/proxy/PeerAgeTests.cpp
@@ -1,4 +1,5 @@
 #include "proxy/HostDirectory.h"
+#include "proxy/PeerSnapshot.h"
 #include "proxy/RecordedProxy.h"
 
 #include <catch2/catch.hpp>
@@ -149,7 +150,18 @@
     host.change(StoreTable::Configuration, { 120, firstEra }, { { "config", "12 orders group bills group" } });
     host.returnStore({ 115, secondEra }, { { "config", "10 orders group" } }, RecordedProxy::members());
     RecordedProxy started({}, false);
-    started.proxy.peerAnswered(started.now, peerAddress(0), host.proxy.tables());
+    SECTION("which it gives to a peer")
+    {
+        started.proxy.peerAnswered(started.now, peerAddress(0), host.proxy.tables());
+    }
+    SECTION("which it feeds to a follower")
+    {
+        host.proxy.feedRequested(host.now, RequestId(1), StoreTable::Configuration, {}, Duration {});
+        REQUIRE(host.delegate.feedAnswers.size() == 1);
+        REQUIRE(host.delegate.feedAnswers.front());
+        started.proxy.feederAnswered(
+            started.now, peerAddress(0), StoreTable::Configuration, *host.delegate.feedAnswers.front());
+    }
     started.open(1, "bills");
     CHECK(started.delegate.accepted.contains(SessionId(1)));
 }
@@ -174,3 +186,88 @@
     started.open(1, "bills");
     CHECK(started.delegate.accepted.contains(SessionId(1)));
 }
+
+// Guards against hosts that divide a rate limit by too few: a new host uses its share after listingDelay.
+TEST_CASE("A host that failed to read the hosts' records knows a new host before that uses its share", "[proxy][age]")
+{
+    RecordedProxy host(TurnedAwayHost::settings());
+    const HostEntry other { HostName("other"), DataCentreName("west"), { "10.2.0.2", 7440 }, { "10.2.0.2", 7455 } };
+    const RecordedProxy::Rows records { { "other", HostDirectory::encode(other) } };
+    const auto runUntilRead = [&host] {
+        const auto reads = host.delegate.hostReads;
+        while (host.delegate.hostReads == reads)
+            host.run(Auburnpost::Proxy::Proxy::tickInterval);
+    };
+    for (int count = 0; count < 2; ++count) {
+        host.read(StoreTable::Hosts, { 110, firstEra }, records);
+        runUntilRead();
+    }
+    // The new host writes its record just after this read, and the next one has no answer.
+    host.read(StoreTable::Hosts, { 110, firstEra }, records);
+    const auto writtenAt = host.now;
+    runUntilRead();
+    host.run(HostDirectory::readTimeout);
+    host.proxy.tableRead(
+        host.now, StoreTable::Hosts, fail(ErrorCode::PlatformUnavailable, "call", "store", "no answer"));
+    runUntilRead();
+    const auto known = host.now + HostDirectory::readTimeout - writtenAt;
+    CHECK(toMilliseconds(known) <= toMilliseconds(Limit::AllotmentTimes {}.listingDelay));
+}
+
+// Guards against a handed-on row of an earlier era whose number hides the edits that the store numbers below it.
+TEST_CASE("An edit after the store came back from an older copy is applied by a host that took a peer's tables",
+    "[proxy][age]")
+{
+    RecordedProxy host;
+    host.change(StoreTable::Configuration, { 120, firstEra }, { { "config", "12 orders group bills group" } });
+    host.returnStore({ 115, secondEra }, { { "config", "10 orders group" } }, RecordedProxy::members());
+    RecordedProxy started;
+    started.run(Auburnpost::Proxy::Proxy::tickInterval);
+    const auto noAnswer = fail(ErrorCode::PlatformUnavailable, "call", "store", "no answer");
+    started.proxy.tableFollowed(started.now, StoreTable::Configuration, noAnswer);
+    SECTION("from a snapshot")
+    {
+        started.proxy.peerAnswered(started.now, peerAddress(0), decodeSnapshot(encodeSnapshot(host.proxy.tables())));
+    }
+    SECTION("from a feed")
+    {
+        host.proxy.feedRequested(host.now, RequestId(1), StoreTable::Configuration, {}, Duration {});
+        REQUIRE(host.delegate.feedAnswers.size() == 1);
+        REQUIRE(host.delegate.feedAnswers.front());
+        started.proxy.feederAnswered(started.now, peerAddress(0), StoreTable::Configuration,
+            decodeFeedPage(encodeFeedPage(*host.delegate.feedAnswers.front())));
+    }
+    // The store is polled after the version of the copy that was taken.
+    started.run(TableTimes::forConfiguration({}).maxRetryDelay());
+    started.change(StoreTable::Configuration, { 117, secondEra }, { { "config", "13 orders group invoices group" } });
+    started.open(1, "invoices");
+    CHECK(started.delegate.accepted.contains(SessionId(1)));
+}
+
+// Many hosts may start at the same time, and then know no more than the store tells them.
+TEST_CASE("A host that starts after the store came back asks more peers than one that started as well", "[proxy][age]")
+{
+    const RecordedProxy::Rows older { { "config", "10 orders group" } };
+    RecordedProxy known;
+    known.change(StoreTable::Configuration, { 120, firstEra }, { { "config", "12 orders group bills group" } });
+    known.returnStore({ 115, secondEra }, older, RecordedProxy::members());
+    const auto start = [&older](RecordedProxy& host) {
+        host.read(StoreTable::Configuration, { 115, secondEra }, older);
+        host.read(StoreTable::Targets, { 115, secondEra }, RecordedProxy::members());
+    };
+    RecordedProxy alsoStarted({}, false);
+    start(alsoStarted);
+
+    RecordedProxy started(TurnedAwayHost::settings(), false);
+    start(started);
+    std::size_t asked = 0;
+    const auto end = started.now + TimeBounds {}.recovery;
+    while (started.now < end) {
+        started.run(Auburnpost::Proxy::Proxy::tickInterval);
+        for (const auto& peer : std::exchange(started.delegate.queriedPeers, {}))
+            started.proxy.peerAnswered(
+                started.now, peer, asked++ == 0 ? alsoStarted.proxy.tables() : known.proxy.tables());
+    }
+    started.open(1, "bills");
+    CHECK(started.delegate.accepted.contains(SessionId(1)));
+}
