--- a/tests/proxy/PeerSnapshotTests.cpp
+++ b/tests/proxy/PeerSnapshotTests.cpp
@@ -25,8 +25,7 @@
 
 } // namespace
 
-// Guards against a host that ignores the edits after a return of the store: a host passes on the configuration that it
-// applied, whose row may be of an earlier era and of a higher number than the table.
+// Guards against a host that ignores the edits after a return of the store.
 TEST_CASE("A row of an earlier era in another host's table does not hide later changes of the row", "[proxy][store]")
 {
     const TableState passedOn { inEra(4, 23), { { "config", { "config", inEra(3, 51), "version 4", false } } } };
