--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -13,6 +13,8 @@
     beginEvent(now);
     if (table == StoreTable::Hosts) {
         // After a failed read the known hosts are kept; the followed tables report that the store is unavailable.
+        if (!page)
+            m_hosts.recordReadFailed(now);
         if (page && m_hosts.updateHosts(now, *page)) {
             m_homes.setHosts(m_hosts.hosts());
             m_feeders.setHosts(m_hosts.hosts());
@@ -183,8 +185,12 @@
 TableState Proxy::tableForPeers(StoreTable table) const
 {
     auto state = m_followers[static_cast<std::size_t>(table)].state();
-    if (table == StoreTable::Configuration && m_isOlderCatalogListed)
-        state.rows[m_appliedRow.key] = m_appliedRow;
+    if (table == StoreTable::Configuration && m_isOlderCatalogListed) {
+        // The version stays that of the store's row, so that later edits of the row count as newer.
+        auto& row = state.rows[m_appliedRow.key];
+        row.key = m_appliedRow.key;
+        row.value = m_appliedRow.value;
+    }
     return state;
 }
 
@@ -303,7 +309,7 @@
     if (now - m_peerQueriedAt < peerQueryInterval)
         return;
     // After a return of the store from an older copy, only hosts that ran before may have the newest configuration.
-    const bool maySeeOlderCopy = m_storeEra != StoreEra {} && !m_hasPeerAnswered;
+    const bool maySeeOlderCopy = m_storeEra != StoreEra {} && m_peerAnswers < startPeers;
     const bool needsPeers = std::any_of(m_followers.begin(), m_followers.end(), [now](const StoreFollower& follower) {
         return (!follower.isKnown())
             || (follower.calls().failingSince && now - *follower.calls().failingSince >= peerDelay);
@@ -345,7 +351,7 @@
             { { "peer", peer.toString() }, { "reason", tables.error().describe() } } });
         return;
     }
-    m_hasPeerAnswered = true;
+    ++m_peerAnswers;
     for (const auto& [table, state] : *tables) {
         recordEra(table, state.asOf);
         if (!follower(table).adopt(state, peer)) {
