Tie the wait for the opening of a forwarded session to the other host's limit

A host has to refuse such a session before the forwarding host gives up and avoids it for all groups; the two times stood as numbers in two files.

--- a/src/app/ProxyAssemblyCallers.cpp
+++ b/src/app/ProxyAssemblyCallers.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+    static_assert(Proxy::Proxy::maxOpenWait + Proxy::Proxy::tickInterval < SessionForwarder::openTimeout,
+        "a host has to refuse a forwarded session before the other one takes it for unreachable");
+
     Limit::ClientStage stageOf(bool isInTransaction)
     {
         return isInTransaction ? Limit::ClientStage::InTransaction : Limit::ClientStage::Idle;
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -31,8 +31,8 @@
     /// Maximum time for which a statement waits until this host's configuration is as new as that of the host that
     /// forwards the session.
     static constexpr Duration maxRouteWait = std::chrono::milliseconds(300);
-    /// The same for a session to be opened. The forwarding host gives up after 300 ms, and would then avoid this host
-    /// for all groups.
+    /// The same for a session to be opened; below the time after which the forwarding host gives up, as it would then
+    /// avoid this host for all groups.
     static constexpr Duration maxOpenWait = std::chrono::milliseconds(200);
     /// Time after which a newer configuration is requested from the host that has it. It usually arrives from the store
     /// before.
