Log how each call for a table failed, and the age of an old copy

E0210, E0216 and E0219 name the kind of failure (not_sent, unanswered, status or rejected) and the timeout. E0222 reports a copy older than half of its bound, once until it is confirmed, while a call is overdue or calls fail. The metrics have the calls that wait for a connection and the largest age of each copy. A call that got no connection fails as not sent, and leaves the queue.

--- a/src/app/ProxyAssembly.cpp
+++ b/src/app/ProxyAssembly.cpp
@@ -117,7 +117,7 @@
     m_metricsServer.requestReceived().connect([this](const Wire::HttpRequest& request) {
         m_metricsServer.reply(request.id,
             { statusOk, { { "Content-Type", "text/plain" } },
-                m_metrics.dump() + requestCounts() + m_storeCalls.dump() });
+                m_metrics.dump() + requestCounts() + m_storeCalls.dump() + tableMetrics() });
     });
     for (auto* const server : { &m_readinessServer, &m_peerServer, &m_metricsServer })
         server->requestRefused().connect([server](RequestId id, const Error&) {
@@ -290,6 +290,16 @@
     return text;
 }
 
+std::string ProxyAssembly::tableMetrics() const
+{
+    std::string text = "store_calls_waiting count=" + std::to_string(m_storeClient.waiting())
+        + " max=" + std::to_string(m_storeClient.mostWaiting()) + "\n";
+    for (const auto table : Proxy::followedTables)
+        text += "copy_age_" + std::string(toString(table))
+            + "_ms max=" + std::to_string(toMilliseconds(m_proxy.largestCopyAge(table))) + "\n";
+    return text;
+}
+
 void ProxyAssembly::measure(std::string_view series, double sample)
 {
     m_metrics.record(series, sample);
--- a/src/app/ProxyAssembly.h
+++ b/src/app/ProxyAssembly.h
@@ -126,6 +126,8 @@
     void measure(std::string_view series, double sample) override;
     /// @return one line for each kind of target request with the number sent.
     [[nodiscard]] std::string requestCounts() const;
+    /// @return lines for the calls that wait for a connection to the store and for the ages of the copies of tables.
+    [[nodiscard]] std::string tableMetrics() const;
 
     // ShutdownDelegate.
     void announceLeave(Instant now) override;
--- a/src/app/ProxyAssemblyPlatform.cpp
+++ b/src/app/ProxyAssemblyPlatform.cpp
@@ -194,7 +194,7 @@
     call(*client, std::move(feedCall), [this, feeder, table](const Expected<PlatformReply>& reply) {
         auto page = reply.and_then([&feeder](const PlatformReply& answered) -> Expected<Proxy::FeedPage> {
             if (answered.status != statusOk)
-                return fail(ErrorCode::PlatformUnavailable, "follow table", feeder.toString(),
+                return fail(ErrorCode::PlatformRefused, "follow table", feeder.toString(),
                     "status " + std::to_string(answered.status));
             return Proxy::decodeFeedPage(answered.body);
         });
--- a/src/base/LogEvent.cpp
+++ b/src/base/LogEvent.cpp
@@ -17,7 +17,7 @@
     constexpr std::size_t numberDigits = 4;
 
     /// Sorted by number.
-    constexpr std::array<Definition, 77> definitions { {
+    constexpr std::array<Definition, 78> definitions { {
         { LogEvent::Started, LogLevel::Info, "host started" },
         { LogEvent::ShutdownStarted, LogLevel::Info, "host shutdown started" },
         { LogEvent::ShutdownCompleted, LogLevel::Info, "host shutdown completed" },
@@ -41,6 +41,7 @@
         { LogEvent::FeederFailed, LogLevel::Warn, "a host that feeds tables failed" },
         { LogEvent::StoreEraChanged, LogLevel::Warn, "the platform's store came back from an older copy" },
         { LogEvent::NewerConfigurationStated, LogLevel::Info, "another host has a newer configuration" },
+        { LogEvent::TableCopyOld, LogLevel::Warn, "copy of a table older than half of its bound" },
         { LogEvent::HostJoined, LogLevel::Info, "host joined" },
         { LogEvent::HostSuspected, LogLevel::Warn, "host suspected to be dead" },
         { LogEvent::HostDead, LogLevel::Warn, "host declared dead" },
--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -34,6 +34,7 @@
     FeederFailed = 219,
     StoreEraChanged = 220,
     NewerConfigurationStated = 221,
+    TableCopyOld = 222,
 
     HostJoined = 300,
     HostSuspected = 301,
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -48,6 +48,8 @@
     updateFeeders(now);
     for (auto& follower : m_followers)
         follower.tick(now);
+    for (const auto table : followedTables)
+        reportCopyAge(now, table);
     answerFeeds(now);
     m_hosts.tick(now);
     if (m_allotments) {
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -2,6 +2,7 @@
 
 #include "proxy/AllotmentService.h"
 #include "proxy/CallerSession.h"
+#include "proxy/CopyAge.h"
 #include "proxy/FeederChoice.h"
 #include "proxy/GroupHomes.h"
 #include "proxy/GroupService.h"
@@ -102,6 +103,11 @@
     [[nodiscard]] bool mayRelay(Instant now, const TargetName&) const;
     void peerAnswered(Instant now, const SocketAddress&, const Expected<TableStates>&);
     [[nodiscard]] TableStates tables() const;
+    /// @return the largest age that this host's copy of a table has had.
+    [[nodiscard]] Duration largestCopyAge(StoreTable table) const
+    {
+        return m_copyAges[static_cast<std::size_t>(table)].largest();
+    }
 
     /// @return whether the host exchanges datagrams with others.
     [[nodiscard]] bool usesDatagrams() const { return m_allotments && m_allotments->isEnabled(); }
@@ -223,6 +229,11 @@
     /// @param failure why it failed; empty if it succeeded.
     void logStoreCall(
         Instant, StoreTable, const StoreFollower::CallHistory& before, const std::optional<Error>& failure);
+    /// Appends how the call that ended has failed.
+    static void appendFailure(
+        std::vector<LogField>&, Instant now, const StoreFollower::CallHistory& before, const Error& failure);
+    /// Observes the age of the copy of a table, and logs one that exceeds half of its bound.
+    void reportCopyAge(Instant, StoreTable);
     /// Notes the era of the store that an answer states.
     void recordEra(StoreTable, const RowVersion& asOf);
     void queryPeers(Instant now);
@@ -236,6 +247,7 @@
     /// @return the answer to a request; empty if this host's copy is too old to be passed on.
     [[nodiscard]] std::optional<FeedPage> feedPage(Instant now, StoreTable, RowVersion after) const;
     [[nodiscard]] StoreFollower& follower(StoreTable table) { return m_followers[static_cast<std::size_t>(table)]; }
+    [[nodiscard]] CopyAge& copyAge(StoreTable table) { return m_copyAges[static_cast<std::size_t>(table)]; }
 
     ProxySettings m_settings;
     const RowReader& m_reader;
@@ -244,6 +256,7 @@
     /// Time of the event that is being handled, or of the last one.
     Instant m_now;
     std::array<StoreFollower, followedTables.size()> m_followers;
+    std::array<CopyAge, followedTables.size()> m_copyAges;
     std::optional<Catalog> m_catalog;
     Instant m_catalogAppliedAt {};
     /// The row from which the applied configuration was read.
--- a/src/proxy/ProxyFeeds.cpp
+++ b/src/proxy/ProxyFeeds.cpp
@@ -31,9 +31,11 @@
     auto page = answered;
     const auto limit = TableTimes::hopLimit(m_settings.bounds);
     if (page && limit && page->age > *limit)
-        page = fail(ErrorCode::PlatformUnavailable, "follow table", feeder.toString(), "the feeder's copy is too old");
+        page = fail(ErrorCode::BadMessage, "follow table", feeder.toString(), "the feeder's copy is too old");
     if (page)
         recordEra(table, page->asOf);
+    if (page && page->asOf < follower(table).state().asOf)
+        page = fail(ErrorCode::BadMessage, "follow table", feeder.toString(), "the feeder is behind this host");
     const auto before = follower(table).calls();
     const bool hasChanged = follower(table).feederAnswered(now, m_random, page);
     if (!follower(table).calls().isConnected) {
@@ -41,11 +43,11 @@
         updateFeeders(now);
     }
     updateListOrigin();
-    if (!page)
-        log({ LogEvent::FeederFailed,
-            { { "feeder", feeder.toString() }, { "table", std::string(toString(table)) },
-                { "waited_ms", std::to_string(toMilliseconds(now - before.sentAt)) },
-                { "reason", page.error().describe() } } });
+    if (!page) {
+        std::vector<LogField> fields { { "feeder", feeder.toString() }, { "table", std::string(toString(table)) } };
+        appendFailure(fields, now, before, page.error());
+        log({ LogEvent::FeederFailed, std::move(fields) });
+    }
     if (hasChanged)
         tableChanged(now, table);
     follower(table).tick(now);
--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -1,3 +1,4 @@
+#include "proxy/CallFailure.h"
 #include "proxy/Proxy.h"
 #include "proxy/StateDump.h"
 
@@ -90,11 +91,8 @@
 {
     std::vector<LogField> fields { { "table", std::string(toString(table)) } };
     if (failure) {
-        const auto waited = now - before.sentAt;
-        m_delegate.measure("store_call_failed_ms", static_cast<double>(toMilliseconds(waited)));
-        fields.push_back({ "waited_ms", std::to_string(toMilliseconds(waited)) });
-        fields.push_back({ "failures", std::to_string(before.failures + 1) });
-        fields.push_back({ "reason", failure->describe() });
+        m_delegate.measure("store_call_failed_ms", static_cast<double>(toMilliseconds(now - before.sentAt)));
+        appendFailure(fields, now, before, *failure);
         const bool isFirst = !before.failingSince;
         log({ isFirst ? LogEvent::PlatformOutage : LogEvent::PlatformCallFailed, std::move(fields) });
         return;
@@ -108,6 +106,32 @@
     log({ LogEvent::PlatformRecovered, std::move(fields) });
 }
 
+void Proxy::appendFailure(
+    std::vector<LogField>& fields, Instant now, const StoreFollower::CallHistory& before, const Error& failure)
+{
+    fields.push_back({ "failure", std::string(toString(callFailureOf(failure))) });
+    fields.push_back({ "waited_ms", std::to_string(toMilliseconds(now - before.sentAt)) });
+    fields.push_back({ "timeout_ms", std::to_string(toMilliseconds(before.timeout)) });
+    fields.push_back({ "failures", std::to_string(before.failures + 1) });
+    fields.push_back({ "reason", failure.describe() });
+}
+
+void Proxy::reportCopyAge(Instant now, StoreTable table)
+{
+    const auto& follower = this->follower(table);
+    // The copy of a host whose poll waits for a change may be as old as the longest wait.
+    const auto limit = follower.isBehind(now) ? follower.limit() / 2 : Duration::max();
+    const auto age = copyAge(table).observe(now, follower.origin().confirmedAt, limit);
+    if (!age)
+        return;
+    const auto& calls = follower.calls();
+    log({ LogEvent::TableCopyOld,
+        { { "table", std::string(toString(table)) }, { "age_ms", std::to_string(toMilliseconds(*age)) },
+            { "bound_ms", std::to_string(toMilliseconds(follower.limit())) },
+            { "failures", std::to_string(calls.failures) },
+            { "waited_ms", std::to_string(toMilliseconds(now - calls.sentAt)) } } });
+}
+
 void Proxy::recordEra(StoreTable table, const RowVersion& asOf)
 {
     if (asOf.era() <= m_storeEra)
--- a/src/proxy/StoreFollower.cpp
+++ b/src/proxy/StoreFollower.cpp
@@ -8,7 +8,7 @@
 
     Error rejection(StoreTable table, const char* reason)
     {
-        return { ErrorCode::PlatformUnavailable, "read " + std::string(toString(table)), "store", reason };
+        return { ErrorCode::BadMessage, "read " + std::string(toString(table)), "store", reason };
     }
 
 } // namespace
@@ -34,20 +34,24 @@
     m_isCalling = true;
     m_calls.sentAt = now;
     m_polledAfter = m_state.asOf;
+    const bool mayWait = m_calls.isConnected && !m_needsRead;
+    m_calls.wait = mayWait ? m_times.pollWait() : Duration {};
+    m_calls.timeout = mayWait ? m_times.pollTimeout() : m_times.callTimeout(m_calls.failures);
     if (m_feeder) {
-        const bool mayWait = m_calls.isConnected && !m_needsRead;
-        m_delegate.followFeeder(*m_feeder, m_table, m_state.asOf, mayWait ? m_times.pollWait() : Duration {},
-            mayWait ? m_times.pollTimeout() : m_times.callTimeout(m_calls.failures));
+        m_delegate.followFeeder(*m_feeder, m_table, m_state.asOf, m_calls.wait, m_calls.timeout);
     } else if (m_needsRead) {
         m_partialRead = {};
-        m_delegate.readTable(m_table, {}, m_times.callTimeout(m_calls.failures));
-    } else if (m_calls.isConnected) {
-        m_delegate.followTable(m_table, m_state.asOf, m_times.pollWait(), m_times.pollTimeout());
+        m_delegate.readTable(m_table, {}, m_calls.timeout);
     } else {
-        m_delegate.followTable(m_table, m_state.asOf, Duration {}, m_times.callTimeout(m_calls.failures));
+        m_delegate.followTable(m_table, m_state.asOf, m_calls.wait, m_calls.timeout);
     }
 }
 
+bool StoreFollower::isBehind(Instant now) const
+{
+    return !m_calls.isConnected || (m_isCalling && now > m_calls.sentAt + m_calls.wait + TableTimes::minAnswerTimeout);
+}
+
 std::optional<Error> StoreFollower::rejectionOfRead(const StorePage& page) const
 {
     const bool isFirst = m_partialRead.asOf == RowVersion {};
@@ -81,7 +85,8 @@
     if (page->hasMore && !page->rows.empty()) {
         m_isCalling = true;
         m_calls.sentAt = now;
-        m_delegate.readTable(m_table, keyAfter(page->rows.back().key), m_times.callTimeout(m_calls.failures));
+        m_calls.timeout = m_times.callTimeout(m_calls.failures);
+        m_delegate.readTable(m_table, keyAfter(page->rows.back().key), m_calls.timeout);
         return false;
     }
     m_needsRead = false;
--- a/src/proxy/StoreFollower.h
+++ b/src/proxy/StoreFollower.h
@@ -44,6 +44,9 @@
         bool isConnected { false };
         /// When the call in progress, or otherwise the last call, was sent.
         Instant sentAt {};
+        /// The timeout of that call, and how long the other side may wait for a change before it answers.
+        Duration timeout {};
+        Duration wait {};
         /// When the first of the calls that failed since the last success ended; empty while calls succeed.
         std::optional<Instant> failingSince;
         /// Calls that failed since the last success.
@@ -86,6 +89,10 @@
     [[nodiscard]] TableOrigin origin() const { return { m_confirmedAt, m_peer, m_state.asOf }; }
     /// @return the outcome of the calls so far.
     [[nodiscard]] const CallHistory& calls() const { return m_calls; }
+    /// @return whether calls fail, or the one in progress should have been answered already.
+    [[nodiscard]] bool isBehind(Instant now) const;
+    /// @return the time within which a change is to be known.
+    [[nodiscard]] Duration limit() const { return m_times.limit(); }
 
 private:
     /// @return the latest moment that the answer to the call in progress is known to reflect.
--- a/src/proxy/TableTimes.cpp
+++ b/src/proxy/TableTimes.cpp
@@ -28,13 +28,13 @@
 
 } // namespace
 
-TableTimes::TableTimes(Duration requestedLimit)
+TableTimes::TableTimes(Duration limit)
+    : m_limit(std::max(limit, minLimit))
+    , m_answerTimeout(std::max(m_limit / answerTimeoutsPerLimit, minAnswerTimeout))
+    , m_maxRetryDelay(m_limit / retryDelaysPerLimit)
 {
-    const auto limit = std::max(requestedLimit, minLimit);
-    m_answerTimeout = std::max(limit / answerTimeoutsPerLimit, minAnswerTimeout);
-    m_maxRetryDelay = limit / retryDelaysPerLimit;
     const auto afterFailure = m_maxRetryDelay + answersAfterFailure * m_answerTimeout + schedulingDelay;
-    m_pollWait = std::clamp(limit - afterFailure - m_answerTimeout, Duration {}, maxPollWait);
+    m_pollWait = std::clamp(m_limit - afterFailure - m_answerTimeout, Duration {}, maxPollWait);
 }
 
 std::optional<Duration> TableTimes::hopLimit(const TimeBounds& bounds)
--- a/src/proxy/TableTimes.h
+++ b/src/proxy/TableTimes.h
@@ -35,6 +35,8 @@
     static TableTimes forTargets(const TimeBounds& bounds) { return forTargets(bounds, false); }
     static TableTimes forTargets(const TimeBounds&, bool usesFeeders);
 
+    /// @return the time within which a change is to be known.
+    [[nodiscard]] Duration limit() const { return m_limit; }
     /// @return how long the store waits for a change in a long poll.
     [[nodiscard]] Duration pollWait() const { return m_pollWait; }
     [[nodiscard]] Duration pollTimeout() const { return m_pollWait + m_answerTimeout; }
@@ -49,6 +51,7 @@
     [[nodiscard]] Duration maxDelay() const;
 
 private:
+    Duration m_limit;
     Duration m_answerTimeout;
     Duration m_maxRetryDelay;
     Duration m_pollWait;
--- a/src/wire/PlatformClient.cpp
+++ b/src/wire/PlatformClient.cpp
@@ -167,6 +167,7 @@
         return;
     }
     m_waitingCalls.push_back(call.id);
+    m_mostWaiting = std::max(m_mostWaiting, m_waitingCalls.size());
     scheduleStart();
 }
 
@@ -274,8 +275,25 @@
     finish(pending, readReply(pending, request));
 }
 
+tl::unexpected<Error> PlatformClient::timeoutFailure(const PendingCall& pending) const
+{
+    if (!pending.failureReason.empty())
+        return failure(pending, pending.failureReason);
+    const auto timeout = " within " + std::to_string(toMilliseconds(pending.call.timeout)) + " ms";
+    if (pending.conditionalConnection && !pending.isSent)
+        return failure(pending, "no connection" + timeout, ErrorCode::NotSent);
+    if (!pending.connection && !pending.conditionalConnection)
+        return failure(pending,
+            "no free connection" + timeout + "; " + std::to_string(m_waitingCalls.size()) + " calls waited for one",
+            ErrorCode::NotSent);
+    return failure(
+        pending, "no answer" + timeout + " on a " + (pending.isConnectionReused ? "reused" : "new") + " connection");
+}
+
 void PlatformClient::onTimeout(PendingCall& pending)
 {
+    const auto error = timeoutFailure(pending);
+    std::erase(m_waitingCalls, pending.call.id);
     if (pending.request) {
         resetOnClose(pending.connection);
         evhttp_cancel_request(std::exchange(pending.request, nullptr));
@@ -284,13 +302,7 @@
     }
     if (pending.conditionalConnection)
         pending.conditionalConnection->setResetOnClose();
-    const auto code
-        = pending.conditionalConnection && !pending.isSent ? ErrorCode::NotSent : ErrorCode::PlatformUnavailable;
-    const auto message = pending.failureReason.empty()
-        ? "no answer within " + std::to_string(toMilliseconds(pending.call.timeout)) + " ms on a "
-            + (pending.isConnectionReused ? "reused" : "new") + " connection"
-        : pending.failureReason;
-    finish(pending, failure(pending, message, code));
+    finish(pending, error);
 }
 
 void PlatformClient::finish(PendingCall& pending, Expected<PlatformReply> reply)
--- a/src/wire/PlatformClient.h
+++ b/src/wire/PlatformClient.h
@@ -42,6 +42,9 @@
 
     /// @return the number of unanswered calls.
     [[nodiscard]] std::size_t pending() const { return m_pending.size(); }
+    /// @return the number of calls that wait for a connection, and the largest number so far.
+    [[nodiscard]] std::size_t waiting() const { return m_waitingCalls.size(); }
+    [[nodiscard]] std::size_t mostWaiting() const { return m_mostWaiting; }
 
 private:
     struct PendingCall;
@@ -60,6 +63,8 @@
     void onReply(PendingCall&, evhttp_request*);
     void onTimeout(PendingCall&);
     void finish(PendingCall&, Expected<PlatformReply>);
+    /// @return why the call has no answer at its timeout.
+    [[nodiscard]] tl::unexpected<Error> timeoutFailure(const PendingCall&) const;
     [[nodiscard]] Expected<PlatformReply> readReply(const PendingCall&, evhttp_request*) const;
     [[nodiscard]] std::string writeRequest(const PlatformCall&) const;
     /// Parses the status line of a reply.
@@ -72,6 +77,7 @@
     PlatformClientLimits m_limits;
     std::unordered_map<PlatformCallId, std::unique_ptr<PendingCall>> m_pending;
     std::deque<PlatformCallId> m_waitingCalls;
+    std::size_t m_mostWaiting { 0 };
     /// Requests are made only from this event, because evhttp fails a request made within the callback of another one.
     EventPointer m_startEvent;
     sigc::signal<void(const PlatformAnswer&)> m_answered;
--- a/tests/proxy/RecordedProxy.h
+++ b/tests/proxy/RecordedProxy.h
@@ -2,6 +2,7 @@
 
 #include "proxy/Proxy.h"
 
+#include <algorithm>
 #include <map>
 #include <sstream>
 #include <string>
@@ -32,6 +33,7 @@
     std::size_t leaseReads { 0 };
     std::size_t hostWrites { 0 };
     std::size_t hostReads { 0 };
+    std::vector<LogRecord> records;
 
     void readTable(StoreTable table, const std::string&, Duration timeout) override
     {
@@ -75,7 +77,7 @@
     void answerFeed(RequestId, const std::optional<FeedPage>& page) override { feedAnswers.push_back(page); }
     void queryPeer(const SocketAddress& peer) override { queriedPeers.push_back(peer); }
     void sendDatagram(const SocketAddress&, std::string_view) override { }
-    void log(const LogRecord&) override { }
+    void log(const LogRecord& record) override { records.push_back(record); }
     void measure(std::string_view, double) override { }
 };
 
@@ -165,6 +167,28 @@
         read(StoreTable::Targets, asOf, targets);
     }
 
+    /// @return the values of the last record of the event by the names of their fields.
+    [[nodiscard]] std::map<std::string, std::string> fieldsOf(LogEvent event) const
+    {
+        std::map<std::string, std::string> fields;
+        for (const auto& record : delegate.records) {
+            if (record.event != event)
+                continue;
+            fields.clear();
+            for (const auto& field : record.fields)
+                fields[field.name] = field.value;
+        }
+        return fields;
+    }
+    /// @return the number of records of the event whose first field has the value.
+    [[nodiscard]] std::size_t countOf(LogEvent event, const std::string& value) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(delegate.records.begin(), delegate.records.end(), [&](const LogRecord& record) {
+                return record.event == event && !record.fields.empty() && record.fields.front().value == value;
+            }));
+    }
+
     /// Opens a session and sends a statement on it.
     void open(std::uint64_t session, const std::string& database)
     {
--- a/tests/wire/PlatformClientTests.cpp
+++ b/tests/wire/PlatformClientTests.cpp
@@ -258,3 +258,24 @@
         CHECK(answer.error().code == ErrorCode::PlatformUnavailable);
     }
 }
+
+TEST_CASE("A call that got no connection in time fails as not sent, and one that was sent does not", "[wire][platform]")
+{
+    PlatformClientLimits limits;
+    limits.connections = 1;
+    Fixture test(limits);
+    test.script = [](const std::string&) { return Reply {}; };
+    const auto sent = test.call(std::chrono::milliseconds(80));
+    const auto waiting = test.call(std::chrono::milliseconds(30));
+    const auto other = test.call(std::chrono::milliseconds(40));
+    CHECK(test.client.mostWaiting() == 3);
+    const auto& unsent = test.answerOf(waiting);
+    REQUIRE_FALSE(unsent);
+    CHECK(unsent.error().code == ErrorCode::NotSent);
+    CHECK_THAT(unsent.error().message, Catch::Contains("no free connection within 30 ms; 2 calls waited"));
+    CHECK(test.client.waiting() == 1);
+    CHECK_FALSE(test.answerOf(other));
+    CHECK(test.answerOf(sent).error().code == ErrorCode::PlatformUnavailable);
+    CHECK(test.client.waiting() == 0);
+    CHECK(test.requests.size() == 1);
+}
