--- a/tests/process/ConfigDriver.cpp
+++ b/tests/process/ConfigDriver.cpp
@@ -35,6 +35,7 @@
 {
     static const std::map<std::string, StoreFaultStep> faults {
         { "silent", &ConfigDriver::silenceStore },
+        { "call-series", &ConfigDriver::failCallsInSeries },
         { "history-lost", &ConfigDriver::loseHistory },
         { "older-copy", &ConfigDriver::restoreCopy },
     };
@@ -242,6 +243,20 @@
     disturb(Disturbance::allHosts, now, until, "store silent for all");
 }
 
+void ConfigDriver::failCallsInSeries(Moment now)
+{
+    const auto until = now + pick(4000, 6000);
+    const std::size_t failures = 1 + m_random() % 2;
+    m_quietUntil = until;
+    m_site.store().setFault("", StoreFault::Silent);
+    at(until, [this, failures] {
+        m_site.store().dropCalls("op", failures);
+        m_site.store().setFault("", StoreFault::None);
+    });
+    disturb(Disturbance::allHosts, now, until,
+        "store silent for all, " + std::to_string(failures) + " further calls of each host unanswered");
+}
+
 void ConfigDriver::loseHistory(Moment now)
 {
     m_site.store().discardHistory();
--- a/tests/process/ConfigDriver.h
+++ b/tests/process/ConfigDriver.h
@@ -63,6 +63,8 @@
     void delayStoreFor(std::size_t host, Moment now);
 
     void silenceStore(Moment now);
+    /// Silences the store for long enough that the timeouts of calls have grown, and leaves further calls unanswered.
+    void failCallsInSeries(Moment now);
     void loseHistory(Moment now);
     void restoreCopy(Moment now);
 
--- a/tests/process/ConfigSoakTests.cpp
+++ b/tests/process/ConfigSoakTests.cpp
@@ -70,6 +70,15 @@
     });
 }
 
+TEST_CASE("Hosts in touch apply each version in time when calls fail in series after an outage", "[series]")
+{
+    playSeeds({ 12 }, [](std::uint64_t) {
+        ConfigSoak soak;
+        soak.faults.ofStore = { "call-series" };
+        return soak;
+    });
+}
+
 TEST_CASE("Hosts in touch apply each version in time under overlapping faults", "[overlapping]")
 {
     playSeeds({ 3 }, [](std::uint64_t seed) {
--- a/tests/process/StoreServer.cpp
+++ b/tests/process/StoreServer.cpp
@@ -122,6 +122,24 @@
     m_changed.notify_all();
 }
 
+void StoreServer::dropCalls(const std::string& table, std::size_t callsOfEachHost)
+{
+    const std::lock_guard lock(m_mutex);
+    m_droppedTable = table;
+    m_droppedOfEachHost = callsOfEachHost;
+    m_dropped.clear();
+}
+
+bool StoreServer::isDropped(const Call& call)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto table = call.query.find("Table");
+    if (table == call.query.end() || table->second != m_droppedTable || m_dropped[call.host] >= m_droppedOfEachHost)
+        return false;
+    ++m_dropped[call.host];
+    return true;
+}
+
 void StoreServer::discardHistory()
 {
     {
@@ -201,6 +219,12 @@
     SocketReader reader(connection);
     while (auto call = Call::read(reader)) {
         const auto faultBefore = currentFault(call->host);
+        if (faultBefore == StoreFault::None && isDropped(*call)) {
+            // The connection delivers nothing any more, until the host closes it.
+            for (std::string line; reader.readLine(line);)
+                continue;
+            return;
+        }
         RowStoreAnswer answer;
         if (!losesConnections(faultBefore))
             answer = perform(*call, faultBefore);
--- a/tests/process/StoreServer.h
+++ b/tests/process/StoreServer.h
@@ -39,6 +39,8 @@
     void countTransaction();
     /// @param host host to which the fault applies; empty: all hosts.
     void setFault(const std::string& host, StoreFault);
+    /// Leaves the next calls for a table unanswered, so many of each host, although the store is not disturbed.
+    void dropCalls(const std::string& table, std::size_t callsOfEachHost);
     void discardHistory();
     /// Brings back the rows of a moment in the past, and raises the era.
     void restoreCopy(std::chrono::milliseconds age);
@@ -51,6 +53,8 @@
     [[nodiscard]] RowStoreAnswer poll(const Call&);
     /// @return the fault that applies to the host's calls. The caller holds the lock.
     [[nodiscard]] StoreFault faultOf(const std::string& host) const;
+    /// @return whether the call is one of those that are left unanswered.
+    [[nodiscard]] bool isDropped(const Call&);
     /// Waits until a silent or resetting fault of the host has ended.
     void awaitEndOfSilence(const std::string& host);
 
@@ -60,6 +64,10 @@
     RowStore m_rows;
     /// By host; the empty name stands for all hosts.
     std::map<std::string, StoreFault> m_faults;
+    std::string m_droppedTable;
+    std::size_t m_droppedOfEachHost { 0 };
+    /// The calls that were left unanswered, by host.
+    std::map<std::string, std::size_t> m_dropped;
     ThreadServer m_server { [this](const LoopbackSocket& connection) { serve(connection); } };
 };
 
--- a/tests/proxy/ConfigurationChecker.cpp
+++ b/tests/proxy/ConfigurationChecker.cpp
@@ -29,6 +29,33 @@
         [&](const Interval& interval) { return interval.from <= until && interval.until >= from; });
 }
 
+Instant ConfigurationChecker::undisturbedSince(std::size_t host, Instant before) const
+{
+    Instant since {};
+    if (const auto disturbances = m_disturbances.find(host); disturbances != m_disturbances.end()) {
+        for (const auto& interval : disturbances->second) {
+            if (interval.until < before)
+                since = std::max(since, interval.until);
+        }
+    }
+    return since;
+}
+
+void ConfigurationChecker::recordAge(const Request& request, Instant decidedAt, const std::optional<GroupName>& group)
+{
+    if (!isInTouch(request.host, request.sentAt, decidedAt))
+        return;
+    auto version = m_versions.size();
+    while (version > 0 && !allows(version, request.database, group))
+        --version;
+    if (version == 0 || version == m_versions.size())
+        return;
+    const auto& replacedAt = m_versions[version].acknowledgedAt;
+    if (replacedAt && *replacedAt < request.sentAt)
+        m_largestAge = std::max(
+            m_largestAge, request.sentAt - std::max(*replacedAt, undisturbedSince(request.host, request.sentAt)));
+}
+
 std::size_t ConfigurationChecker::lastAcknowledged(Instant before) const
 {
     for (auto version = m_versions.size(); version > 0; --version) {
@@ -64,6 +91,7 @@
 {
     const TimeBounds bounds;
     ++m_decisions;
+    recordAge(request, now, group);
     const bool isInTouch = this->isInTouch(request.host, request.sentAt - bounds.recovery, now);
     m_decisionsInTouch += isInTouch ? 1 : 0;
     const auto acknowledged = isInTouch ? lastAcknowledged(request.sentAt - bounds.configuration) : 0;
--- a/tests/proxy/ConfigurationChecker.h
+++ b/tests/proxy/ConfigurationChecker.h
@@ -56,6 +56,9 @@
     static constexpr std::string_view back = "back";
     /// @return the number of decisions that were checked.
     [[nodiscard]] std::size_t decisions() const { return m_decisions; }
+    /// @return the largest age of a decision by an older version: the time from the acknowledgement of the first
+    /// version that does not allow it, or from the end of the last disturbance of the caller's host, to the request.
+    [[nodiscard]] Duration largestAge() const { return m_largestAge; }
     /// @return the number of those by which the caller's host was in touch.
     [[nodiscard]] std::size_t decisionsInTouch() const { return m_decisionsInTouch; }
     [[nodiscard]] const Routes& routes() const { return m_versions.back().routes; }
@@ -80,6 +83,9 @@
     };
 
     [[nodiscard]] bool isInTouch(std::size_t host, Instant from, Instant until) const;
+    /// @return the end of the last disturbance of the host that ended before a time.
+    [[nodiscard]] Instant undisturbedSince(std::size_t host, Instant before) const;
+    void recordAge(const Request&, Instant decidedAt, const std::optional<GroupName>&);
     [[nodiscard]] std::size_t lastAcknowledged(Instant before) const;
     [[nodiscard]] Sight lastSeen(std::size_t host, Instant before) const;
     /// Records that callers of a host have seen the effect of a version.
@@ -95,6 +101,7 @@
     std::map<std::string, std::string> m_violations;
     std::size_t m_decisions { 0 };
     std::size_t m_decisionsInTouch { 0 };
+    Duration m_largestAge {};
 };
 
 } // namespace Auburnpost::Proxy
--- a/tests/proxy/ConfigurationHost.cpp
+++ b/tests/proxy/ConfigurationHost.cpp
@@ -27,6 +27,7 @@
 ConfigurationHost::ConfigurationHost(ConfigurationSimulation& simulation, std::size_t index, std::uint64_t seed)
     : m_simulation(simulation)
     , m_index(index)
+    , m_storeConnections(simulation.storeConnections())
 {
     ProxySettings settings;
     settings.host = ConfigurationSimulation::hostName(index);
--- a/tests/proxy/ConfigurationHost.h
+++ b/tests/proxy/ConfigurationHost.h
@@ -2,6 +2,7 @@
 
 #include "proxy/ConfigurationChecker.h"
 #include "proxy/Proxy.h"
+#include "proxy/SimulatedConnections.h"
 
 #include <functional>
 #include <map>
@@ -89,6 +90,9 @@
     void resume();
     /// Sends a call to the store, whose request or answer may be lost, late or refused.
     void callStore(Duration timeout, const StoreRequest&, const PageHandler&);
+    void sendToStore(const StoreRequest&, const PageHandler& end);
+    /// Sends a call for a followed table, which fails if it is due to fail in series.
+    void callForTable(StoreTable, bool isRead, Duration timeout, const StoreRequest&, const PageHandler&);
     void runRequest(ConnectionId, const TargetRequest&);
     void forwardArrived(ConfigurationHost& origin, SessionId idAtOrigin, SessionId, const SessionRequest&);
     /// Reports to the host that forwarded the session. @return whether the session is forwarded.
@@ -111,6 +115,8 @@
     ConfigurationSimulation& m_simulation;
     std::size_t m_index;
     std::unique_ptr<Proxy> m_proxy;
+    SimulatedConnections m_storeConnections;
+    std::uint64_t m_lastStoreCall { 0 };
     std::map<ConnectionId, GroupName> m_connections;
     std::map<SessionId, Forward> m_forwards;
     std::map<SessionId, Origin> m_origins;
--- a/tests/proxy/ConfigurationHostPlatform.cpp
+++ b/tests/proxy/ConfigurationHostPlatform.cpp
@@ -31,7 +31,16 @@
 
 void ConfigurationHost::callStore(Duration timeout, const StoreRequest& request, const PageHandler& handle)
 {
-    const auto end = startCall<StorePage>(timeout, handle);
+    const auto call = ++m_lastStoreCall;
+    const auto end = startCall<StorePage>(timeout, [this, call, handle](const Expected<StorePage>& page) {
+        m_storeConnections.end(call);
+        handle(page);
+    });
+    m_storeConnections.start(call, [this, request, end] { sendToStore(request, end); });
+}
+
+void ConfigurationHost::sendToStore(const StoreRequest& request, const PageHandler& end)
+{
     if (m_simulation.isStoreSilent(m_index))
         return;
     m_simulation.after(m_simulation.storeDelay(m_index), [this, end, request] {
@@ -46,17 +55,37 @@
     });
 }
 
+void ConfigurationHost::callForTable(
+    StoreTable table, bool isRead, Duration timeout, const StoreRequest& request, const PageHandler& handle)
+{
+    const auto failure = table == StoreTable::Hosts ? std::nullopt : m_simulation.nextFailure(m_index, isRead);
+    if (!failure) {
+        callStore(timeout, request, handle);
+        return;
+    }
+    const auto end = startCall<StorePage>(timeout, handle);
+    if (failure == SeriesFailure::NoAnswer)
+        return;
+    Expected<StorePage> answer = StorePage {};
+    if (failure == SeriesFailure::Refused)
+        answer = callFailure("503");
+    else if (!isRead)
+        answer->isHistoryUnavailable = true;
+    deliver(2 * m_simulation.storeDelay(m_index), [end, answer] { end(answer); });
+}
+
 void ConfigurationHost::readTable(StoreTable table, const std::string& fromKey, Duration timeout)
 {
-    callStore(
-        timeout, [this, table, fromKey](const auto& answer) { answer(m_simulation.store().read(table, fromKey)); },
+    callForTable(
+        table, true, timeout,
+        [this, table, fromKey](const auto& answer) { answer(m_simulation.store().read(table, fromKey)); },
         [this, table](const auto& page) { m_proxy->tableRead(m_simulation.now(), table, page); });
 }
 
 void ConfigurationHost::followTable(StoreTable table, RowVersion after, Duration wait, Duration timeout)
 {
-    callStore(
-        timeout,
+    callForTable(
+        table, false, timeout,
         [this, table, after, wait](const auto& answer) {
             m_simulation.store().poll(table, after, m_simulation.now() + wait, answer);
             m_simulation.after(wait, [this] { m_simulation.store().endPolls(m_simulation.now()); });
@@ -138,6 +167,8 @@
 {
     auto& peer = m_simulation.host(static_cast<std::size_t>(address.port - peerPort));
     const auto delay = m_simulation.delayBetween(m_index, peer.index());
+    if (m_simulation.arePeersSilent(m_index))
+        return;
     peer.deliver(3 * delay, [this, &peer, address, delay] {
         deliver(delay, [this, address, snapshot = encodeSnapshot(peer.m_proxy->tables())] {
             m_proxy->peerAnswered(m_simulation.now(), address, decodeSnapshot(snapshot));
--- a/tests/proxy/ConfigurationScheduleTests.cpp
+++ b/tests/proxy/ConfigurationScheduleTests.cpp
@@ -22,6 +22,9 @@
     All,
     /// All faults at more hosts, which follow the tables at feeders. Slower to run.
     AllWithFeeders,
+    /// Calls fail in series after faults of the store.
+    Series,
+    SeriesWithFeeders,
 };
 
 struct FaultCase {
@@ -38,6 +41,8 @@
     FaultCase { "the store returns from a copy", { 6, false, false, false, true } },
     FaultCase { "all faults", { 6, true, true, true, true } },
     FaultCase { "all faults with feeders", { hostsWithFeeders, true, true, true, true }, 10 },
+    FaultCase { "calls fail in series", { 6, false, false, true, false, true, 2 } },
+    FaultCase { "calls fail in series with feeders", { hostsWithFeeders, false, false, true, false, true, 2 }, 10 },
 };
 
 struct Outcome {
@@ -45,6 +50,7 @@
     std::map<std::uint64_t, std::map<std::string, std::string>> violations;
     std::size_t decisions { 0 };
     std::size_t decisionsInTouch { 0 };
+    Duration largestAge {};
 };
 
 std::uint64_t numberFrom(const char* variable, std::uint64_t fallback)
@@ -75,9 +81,11 @@
             ++schedulesByKind[violation];
         outcome.decisions += checker.decisions();
         outcome.decisionsInTouch += checker.decisionsInTouch();
+        outcome.largestAge = std::max(outcome.largestAge, checker.largestAge());
     }
     std::cout << faultCase.name << ", " << schedules << " schedules: " << outcome.decisions << " decisions, "
-              << outcome.decisionsInTouch << " at hosts in touch\n";
+              << outcome.decisionsInTouch << " at hosts in touch, largest age " << toMilliseconds(outcome.largestAge)
+              << " ms\n";
     for (const auto& [violation, count] : schedulesByKind)
         std::cout << "  " << violation << ": " << count << " schedules\n";
     return outcome;
@@ -137,6 +145,18 @@
     check(FaultKind::All, ConfigurationChecker::late);
 }
 
+TEST_CASE("No request is decided too late by an older configuration when calls fail in series after an outage",
+    "[proxy][configuration]")
+{
+    check(FaultKind::Series, ConfigurationChecker::late);
+}
+
+TEST_CASE("No request is decided too late by an older configuration when calls fail in series with feeders",
+    "[proxy][configuration]")
+{
+    check(FaultKind::SeriesWithFeeders, ConfigurationChecker::late);
+}
+
 TEST_CASE("Callers of a host see no older configuration after a newer one when hosts pause and restart",
     "[proxy][configuration]")
 {
@@ -186,3 +206,28 @@
         CHECK(describe(simulation.checker().violations(), ConfigurationChecker::back) == "");
     }
 }
+
+// Guards against a second failed call that costs its whole timeout, which has doubled in the outage.
+TEST_CASE("A host whose calls fail in series after an outage decides by no configuration older than the bound",
+    "[proxy][configuration]")
+{
+    constexpr std::size_t hosts = 6;
+    Duration largestAge {};
+    for (std::size_t failures = 0; failures <= 2; ++failures) {
+        for (std::uint64_t seed = firstSeed; seed < firstSeed + 8; ++seed) {
+            ConfigurationScenario scenario { hosts };
+            scenario.storeConnections = 2;
+            ConfigurationSimulation simulation(seed, scenario);
+            simulation.run(10s + seed * 300ms);
+            for (std::size_t host = 0; host < hosts; ++host) {
+                simulation.silenceStore(host, 6s);
+                simulation.failCalls(host, std::deque(failures, SeriesFailure::NoAnswer), 16s);
+            }
+            simulation.run(20s);
+            INFO("seed " << seed << ", " << failures << " failed calls");
+            CHECK(describe(simulation.checker().violations(), ConfigurationChecker::late) == "");
+            largestAge = std::max(largestAge, simulation.checker().largestAge());
+        }
+    }
+    std::cout << "calls fail in series at every host: largest age " << toMilliseconds(largestAge) << " ms\n";
+}
--- a/tests/proxy/ConfigurationSimulation.cpp
+++ b/tests/proxy/ConfigurationSimulation.cpp
@@ -242,6 +242,8 @@
         + " to " + std::to_string(end - 1) + " for " + std::to_string(toMilliseconds(length)) + " ms");
     if (kind == StoreFaultKind::Forgetful)
         m_store.forgetHistory();
+    if (m_scenario.callsFailInSeries)
+        after(length, [this, first, end] { failCallsInSeries(first, end); });
     for (auto host = first; host < end; ++host) {
         auto& fault = m_storeFaults[host];
         m_checker.recordDisturbance(host, now(), now() + length);
@@ -256,6 +258,41 @@
     }
 }
 
+void ConfigurationSimulation::failCalls(std::size_t host, std::deque<SeriesFailure> series, Duration peersSilence)
+{
+    for (const auto failure : series)
+        trace(
+            "a call of host " + std::to_string(host) + " will fail, kind " + std::to_string(static_cast<int>(failure)));
+    auto& fault = m_storeFaults.at(host);
+    fault.series = std::move(series);
+    fault.peersSilentUntil = now() + peersSilence;
+}
+
+void ConfigurationSimulation::failCallsInSeries(std::size_t first, std::size_t end)
+{
+    constexpr std::size_t longestSeries = 3;
+    constexpr std::size_t kinds = 3;
+    constexpr Duration longestSilence = 6s;
+    for (auto host = first; host < end; ++host) {
+        std::deque<SeriesFailure> series(index(longestSeries + 1));
+        for (auto& failure : series)
+            failure = static_cast<SeriesFailure>(index(kinds));
+        failCalls(host, std::move(series), chance(0.5) ? longestSilence : Duration {});
+    }
+}
+
+std::optional<SeriesFailure> ConfigurationSimulation::nextFailure(std::size_t host, bool isRead)
+{
+    auto& series = m_storeFaults.at(host).series;
+    if (series.empty() || isStoreSilent(host) || isStoreRefusing(host))
+        return {};
+    const auto failure = series.front();
+    // The poll that is told that the history is gone leads to the read that is rejected.
+    if (failure != SeriesFailure::RejectedRead || isRead)
+        series.pop_front();
+    return failure;
+}
+
 void ConfigurationSimulation::silenceStore(std::size_t host, Duration length)
 {
     trace("silent store for host " + std::to_string(host) + " for " + std::to_string(toMilliseconds(length)) + " ms");
--- a/tests/proxy/ConfigurationSimulation.h
+++ b/tests/proxy/ConfigurationSimulation.h
@@ -5,7 +5,9 @@
 #include "proxy/ConfigurationChecker.h"
 #include "proxy/ConfigurationHost.h"
 #include "proxy/ConfigurationStore.h"
+#include "proxy/SeriesFailure.h"
 
+#include <deque>
 #include <memory>
 #include <set>
 
@@ -19,6 +21,10 @@
     bool hostsRestart { false };
     bool storeFails { false };
     bool storeReturnsFromCopy { false };
+    /// Whether further calls for tables fail after the store has come back.
+    bool callsFailInSeries { false };
+    /// Connections of each host to the store.
+    std::size_t storeConnections { 6 };
 };
 
 /// Several proxies in simulated time in front of one store whose configuration is edited all the time, with callers at
@@ -36,6 +42,9 @@
     void run(Duration length);
     /// Loses the calls of one host to the store, and the answers to those in progress.
     void silenceStore(std::size_t host, Duration length);
+    /// Makes the next calls of a host for tables fail once the store answers it again, and loses its queries of other
+    /// hosts for a time.
+    void failCalls(std::size_t host, std::deque<SeriesFailure> series, Duration peersSilence);
 
     [[nodiscard]] Instant now() const { return m_queue.now(); }
     void after(Duration delay, std::function<void()> task) { m_queue.after(delay, std::move(task)); }
@@ -52,8 +61,12 @@
     // The store.
     [[nodiscard]] ConfigurationStore& store() { return m_store; }
     [[nodiscard]] Duration storeDelay(std::size_t host) const;
+    [[nodiscard]] std::size_t storeConnections() const { return m_scenario.storeConnections; }
+    /// @return how the host's next call for a table fails; empty if it does not fail by itself.
+    [[nodiscard]] std::optional<SeriesFailure> nextFailure(std::size_t host, bool isRead);
     [[nodiscard]] bool isStoreSilent(std::size_t host) const { return m_storeFaults[host].silentUntil > now(); }
     [[nodiscard]] bool isStoreRefusing(std::size_t host) const { return m_storeFaults[host].refusingUntil > now(); }
+    [[nodiscard]] bool arePeersSilent(std::size_t host) const { return m_storeFaults[host].peersSilentUntil > now(); }
     [[nodiscard]] Catalog catalog(std::size_t version) const;
     [[nodiscard]] static TargetRecord targetOf(const GroupName&);
 
@@ -78,6 +91,10 @@
         Instant refusingUntil;
         Instant slowUntil;
         Duration delay {};
+        /// How the first calls after the fault fail.
+        std::deque<SeriesFailure> series;
+        /// Until then the host's queries of other hosts are lost as well.
+        Instant peersSilentUntil;
     };
 
     [[nodiscard]] std::size_t index(std::size_t count);
@@ -94,6 +111,8 @@
     void pauseHost();
     void restartHost();
     void disturbStore();
+    /// Makes the next calls of the hosts fail in random series.
+    void failCallsInSeries(std::size_t first, std::size_t end);
     void returnFromCopy();
 
     Group::EventQueue m_queue;
--- a/tests/proxy/FakeStore.cpp
+++ b/tests/proxy/FakeStore.cpp
@@ -31,6 +31,8 @@
             m_unapplied.pop_front();
         if (m_unapplied.empty())
             continue;
+        if (m_now >= m_outage.end)
+            m_largestAge = std::max(m_largestAge, m_now - std::max(m_unapplied.front().second, m_outage.end));
         // No bound applies during the outage and for the recovery time after it.
         if (m_now >= m_outage.start && m_now < m_outage.end + bounds.recovery)
             continue;
@@ -93,20 +95,27 @@
     const auto& content = m_contents.back();
     const bool isGone = call.after.value() < m_lostHistory || call.after.value() > content.version;
     const bool hasAnswer = call.isRead || isGone || call.after.value() < content.rowVersion || now >= call.answerAt;
-    if (!call.isLost && hasAnswer && now >= call.sentAt + m_roundTrip) {
-        m_call.reset();
-        if (call.isRead)
-            follower.tableRead(now, m_random, page(call));
-        else
-            follower.tableFollowed(now, m_random, page(call));
-    } else if (now >= call.timeoutAt) {
-        m_call.reset();
-        const Expected<StorePage> failure = fail(ErrorCode::PlatformUnavailable, "call", "store", "no answer");
-        if (call.isRead)
-            follower.tableRead(now, m_random, failure);
-        else
-            follower.tableFollowed(now, m_random, failure);
-    }
+    const bool isAnswered = !call.isLost && (hasAnswer || call.failure) && now >= call.sentAt + m_roundTrip;
+    if (!isAnswered && now < call.timeoutAt)
+        return;
+    m_call.reset();
+    const auto answer
+        = isAnswered ? answerTo(call) : fail(ErrorCode::PlatformUnavailable, "call", "store", "no answer");
+    if (call.isRead)
+        follower.tableRead(now, m_random, answer);
+    else
+        follower.tableFollowed(now, m_random, answer);
+}
+
+Expected<StorePage> FakeStore::answerTo(const Call& call) const
+{
+    if (call.failure == SeriesFailure::Refused)
+        return fail(ErrorCode::PlatformRefused, "call", "store", "status 503");
+    if (call.failure != SeriesFailure::RejectedRead)
+        return page(call);
+    if (!call.isRead)
+        return StorePage { {}, RowVersion(0, m_era), false, true };
+    return StorePage { {}, RowVersion(1, m_era), false, false };
 }
 
 StorePage FakeStore::page(const Call& call) const
@@ -125,6 +134,13 @@
 {
     ++m_calls;
     call.isLost = isOut(m_now);
+    if (m_now >= m_outage.end && m_failedInSeries < m_series.size()) {
+        call.failure = m_series[m_failedInSeries];
+        call.isLost = call.failure == SeriesFailure::NoAnswer;
+        // The poll that is told that the history is gone leads to the read that is rejected.
+        if (call.failure != SeriesFailure::RejectedRead || call.isRead)
+            ++m_failedInSeries;
+    }
     m_call = call;
 }
 
--- a/tests/proxy/FakeStore.h
+++ b/tests/proxy/FakeStore.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "proxy/SeriesFailure.h"
 #include "proxy/StoreFollower.h"
 
 #include <deque>
+#include <vector>
 
 namespace Auburnpost::Proxy {
 
@@ -33,6 +35,10 @@
         m_copyAge = age;
         m_rewriteDelay = rewriteDelay;
     }
+    /// Makes the first calls after the outage fail, one after another.
+    void failAfterOutage(std::vector<SeriesFailure> series) { m_series = std::move(series); }
+    /// @return the largest age of the copy by changes that were acknowledged, counted from the end of the outage on.
+    [[nodiscard]] Duration largestAge() const { return m_largestAge; }
     /// Writes rows of other tables at intervals, which use versions of the same counter.
     void writeOtherRows(Duration interval) { m_otherWriteInterval = interval; }
     /// @return the calls since the start.
@@ -56,6 +62,7 @@
         RowVersion after;
         bool isRead { false };
         bool isLost { false };
+        std::optional<SeriesFailure> failure {};
     };
 
     /// What a copy of the store holds.
@@ -73,6 +80,8 @@
     void advance(Instant now);
     void finishCall(StoreFollower&, Instant now);
     [[nodiscard]] StorePage page(const Call&) const;
+    /// @return the answer to a call that is not lost.
+    [[nodiscard]] Expected<StorePage> answerTo(const Call&) const;
 
     Outage m_outage;
     Duration m_editInterval;
@@ -95,6 +104,9 @@
     /// Acknowledgements of the edits that the follower has not applied yet.
     std::deque<std::pair<std::uint64_t, Instant>> m_unapplied;
     std::optional<Call> m_call;
+    std::vector<SeriesFailure> m_series;
+    std::size_t m_failedInSeries { 0 };
+    Duration m_largestAge {};
     RandomEngine m_random { 7 };
 };
 
