Keep connections to the store for urgent calls, and let a call be cancelled

All calls to the store shared six connections and one queue, so a poll of a followed table waited behind reads of members, leases and hosts, each of which holds a connection for up to 0.9 s while the store is silent.

Urgent calls go before the others, and some connections are used by them alone. A call may demand a connection on which nothing was answered before, so that a second try does not hang as the first one did, and a call can be cancelled. Nothing uses this yet.

wire_tests: "An urgent call never waits for a connection behind other calls", "A cancelled call is not answered, and its connection serves the next one", "A call that needs a new connection is sent on no idle one that was used before".

--- a/src/message/PlatformCall.h
+++ b/src/message/PlatformCall.h
@@ -36,6 +36,10 @@
     Duration timeout {};
     /// Headers in addition to those of every call.
     std::vector<CallHeader> headers {};
+    /// Whether it is sent before all calls that are not urgent, on a connection that is kept for urgent ones.
+    bool isUrgent { false };
+    /// Whether it is sent on a connection on which no call was answered before, as an idle one may have died.
+    bool needsNewConnection { false };
     /// Called once a connection is established. If it returns true, the call is written immediately; otherwise the call
     /// fails with NotSent.
     /// Empty: the call may be written at any time within its timeout.
--- a/src/wire/PlatformClient.cpp
+++ b/src/wire/PlatformClient.cpp
@@ -161,33 +161,57 @@
         startConditional(pending);
         return;
     }
-    if (m_waitingCalls.size() >= m_limits.waitingCalls) {
+    if (waiting() >= m_limits.waitingCalls) {
         pending.failureReason = "too many calls wait for a connection";
         event_active(pending.timer.get(), EV_TIMEOUT, 0);
         return;
     }
-    m_waitingCalls.push_back(call.id);
-    m_mostWaiting = std::max(m_mostWaiting, m_waitingCalls.size());
+    (call.isUrgent ? m_urgentCalls : m_waitingCalls).push_back(call.id);
+    m_mostWaiting = std::max(m_mostWaiting, waiting());
+    scheduleStart();
+}
+
+void PlatformClient::cancel(PlatformCallId id)
+{
+    const auto found = m_pending.find(id);
+    if (found == m_pending.end())
+        return;
+    interrupt(*found->second);
+    release(*found->second, false);
+    m_pending.erase(found);
     scheduleStart();
 }
 
 void PlatformClient::scheduleStart()
 {
-    if (!m_idleConnections.empty() && !m_waitingCalls.empty())
+    if (!m_idleConnections.empty() && waiting() > 0)
         event_active(m_startEvent.get(), 0, 0);
 }
 
+bool PlatformClient::mayStartUsualCall() const
+{
+    return m_usualCallsInProgress + m_limits.urgentConnections < m_limits.connections;
+}
+
 void PlatformClient::startWaitingCalls()
 {
-    while (!m_idleConnections.empty() && !m_waitingCalls.empty()) {
-        const auto next = m_pending.find(m_waitingCalls.front());
-        m_waitingCalls.pop_front();
-        if (next == m_pending.end())
-            continue;
-        auto* const connection = m_idleConnections.back();
-        m_idleConnections.pop_back();
-        start(*next->second, connection);
-    }
+    while (!m_idleConnections.empty() && !m_urgentCalls.empty())
+        startNext(m_urgentCalls);
+    while (!m_idleConnections.empty() && !m_waitingCalls.empty() && mayStartUsualCall())
+        startNext(m_waitingCalls);
+}
+
+void PlatformClient::startNext(std::deque<PlatformCallId>& queue)
+{
+    auto& pending = *m_pending.at(queue.front());
+    queue.pop_front();
+    if (pending.call.needsNewConnection)
+        replaceUsedIdleConnections();
+    auto* const connection = m_idleConnections.back();
+    m_idleConnections.pop_back();
+    if (!pending.call.isUrgent)
+        ++m_usualCallsInProgress;
+    start(pending, connection);
 }
 
 void PlatformClient::start(PendingCall& pending, evhttp_connection* connection)
@@ -284,7 +308,7 @@
         return failure(pending, "no connection" + timeout, ErrorCode::NotSent);
     if (!pending.connection && !pending.conditionalConnection)
         return failure(pending,
-            "no free connection" + timeout + "; " + std::to_string(m_waitingCalls.size()) + " calls waited for one",
+            "no free connection" + timeout + "; " + std::to_string(waiting()) + " calls waited for one",
             ErrorCode::NotSent);
     return failure(
         pending, "no answer" + timeout + " on a " + (pending.isConnectionReused ? "reused" : "new") + " connection");
@@ -293,28 +317,42 @@
 void PlatformClient::onTimeout(PendingCall& pending)
 {
     const auto error = timeoutFailure(pending);
-    std::erase(m_waitingCalls, pending.call.id);
+    const bool wasInProgress = pending.request != nullptr;
+    interrupt(pending);
+    // What silenced this connection may have silenced the idle ones as well.
+    if (wasInProgress)
+        replaceUsedIdleConnections();
+    finish(pending, error);
+}
+
+void PlatformClient::interrupt(PendingCall& pending)
+{
     if (pending.request) {
         resetOnClose(pending.connection);
         evhttp_cancel_request(std::exchange(pending.request, nullptr));
-        // What silenced this connection may have silenced the idle ones as well.
-        replaceUsedIdleConnections();
     }
     if (pending.conditionalConnection)
         pending.conditionalConnection->setResetOnClose();
-    finish(pending, error);
+}
+
+void PlatformClient::release(PendingCall& pending, bool isAnswered)
+{
+    std::erase(pending.call.isUrgent ? m_urgentCalls : m_waitingCalls, pending.call.id);
+    if (!pending.connection)
+        return;
+    if (isAnswered)
+        m_usedConnections.insert(pending.connection);
+    else
+        m_usedConnections.erase(pending.connection);
+    m_idleConnections.push_back(pending.connection);
+    if (!pending.call.isUrgent)
+        --m_usualCallsInProgress;
 }
 
 void PlatformClient::finish(PendingCall& pending, Expected<PlatformReply> reply)
 {
     const PlatformAnswer answer { pending.call.id, std::move(reply) };
-    if (pending.connection) {
-        if (answer.reply)
-            m_usedConnections.insert(pending.connection);
-        else
-            m_usedConnections.erase(pending.connection);
-        m_idleConnections.push_back(pending.connection);
-    }
+    release(pending, answer.reply.has_value());
     m_pending.erase(answer.id);
     scheduleStart();
     m_answered.emit(answer);
--- a/src/wire/PlatformClient.h
+++ b/src/wire/PlatformClient.h
@@ -21,6 +21,8 @@
     /// User-Agent header that identifies this host to the platform, as "HOST/DATA-CENTRE"; empty: no such header.
     std::string userAgent;
     std::size_t connections { 8 };
+    /// Connections of these that only urgent calls use.
+    std::size_t urgentConnections { 0 };
     /// Maximum calls that wait for a connection; further ones fail immediately.
     std::size_t waitingCalls { 4096 };
     std::size_t bodyBytes { 64UL * 1024 * 1024 };
@@ -38,12 +40,15 @@
     /// Starts a call. Its answer is emitted from the loop, never within this function.
     void call(const PlatformCall&);
 
+    /// Ends a call without an answer. No effect if the call has ended.
+    void cancel(PlatformCallId);
+
     sigc::signal<void(const PlatformAnswer&)>& answered() { return m_answered; }
 
     /// @return the number of unanswered calls.
     [[nodiscard]] std::size_t pending() const { return m_pending.size(); }
     /// @return the number of calls that wait for a connection, and the largest number so far.
-    [[nodiscard]] std::size_t waiting() const { return m_waitingCalls.size(); }
+    [[nodiscard]] std::size_t waiting() const { return m_waitingCalls.size() + m_urgentCalls.size(); }
     [[nodiscard]] std::size_t mostWaiting() const { return m_mostWaiting; }
 
 private:
@@ -55,6 +60,14 @@
     void replaceUsedIdleConnections();
     void scheduleStart();
     void startWaitingCalls();
+    /// @return whether a call that is not urgent may take a connection.
+    [[nodiscard]] bool mayStartUsualCall() const;
+    /// Starts the first call of a queue on an idle connection.
+    void startNext(std::deque<PlatformCallId>& queue);
+    /// Resets the connection of a call that is in progress.
+    static void interrupt(PendingCall&);
+    /// Removes a call from the queues and gives its connection back.
+    void release(PendingCall&, bool isAnswered);
     /// Starts a call that is sent only if PlatformCall::maySend allows it once the connection is established.
     void startConditional(PendingCall&);
     void onConditionalConnected(PendingCall&);
@@ -77,6 +90,9 @@
     PlatformClientLimits m_limits;
     std::unordered_map<PlatformCallId, std::unique_ptr<PendingCall>> m_pending;
     std::deque<PlatformCallId> m_waitingCalls;
+    std::deque<PlatformCallId> m_urgentCalls;
+    /// Calls in progress on a connection that are not urgent.
+    std::size_t m_usualCallsInProgress { 0 };
     std::size_t m_mostWaiting { 0 };
     /// Requests are made only from this event, because evhttp fails a request made within the callback of another one.
     EventPointer m_startEvent;
--- a/tests/wire/PlatformClientTests.cpp
+++ b/tests/wire/PlatformClientTests.cpp
@@ -279,3 +279,67 @@
     CHECK(test.client.waiting() == 0);
     CHECK(test.requests.size() == 1);
 }
+
+TEST_CASE("An urgent call never waits for a connection behind other calls", "[wire][platform]")
+{
+    PlatformClientLimits limits;
+    limits.connections = 2;
+    limits.urgentConnections = 1;
+    Fixture test(limits);
+    test.script = [](const std::string& request) {
+        return request.find("/urgent") == std::string::npos ? Reply {} : Reply { okReply("v") };
+    };
+    for (int count = 0; count < 5; ++count)
+        test.call(std::chrono::milliseconds(200));
+    PlatformCall urgent;
+    urgent.id = PlatformCallId(++test.lastId);
+    urgent.path = "/urgent";
+    urgent.timeout = std::chrono::milliseconds(100);
+    urgent.isUrgent = true;
+    test.client.call(urgent);
+    CHECK(test.answerOf(urgent.id).has_value());
+    CHECK(test.requests.size() == 2);
+    CHECK(test.client.waiting() == 4);
+}
+
+TEST_CASE("A cancelled call is not answered, and its connection serves the next one", "[wire][platform]")
+{
+    PlatformClientLimits limits;
+    limits.connections = 1;
+    Fixture test(limits);
+    test.script = [](const std::string& request) {
+        return request.find("/hangs") == std::string::npos ? Reply { okReply("v") } : Reply {};
+    };
+    const auto hanging = test.call(std::chrono::milliseconds(100), "/hangs");
+    const auto waiting = test.call(std::chrono::milliseconds(100), "/hangs");
+    REQUIRE(test.loop.runUntil([&] { return test.requests.size() == 1; }));
+    test.client.cancel(hanging);
+    test.client.cancel(waiting);
+    CHECK(test.answerOf(test.call()).has_value());
+    CHECK_FALSE(test.answers.contains(hanging));
+    CHECK_FALSE(test.answers.contains(waiting));
+    CHECK(test.client.pending() == 0);
+    SECTION("cancelling a call that has ended has no effect")
+    {
+        test.client.cancel(hanging);
+        CHECK(test.answerOf(test.call()).has_value());
+    }
+}
+
+// Guards against a second try that hangs as the first one, on a connection that died while it was idle.
+TEST_CASE("A call that needs a new connection is sent on no idle one that was used before", "[wire][platform]")
+{
+    PlatformClientLimits limits;
+    limits.connections = 1;
+    Fixture test(limits);
+    REQUIRE(test.answerOf(test.call()).has_value());
+    test.isAnswered = [](const RawServer::Session& session) { return session.number >= 1; };
+    PlatformCall call;
+    call.id = PlatformCallId(++test.lastId);
+    call.path = "/table/t/r";
+    call.timeout = std::chrono::milliseconds(300);
+    call.needsNewConnection = true;
+    test.client.call(call);
+    CHECK(test.answerOf(call.id).has_value());
+    CHECK(test.server.accepted() == 2);
+}
