Keep the calls to the store as few as before where hosts follow feeders

- A call to a feeder ends by its timeout, and says nothing about the store.
- A feeder refuses its followers only once its copy is too old: older than what the limit leaves beside a follower's own delay.

--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -47,7 +47,6 @@
 {
     beginEvent(now);
     updateFeeders(now);
-    avoidOverdueFeeders(now);
     for (auto& follower : m_followers)
         follower.tick(now);
     for (const auto table : followedTables)
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -247,8 +247,6 @@
     [[nodiscard]] std::optional<SocketAddress> nextPeer();
     /// Decides from whom the tables are followed.
     void updateFeeders(Instant now);
-    /// Records feeders whose answers are overdue, so that the store is called instead.
-    void avoidOverdueFeeders(Instant now);
     /// Adapts the times of the followed tables to the bounds and to the number of hops.
     void updateTableTimes();
     /// Answers the waiting requests for tables that are due.
--- a/src/proxy/ProxyFeeds.cpp
+++ b/src/proxy/ProxyFeeds.cpp
@@ -24,16 +24,6 @@
     log({ LogEvent::TableSourceChanged, { { "source", feeder ? feeder->toString() : "store" } } });
 }
 
-void Proxy::avoidOverdueFeeders(Instant now)
-{
-    for (const auto& follower : m_followers) {
-        if (const auto overdue = follower.overdueFeeder(now); overdue && overdue == m_feeder) {
-            m_feeders.recordFailure(now, *overdue);
-            updateFeeders(now);
-        }
-    }
-}
-
 void Proxy::feederAnswered(
     Instant now, const SocketAddress& feeder, StoreTable table, const Expected<FeedPage>& answered, StoreCallSlot slot)
 {
@@ -78,8 +68,9 @@
 void Proxy::answerFeeds(Instant now)
 {
     for (const auto table : followedTables) {
-        // The followers are refused, so that they call the store.
-        if (follower(table).isBehind(now)) {
+        // Followers of too old a copy are refused, so that they call the store.
+        const auto confirmedAt = follower(table).origin().confirmedAt;
+        if (confirmedAt && now - *confirmedAt > follower(table).feedAgeLimit()) {
             for (const auto& request : m_feed.takeAll(table))
                 m_delegate.answerFeed(request.id, {});
         }
@@ -93,7 +84,7 @@
     const auto& follower = m_followers[static_cast<std::size_t>(table)];
     const auto confirmedAt = follower.origin().confirmedAt;
     const bool hasTimeForHops = TableTimes::hopLimit(m_settings.bounds).has_value();
-    if (!confirmedAt || !hasTimeForHops || now - *confirmedAt > follower.feedAgeLimit() || follower.isBehind(now))
+    if (!confirmedAt || !hasTimeForHops || now - *confirmedAt > follower.feedAgeLimit())
         return {};
     // A follower of an earlier version of the program names no era, and would ignore a table of a lower number.
     const bool hasNoEra = after != RowVersion {} && after.era() == StoreEra {};
--- a/src/proxy/StoreContact.cpp
+++ b/src/proxy/StoreContact.cpp
@@ -28,11 +28,11 @@
         [sentAt](const Table& each) { return each.failingSince && *each.failingSince > sentAt; });
 }
 
-bool StoreContact::mayTryAgain(StoreTable called, Instant now, Duration interval) const
+bool StoreContact::mayTryAgain(StoreTable called, Instant now, Duration interval, Duration answeredInterval) const
 {
     const auto sentAt = table(called).sentAt;
     if (m_answeredAt > sentAt)
-        return now - sentAt >= interval;
+        return now - sentAt >= answeredInterval;
     const auto lastSentAt
         = std::max_element(m_tables.begin(), m_tables.end(), [](const Table& left, const Table& right) {
               return left.sentAt < right.sentAt;
--- a/src/proxy/StoreContact.h
+++ b/src/proxy/StoreContact.h
@@ -24,7 +24,8 @@
     [[nodiscard]] bool isInDoubt(Instant sentAt) const;
     /// @return whether a second try for the table may be sent. While nothing is answered, the tables take turns.
     /// @param interval minimum time between two tries of this host.
-    [[nodiscard]] bool mayTryAgain(StoreTable, Instant now, Duration interval) const;
+    /// @param answeredInterval minimum time from the last call for the table if another one was answered since.
+    [[nodiscard]] bool mayTryAgain(StoreTable, Instant now, Duration interval, Duration answeredInterval) const;
     /// @return the wait of a poll that is sent now, so that the polls of the tables end about half of a wait apart.
     /// @param longest the longest wait.
     [[nodiscard]] Duration pollWait(StoreTable, Instant now, Duration longest) const;
--- a/src/proxy/StoreFollower.cpp
+++ b/src/proxy/StoreFollower.cpp
@@ -41,12 +41,12 @@
 
 bool StoreFollower::isOverdue(const Call& call, Instant now)
 {
-    return call.isInProgress && now > call.sentAt + call.wait + TableTimes::minAnswerTimeout;
+    return call.isInProgress && !call.feeder && now > call.sentAt + call.wait + TableTimes::minAnswerTimeout;
 }
 
 bool StoreFollower::isInDoubt(const Call& call, Instant now) const
 {
-    return isOverdue(call, now) || m_contact.isInDoubt(call.sentAt) || (call.feeder && call.feeder != m_feeder);
+    return call.feeder ? call.feeder != m_feeder : isOverdue(call, now) || m_contact.isInDoubt(call.sentAt);
 }
 
 bool StoreFollower::isBehind(Instant now) const
@@ -55,12 +55,6 @@
     return !m_history.isConnected || (earliest && isInDoubt(call(*earliest), now));
 }
 
-std::optional<SocketAddress> StoreFollower::overdueFeeder(Instant now) const
-{
-    const auto earliest = earliestInProgress();
-    return earliest && isOverdue(call(*earliest), now) ? call(*earliest).feeder : std::nullopt;
-}
-
 void StoreFollower::tick(Instant now)
 {
     const auto earliest = earliestInProgress();
@@ -77,7 +71,8 @@
         return;
     // A feeder that is no longer followed says nothing about the store.
     const bool isSourceChanged = call(*earliest).feeder != m_feeder;
-    if (isSourceChanged || m_contact.mayTryAgain(m_table, now, m_times.tryInterval()))
+    if (isSourceChanged
+        || m_contact.mayTryAgain(m_table, now, m_times.tryInterval(m_history.failures), m_times.tryInterval(0)))
         send(free, now);
 }
 
@@ -247,7 +242,8 @@
     m_history = { true, {}, 0 };
     m_patientFailures = 0;
     m_nextCallAt = now;
-    m_contact.recordAnswer(m_table, now);
+    if (!call(slot).feeder)
+        m_contact.recordAnswer(m_table, now);
 }
 
 void StoreFollower::recordFailure(Instant now, RandomEngine& random, StoreCallSlot slot)
@@ -259,7 +255,8 @@
     ++m_history.failures;
     if (failed.isPatient)
         ++m_patientFailures;
-    m_contact.recordFailure(m_table, now);
+    if (!failed.feeder)
+        m_contact.recordFailure(m_table, now);
     // The call may have failed only because of the pause, and the store is not what failed if a feeder was called.
     if (failed.sentAt < m_resumedAt || failed.feeder) {
         m_nextCallAt = now;
--- a/src/proxy/StoreFollower.h
+++ b/src/proxy/StoreFollower.h
@@ -93,8 +93,6 @@
     [[nodiscard]] const Call& call(StoreCallSlot slot) const { return m_slots[static_cast<std::size_t>(slot)]; }
     /// @return whether calls fail, or the one in progress may be lost.
     [[nodiscard]] bool isBehind(Instant now) const;
-    /// @return the feeder whose answer is overdue; empty if there is none.
-    [[nodiscard]] std::optional<SocketAddress> overdueFeeder(Instant now) const;
     /// @return the time within which a change is to be known.
     [[nodiscard]] Duration limit() const { return m_times.limit(); }
     /// @return the age above which a copy is not passed on, or taken from a feeder.
@@ -104,6 +102,7 @@
     [[nodiscard]] Call& callIn(StoreCallSlot slot) { return m_slots[static_cast<std::size_t>(slot)]; }
     /// @return the slot of the earliest call in progress; empty if there is none.
     [[nodiscard]] std::optional<StoreCallSlot> earliestInProgress() const;
+    /// @return whether the store should have answered the call. One to a feeder ends by its timeout.
     [[nodiscard]] static bool isOverdue(const Call&, Instant now);
     /// @return whether a call in progress may be lost.
     [[nodiscard]] bool isInDoubt(const Call&, Instant now) const;
