--- a/review/standin-2/LeaveAtCommit.cpp
+++ b/review/standin-2/LeaveAtCommit.cpp
@@ -12,8 +12,18 @@
 constexpr long runMs = 30'000;
 /// Share of the commits after which the caller leaves, in percent, as the site of the largest share has it.
 constexpr int leavePercent = 20;
+/// Callers leave for this long, the length that the site file gives give_up, three times in a run.
+constexpr long leaveMs = 5'500;
+constexpr long leaveIntervalMs = 10'000;
 constexpr auto database = "orders";
 
+std::atomic<long> trafficStartedAt { 0 };
+
+bool isLeaveTime()
+{
+    return (nowMs() - trafficStartedAt) % leaveIntervalMs < leaveMs;
+}
+
 struct Totals {
     std::atomic<int> answered { 0 };
     std::atomic<int> left { 0 };
@@ -89,7 +99,7 @@
             return false;
         if (!isServed(caller.query("READ " + std::to_string(draw(2000)), true), 'T'))
             return false;
-        const bool leaves = hasTrouble() && draw(100) < leavePercent;
+        const bool leaves = hasTrouble() && isLeaveTime() && draw(100) < leavePercent;
         const auto id = caller.send("COMMIT", true);
         if (!leaves)
             return isServed(caller.receive(), 'I');
@@ -162,6 +172,7 @@
     }
     sleepMs(2000);
     record.write(std::string("start of traffic, ") + (hasTrouble() ? "callers leave at commits" : "no caller leaves"));
+    trafficStartedAt = nowMs();
     Totals totals;
     std::atomic<bool> isOver { false };
     std::vector<std::unique_ptr<Load>> loads;
