--- a/review/standin-2/LeaveAtCommit.cpp
+++ b/review/standin-2/LeaveAtCommit.cpp
@@ -9,7 +9,7 @@
 
 constexpr int hostCount = 8;
 constexpr int callersOfEachHost = 12;
-constexpr long runMs = 30'000;
+constexpr long runMs = 85'000;
 /// Share of the commits after which the caller leaves, in percent, as the site of the largest share has it.
 constexpr int leavePercent = 20;
 /// Callers leave for this long, the length that the site file gives give_up, three times in a run.
