Log a connection that returns to the pool in a transaction

Nothing kept what a target says of the transaction of a connection, so the logs could not tell which of these returns it to the pool with a transaction open: a status query behind an abandoned commit, a rollback or a begin that was refused, an abandoned statement, or a new connection.

TargetConnection keeps the state of the last answer and the kind of request that it answered, and E0510 names both where markIdle() returns a connection whose state isn't idle. No decision changes.

--- a/src/base/LogEvent.cpp
+++ b/src/base/LogEvent.cpp
@@ -17,7 +17,7 @@
     constexpr std::size_t numberDigits = 4;
 
     /// Sorted by number.
-    constexpr std::array<Definition, 78> definitions { {
+    constexpr std::array<Definition, 79> definitions { {
         { LogEvent::Started, LogLevel::Info, "host started" },
         { LogEvent::ShutdownStarted, LogLevel::Info, "host shutdown started" },
         { LogEvent::ShutdownCompleted, LogLevel::Info, "host shutdown completed" },
@@ -81,6 +81,7 @@
         { LogEvent::TargetConnectionClosed, LogLevel::Info, "connection to target closed while idle" },
         { LogEvent::TargetPathChanged, LogLevel::Info, "network path to target changed" },
         { LogEvent::TargetConnectSucceeded, LogLevel::Info, "target accepts connections again" },
+        { LogEvent::TargetConnectionInTransaction, LogLevel::Warn, "connection returned to the pool in a transaction" },
         { LogEvent::RequestRefused, LogLevel::Debug, "request refused" },
         { LogEvent::OutcomeUnknown, LogLevel::Warn, "request outcome unknown" },
         { LogEvent::OutcomeResolved, LogLevel::Debug, "request outcome resolved" },
--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -75,6 +75,7 @@
     TargetConnectionClosed = 507,
     TargetPathChanged = 508,
     TargetConnectSucceeded = 509,
+    TargetConnectionInTransaction = 510,
 
     RequestRefused = 600,
     OutcomeUnknown = 601,
--- a/src/proxy/GroupReplies.cpp
+++ b/src/proxy/GroupReplies.cpp
@@ -232,6 +232,8 @@
     }
     const auto expected = connection->expectedReplies.front();
     connection->expectedReplies.pop_front();
+    connection->lastAnswered = expected.purpose;
+    connection->transaction = reply.state;
     recordReturnIfDown(now, connection->target);
     if (auto* const health = m_watcher.health(connection->target))
         health->recordResponse(
@@ -418,6 +420,12 @@
 {
     if (!connection.expectedReplies.empty())
         return;
+    if (connection.transaction != TransactionState::Idle)
+        log({ LogEvent::TargetConnectionInTransaction,
+            { { "group", m_name.value() }, { "target", connection.target.value() },
+                { "connection", std::to_string(connection.id.value()) },
+                { "answered", std::string(toString(connection.lastAnswered)) },
+                { "state", connection.transaction == TransactionState::Open ? "open" : "failed" } } });
     connection.stage = ConnectionStage::Idle;
     connection.stageEnteredAt = now;
     connection.session.reset();
--- a/src/proxy/TargetConnection.h
+++ b/src/proxy/TargetConnection.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace Auburnpost::Proxy {
 
@@ -37,6 +38,13 @@
     Status,
 };
 
+/// @return the text for logs, such as "statement".
+constexpr std::string_view toString(ReplyPurpose purpose)
+{
+    constexpr std::string_view texts[] { "setup", "begin", "statement", "rollback", "status" };
+    return texts[static_cast<std::size_t>(purpose)];
+}
+
 /// The reply that is due for a request sent on a connection.
 struct ExpectedReply {
     ReplyPurpose purpose { ReplyPurpose::Setup };
@@ -60,6 +68,10 @@
     Session::SessionValues values;
     std::set<std::string> prepared;
     std::deque<ExpectedReply> expectedReplies;
+    /// The kind of request that the target answered last.
+    ReplyPurpose lastAnswered { ReplyPurpose::Setup };
+    /// The state of the transaction by the target's last answer.
+    Session::TransactionState transaction { Session::TransactionState::Idle };
     /// The session whose transaction the connection is bound to.
     std::optional<SessionId> session;
     /// Whether the transaction has written anything.
