Lend a connection only after an answer without a transaction

Cause: a caller leaves after its COMMIT, and the connection waits for the answer as Busy, where a status query may follow the commit. The target refuses the commit for lack of capacity, so the transaction stays open. handleStatementReply() leaves the connection alone as a further answer is due, on the ground that the last one decides. Only that of a rollback does: the answer to the status query makes the connection idle.

Change: TargetConnection keeps the rule: it is lent only when its last answer said that no transaction is open and no answer is due. The pool asks for both. A connection whose transaction is given up is Releasing until it has ended, and carries no status query meanwhile. A transaction that an answer shows open after its session is gone is rolled back, also after a begin that failed. One that no session has, or that is open after its rollback, closes its connection with E0510 and a sample of target_connections_closed_in_transaction, and what was answered counts as lost: a write is in doubt, a read is repeated. A new connection must be accepted in state I.

Why it holds: idle is reached from markIdle() alone, which needs state idle and no answer due, and findIdle() and findIdleForCommand() check the same again.

Cost: nothing for a statement that is served. A commit that is refused after its caller left costs one rollback.

--- a/src/base/LogEvent.cpp
+++ b/src/base/LogEvent.cpp
@@ -81,7 +81,7 @@
         { LogEvent::TargetConnectionClosed, LogLevel::Info, "connection to target closed while idle" },
         { LogEvent::TargetPathChanged, LogLevel::Info, "network path to target changed" },
         { LogEvent::TargetConnectSucceeded, LogLevel::Info, "target accepts connections again" },
-        { LogEvent::TargetConnectionInTransaction, LogLevel::Warn, "connection returned to the pool in a transaction" },
+        { LogEvent::TargetConnectionInTransaction, LogLevel::Warn, "connection closed, a transaction of no session is open on it" },
         { LogEvent::RequestRefused, LogLevel::Debug, "request refused" },
         { LogEvent::OutcomeUnknown, LogLevel::Warn, "request outcome unknown" },
         { LogEvent::OutcomeResolved, LogLevel::Debug, "request outcome resolved" },
--- a/src/platform/TargetCodec.cpp
+++ b/src/platform/TargetCodec.cpp
@@ -119,8 +119,10 @@
     if (!m_isOpen && keyword == "ERROR")
         return ConnectionRefused { readFailure(line).code };
     if (!m_isOpen && keyword == "READY") {
+        // A new connection has no transaction.
+        if (readState(nextField(line)) != Session::TransactionState::Idle)
+            return ProtocolViolation {};
         m_isOpen = true;
-        (void)nextField(line);
         return ConnectionAccepted { readPosition(line) };
     }
     if (!m_isOpen || m_requestsStatus.empty())
--- a/src/proxy/ConnectionPool.cpp
+++ b/src/proxy/ConnectionPool.cpp
@@ -45,7 +45,7 @@
 {
     TargetConnection* found = nullptr;
     for (auto& [id, connection] : m_connections) {
-        if (connection.stage != ConnectionStage::Idle || connection.organisation != organisation)
+        if (!connection.mayBeLent() || connection.organisation != organisation)
             continue;
         if (connection.values == values)
             return &connection;
@@ -56,8 +56,8 @@
 
 TargetConnection* ConnectionPool::findIdleForCommand()
 {
-    const auto idle = std::find_if(m_connections.begin(), m_connections.end(),
-        [](const auto& entry) { return entry.second.stage == ConnectionStage::Idle; });
+    const auto idle = std::find_if(
+        m_connections.begin(), m_connections.end(), [](const auto& entry) { return entry.second.mayBeLent(); });
     return idle == m_connections.end() ? nullptr : &idle->second;
 }
 
--- a/src/proxy/GroupReplies.cpp
+++ b/src/proxy/GroupReplies.cpp
@@ -234,6 +234,10 @@
     connection->expectedReplies.pop_front();
     connection->lastAnswered = expected.purpose;
     connection->transaction = reply.state;
+    if (connection->isInForeignTransaction()) {
+        closeInTransaction(now, *connection, expected);
+        return;
+    }
     recordReturnIfDown(now, connection->target);
     if (auto* const health = m_watcher.health(connection->target))
         health->recordResponse(
@@ -263,6 +267,20 @@
     dispatchWaiting(now);
 }
 
+void GroupService::closeInTransaction(Instant now, TargetConnection& connection, const ExpectedReply& answered)
+{
+    log({ LogEvent::TargetConnectionInTransaction,
+        { { "group", m_name.value() }, { "target", connection.target.value() },
+            { "connection", std::to_string(connection.id.value()) },
+            { "answered", std::string(toString(answered.purpose)) },
+            { "state", connection.transaction == TransactionState::Open ? "open" : "failed" } } });
+    m_delegate.measure("target_connections_closed_in_transaction", 1);
+    // What was answered is rolled back with the transaction, so it counts as unanswered.
+    connection.expectedReplies.push_front(answered);
+    connectionLost(now, connection.id);
+    dispatchWaiting(now);
+}
+
 void GroupService::handleStatusReply(
     Instant now, TargetConnection& connection, const ExpectedReply& expected, const TargetReply& reply)
 {
@@ -295,8 +313,7 @@
         return;
     }
     const auto target = connection.target;
-    connection.session.reset();
-    markIdle(now, connection);
+    unbind(now, connection);
     if (!pending)
         return;
     pending->sentOn.clear();
@@ -314,13 +331,7 @@
     const bool wasPinned = connection.stage == ConnectionStage::Pinned;
     if (!pending) {
         // The caller disconnected, or another attempt was answered first.
-        // If more replies are expected on the connection, such as that of a rollback, the last one decides its state.
-        if (!connection.expectedReplies.empty())
-            return;
-        if (reply.state == TransactionState::Idle)
-            markIdle(now, connection);
-        else
-            releaseTransaction(now, connection.id, false);
+        unbind(now, connection);
         return;
     }
     pending->sentOn.erase(connection.id);
@@ -333,12 +344,10 @@
         return;
     }
     const auto served = *pending;
-    if (reply.state == TransactionState::Open && wasPinned) {
+    if (reply.state == TransactionState::Open)
         connection.stageEnteredAt = now;
-        finish(served, { std::get<Session::Success>(reply.body), reply.state, reply.position }, &connection);
-        return;
-    }
-    markIdle(now, connection);
+    else
+        unbind(now, connection);
     finish(served, { std::get<Session::Success>(reply.body), reply.state, reply.position }, &connection);
 }
 
@@ -379,18 +388,13 @@
         return;
     }
     const auto failed = pending;
-    auto state = reply.state;
-    if (state == TransactionState::Open) {
+    if (reply.state == TransactionState::Open) {
         connection.stageEnteredAt = now;
-        finish(failed, { failure, state, reply.position }, &connection);
+        finish(failed, { failure, reply.state, reply.position }, &connection);
         return;
     }
-    // A failed transaction can only be rolled back, and the caller needs no answer to the rollback.
-    if (state == TransactionState::Failed)
-        releaseTransaction(now, connection.id, false);
-    else
-        markIdle(now, connection);
-    finish(failed, { failure, state, reply.position }, nullptr);
+    unbind(now, connection);
+    finish(failed, { failure, reply.state, reply.position }, nullptr);
 }
 
 bool GroupService::requeueRefused(
@@ -418,20 +422,23 @@
 
 void GroupService::markIdle(Instant now, TargetConnection& connection)
 {
-    if (!connection.expectedReplies.empty())
+    if (!connection.expectedReplies.empty() || connection.transaction != TransactionState::Idle)
         return;
-    if (connection.transaction != TransactionState::Idle)
-        log({ LogEvent::TargetConnectionInTransaction,
-            { { "group", m_name.value() }, { "target", connection.target.value() },
-                { "connection", std::to_string(connection.id.value()) },
-                { "answered", std::string(toString(connection.lastAnswered)) },
-                { "state", connection.transaction == TransactionState::Open ? "open" : "failed" } } });
     connection.stage = ConnectionStage::Idle;
     connection.stageEnteredAt = now;
     connection.session.reset();
     connection.hasWritten = false;
 }
 
+void GroupService::unbind(Instant now, TargetConnection& connection)
+{
+    // A failed transaction can only be rolled back, and no caller needs the answer to the rollback.
+    if (connection.transaction == TransactionState::Idle)
+        markIdle(now, connection);
+    else if (!connection.awaitsRollback())
+        releaseTransaction(now, connection.id, false);
+}
+
 void GroupService::finish(const PendingStatement& pending, Session::Answer answer, const TargetConnection* connection)
 {
     StatementResult result;
@@ -483,7 +490,7 @@
     if (!connection)
         return;
     connection->session.reset();
-    connection->stage = ConnectionStage::Busy;
+    connection->stage = ConnectionStage::Releasing;
     connection->stageEnteredAt = now;
     if (commits)
         return;
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -196,7 +196,12 @@
     void recordPath(Instant now, const TargetConnection&);
     /// Counts a refused connection attempt, and logs it if the target did not refuse the last one for the same reason.
     void logRefusal(const TargetName&, Session::FailureCode);
+    /// Returns a connection to the pool unless an answer is due or a transaction is open.
     void markIdle(Instant now, TargetConnection&);
+    /// Ends what the connection is bound to after the target's answer: a transaction that is still open is rolled back.
+    void unbind(Instant now, TargetConnection&);
+    /// Closes a connection whose answer shows a transaction that no session has and nothing is about to end.
+    void closeInTransaction(Instant now, TargetConnection&, const ExpectedReply& answered);
     void handleStatementLoss(Instant now, const PendingStatement&, ReplyPurpose);
 
     // Load estimates.
--- a/src/proxy/TargetConnection.cpp
+++ b/src/proxy/TargetConnection.cpp
@@ -5,6 +5,25 @@
 
 namespace Auburnpost::Proxy {
 
+bool TargetConnection::mayBeLent() const
+{
+    return stage == ConnectionStage::Idle && expectedReplies.empty() && transaction == Session::TransactionState::Idle;
+}
+
+bool TargetConnection::isInForeignTransaction() const
+{
+    if (transaction == Session::TransactionState::Idle || stage == ConnectionStage::Pinned)
+        return false;
+    // A refused commit leaves its transaction open; a rollback must not.
+    return stage != ConnectionStage::Releasing || lastAnswered == ReplyPurpose::Rollback;
+}
+
+bool TargetConnection::awaitsRollback() const
+{
+    return std::any_of(expectedReplies.begin(), expectedReplies.end(),
+        [](const ExpectedReply& reply) { return reply.purpose == ReplyPurpose::Rollback; });
+}
+
 std::string preparedNameOf(const Session::PreparedShape& prepared)
 {
     constexpr XXH64_hash_t readSeed = 1;
--- a/src/proxy/TargetConnection.h
+++ b/src/proxy/TargetConnection.h
@@ -25,6 +25,8 @@
     Busy,
     /// Belongs to a session's transaction.
     Pinned,
+    /// Ends a transaction whose session no longer needs an answer, and takes no other request meanwhile.
+    Releasing,
 };
 
 /// The kind of request that an expected reply answers.
@@ -53,7 +55,8 @@
     Instant sentAt;
 };
 
-/// A connection to a target and the session state that it has on the target.
+/// A connection to a target and the session state that it has on the target. It is lent only when its last answer said
+/// that no transaction is open and no answer is due.
 struct TargetConnection {
     ConnectionId id;
     TargetName target;
@@ -76,6 +79,13 @@
     std::optional<SessionId> session;
     /// Whether the transaction has written anything.
     bool hasWritten { false };
+
+    /// @return whether a statement of any session, or a request of the proxy itself, may be sent on it.
+    [[nodiscard]] bool mayBeLent() const;
+    /// @return whether a transaction is open on the target that belongs to no session and is not being ended either.
+    [[nodiscard]] bool isInForeignTransaction() const;
+    /// @return whether a rollback was sent that is not answered yet.
+    [[nodiscard]] bool awaitsRollback() const;
 };
 
 /// @return the name under which connections prepare a shape; it is the same for all sessions.
--- a/tests/platform/TargetCodecTests.cpp
+++ b/tests/platform/TargetCodecTests.cpp
@@ -40,6 +40,15 @@
     CHECK(std::get<ConnectionRefused>(line).code == Session::FailureCode::TooManyConnections);
 }
 
+// Guards against lending a new connection on which a transaction is open already.
+TEST_CASE("A connection that a target accepts inside a transaction violates the protocol", "[platform]")
+{
+    for (const auto* const line : { "READY T 3.1207", "READY E 3.1207", "READY" }) {
+        TargetCodec codec;
+        CHECK(std::holds_alternative<ProtocolViolation>(codec.read(line)));
+    }
+}
+
 TEST_CASE("Requests carry the id of the caller's statement, or a placeholder if they are the proxy's own", "[platform]")
 {
     auto codec = openCodec();
--- a/tests/proxy/RecordedProxy.h
+++ b/tests/proxy/RecordedProxy.h
@@ -30,6 +30,7 @@
     std::map<SessionId, Session::Answer> answers;
     std::map<ConnectionId, TargetRecord> opened;
     std::vector<std::pair<ConnectionId, TargetRequest>> sent;
+    std::vector<ConnectionId> closedConnections;
     std::vector<PromotionLease> leaseWrites;
     std::vector<std::optional<FeedPage>> feedAnswers;
     std::size_t leaseReads { 0 };
@@ -37,6 +38,8 @@
     std::size_t hostReads { 0 };
     Duration hostReadTimeout {};
     std::vector<LogRecord> records;
+    /// The names of the metrics series that have a sample.
+    std::multiset<std::string> measured;
     std::vector<std::pair<StoreTable, StoreCallSlot>> cancelled;
 
     void readTable(StoreTable table, const std::string&, Duration timeout, StoreCallSlot slot) override
@@ -67,7 +70,7 @@
     {
         opened[id] = target;
     }
-    void closeConnection(ConnectionId) override { }
+    void closeConnection(ConnectionId id) override { closedConnections.push_back(id); }
     void send(ConnectionId id, const std::vector<TargetRequest>& requests) override
     {
         for (const auto& request : requests)
@@ -84,7 +87,7 @@
     void queryPeer(const SocketAddress& peer) override { queriedPeers.push_back(peer); }
     void sendDatagram(const SocketAddress&, std::string_view) override { }
     void log(const LogRecord& record) override { records.push_back(record); }
-    void measure(std::string_view, double) override { }
+    void measure(std::string_view series, double) override { measured.emplace(series); }
 };
 
 /// Reads a row of the configuration as "VERSION DATABASE GROUP DATABASE GROUP ...", and a row of a target as "GROUP
