Let the soak's callers leave in transactions, and check where they run

Four callers at each host run transactions and leave half of them after any statement, answered or not.

--- a/tests/process/ConfigSite.cpp
+++ b/tests/process/ConfigSite.cpp
@@ -9,7 +9,7 @@
     : m_connectionLimit(options.connectionLimit)
 {
     for (const auto* const group : groups)
-        m_targets.push_back(std::make_unique<LineTarget>(group, options.connectionLimit));
+        m_targets.push_back(std::make_unique<LineTarget>(group, options.connectionLimit, options.commits));
     write(initial);
     writeTargets();
     for (std::size_t index = 0; index < options.hosts; ++index) {
--- a/tests/process/ConfigSite.h
+++ b/tests/process/ConfigSite.h
@@ -19,6 +19,7 @@
     std::size_t dataCentres { 1 };
     /// With fewer than three connections for each host, sessions are forwarded to homes.
     int connectionLimit { 48 };
+    CommitBehaviour commits { 30, std::chrono::milliseconds(20) };
 };
 
 /// Hosts in data centres, before a store and two groups of one target each. A target answers a read with the name of
@@ -39,6 +40,7 @@
     /// Writes the configuration with the groups of the site. @return the moment of the acknowledgement.
     std::chrono::steady_clock::time_point write(ConfigDocument);
     void writeTargets();
+    [[nodiscard]] const std::vector<std::unique_ptr<LineTarget>>& targets() const { return m_targets; }
 
     static constexpr std::array groups { "g-1", "g-2" };
 
--- a/tests/process/ConfigSoak.cpp
+++ b/tests/process/ConfigSoak.cpp
@@ -2,6 +2,7 @@
 
 #include "process/ConfigCallers.h"
 #include "process/ConfigCheck.h"
+#include "process/LeavingCallers.h"
 #include "process/ProcessState.h"
 #include "process/ProxyLog.h"
 #include "process/SchedulingWatch.h"
@@ -84,9 +85,15 @@
     SchedulingWatch watch;
     ConfigHistory history;
     std::size_t otherOutcomes = 0;
+    std::size_t left = 0;
+    std::size_t committed = 0;
     {
         ConfigCallers callers(running, databases, seed);
+        LeavingCallers leaving(running, databases, seed);
         driver.runFor(time);
+        leaving.stop();
+        left = leaving.left();
+        committed = leaving.committed();
         history.requests = callers.stop();
         otherOutcomes = callers.otherOutcomes();
     }
@@ -110,6 +117,13 @@
     const auto violations = check.violations();
     const auto late = std::count_if(
         violations.begin(), violations.end(), [](const ConfigViolation& violation) { return !violation.isRegress; });
+    std::vector<std::string> misplaced;
+    std::size_t refusedCommits = 0;
+    for (const auto& target : running.targets()) {
+        const auto ofTarget = target->transactions().violations();
+        misplaced.insert(misplaced.end(), ofTarget.begin(), ofTarget.end());
+        refusedCommits += target->transactions().refusedCommits();
+    }
     std::cout << "seed " << seed << ": " << site.hosts << " hosts, " << site.dataCentres << " data centres, "
               << site.connectionLimit << " connections, " << time.count() / 1000
               << " s; faults: " << driver.faultCounts() << "; " << history.edits.size() << " edits, "
@@ -117,8 +131,10 @@
               << otherOutcomes << " other outcomes, " << forwarded << " sessions forwarded, " << pauses
               << " pauses in logs, " << gaps.size() << " gaps of the stand-ins; " << late << " late, "
               << violations.size() - static_cast<std::size_t>(late) << " regressed, " << ended
-              << " hosts ended by themselves" << std::endl;
-    if (violations.empty() && ended == 0)
+              << " hosts ended by themselves; " << committed << " transactions committed, " << left << " left, "
+              << refusedCommits << " commits refused, " << misplaced.size() << " statements outside their transaction"
+              << std::endl;
+    if (violations.empty() && misplaced.empty() && ended == 0)
         return 0;
     running.folder().keep();
     std::cout << "  logs: " << running.folder().path() << "\n";
@@ -127,10 +143,12 @@
         if (printed[violation.isRegress ? 1 : 0]++ < printedViolations)
             print(violation, history);
     }
+    for (std::size_t index = 0; index < std::min(printedViolations, misplaced.size()); ++index)
+        std::cout << "  transaction: " << misplaced[index] << "\n";
     for (const auto& disturbance : history.disturbances)
         print(disturbance);
     std::cout << std::flush;
-    return violations.size() + ended;
+    return violations.size() + misplaced.size() + ended;
 }
 
 } // namespace Auburnpost::Test
--- a/tests/process/ConfigSoak.h
+++ b/tests/process/ConfigSoak.h
@@ -15,7 +15,8 @@
     std::chrono::milliseconds time { 0 };
 
     /// Plays one seed and prints a line about it. Violations are printed too, and the hosts' logs kept.
-    /// @return the number of requests that broke a bound, and of hosts that ended by themselves.
+    /// @return the number of requests that broke a bound, of statements outside their transaction, and of hosts that
+    /// ended by themselves.
     [[nodiscard]] std::size_t run(std::uint64_t seed) const;
 };
 
--- a/tests/process/LineCaller.cpp
+++ b/tests/process/LineCaller.cpp
@@ -38,8 +38,16 @@
 
 LineCaller::Answer LineCaller::read(const std::string& id)
 {
-    if (!m_socket.sendAll("QUERY " + id + " READ item\r\n"))
-        return lose();
+    return send(id, "READ item") ? receive() : lose();
+}
+
+bool LineCaller::send(const std::string& id, const std::string& text)
+{
+    return m_socket.sendAll("QUERY " + id + " " + text + "\r\n");
+}
+
+LineCaller::Answer LineCaller::receive()
+{
     Answer answer;
     std::string line;
     while (m_reader.readLine(line)) {
--- a/tests/process/LineCaller.h
+++ b/tests/process/LineCaller.h
@@ -29,6 +29,10 @@
     [[nodiscard]] const std::string& error() const { return m_error; }
     /// Reads an item.
     Answer read(const std::string& id);
+    /// Sends a statement. @return whether the host took it.
+    [[nodiscard]] bool send(const std::string& id, const std::string& text);
+    /// Waits for the answer to the last statement.
+    Answer receive();
 
 private:
     Answer lose();
