--- a/bench/scale/Benches.h
+++ b/bench/scale/Benches.h
@@ -8,5 +8,7 @@
 void benchPlacement();
 /// Prints the effect of a shared cool-down, compared with the retry budget alone.
 void benchCooldown();
+/// Prints the time that the name of a prepared statement takes for texts of several lengths.
+void benchPreparedNames();
 
 } // namespace Auburnpost::Bench
--- a/bench/scale/Main.cpp
+++ b/bench/scale/Main.cpp
@@ -13,7 +13,7 @@
         void (*run)();
     };
     constexpr NamedBench benches[] = { { "membership", Bench::benchMembership }, { "placement", Bench::benchPlacement },
-        { "cooldown", Bench::benchCooldown } };
+        { "cooldown", Bench::benchCooldown }, { "names", Bench::benchPreparedNames } };
     bool isKnown = argc == 1;
     for (const auto& bench : benches) {
         bool isSelected = argc == 1;
@@ -24,6 +24,6 @@
             bench.run();
     }
     if (!isKnown)
-        std::fprintf(stderr, "usage: auburnpost_scale [membership] [placement] [cooldown]\n");
+        std::fprintf(stderr, "usage: auburnpost_scale [membership] [placement] [cooldown] [names]\n");
     return isKnown ? 0 : 2;
 }
--- a/src/proxy/GroupDispatch.cpp
+++ b/src/proxy/GroupDispatch.cpp
@@ -405,7 +405,7 @@
     if (isSingle && pending.access == Session::Access::Read)
         run.requiredLogPoint = pending.requiredLogPoint;
     if (pending.prepared)
-        run.preparedName = preparedNameOf(*pending.prepared);
+        run.preparedName = pending.prepared->name.toString();
     connection.expectedReplies.push_back({ ReplyPurpose::Statement, pending.id, now });
     m_delegate.send(connection.id, { run });
 }
--- a/src/proxy/PendingStatement.h
+++ b/src/proxy/PendingStatement.h
@@ -44,7 +44,7 @@
     Session::StatementId statementId;
     Session::Statement statement;
     /// Execute: the prepared statement that it runs.
-    std::optional<Session::PreparedShape> prepared;
+    std::optional<NamedShape> prepared;
     /// The session's values as of the arrival of the statement.
     Session::SessionValues values;
     Route route;
--- a/src/proxy/ProxySessions.cpp
+++ b/src/proxy/ProxySessions.cpp
@@ -195,7 +195,7 @@
     pending.statementId = session.statementId;
     pending.statement = statement;
     if (statement.kind == StatementKind::Execute)
-        pending.prepared = *session.state.findPrepared(statement.name);
+        pending.prepared.emplace(*session.state.findPrepared(statement.name));
     pending.values = session.state.values();
     pending.route = route;
     pending.arrivedAt = now;
@@ -206,7 +206,7 @@
     pending.isInTransaction = isOpen && session.pinned;
     pending.isReadOnlyTransaction = isOpen && session.state.isReadOnly();
     const bool writes = statement.kind == StatementKind::Write || statement.kind == StatementKind::Commit
-        || (pending.prepared && pending.prepared->access == Session::Access::Write);
+        || (pending.prepared && pending.prepared->shape.access == Session::Access::Write);
     pending.access = writes ? Session::Access::Write : Session::Access::Read;
     if (pending.isReadOnlyTransaction)
         pending.access = Session::Access::Read;
--- a/src/proxy/TargetConnection.cpp
+++ b/src/proxy/TargetConnection.cpp
@@ -1,7 +1,6 @@
 #include "proxy/TargetConnection.h"
 
 #include <algorithm>
-#include <xxhash.h>
 
 namespace Auburnpost::Proxy {
 
@@ -24,16 +23,8 @@
         [](const ExpectedReply& reply) { return reply.purpose == ReplyPurpose::Rollback; });
 }
 
-std::string preparedNameOf(const Session::PreparedShape& prepared)
-{
-    constexpr XXH64_hash_t readSeed = 1;
-    constexpr XXH64_hash_t writeSeed = 2;
-    const auto seed = prepared.access == Session::Access::Read ? readSeed : writeSeed;
-    return "p" + std::to_string(XXH64(prepared.shape.data(), prepared.shape.size(), seed));
-}
-
 std::vector<TargetRequest> makeSetupRequests(
-    TargetConnection& connection, const Session::SessionValues& values, const Session::PreparedShape* prepared)
+    TargetConnection& connection, const Session::SessionValues& values, const NamedShape* prepared)
 {
     std::vector<TargetRequest> requests;
     // A single value can't be unset, so any value that the session does not have requires a reset of the connection.
@@ -50,8 +41,8 @@
             requests.emplace_back(SetValue { name, value });
     }
     connection.values = values;
-    if (prepared && connection.prepared.insert(preparedNameOf(*prepared)).second)
-        requests.emplace_back(PrepareStatement { preparedNameOf(*prepared), *prepared });
+    if (prepared && connection.prepared.insert(prepared->name).second)
+        requests.emplace_back(PrepareStatement { prepared->name.toString(), prepared->shape });
     return requests;
 }
 
--- a/src/proxy/TargetConnection.h
+++ b/src/proxy/TargetConnection.h
@@ -2,6 +2,7 @@
 
 #include "base/SocketAddress.h"
 #include "proxy/Ids.h"
+#include "proxy/PreparedName.h"
 #include "proxy/TargetRequest.h"
 #include "session/SessionState.h"
 
@@ -69,7 +70,7 @@
     /// When the connection entered its stage, or its transaction was last answered.
     Instant stageEnteredAt;
     Session::SessionValues values;
-    std::set<std::string> prepared;
+    std::set<PreparedName> prepared;
     std::deque<ExpectedReply> expectedReplies;
     /// The kind of request that the target answered last.
     ReplyPurpose lastAnswered { ReplyPurpose::Setup };
@@ -88,12 +89,9 @@
     [[nodiscard]] bool awaitsRollback() const;
 };
 
-/// @return the name under which connections prepare a shape; it is the same for all sessions.
-std::string preparedNameOf(const Session::PreparedShape&);
-
 /// Updates the connection's state as if the requests had already succeeded.
 /// @return the requests that give the connection the session's values and, for an Execute, its prepared statement.
 std::vector<TargetRequest> makeSetupRequests(
-    TargetConnection&, const Session::SessionValues&, const Session::PreparedShape* prepared);
+    TargetConnection&, const Session::SessionValues&, const NamedShape* prepared);
 
 } // namespace Auburnpost::Proxy
--- a/src/session/Statement.h
+++ b/src/session/Statement.h
@@ -44,7 +44,7 @@
     }
 }
 
-/// Definition of a prepared statement. Names with the same shape are interchangeable on a target.
+/// Definition of a prepared statement. Names with the same definition are interchangeable on a target.
 struct PreparedShape {
     Access access { Access::Read };
     std::string shape;
--- a/tests/proxy/CountingTarget.cpp
+++ b/tests/proxy/CountingTarget.cpp
@@ -9,17 +9,26 @@
 using Session::StatementKind;
 using Session::TransactionState;
 
+const std::vector<Session::PreparedShape>& preparedShapes()
+{
+    static const std::vector<Session::PreparedShape> shapes { { Session::Access::Read, "air-by-district1" },
+        { Session::Access::Read, "x0OSxEwHoxLi4ZhG" }, { Session::Access::Write, "post-reading-v01" },
+        { Session::Access::Write, "oKcAQ8eBTI8sBDOS" }, { Session::Access::Read, "post-reading-v01" } };
+    return shapes;
+}
+
 StatementOrigin StatementOrigin::parse(const Session::StatementId& id)
 {
     StatementOrigin origin;
     char separator = 0;
-    std::istringstream(id.value()) >> origin.session >> separator >> origin.transaction;
+    std::istringstream(id.value()) >> origin.session >> separator >> origin.transaction >> separator >> origin.shape;
     return origin;
 }
 
 Session::StatementId StatementOrigin::toId() const
 {
-    return Session::StatementId(std::to_string(session) + "-" + std::to_string(transaction));
+    return Session::StatementId(
+        std::to_string(session) + "-" + std::to_string(transaction) + "-" + std::to_string(shape));
 }
 
 void CountingTarget::open(ConnectionId id, const TargetName& target)
@@ -45,6 +54,8 @@
         run(id, connection, *statement, reply, outcome);
     } else if (connection.state == TransactionState::Failed && !endsTransaction) {
         reply.body = Session::Failure { FailureCode::Malformed, "the transaction failed" };
+    } else if (setUp(connection, request)) {
+        // Takes no slot, so it is never refused.
     } else if (outcome != TargetOutcome::Succeeds && (!endsTransaction || m_mayRefuseRollbacks)) {
         const auto code = outcome == TargetOutcome::Refused ? FailureCode::Busy : FailureCode::Failed;
         reply.body = Session::Failure { code, "" };
@@ -69,6 +80,17 @@
     return reply;
 }
 
+bool CountingTarget::setUp(Connection& connection, const TargetRequest& request)
+{
+    if (const auto* const prepare = std::get_if<PrepareStatement>(&request))
+        connection.prepared[prepare->name] = prepare->prepared;
+    else if (std::holds_alternative<ResetConnection>(request))
+        connection.prepared.clear();
+    else
+        return std::holds_alternative<SetValue>(request);
+    return true;
+}
+
 void CountingTarget::run(
     ConnectionId id, Connection& connection, const RunStatement& statement, TargetReply& reply, TargetOutcome outcome)
 {
@@ -79,6 +101,15 @@
         return;
     }
     const auto origin = StatementOrigin::parse(statement.id);
+    if (statement.statement.kind == StatementKind::Execute) {
+        const auto known = connection.prepared.find(statement.preparedName);
+        if (known == connection.prepared.end()) {
+            reply.body = Session::Failure { FailureCode::UnknownPreparedName, "" };
+            return;
+        }
+        if (known->second != preparedShapes().at(origin.shape))
+            m_violations.push_back(origin.toId().value() + " runs the shape " + known->second.shape);
+    }
     checkOrigin(id, connection, origin);
     ++m_ran;
     if (connection.state == TransactionState::Failed && !commits) {
@@ -108,7 +139,7 @@
         m_violations.push_back(describe("ran inside a transaction"));
     else if (origin.transaction != 0 && !isOpen)
         m_violations.push_back(describe("ran outside its transaction"));
-    else if (isOpen && connection.owner && *connection.owner != origin)
+    else if (isOpen && connection.owner && !connection.owner->isSameTransaction(origin))
         m_violations.push_back(describe("ran inside transaction " + connection.owner->toId().value()));
 }
 
--- a/tests/proxy/CountingTarget.h
+++ b/tests/proxy/CountingTarget.h
@@ -12,15 +12,24 @@
 
 namespace Auburnpost::Proxy {
 
+/// The shapes that callers prepare. The first two have the same XXH64 digest with seed 1, the next two with seed 2; the
+/// last one is the text of another shape with another access.
+const std::vector<Session::PreparedShape>& preparedShapes();
+
 /// A caller's session and which of its transactions a statement belongs to; 0 for a statement outside one. The id of
 /// each statement states it.
 struct StatementOrigin {
     std::uint64_t session { 0 };
     std::uint64_t transaction { 0 };
+    /// Execute: the index of the shape that the caller prepared.
+    std::size_t shape { 0 };
 
+    [[nodiscard]] bool isSameTransaction(const StatementOrigin& other) const
+    {
+        return session == other.session && transaction == other.transaction;
+    }
     static StatementOrigin parse(const Session::StatementId&);
     [[nodiscard]] Session::StatementId toId() const;
-    bool operator==(const StatementOrigin&) const = default;
 };
 
 /// How a target answers a request.
@@ -42,6 +51,7 @@
         Session::TransactionState state { Session::TransactionState::Idle };
         /// The caller's transaction that is open on the connection; empty until its first statement has run.
         std::optional<StatementOrigin> owner;
+        std::map<std::string, Session::PreparedShape> prepared;
     };
 
     /// @param mayRefuseRollbacks whether the outcome of a request applies to rollbacks too, which otherwise succeed.
@@ -60,13 +70,15 @@
     [[nodiscard]] std::map<ConnectionId, Connection>& connections() { return m_connections; }
     /// @return the connections on which a transaction is open.
     [[nodiscard]] std::size_t openTransactions() const;
-    /// Statements that ran outside their transaction or inside another one, and connections whose answers were wrong.
+    /// Statements that ran outside their transaction or inside another one, or ran another shape than was prepared.
     [[nodiscard]] const std::vector<std::string>& violations() const { return m_violations; }
     [[nodiscard]] std::size_t ran() const { return m_ran; }
     [[nodiscard]] std::size_t refusedCommits() const { return m_refusedCommits; }
 
 private:
     void run(ConnectionId, Connection&, const RunStatement&, TargetReply&, TargetOutcome);
+    /// Handles a request that changes what is kept for the connection. @return whether it is such a request.
+    static bool setUp(Connection&, const TargetRequest&);
     void checkOrigin(ConnectionId, const Connection&, const StatementOrigin&);
 
     bool m_mayRefuseRollbacks;
--- a/tests/proxy/LendingSimulation.cpp
+++ b/tests/proxy/LendingSimulation.cpp
@@ -5,6 +5,13 @@
 using Session::StatementKind;
 using Session::TransactionState;
 
+namespace {
+
+    /// The name under which each caller prepares its shape.
+    constexpr auto preparedName = "s1";
+
+} // namespace
+
 LendingSimulation::LendingSimulation(std::uint64_t seed, bool mayRefuseRollbacks)
     : m_random(seed)
     , m_target(mayRefuseRollbacks)
@@ -33,16 +40,24 @@
     const bool begins = kind == StatementKind::Begin || kind == StatementKind::BeginReadOnly;
     caller.transactions += begins ? 1 : 0;
     const bool isInTransaction = begins || caller.state != TransactionState::Idle;
-    const StatementOrigin origin { caller.session, isInTransaction ? caller.transactions : 0 };
+    const StatementOrigin origin { caller.session, isInTransaction ? caller.transactions : 0, caller.shape };
     caller.isWaiting = true;
     caller.sent = kind;
     caller.answer.reset();
     Session::Statement statement;
     statement.kind = kind;
+    statement.name = preparedName;
+    statement.prepared = preparedShapes().at(caller.shape);
     m_proxy.proxy.statementArrived(m_proxy.now, SessionId(caller.session), origin.toId(), statement);
     pump();
 }
 
+void LendingSimulation::prepare(std::size_t index, std::size_t shape)
+{
+    m_callers.at(index).shape = shape;
+    send(index, StatementKind::Prepare);
+}
+
 void LendingSimulation::leave(std::size_t index)
 {
     m_proxy.proxy.sessionClosed(m_proxy.now, SessionId(m_callers.at(index).session));
@@ -139,6 +154,7 @@
     const auto index = indexOf(caller);
     if (caller.session == 0) {
         open(index);
+        prepare(index, below(preparedShapes().size()));
         return;
     }
     if (caller.state == TransactionState::Failed) {
@@ -147,13 +163,13 @@
     }
     const auto kind = below(10);
     if (caller.state == TransactionState::Idle) {
-        constexpr StatementKind kinds[] { StatementKind::Read, StatementKind::Write, StatementKind::Write,
+        constexpr StatementKind kinds[] { StatementKind::Read, StatementKind::Execute, StatementKind::Write,
             StatementKind::BeginReadOnly };
         send(index, kind < std::size(kinds) ? kinds[kind] : StatementKind::Begin);
         return;
     }
     constexpr StatementKind kinds[] { StatementKind::Commit, StatementKind::Commit, StatementKind::Commit,
-        StatementKind::Rollback, StatementKind::Write, StatementKind::Write, StatementKind::Write };
+        StatementKind::Rollback, StatementKind::Write, StatementKind::Write, StatementKind::Execute };
     send(index, kind < std::size(kinds) ? kinds[kind] : StatementKind::Read);
 }
 
--- a/tests/proxy/LendingSimulation.h
+++ b/tests/proxy/LendingSimulation.h
@@ -19,6 +19,8 @@
         Session::TransactionState state { Session::TransactionState::Idle };
         /// The transactions that the session has begun, the last of which is open unless the state is idle.
         std::uint64_t transactions { 0 };
+        /// Index of the shape that the session has prepared.
+        std::size_t shape { 0 };
         /// The answer to the last statement.
         std::optional<Session::Answer> answer;
     };
@@ -29,6 +31,8 @@
     /// Opens a session in place of the caller's last one.
     void open(std::size_t caller);
     void send(std::size_t caller, Session::StatementKind);
+    /// Prepares a shape of preparedShapes(), always under the same name.
+    void prepare(std::size_t caller, std::size_t shape);
     /// Ends the caller's session, whatever is unanswered.
     void leave(std::size_t caller);
     [[nodiscard]] Caller& caller(std::size_t index) { return m_callers.at(index); }
--- a/tests/proxy/ReadTargetSelectorTests.cpp
+++ b/tests/proxy/ReadTargetSelectorTests.cpp
@@ -295,7 +295,7 @@
 TEST_CASE("A connection gets the session's values and is reset if it has others", "[proxy][connections]")
 {
     TargetConnection connection;
-    const Session::PreparedShape shape { Session::Access::Read, "q1" };
+    const NamedShape shape({ Session::Access::Read, "q1" });
     CHECK(makeSetupRequests(connection, { { "a", "1" } }, &shape).size() == 2);
     CHECK(makeSetupRequests(connection, { { "a", "1" } }, &shape).empty());
     CHECK(makeSetupRequests(connection, { { "a", "2" }, { "b", "3" } }, nullptr).size() == 2);
@@ -306,10 +306,3 @@
     CHECK(std::holds_alternative<SetValue>(requests[1]));
     CHECK(std::holds_alternative<PrepareStatement>(requests[2]));
 }
-
-TEST_CASE("Shapes with different access never share a prepared name", "[proxy][connections]")
-{
-    CHECK(preparedNameOf({ Session::Access::Read, "q1" }) == preparedNameOf({ Session::Access::Read, "q1" }));
-    CHECK(preparedNameOf({ Session::Access::Read, "q1" }) != preparedNameOf({ Session::Access::Write, "q1" }));
-    CHECK(preparedNameOf({ Session::Access::Read, "q1" }) != preparedNameOf({ Session::Access::Read, "q2" }));
-}
