Send a further statement only on a connection bound to its session

submitPinned() took the connection of a transaction by its stage alone. Nothing is known that lets a session name a connection which another one's transaction is bound to; the check makes sure that a statement never runs there (PINNED), and answers ABORTED like a lost connection. proxy_tests [lending], [service] and platform_tests pass.

--- a/src/proxy/GroupDispatch.cpp
+++ b/src/proxy/GroupDispatch.cpp
@@ -77,7 +77,7 @@
 bool GroupService::submitPinned(Instant now, PendingStatement submitted, ConnectionId id)
 {
     auto* const connection = findConnection(id);
-    if (!connection || connection->stage != ConnectionStage::Pinned)
+    if (!connection || connection->stage != ConnectionStage::Pinned || connection->session != submitted.session)
         return false;
     const auto pendingId = submitted.id;
     auto& pending = m_statements.emplace(pendingId, std::move(submitted)).first->second;
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -63,7 +63,7 @@
     /// Queues and dispatches a statement that is not bound to a connection.
     void submit(Instant now, PendingStatement);
     /// Sends a further statement of a transaction on the connection that the transaction is bound to.
-    /// @return false, with nothing done, if the connection no longer exists.
+    /// @return false, with nothing done, if the connection no longer exists or is not bound to the session.
     bool submitPinned(Instant now, PendingStatement, ConnectionId);
     /// Frees the connection of a transaction whose session needs no answer, and rolls the transaction back.
     /// @param commits whether a commit was sent, which is left to finish instead of a rollback.
