Record a target's response before its connection is closed

An answer with which a connection is closed for an open transaction (E0510) still shows that the target responds and what it applied. The check comes after both are recorded.

--- a/src/proxy/GroupReplies.cpp
+++ b/src/proxy/GroupReplies.cpp
@@ -65,10 +65,6 @@
     connection->expectedReplies.pop_front();
     connection->lastAnswered = expected.purpose;
     connection->transaction = reply.state;
-    if (connection->isInForeignTransaction()) {
-        closeInTransaction(now, *connection, expected);
-        return;
-    }
     recordReturnIfDown(now, connection->target);
     if (auto* const health = m_watcher.health(connection->target))
         health->recordResponse(
@@ -76,6 +72,10 @@
     // Inside a transaction the position may be as of the transaction's begin.
     if (reply.position && reply.state == TransactionState::Idle)
         m_watcher.recordApplied(now, connection->target, *reply.position);
+    if (connection->isInForeignTransaction()) {
+        closeInTransaction(now, *connection, expected);
+        return;
+    }
     switch (expected.purpose) {
     case ReplyPurpose::Setup:
         if (reply.failure())
--- a/tests/process/TransactionRecord.cpp
+++ b/tests/process/TransactionRecord.cpp
@@ -32,12 +32,11 @@
 {
     const bool isInTransaction = id.starts_with("tx-");
     const auto owner = isInTransaction ? id.substr(0, id.rfind('-')) : std::string();
-    if (isInTransaction && !m_isOpen)
-        m_record.addViolation("statement " + id + " ran outside its transaction");
-    else if (!isInTransaction && m_isOpen)
-        m_record.addViolation("statement " + id + " ran inside the transaction of " + m_owner);
-    else if (m_isOpen && !m_owner.empty() && m_owner != owner)
+    const bool isForeign = m_isOpen && (!isInTransaction || (!m_owner.empty() && m_owner != owner));
+    if (isForeign)
         m_record.addViolation("statement " + id + " ran inside the transaction of " + m_owner);
+    else if (isInTransaction && !m_isOpen)
+        m_record.addViolation("statement " + id + " ran outside its transaction");
     if (m_isOpen && m_owner.empty())
         m_owner = owner;
 }
