Log what a host knows of a replacement when it takes a target for the primary

E0403 names the last read of the promotion lease and the number of members that are fenced for a later term.

--- a/src/proxy/GroupReplies.cpp
+++ b/src/proxy/GroupReplies.cpp
@@ -1,4 +1,5 @@
 #include "proxy/GroupService.h"
+#include "proxy/PromotionLog.h"
 
 #include <algorithm>
 
@@ -114,7 +115,9 @@
         return;
     log({ LogEvent::PrimaryPromoted,
         { { "group", m_name.value() }, { "target", target.value() }, { "before", before ? before->value() : "-" },
-            { "term", std::to_string(m_watcher.primaryTerm().value()) } } });
+            { "term", std::to_string(m_watcher.primaryTerm().value()) },
+            { "lease", PromotionLog::describeLease(now, m_leaseReading) },
+            { "fences_above", std::to_string(PromotionLog::countFencedAbove(m_watcher, m_watcher.primaryTerm())) } } });
 }
 
 void GroupService::handleBeginReply(
--- a/src/proxy/GroupService.cpp
+++ b/src/proxy/GroupService.cpp
@@ -150,6 +150,8 @@
 
 void GroupService::leaseRead(Instant now, const Expected<PromotionLeaseRow>& row)
 {
+    if (row)
+        m_leaseReading = LeaseReading { *row, now };
     if (row && row->lease && row->lease->members)
         countRecorded(now, *row->lease->members);
     m_promotion.leaseRead(now, m_watcher, row);
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -266,6 +266,8 @@
     /// When the last round of status queries for a confirmation began.
     Instant m_confirmationStartedAt {};
     std::map<TargetName, Command> m_commands;
+    /// The last read of the promotion lease's row, for logs.
+    std::optional<LeaseReading> m_leaseReading;
     std::set<TargetName> m_suspects;
     bool m_isDispatching { false };
     std::uint64_t m_dispatchAttempts { 0 };
--- a/src/proxy/PromotionLease.h
+++ b/src/proxy/PromotionLease.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/Time.h"
 #include "proxy/Ids.h"
 #include "proxy/MemberRecord.h"
 
@@ -43,6 +44,12 @@
     std::uint64_t storeNowMs { 0 };
 };
 
+/// A read of the lease's row, and when it was answered.
+struct LeaseReading {
+    PromotionLeaseRow row;
+    Instant at;
+};
+
 /// Outcome of a promotion call to the platform.
 enum class PromotionOutcome : std::uint8_t {
     Accepted,
--- a/src/proxy/PromotionLog.cpp
+++ b/src/proxy/PromotionLog.cpp
@@ -1,5 +1,7 @@
 #include "proxy/PromotionLog.h"
 
+#include <algorithm>
+
 namespace Auburnpost::Proxy::PromotionLog {
 
 namespace {
@@ -74,6 +76,27 @@
     return join(texts);
 }
 
+std::string describeLease(Instant now, const std::optional<LeaseReading>& reading)
+{
+    if (!reading || !reading->row.lease)
+        return std::string(unknown);
+    const auto& lease = *reading->row.lease;
+    const auto left = lease.expiresAtMs > reading->row.storeNowMs ? lease.expiresAtMs - reading->row.storeNowMs : 0;
+    auto text = lease.holder.value() + "/" + std::to_string(reading->row.version.value()) + "/" + std::to_string(left)
+        + "ms/" + age(now, reading->at) + "ms";
+    if (lease.pending)
+        text += "/pending/" + lease.pending->candidate.value() + "/"
+            + std::to_string(lease.pending->replacedTerm.value());
+    return text;
+}
+
+std::size_t countFencedAbove(const GroupWatcher& watcher, Term term)
+{
+    const auto& members = watcher.members();
+    return static_cast<std::size_t>(std::count_if(members.begin(), members.end(),
+        [term](const auto& entry) { return entry.second.status && entry.second.status->fencedTerm > term; }));
+}
+
 void appendEvidence(std::vector<LogField>& fields, Instant now, const GroupWatcher& watcher, std::size_t fenced)
 {
     const auto& primaryLog = watcher.history().primaryLog();
--- a/src/proxy/PromotionLog.h
+++ b/src/proxy/PromotionLog.h
@@ -2,6 +2,7 @@
 
 #include "base/LogRecord.h"
 #include "proxy/GroupWatcher.h"
+#include "proxy/PromotionLease.h"
 
 #include <string>
 #include <vector>
@@ -28,6 +29,13 @@
     /// time since the departure; "-" when there is none.
     std::string describeDepartures(Instant now, const GroupWatcher&);
 
+    /// @return the last read of the promotion lease as HOLDER/VERSION/LEFTms/AGEms, where LEFT is what remained of the
+    /// lease when it was read, followed by /pending/CANDIDATE/TERM if a promotion was recorded with it, which replaces
+    /// the primary of TERM; "-" when it was not read.
+    std::string describeLease(Instant now, const std::optional<LeaseReading>&);
+    /// @return the number of members that report a fence of a term above the given one.
+    std::size_t countFencedAbove(const GroupWatcher&, Term);
+
     /// Appends the fields that a promotion is decided on: members counted, fences needed and held, each member, the
     /// departures, the end of the primary's log, and the age and source of the list of targets.
     /// @param fenced the number of fences held.
--- a/tests/proxy/PromotionLogTests.cpp
+++ b/tests/proxy/PromotionLogTests.cpp
@@ -426,3 +426,18 @@
         CHECK(group.promotion.trace().calls().empty());
     }
 }
+
+// Without these fields a target that is being replaced can't be told in the logs from one that was promoted.
+TEST_CASE("The log of a new primary shows what is known of its replacement", "[proxy][promotionlog]")
+{
+    Fixture group;
+    CHECK(PromotionLog::describeLease(group.now, {}) == "-");
+    CHECK(PromotionLog::countFencedAbove(group.watcher, Term(1)) == 0);
+
+    PromotionLease lease { HostName("other"), 4660, PendingPromotion { TargetName("s"), Term(1), 900, false } };
+    const LeaseReading reading { { RowVersion(34), lease, 1000 }, group.now - 300ms };
+    group.reportFenced();
+    CHECK(PromotionLog::describeLease(group.now, reading) == "other/34/3660ms/300ms/pending/s/1");
+    CHECK(PromotionLog::countFencedAbove(group.watcher, Term(1)) == 2);
+    CHECK(PromotionLog::countFencedAbove(group.watcher, Term(2)) == 0);
+}
