Use no primary whose replacement may have been called for

Cause: each host took a target for the primary because it said so. 17 of 18 hosts had read that the lease was held, and kept nothing of it.

ReplacementGuard now decides for each group whether the reported primary may be used. A host that starts or wakes, loses contact with the primary, sees another target in its term or a fence of a later one sends nothing to it that could commit, no current read, and passes none of its acknowledgements on, until a primary of a later term is seen or a read of the lease's row, sent after the primary reported itself, shows neither a lease for its replacement nor a pending promotion. The lease's row says which term its holder replaces. A held acknowledgement is passed on if nothing was replaced, and in doubt otherwise; a commit that was not sent is refused as rolled back. The doubt ends by time if the row can't be read, and a host whose doubt lasts takes part in the replacement.

Evidence: of the hypotheses of docs/incidents/returned-primary.md only the first fits the plays: the member that acknowledged was listed after the acknowledgement (not 2), all fences held until the effect (not 3), and the first loss came before any DEMOTE could (4).

The hosts of the exploration call the guard as GroupService does, which adds steps where a host starts: three schedules are explored deeper, so that they reach what they reached before. The fixtures answer the reads of the row.

--- a/src/base/LogEvent.cpp
+++ b/src/base/LogEvent.cpp
@@ -17,7 +17,7 @@
     constexpr std::size_t numberDigits = 4;
 
     /// Sorted by number.
-    constexpr std::array<Definition, 79> definitions { {
+    constexpr std::array<Definition, 82> definitions { {
         { LogEvent::Started, LogLevel::Info, "host started" },
         { LogEvent::ShutdownStarted, LogLevel::Info, "host shutdown started" },
         { LogEvent::ShutdownCompleted, LogLevel::Info, "host shutdown completed" },
@@ -71,6 +71,10 @@
         { LogEvent::MemberRecordMissing, LogLevel::Info, "group has no record of its members" },
         { LogEvent::MembersRecorded, LogLevel::Info, "members of a group recorded in the store" },
         { LogEvent::RecordedMemberCounted, LogLevel::Info, "member on record without a list entry counts" },
+        { LogEvent::PrimaryDoubted, LogLevel::Info, "primary is not used, as it may have been replaced" },
+        { LogEvent::PrimaryDoubtResolved, LogLevel::Info, "primary is used again" },
+        { LogEvent::AcknowledgementHeld, LogLevel::Info,
+            "acknowledgement of a primary that may have been replaced is held" },
         { LogEvent::TargetConnectFailed, LogLevel::Warn, "opening a connection to target failed" },
         { LogEvent::TargetConnectionLost, LogLevel::Warn, "connection to target lost during a request" },
         { LogEvent::TargetLeaving, LogLevel::Info, "target marked as leaving" },
--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -64,6 +64,9 @@
     MemberRecordMissing = 424,
     MembersRecorded = 425,
     RecordedMemberCounted = 426,
+    PrimaryDoubted = 427,
+    PrimaryDoubtResolved = 428,
+    AcknowledgementHeld = 429,
 
     TargetConnectFailed = 500,
     TargetConnectionLost = 501,
--- a/src/proxy/GroupDispatch.cpp
+++ b/src/proxy/GroupDispatch.cpp
@@ -81,6 +81,16 @@
         return false;
     const auto pendingId = submitted.id;
     auto& pending = m_statements.emplace(pendingId, std::move(submitted)).first->second;
+    const bool commits = pending.statement.kind == Session::StatementKind::Commit && connection->hasWritten;
+    if (commits && !m_watcher.guard().allows(connection->target)) {
+        const auto refused = pending;
+        releaseTransaction(now, id, false);
+        finish(refused,
+            { Session::Failure { Session::FailureCode::Aborted, "the primary may have been replaced" },
+                Session::TransactionState::Idle, {} },
+            nullptr);
+        return true;
+    }
     m_queue.charge(pending.organisation, m_serviceTimes.estimate(now, laneOf(pending)));
     assignToConnection(now, *connection, pending);
     return true;
@@ -239,6 +249,8 @@
     const auto& member = *m_watcher.find(*m_watcher.primary());
     if (member.health.isSuspect(now))
         return WaitReason::PrimaryUnresponsive;
+    if (!m_watcher.guard().allows(member.record.name))
+        return WaitReason::PrimaryDoubted;
     if (member.leavingSince && now - *member.leavingSince >= leavingPrimaryTimeout)
         return WaitReason::PrimaryLeaving;
     // A transaction or write that starts while the members are fenced could not be committed.
--- /dev/null
+++ b/src/proxy/GroupDoubts.cpp
@@ -0,0 +1,86 @@
+#include "proxy/GroupService.h"
+#include "proxy/PromotionLog.h"
+
+#include <utility>
+
+namespace Auburnpost::Proxy {
+
+using Session::FailureCode;
+using Session::StatementKind;
+using Session::TransactionState;
+
+void GroupService::resolveDoubt(Instant now)
+{
+    auto& guard = m_watcher.guard();
+    if (const auto resolved = guard.takeResolved()) {
+        const std::chrono::duration<double, std::milli> length = resolved->length;
+        m_delegate.measure("primary_doubt_ms", length.count());
+        log({ LogEvent::PrimaryDoubtResolved,
+            { { "group", m_name.value() }, { "target", resolved->primary.name.value() },
+                { "term", std::to_string(resolved->primary.term.value()) },
+                { "doubt", std::string(toString(resolved->doubt)) },
+                { "by", std::string(toString(resolved->resolution)) },
+                { "ms", std::to_string(toMilliseconds(resolved->length)) } } });
+    }
+    if (m_loggedDoubt != guard.doubt()) {
+        m_loggedDoubt = guard.doubt();
+        if (m_loggedDoubt != PrimaryDoubt::None)
+            log({ LogEvent::PrimaryDoubted,
+                { { "group", m_name.value() }, { "target", m_watcher.primary() ? m_watcher.primary()->value() : "-" },
+                    { "term", std::to_string(m_watcher.primaryTerm().value()) },
+                    { "doubt", std::string(toString(m_loggedDoubt)) },
+                    { "lease", PromotionLog::describeLease(now, m_leaseReading) },
+                    { "fences_above",
+                        std::to_string(PromotionLog::countFencedAbove(m_watcher, m_watcher.primaryTerm())) } } });
+    }
+    sendLeaseReads(now);
+    const auto primary = m_watcher.primary();
+    if (m_heldAcknowledgements.empty() || !primary || !guard.allows(*primary))
+        return;
+    for (const auto& [id, held] : std::exchange(m_heldAcknowledgements, {})) {
+        const auto* const found = findStatement(id);
+        if (!found)
+            continue;
+        const auto acknowledged = *found;
+        if (held.target == *primary)
+            finish(acknowledged, held.answer, nullptr);
+        else
+            finishInDoubt(acknowledged);
+    }
+}
+
+void GroupService::sendLeaseReads(Instant now)
+{
+    // While this host replaces the primary itself, its own state tells more than the row.
+    const bool isOwnAttempt = m_promotion.isReplacing() && m_promotion.state() != "Delaying";
+    if (m_leaseReads.send(now, !isOwnAttempt && m_watcher.guard().isReadDue(now)))
+        m_delegate.readLease(m_name);
+}
+
+bool GroupService::acknowledgesWrites(const TargetConnection& connection, const PendingStatement& pending)
+{
+    if (connection.stage == ConnectionStage::Pinned)
+        return pending.statement.kind == StatementKind::Commit && connection.hasWritten;
+    return pending.access == Session::Access::Write;
+}
+
+void GroupService::holdAcknowledgement(PendingStatement& pending, const TargetName& target, const TargetReply& reply)
+{
+    pending.isAcknowledged = true;
+    m_heldAcknowledgements[pending.id]
+        = { target, { std::get<Session::Success>(reply.body), reply.state, reply.position } };
+    log({ LogEvent::AcknowledgementHeld,
+        { { "group", m_name.value() }, { "id", pending.statementId.value() }, { "target", target.value() },
+            { "position", reply.position ? PromotionLog::describe(*reply.position) : "-" } } });
+}
+
+void GroupService::finishInDoubt(const PendingStatement& acknowledged)
+{
+    const auto pending = acknowledged;
+    finish(pending,
+        { Session::Failure { FailureCode::InDoubt, "the primary that acknowledged the write may have been replaced" },
+            TransactionState::Idle, {} },
+        nullptr);
+}
+
+} // namespace Auburnpost::Proxy
--- a/src/proxy/GroupReplies.cpp
+++ b/src/proxy/GroupReplies.cpp
@@ -95,6 +95,7 @@
         handleStatusReply(now, *connection, expected, reply);
         break;
     }
+    resolveDoubt(now);
     sendQueuedCommands(now);
     dispatchWaiting(now);
 }
@@ -157,12 +158,18 @@
     pending->sentOn.erase(connection.id);
     if (!reply.failure() && !wasPinned)
         m_serviceTimes.record(now, laneOf(*pending), now - expected.sentAt);
+    const bool isAcknowledgement = !reply.failure() && acknowledgesWrites(connection, *pending);
     recordWriteReply(connection, *pending, expected, reply);
     recordReadAnswer(now, connection, *pending, expected, reply);
     if (reply.failure()) {
         handleFailureReply(now, connection, *pending, reply);
         return;
     }
+    if (isAcknowledgement && !m_watcher.guard().allows(connection.target)) {
+        holdAcknowledgement(*pending, connection.target, reply);
+        unbind(now, connection);
+        return;
+    }
     const auto served = *pending;
     if (reply.state == TransactionState::Open)
         connection.stageEnteredAt = now;
@@ -255,6 +262,7 @@
     }
     result.answer = std::move(answer);
     m_queue.cancel(RequestId(pending.id.value()));
+    m_heldAcknowledgements.erase(pending.id);
     m_statements.erase(pending.id);
     m_delegate.statementFinished(result);
 }
@@ -288,6 +296,7 @@
 void GroupService::abandon(Instant, PendingStatementId id)
 {
     m_queue.cancel(RequestId(id.value()));
+    m_heldAcknowledgements.erase(id);
     m_statements.erase(id);
 }
 
--- a/src/proxy/GroupService.cpp
+++ b/src/proxy/GroupService.cpp
@@ -119,7 +119,10 @@
     probePaths(now);
     forgetReleasedMembers(now);
     pollMembers(now);
+    m_watcher.checkPrimary(now);
+    resolveDoubt(now);
     watchPrimary(now);
+    sendLeaseReads(now);
     sendQueuedCommands(now);
     dispatchWaiting(now);
     if (m_queue.size() == 0 || !m_foundShortage)
@@ -150,11 +153,21 @@
 
 void GroupService::leaseRead(Instant now, const Expected<PromotionLeaseRow>& row)
 {
+    const auto sentAt = m_leaseReads.answered();
     if (row)
         m_leaseReading = LeaseReading { *row, now };
     if (row && row->lease && row->lease->members)
         countRecorded(now, *row->lease->members);
-    m_promotion.leaseRead(now, m_watcher, row);
+    if (!row)
+        m_watcher.guard().recordUnreadableRow(now);
+    else if (sentAt)
+        m_watcher.guard().recordRow(now, *sentAt, *row, m_promotion.hasWritten(row->version), m_promotion.pending());
+    resolveDoubt(now);
+    // A read that was sent before the promotion asked for one shows an older row.
+    if (!m_leaseReads.isRequested())
+        m_promotion.leaseRead(now, m_watcher, row);
+    sendLeaseReads(now);
+    dispatchWaiting(now);
 }
 
 void GroupService::countRecorded(Instant now, const MemberRecord& record)
@@ -237,7 +250,8 @@
     const bool awaitsEvidence = m_watcher.membership().awaitsEvidence(now);
     if (!member.isListed() && member.presumedEndedAt)
         return idlePollInterval;
-    const bool isUrgent = m_promotion.isReplacing() || !m_watcher.primary() || awaitsEvidence;
+    const bool isDoubted = m_watcher.primary() && !m_watcher.guard().allows(*m_watcher.primary());
+    const bool isUrgent = m_promotion.isReplacing() || !m_watcher.primary() || isDoubted || awaitsEvidence;
     if (isUrgent || member.health.isSuspect(now) || !member.status)
         return urgentPollInterval;
     const auto lastResponse = member.health.lastResponseAt();
@@ -315,6 +329,10 @@
 void GroupService::expireStatement(Instant now, PendingStatement& late)
 {
     const auto pending = late;
+    if (pending.isAcknowledged) {
+        finishInDoubt(pending);
+        return;
+    }
     if (pending.sentOn.empty()) {
         m_queue.cancel(RequestId(pending.id.value()));
         finishUnsent(now, pending, Session::FailureCode::Busy, "no target could serve in time");
@@ -404,9 +422,9 @@
     }
 }
 
-void GroupService::readLease(const GroupName& group)
+void GroupService::readLease(const GroupName&)
 {
-    m_delegate.readLease(group);
+    m_leaseReads.request();
 }
 
 void GroupService::writeLease(const GroupName& group, const PromotionLease& lease, RowVersion expected)
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -5,6 +5,7 @@
 #include "limit/ReturnSchedule.h"
 #include "limit/ServiceTimes.h"
 #include "proxy/GroupServiceDelegate.h"
+#include "proxy/LeaseReads.h"
 #include "proxy/ReadTargetSelector.h"
 #include "proxy/TargetPath.h"
 
@@ -58,7 +59,11 @@
     /// Restarts the timeouts of all members after a pause of this process.
     void resumedAfterPause(Instant now) { m_watcher.discountPause(now); }
     /// The store came back from an older copy of itself.
-    void storeReturned(Instant now) { m_promotion.storeReturned(now); }
+    void storeReturned(Instant now)
+    {
+        m_promotion.storeReturned(now);
+        m_watcher.guard().storeReturned(now);
+    }
 
     /// Queues and dispatches a statement that is not bound to a connection.
     void submit(Instant now, PendingStatement);
@@ -117,6 +122,11 @@
         ShortageScope scope { ShortageScope::Nobody };
         Limit::LaneSet lanes;
     };
+    /// An acknowledgement that is not passed on while its primary may have been replaced.
+    struct HeldAcknowledgement {
+        TargetName target;
+        Session::Answer answer;
+    };
     /// A command of the promotion that waits for a connection to its target.
     struct Command {
         TargetRequest request;
@@ -204,6 +214,17 @@
     void closeInTransaction(Instant now, TargetConnection&, const ExpectedReply& answered);
     void handleStatementLoss(Instant now, const PendingStatement&, ReplyPurpose);
 
+    // Doubts about the primary.
+    /// Reads the lease's row if that can resolve a doubt about the primary, and answers what waited for its resolution.
+    void resolveDoubt(Instant now);
+    /// Sends the read of the lease's row that the promotion or a doubt requires, one at a time.
+    void sendLeaseReads(Instant now);
+    /// @return whether a successful answer to the statement tells the caller that writes are kept.
+    [[nodiscard]] static bool acknowledgesWrites(const TargetConnection&, const PendingStatement&);
+    /// Keeps the answer of a primary that may have been replaced.
+    void holdAcknowledgement(PendingStatement&, const TargetName&, const TargetReply&);
+    void finishInDoubt(const PendingStatement&);
+
     // Load estimates.
     /// Records what the answer to a read that any member may serve says of the target's load.
     void recordReadAnswer(
@@ -256,6 +277,8 @@
     std::map<TargetName, Refusals> m_refusals;
     std::unordered_map<ConnectionId, TargetName> m_targetOf;
     std::map<PendingStatementId, PendingStatement> m_statements;
+    std::map<PendingStatementId, HeldAcknowledgement> m_heldAcknowledgements;
+    LeaseReads m_leaseReads;
     Limit::AdmissionQueue m_queue;
     /// By lane.
     Limit::ServiceTimes<Limit::laneCount> m_serviceTimes;
@@ -268,6 +291,7 @@
     std::map<TargetName, Command> m_commands;
     /// The last read of the promotion lease's row, for logs.
     std::optional<LeaseReading> m_leaseReading;
+    PrimaryDoubt m_loggedDoubt { PrimaryDoubt::None };
     std::set<TargetName> m_suspects;
     bool m_isDispatching { false };
     std::uint64_t m_dispatchAttempts { 0 };
--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -7,7 +7,7 @@
 
 std::string_view toString(FailoverReason failoverReason)
 {
-    constexpr std::string_view texts[] { "none", "missing", "down", "blocked", "leaving" };
+    constexpr std::string_view texts[] { "none", "missing", "down", "blocked", "leaving", "doubted" };
     return texts[static_cast<std::size_t>(failoverReason)];
 }
 
@@ -21,7 +21,7 @@
     m_released.insert(m_released.end(), released.begin(), released.end());
     const auto* const primary = m_primary ? find(*m_primary) : nullptr;
     if (m_primary && (!primary || !primary->isListed() || !primary->status))
-        m_primary.reset();
+        losePrimary(now);
     if (m_primary)
         m_primaryMissingSince.reset();
     else if (!m_primaryMissingSince)
@@ -48,6 +48,7 @@
 {
     m_membership.clear();
     m_primary.reset();
+    m_guard = {};
     m_primaryMissingSince.reset();
     m_fencedSince.reset();
 }
@@ -57,7 +58,7 @@
     const auto released = m_membership.releaseMembers(now, m_primary ? find(*m_primary) : nullptr);
     m_released.insert(m_released.end(), released.begin(), released.end());
     if (m_primary && !find(*m_primary)) {
-        m_primary.reset();
+        losePrimary(now);
         m_primaryMissingSince = now;
     }
     if (!released.empty())
@@ -65,6 +66,20 @@
     return std::exchange(m_released, {});
 }
 
+void GroupWatcher::losePrimary(Instant now)
+{
+    m_primary.reset();
+    m_guard.raise(now, PrimaryDoubt::ContactLost);
+}
+
+void GroupWatcher::checkPrimary(Instant now)
+{
+    const auto* const primary = m_primary ? find(*m_primary) : nullptr;
+    if (primary && primary->health.isDown(now))
+        m_guard.raise(now, PrimaryDoubt::ContactLost);
+    m_guard.tick(now);
+}
+
 bool GroupWatcher::recordStatus(Instant now, const TargetName& name, Instant queriedAt, const TargetStatus& status)
 {
     auto* const found = m_membership.find(name);
@@ -84,10 +99,13 @@
         m_primaryTerm = status.term;
         m_history.recordPrimary({ name, status.term, status.received, queriedAt });
         m_primaryMissingSince.reset();
+        m_guard.recordPrimary(now, { name, member.record.incarnation, status.term });
     } else if (m_primary == name && !status.isPrimary) {
-        m_primary.reset();
+        losePrimary(now);
         m_primaryMissingSince = now;
     }
+    if (status.isFenced() && !status.isPrimary)
+        m_guard.recordFence(now, status.fencedTerm);
     updateFencedSince(now);
     confirmPrimary();
     return isNew;
@@ -125,8 +143,8 @@
 {
     if (m_primary != name)
         return;
-    m_primary.reset();
     m_primaryMissingSince = m_membership.members().at(name).health.lastResponseAt();
+    losePrimary(m_primaryMissingSince.value_or(Instant {}));
 }
 
 TargetHealth* GroupWatcher::health(const TargetName& name)
@@ -143,7 +161,8 @@
 
 void GroupWatcher::confirmPrimary()
 {
-    if (!m_primary)
+    // A primary that is being replaced and a member that the replacement does not know could confirm each other.
+    if (!m_primary || !m_guard.allows(*m_primary))
         return;
     const auto& primary = m_membership.members().at(*m_primary);
     if (!primary.status || !primary.status->isPrimary || primary.status->isFenced())
@@ -175,7 +194,7 @@
     if (m_primary == name && end.term == m_primaryTerm)
         m_commitSentAt = std::max(m_commitSentAt.value_or(sentAt), sentAt);
     const bool isConfirmation = m_rules.syncReplicas > 0 && m_membership.size() < 2 * (m_rules.syncReplicas + 1);
-    if (isConfirmation && m_primary == name && end.term == m_primaryTerm)
+    if (isConfirmation && m_guard.allows(name) && m_primary == name && end.term == m_primaryTerm)
         m_confirmations.add(sentAt, name, end);
 }
 
@@ -191,6 +210,8 @@
         return hasResponsiveReportedPrimary(now) ? FailoverReason::None : FailoverReason::Down;
     if (primary.record.isLeaving && hasCaughtUpReplica(now))
         return FailoverReason::Leaving;
+    if (m_guard.isOverdue(now))
+        return FailoverReason::Doubted;
     return isBlocked(now, primary) ? FailoverReason::Blocked : FailoverReason::None;
 }
 
@@ -243,9 +264,10 @@
 {
     const bool isFenced = std::any_of(members().begin(), members().end(),
         [](const auto& entry) { return entry.second.status && entry.second.status->isFenced(); });
-    if (!isFenced)
+    if (!isFenced) {
         m_fencedSince.reset();
-    else if (!m_fencedSince)
+        m_guard.recordNoFence();
+    } else if (!m_fencedSince)
         m_fencedSince = now;
 }
 
@@ -259,6 +281,7 @@
         m_primaryMissingSince = now;
     if (m_fencedSince)
         m_fencedSince = now;
+    m_guard.raise(now, PrimaryDoubt::Paused);
 }
 
 } // namespace Auburnpost::Proxy
--- a/src/proxy/GroupWatcher.h
+++ b/src/proxy/GroupWatcher.h
@@ -3,6 +3,7 @@
 #include "proxy/GroupMembership.h"
 #include "proxy/MemberHistory.h"
 #include "proxy/PrimaryConfirmations.h"
+#include "proxy/ReplacementGuard.h"
 #include "proxy/TableOrigin.h"
 
 #include <optional>
@@ -22,6 +23,8 @@
     Blocked,
     /// The primary announced its shutdown.
     Leaving,
+    /// The primary answers, but may have been replaced, and no replacement was seen in time.
+    Doubted,
 };
 
 /// @return the text for logs, such as "down".
@@ -89,7 +92,8 @@
     [[nodiscard]] const GroupMembership& membership() const { return m_membership; }
     /// @return the member; null if the target is not a member.
     [[nodiscard]] const Member* find(const TargetName& name) const { return m_membership.find(name); }
-    /// @return the primary of the highest term seen; empty when none is known.
+    /// @return the target that reports to be the primary in the highest term seen; empty when none is known. Statements
+    /// are sent to it only as far as guard() allows.
     [[nodiscard]] const std::optional<TargetName>& primary() const { return m_primary; }
     [[nodiscard]] Term primaryTerm() const { return m_primaryTerm; }
     /// @return the highest term seen, fences included.
@@ -106,10 +110,17 @@
     [[nodiscard]] std::size_t confirmationsNeeded() const { return m_membership.confirmationsNeeded(); }
     /// @return whether the group has had a fenced member for at least @p limit without interruption.
     [[nodiscard]] bool hasFencedMemberFor(Instant now, Duration limit) const;
+    /// Notes a primary that no longer responds, and drops doubts whose time has passed.
+    void checkPrimary(Instant now);
+    /// @return whether the reported primary may be used.
+    [[nodiscard]] const ReplacementGuard& guard() const { return m_guard; }
+    [[nodiscard]] ReplacementGuard& guard() { return m_guard; }
     /// Restarts all timeouts after a pause of this process, as members may have responded meanwhile.
     void discountPause(Instant now);
 
 private:
+    /// Forgets the primary, which has to be seen again and not be replaced before it is used.
+    void losePrimary(Instant now);
     /// Adds a confirmation if the primary and enough other members report no fence and no higher term.
     void confirmPrimary();
     void updateBehindSince(Instant now, Member&, Instant queriedAt, const TargetStatus&);
@@ -126,6 +137,7 @@
     std::optional<TargetName> m_primary;
     Term m_primaryTerm;
     Term m_highestTerm;
+    ReplacementGuard m_guard;
     PrimaryConfirmations m_confirmations;
     std::optional<Instant> m_primaryMissingSince;
     std::optional<Instant> m_fencedSince;
--- a/src/proxy/PendingStatement.h
+++ b/src/proxy/PendingStatement.h
@@ -20,6 +20,8 @@
     PrimaryLeaving,
     /// This host has fenced members of the group to replace the primary.
     PrimaryFenced,
+    /// The primary may have been replaced (ReplacementGuard).
+    PrimaryDoubted,
     /// There is no confirmation yet that the data would be fresh.
     NoConfirmation,
     NoConnection,
@@ -31,7 +33,7 @@
 constexpr std::string_view toString(WaitReason reason)
 {
     constexpr std::string_view texts[] { "none", "no_primary", "primary_silent", "primary_leaving", "primary_fenced",
-        "no_proof", "no_connection", "no_member" };
+        "primary_doubted", "no_proof", "no_connection", "no_member" };
     return texts[static_cast<std::size_t>(reason)];
 }
 
@@ -74,6 +76,8 @@
     /// The log point that the last attempt required.
     std::optional<LogPoint> requiredLogPoint;
     WaitReason waitReason { WaitReason::None };
+    /// Whether the primary has acknowledged it, and the answer waits for the decision of ReplacementGuard.
+    bool isAcknowledged { false };
     /// With WaitReason::NoConfirmation: the moment as of which the primary has to be confirmed.
     Instant requiredMoment {};
 
--- a/src/proxy/Promotion.cpp
+++ b/src/proxy/Promotion.cpp
@@ -150,6 +150,11 @@
         return;
     }
     adoptPending(context);
+    if (m_failoverReason == FailoverReason::Doubted && !isPromotionPending(context)) {
+        // The row shows that the primary is not being replaced.
+        fire("claimRefused", context);
+        return;
+    }
     fire(isHandoverPostponed(context) ? "handoverPostponed" : "claimFree", context);
 }
 
--- a/src/proxy/Promotion.h
+++ b/src/proxy/Promotion.h
@@ -123,6 +123,8 @@
     [[nodiscard]] const PromotionTrace& trace() const { return m_trace; }
     /// @return the last promotion that was recorded and not seen to take effect, for dumps.
     [[nodiscard]] const std::optional<PendingPromotion>& pending() const { return m_pending; }
+    /// @return whether this process wrote the version of the lease's row, and so knows whether it called.
+    [[nodiscard]] bool hasWritten(RowVersion version) const { return version != RowVersion {} && version == m_token; }
 
 private:
     struct Context {
@@ -186,6 +188,8 @@
     void beginReplacement(Instant now, const GroupWatcher&, FailoverReason);
     /// Writes the lease's row, with the members as this host counts them.
     void writeRow(const Context&, std::uint64_t expiresAtMs, RowVersion expected);
+    /// @return the highest term whose primary this attempt may replace; zero if it replaces none, empty if unknown.
+    [[nodiscard]] std::optional<Term> termToReplace() const;
     /// Continues an attempt to record the members once the lease's row was read.
     void recordRead(Context&, bool isHeld);
     void logRecordProblem();
--- a/src/proxy/PromotionLease.h
+++ b/src/proxy/PromotionLease.h
@@ -33,6 +33,9 @@
     std::optional<MemberRecord> members {};
     /// Why there is none.
     MemberRecordProblem membersProblem { MemberRecordProblem::Missing };
+    /// The highest term whose primary the holder may replace under the lease; zero if it replaces none. Empty when the
+    /// holder does not know the term.
+    std::optional<Term> replacedTerm {};
 };
 
 /// A lease as read from the store.
--- a/src/proxy/PromotionLeaseCodec.cpp
+++ b/src/proxy/PromotionLeaseCodec.cpp
@@ -83,6 +83,8 @@
         encoded["pending"] = encodePending(*lease.pending);
     if (lease.members)
         encoded["members"] = encodeMembers(*lease.members);
+    if (lease.replacedTerm)
+        encoded["replaced_term"] = lease.replacedTerm->value();
     return encoded.dump();
 }
 
@@ -96,6 +98,9 @@
         if (const auto pending = encoded.find("pending"); pending != encoded.end())
             lease.pending = decodePending(*pending);
         readMembers(encoded, lease);
+        // A host of an earlier version does not write the term.
+        if (const auto term = encoded.find("replaced_term"); term != encoded.end())
+            lease.replacedTerm = Term(term->get<std::uint64_t>());
         return lease;
     } catch (const Json::exception& problem) {
         return fail(ErrorCode::BadMessage, "read claim", "", problem.what());
--- a/src/proxy/PromotionLeases.cpp
+++ b/src/proxy/PromotionLeases.cpp
@@ -59,6 +59,7 @@
 void Promotion::writeRow(const Context& context, std::uint64_t expiresAtMs, RowVersion expected)
 {
     PromotionLease lease { m_self, expiresAtMs, isRecordOnly(context) ? std::nullopt : m_pending };
+    lease.replacedTerm = termToReplace();
     lease.members = MemberRecorder::describe(context.watcher);
     // A host that has no list knows of no change.
     if (lease.members->members.empty())
@@ -69,6 +70,14 @@
     m_delegate.writeLease(m_group, lease, expected);
 }
 
+std::optional<Term> Promotion::termToReplace() const
+{
+    if (m_goal != PromotionGoal::ReplacePrimary)
+        return Term {};
+    const auto term = std::max(m_replacedTerm, m_pending ? m_pending->replacedTerm : Term {});
+    return term == Term {} ? std::nullopt : std::optional(term);
+}
+
 void Promotion::recordRead(Context& context, bool isHeld)
 {
     if (m_recorder.isCurrent(context.watcher)) {
--- a/tests/proxy/GroupMembershipTests.cpp
+++ b/tests/proxy/GroupMembershipTests.cpp
@@ -1,4 +1,5 @@
 #include "proxy/GroupWatcher.h"
+#include "proxy/UnreplacedPrimary.h"
 
 #include <catch2/catch.hpp>
 
@@ -43,6 +44,7 @@
     {
         watcher.setRules({ 50, 1 });
         list({ record("p", 1), record("r", 2), record("s", 3), record("leaver", 4, true) });
+        showUnreplaced(watcher, now, p, 1);
         for (const auto& name : { p, r, s, leaver })
             respond(name, name == p, 7);
     }
--- a/tests/proxy/GroupWatcherTests.cpp
+++ b/tests/proxy/GroupWatcherTests.cpp
@@ -1,4 +1,5 @@
 #include "proxy/GroupWatcher.h"
+#include "proxy/UnreplacedPrimary.h"
 
 #include <bit>
 #include <catch2/catch.hpp>
@@ -37,6 +38,7 @@
     GroupWatcher watcher;
     watcher.setRules({ 50, 1 });
     watcher.setMembers(start, { record("p", 1, true), record("r", 2), record("s", 3) });
+    showUnreplaced(watcher, start, TargetName("p"), 1);
     return watcher;
 }
 
@@ -200,6 +202,7 @@
         watcher.setRules({ 50, 0 });
         const std::vector<TargetRecord> members { record("p", 1, true) };
         watcher.setMembers(start, members);
+        showUnreplaced(watcher, start, p, 1);
         watcher.recordStatus(appeared, p, appeared, makeStatus(true, 1, 7));
         watcher.setMembers(appeared, { record("p", 1, true), record("foreign", 9, true) });
         watcher.recordStatus(appeared + 10ms, p, appeared + 10ms, makeStatus(true, 1, 7));
@@ -286,6 +289,7 @@
         GroupWatcher joined;
         joined.setRules({ 50, sync });
         joined.setMembers(start, records);
+        showUnreplaced(joined, start, primary, 1);
         auto fenced = joined;
         joined.recordStatus(start, primary, start, makeStatus(true, 1, 7));
         for (unsigned index = 1; index < size; ++index) {
--- a/tests/proxy/LendingSimulation.cpp
+++ b/tests/proxy/LendingSimulation.cpp
@@ -106,9 +106,13 @@
 
 void LendingSimulation::advance(Duration length)
 {
-    m_proxy.now += length;
-    m_proxy.proxy.tick(m_proxy.now);
-    pump();
+    // A longer gap between two ticks counts as a pause of the process.
+    constexpr Duration step = 100ms;
+    for (const auto end = m_proxy.now + length; m_proxy.now < end;) {
+        m_proxy.now = std::min<Instant>(m_proxy.now + step, end);
+        m_proxy.proxy.tick(m_proxy.now);
+        pump();
+    }
 }
 
 ConnectionId LendingSimulation::connectionOf(std::size_t index)
@@ -126,7 +130,8 @@
 {
     auto& recorded = m_proxy.delegate;
     for (bool isDone = false; !isDone;) {
-        isDone = recorded.opened.empty() && recorded.sent.empty();
+        isDone = recorded.opened.empty() && recorded.sent.empty() && recorded.newLeaseReads.empty();
+        m_proxy.answerDoubts();
         for (const auto& [id, request] : std::exchange(recorded.sent, {})) {
             const auto connection = m_target.connections().find(id);
             if (connection != m_target.connections().end())
--- a/tests/proxy/ModelHost.cpp
+++ b/tests/proxy/ModelHost.cpp
@@ -60,15 +60,30 @@
     if (!m_directory.expire(now).isEmpty())
         setMembers(now);
     m_watcher.releaseMembers(now);
+    m_watcher.checkPrimary(now);
     for (const auto& [name, member] : m_watcher.members())
         m_listedAt[member.record.address] = now;
 }
 
+bool ModelHost::isUsing(Instant now, const TargetName& name) const
+{
+    const auto* const member = m_watcher.find(name);
+    return member && m_watcher.primary() == name && m_watcher.guard().allows(name) && !member->health.isSuspect(now)
+        && !m_promotion.isFencing();
+}
+
+void ModelHost::sendLeaseReads()
+{
+    const bool isOwnAttempt = m_promotion.isReplacing() && m_promotion.state() != "Delaying";
+    if (m_leaseReads.send(m_now, !isOwnAttempt && m_watcher.guard().isReadDue(m_now)))
+        m_requests.emplace_back(LeaseReadRequest {});
+}
+
 bool ModelHost::isPollDue(Instant now) const
 {
     const auto& members = m_watcher.members();
     const bool isUrgent = m_promotion.isReplacing() || !m_watcher.primary()
-        || m_watcher.membership().awaitsEvidence(now)
+        || !m_watcher.guard().allows(*m_watcher.primary()) || m_watcher.membership().awaitsEvidence(now)
         || std::any_of(members.begin(), members.end(),
             [now](const auto& entry) { return !entry.second.status || entry.second.health.isSuspect(now); });
     return isUrgent || now - m_polledAt >= quietPollInterval;
@@ -98,6 +113,7 @@
         return;
     health->recordResponse(now, now - queriedAt);
     m_watcher.recordStatus(now, name, queriedAt, status);
+    sendLeaseReads();
     updateTimers(now);
 }
 
@@ -115,6 +131,8 @@
     }
     updateTimers(now);
     m_promotion.tick(now, m_watcher, reason);
+    m_now = now;
+    sendLeaseReads();
     updateTimers(now);
 }
 
@@ -137,7 +155,11 @@
     }
     if (row.lease && row.lease->members)
         m_watcher.addRecorded(now, GroupName("group"), *row.lease->members);
-    m_promotion.leaseRead(now, m_watcher, row);
+    if (const auto sentAt = m_leaseReads.answered())
+        m_watcher.guard().recordRow(now, *sentAt, row, m_promotion.hasWritten(row.version), m_promotion.pending());
+    if (!m_leaseReads.isRequested())
+        m_promotion.leaseRead(now, m_watcher, row);
+    sendLeaseReads();
     updateTimers(now);
 }
 
@@ -177,7 +199,7 @@
 void ModelHost::readLease(const GroupName&)
 {
     m_leaseReadAt = m_now;
-    m_requests.emplace_back(LeaseReadRequest {});
+    m_leaseReads.request();
 }
 
 void ModelHost::readMembers(const GroupName&)
@@ -303,6 +325,11 @@
         fingerprint.add(m_pending->isRepeated ? 1 : 0);
         fingerprint.add(age(now, m_pendingSince));
     }
+    const auto& guard = m_watcher.guard();
+    fingerprint.add(static_cast<std::uint64_t>(guard.doubt()));
+    fingerprint.add((m_primary && guard.allows(*m_primary) ? 1U : 0U) | (guard.isReadDue(now) ? 2U : 0U)
+        | (guard.isOverdue(now) ? 4U : 0U) | (m_leaseReads.isRequested() ? 8U : 0U));
+    fingerprint.add(guard.reportedAt() ? age(now, *guard.reportedAt()) : maxAge + 1);
     fingerprint.add(m_primary ? m_primary->value() : "");
     fingerprint.add(static_cast<std::uint64_t>(m_watcher.failoverReason(now)));
     fingerprint.add(m_watcher.fencesNeeded());
--- a/tests/proxy/ModelHost.h
+++ b/tests/proxy/ModelHost.h
@@ -2,6 +2,7 @@
 
 #include "proxy/Fingerprint.h"
 #include "proxy/GroupWatcher.h"
+#include "proxy/LeaseReads.h"
 #include "proxy/ModelRequest.h"
 #include "proxy/Promotion.h"
 #include "proxy/TargetDirectory.h"
@@ -37,6 +38,8 @@
     /// members that no longer count.
     void beginTick(Instant now);
     [[nodiscard]] bool isPollDue(Instant now) const;
+    /// @return whether the host sends callers' writes to the target, and passes on its acknowledgements.
+    [[nodiscard]] bool isUsing(Instant now, const TargetName&) const;
     void pollStarted(Instant now) { m_polledAt = now; }
     void pollUnanswered(Instant now, const TargetName&);
     void pollRefused(Instant now, const TargetName&);
@@ -68,6 +71,8 @@
     /// Notes when states and conditions began that Promotion and GroupWatcher measure from.
     void updateTimers(Instant now);
     void setMembers(Instant now);
+    /// Sends the read of the lease's row that is due.
+    void sendLeaseReads();
     static std::uint64_t age(Instant now, Instant moment);
     void addMemberTo(Fingerprint&, Instant now, const GroupWatcher::Member&) const;
 
@@ -81,6 +86,7 @@
     TargetDirectory m_directory;
     RandomEngine m_random;
     std::vector<ModelRequest> m_requests;
+    LeaseReads m_leaseReads;
     Instant m_now {};
     std::optional<Instant> m_lastTickAt;
     Instant m_polledAt {};
--- a/tests/proxy/ModelScenario.h
+++ b/tests/proxy/ModelScenario.h
@@ -60,6 +60,9 @@
     std::set<ModelMessage::Kind> delayKinds {};
     /// Whether one host records the members in the store, and has done so before the schedules begin.
     bool recordsMembers { true };
+    /// Whether commits are sent, and their acknowledgements passed on to callers, only by hosts that use the primary.
+    /// Otherwise every commit that a replica received counts, whatever the hosts know.
+    bool hostsPassAnswers { false };
 };
 
 } // namespace Auburnpost::Proxy
--- a/tests/proxy/PromotionFixture.h
+++ b/tests/proxy/PromotionFixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "proxy/Promotion.h"
+#include "proxy/UnreplacedPrimary.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -85,6 +86,7 @@
             records[index].address = { "10.0.0.1", static_cast<std::uint16_t>(index + 1) };
         }
         watcher.setMembers(now, records);
+        showUnreplaced(watcher, now, TargetName("p"));
         reportStatus("p", makeStatus(true, 1, 9));
         reportStatus("r", makeStatus(false, 1, 7));
         reportStatus("s", makeStatus(false, 1, 8));
--- a/tests/proxy/ProtocolExplorationTests.cpp
+++ b/tests/proxy/ProtocolExplorationTests.cpp
@@ -131,6 +131,25 @@
         false, { ModelMessage::Kind::List } });
 }
 
+// Guards against docs/incidents/returned-primary.md: the crashed primary returns at any step before its replacement
+// takes effect, and a member that joins at any step acknowledges with it.
+TEST_CASE("No schedule of a crashed primary that returns and a member that joins loses a commit of a caller",
+    "[proxy][exploration]")
+{
+    ModelScenario scenario { "crash and return, join", Start::PrimaryCrashed, 3, 0, 1, 1, 0, 0, { Kind::Join }, 34, 100,
+        false };
+    scenario.hostsPassAnswers = true;
+    requireNone(scenario, { Check::LostCommit, Check::WrongToken });
+}
+
+// A rule that keeps every host from every primary would pass the test above.
+TEST_CASE("In every schedule of a crashed primary that returns hosts use a primary again", "[proxy][exploration]")
+{
+    ModelScenario scenario { "crash and return", Start::PrimaryCrashed, 3, 0, 1, 1, 0, 0, { Kind::Join }, 20 };
+    scenario.hostsPassAnswers = true;
+    requireNone(scenario, { Check::NoPrimary });
+}
+
 // Guards against docs/incidents/lost-while-members-change.md, hypothesis 1.
 TEST_CASE("No schedule of a planned switch with a member that departs loses a commit", "[proxy][exploration]")
 {
@@ -173,13 +192,13 @@
 TEST_CASE(
     "No schedule of a cut primary with a lapsed record and a host that starts loses a commit", "[proxy][exploration]")
 {
-    checkCommits({ "lapse, cut, restart", Start::PrimaryCutAfterLapse, 4, 1, 0, 1, 0, 0, {}, 32, 100, false });
+    checkCommits({ "lapse, cut, restart", Start::PrimaryCutAfterLapse, 4, 1, 0, 1, 0, 0, {}, 36, 100, false });
 }
 
 // Without the record of members the schedules above must lose a commit; otherwise they would not test it.
 TEST_CASE("Without the record of members a host that starts loses a commit", "[proxy][exploration]")
 {
-    ModelScenario scenario { "lapse, cut, restart", Start::PrimaryCutAfterLapse, 4, 1, 0, 1, 0, 0, {}, 32, 100, false };
+    ModelScenario scenario { "lapse, cut, restart", Start::PrimaryCutAfterLapse, 4, 1, 0, 1, 0, 0, {}, 36, 100, false };
     scenario.recordsMembers = false;
     const auto result = ProtocolExplorer(scenario, SIZE_MAX, std::chrono::seconds(60)).explore();
     CHECK(result.of(Check::LostCommit).count > 0);
@@ -190,7 +209,7 @@
     "[proxy][exploration]")
 {
     checkCommits({ "lapse, cut, restart, host fault", Start::PrimaryCutAfterLapse, 4, 0, 1, 1, 0, 0,
-        { Kind::RestartHost, Kind::PauseHost }, 26, 100, false });
+        { Kind::RestartHost, Kind::PauseHost }, 28, 100, false });
 }
 
 TEST_CASE("In every schedule with a host fault tokens increase and a primary is known again", "[proxy][exploration]")
--- a/tests/proxy/ProtocolModel.h
+++ b/tests/proxy/ProtocolModel.h
@@ -147,6 +147,8 @@
     /// @return the primary whose log the replica receives; null when there is none.
     [[nodiscard]] const ModelTarget* sourceOf(const ModelTarget& replica) const;
     [[nodiscard]] bool isCut(std::size_t left, std::size_t right) const;
+    /// @return whether a host sends callers' writes to the primary and passes on its answers.
+    [[nodiscard]] bool isUsedByHost(const ModelTarget& primary) const;
     void receive(ModelTarget& replica, const ModelTarget& primary);
     /// Brings the record of a listed target up to date.
     void updateRecord(const ModelTarget&);
@@ -171,7 +173,8 @@
     std::array<std::unique_ptr<ModelHost>, hostCount> m_hosts;
     std::array<std::size_t, hostCount> m_hostRestarts {};
     std::array<bool, hostCount> m_isPaused {};
-    std::array<std::size_t, hostCount> m_leaseRequests {};
+    std::array<std::size_t, hostCount> m_leaseReads {};
+    std::array<std::size_t, hostCount> m_leaseWrites {};
     std::array<std::optional<Instant>, hostCount> m_checkedConfirmation;
     std::vector<ModelMessage> m_messages;
     /// Pairs of targets that do not reach each other.
--- a/tests/proxy/ProtocolModelChecks.cpp
+++ b/tests/proxy/ProtocolModelChecks.cpp
@@ -45,7 +45,7 @@
     const auto followers = std::count_if(m_targets.begin(), m_targets.end(),
         [this, primary](const ModelTarget& target) { return sourceOf(target) == primary; });
     const auto isKnown = std::all_of(m_hosts.begin(), m_hosts.end(),
-        [primary](const auto& host) { return host->watcher().primary() == primary->name(); });
+        [this, primary](const auto& host) { return host->isUsing(m_now, primary->name()); });
     return isKnown && (others == 0 || followers > 0);
 }
 
@@ -135,7 +135,10 @@
             fingerprint.add((record.isLeaving ? 1U : 0U) | (record.reportsPrimary ? 2U : 0U));
         }
         fingerprint.add(message.written ? message.written->value() : 0);
-        fingerprint.add(message.leaseRequest == m_leaseRequests[message.host] ? 1 : 0);
+        fingerprint.add(
+            message.leaseRequest == m_leaseReads[message.host] || message.leaseRequest == m_leaseWrites[message.host]
+                ? 1
+                : 0);
         fingerprint.add(message.dueTick > m_tick ? message.dueTick - m_tick : 0);
         fingerprint.add(message.heldSince ? m_tick - *message.heldSince + 1 : 0);
     }
--- a/tests/proxy/ProtocolModelChoices.cpp
+++ b/tests/proxy/ProtocolModelChoices.cpp
@@ -53,11 +53,13 @@
         return;
     std::set<std::uint64_t> classes;
     for (const auto& target : m_targets) {
-        if (sourceOf(target) && classes.insert(symmetryClass(target)).second)
+        const auto* const source = sourceOf(target);
+        const bool isSent = source && (!m_scenario.hostsPassAnswers || isUsedByHost(*source));
+        if (isSent && classes.insert(symmetryClass(target)).second)
             add(choices, ChoiceKind::Commit, target.index);
     }
     const auto* const primary = currentPrimary();
-    const bool isAlone = primary && classes.empty();
+    const bool isAlone = primary && classes.empty() && (!m_scenario.hostsPassAnswers || isUsedByHost(*primary));
     if (isAlone)
         add(choices, ChoiceKind::CommitAlone);
 }
--- a/tests/proxy/ProtocolModelMessages.cpp
+++ b/tests/proxy/ProtocolModelMessages.cpp
@@ -45,10 +45,10 @@
         message.sentAt = m_now;
         if (std::holds_alternative<LeaseReadRequest>(request)) {
             message.kind = Kind::LeaseRead;
-            message.leaseRequest = ++m_leaseRequests[host];
+            message.leaseRequest = ++m_leaseReads[host];
         } else if (const auto* const write = std::get_if<LeaseWriteRequest>(&request)) {
             message.kind = Kind::LeaseWrite;
-            message.leaseRequest = ++m_leaseRequests[host];
+            message.leaseRequest = ++m_leaseWrites[host];
             message.lease = write->lease;
             message.version = write->expected;
         } else if (std::holds_alternative<MembersReadRequest>(request)) {
@@ -149,7 +149,7 @@
 void ProtocolModel::deliverLeaseReadAnswer(const ModelMessage& message)
 {
     const bool isWanted
-        = message.hostRestarts == m_hostRestarts[message.host] && message.leaseRequest == m_leaseRequests[message.host];
+        = message.hostRestarts == m_hostRestarts[message.host] && message.leaseRequest == m_leaseReads[message.host];
     if (isWanted)
         m_hosts[message.host]->leaseRead(m_now, message.row);
 }
@@ -167,7 +167,7 @@
 void ProtocolModel::deliverLeaseWriteAnswer(const ModelMessage& message)
 {
     const bool isWanted
-        = message.hostRestarts == m_hostRestarts[message.host] && message.leaseRequest == m_leaseRequests[message.host];
+        = message.hostRestarts == m_hostRestarts[message.host] && message.leaseRequest == m_leaseWrites[message.host];
     if (isWanted)
         m_hosts[message.host]->leaseWritten(m_now, message.written);
 }
--- a/tests/proxy/ProtocolModelTime.cpp
+++ b/tests/proxy/ProtocolModelTime.cpp
@@ -114,10 +114,22 @@
 void ProtocolModel::receive(ModelTarget& replica, const ModelTarget& primary)
 {
     replica.follow(primary);
+    if (m_scenario.hostsPassAnswers && !isUsedByHost(primary))
+        return;
     for (const auto& commit : primary.log)
         m_acknowledged.try_emplace(commit.id, Acknowledgement { commit.point, m_now });
 }
 
+bool ProtocolModel::isUsedByHost(const ModelTarget& primary) const
+{
+    for (std::size_t host = 0; host < hostCount; ++host) {
+        const bool isReached = !m_isPaused[host] && !m_hostCuts.contains({ host, primary.index });
+        if (isReached && m_hosts[host]->isUsing(m_now, primary.name()))
+            return true;
+    }
+    return false;
+}
+
 ModelTarget* ProtocolModel::find(const TargetName& name)
 {
     const auto found = std::find_if(m_targets.begin(), m_targets.end(),
--- a/tests/proxy/RecordedProxy.h
+++ b/tests/proxy/RecordedProxy.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -34,6 +35,8 @@
     std::vector<PromotionLease> leaseWrites;
     std::vector<std::optional<FeedPage>> feedAnswers;
     std::size_t leaseReads { 0 };
+    /// The groups of the reads since RecordedProxy::answerDoubts() was last called.
+    std::vector<GroupName> newLeaseReads;
     std::size_t hostWrites { 0 };
     std::size_t hostReads { 0 };
     Duration hostReadTimeout {};
@@ -76,7 +79,11 @@
         for (const auto& request : requests)
             sent.emplace_back(id, request);
     }
-    void readLease(const GroupName&) override { ++leaseReads; }
+    void readLease(const GroupName& group) override
+    {
+        ++leaseReads;
+        newLeaseReads.push_back(group);
+    }
     void writeLease(const GroupName&, const PromotionLease& lease, RowVersion) override
     {
         leaseWrites.push_back(lease);
@@ -221,6 +228,19 @@
         return failure ? std::optional(failure->code) : std::nullopt;
     }
 
+    /// Answers the read of the promotion lease's row that a doubt about the primary requires: nothing is replaced. The
+    /// reads of a promotion, which ends the doubts of this host itself, are left to the test.
+    void answerDoubts()
+    {
+        for (const auto& group : std::exchange(delegate.newLeaseReads, {})) {
+            const auto groups = nlohmann::json::parse(proxy.dump(now)).at("groups");
+            if (!groups.contains(group.value()) || groups.at(group.value()).at("promotion") == "Reading")
+                continue;
+            --delegate.leaseReads;
+            proxy.leaseRead(now, group, PromotionLeaseRow {});
+        }
+    }
+
     /// Lets time pass, in which targets that are not down answer.
     void run(Duration length)
     {
@@ -235,6 +255,7 @@
             for (const auto& [id, request] : std::exchange(delegate.sent, {}))
                 reply(id, request);
             proxy.tick(now);
+            answerDoubts();
         }
     }
     /// Ends the connections to the target and refuses new ones.
