Withdraw a recorded promotion that was not called for

A holder that gives up before its call, as with a platform that is away, and finds the primary back left its candidate in the lease's row. Other hosts keep from the primary while a promotion is pending, and would have replaced it after the end of the lease. Once the reason is gone the holder now removes the candidate, in one conditional write. A call that may have been made stays in the row.

Test: "A promotion that was recorded and not called for is withdrawn from the row"; it needs the new write, which the code before never made.

--- a/src/chart/EmbeddedCharts.cpp
+++ b/src/chart/EmbeddedCharts.cpp
@@ -10,7 +10,7 @@
     <transition event="start" target="Delaying"/>
   </state>
   <state id="Delaying">
-    <transition event="progress" cond="reasonGone" target="Idle"/>
+    <transition event="progress" cond="reasonGone" target="Idle"><action name="withdraw"/></transition>
     <transition event="progress" cond="delayPassed" target="Reading"/>
   </state>
   <state id="Claiming" initial="Reading">
--- a/src/proxy/Promotion.cpp
+++ b/src/proxy/Promotion.cpp
@@ -43,7 +43,8 @@
         { "recordCandidate", &Promotion::recordCandidate }, { "postponeHandover", &Promotion::postponeHandover },
         { "callPromotion", &Promotion::callPromotion }, { "demoteFormer", &Promotion::demoteFormerPrimary },
         { "fenceAgain", &Promotion::refenceMembers }, { "joinMembers", &Promotion::joinMembers },
-        { "renewForRepairs", &Promotion::renewLeaseForResume }, { "giveUp", &Promotion::abandonAttempt } };
+        { "renewForRepairs", &Promotion::renewLeaseForResume }, { "giveUp", &Promotion::abandonAttempt },
+        { "withdraw", &Promotion::withdrawCandidate } };
     const auto chart = Chart::StateChart::parse("promotion", Chart::embeddedChart("promotion"));
     AUBURNPOST_INVARIANT(chart, "promotion.scxml could not be parsed");
     auto runner = Runner::bind(*chart, std::move(bindings));
@@ -161,6 +162,12 @@
 void Promotion::leaseWritten(
     Instant now, const GroupWatcher& watcher, const Expected<std::optional<RowVersion>>& version)
 {
+    m_isWritingRow = false;
+    if (std::exchange(m_withdrawnAt, {})) {
+        if (version && *version)
+            m_token = **version;
+        return;
+    }
     const bool isRecording = m_runner.isIn("Recording");
     if (!isRecording && !m_runner.isIn("Writing"))
         return;
@@ -249,7 +256,7 @@
 
 bool Promotion::hasDelayPassed(const Context& context) const
 {
-    return context.now >= m_delayUntil;
+    return context.now >= m_delayUntil && !isWithdrawing(context.now);
 }
 
 bool Promotion::isLeaseStepLate(const Context& context) const
--- a/src/proxy/Promotion.h
+++ b/src/proxy/Promotion.h
@@ -182,12 +182,18 @@
     /// Makes the next lease serve only to resume the members that are still fenced.
     void renewLeaseForResume(Context&);
     void abandonAttempt(Context&);
+    /// Removes a candidate from the row that was recorded and not called for, so that other hosts don't wait for its
+    /// promotion and don't repeat it.
+    void withdrawCandidate(Context&);
 
     void readMembers(Context&);
     /// Begins the replacement of the primary, for which an attempt to record the members is cut short.
     void beginReplacement(Instant now, const GroupWatcher&, FailoverReason);
     /// Writes the lease's row, with the members as this host counts them.
-    void writeRow(const Context&, std::uint64_t expiresAtMs, RowVersion expected);
+    /// @param replacedTerm as in PromotionLease.
+    void writeRow(
+        const Context&, std::uint64_t expiresAtMs, RowVersion expected, const std::optional<Term>& replacedTerm);
+    [[nodiscard]] bool isWithdrawing(Instant now) const;
     /// @return the highest term whose primary this attempt may replace; zero if it replaces none, empty if unknown.
     [[nodiscard]] std::optional<Term> termToReplace() const;
     /// Continues an attempt to record the members once the lease's row was read.
@@ -266,6 +272,10 @@
     /// Whether this attempt has recorded a candidate, and what m_pending was before.
     bool m_hasRecorded { false };
     std::optional<PendingPromotion> m_earlierPending;
+    /// Whether a write of the row is not answered yet.
+    bool m_isWritingRow { false };
+    /// When the write that withdraws a candidate was sent; empty once it was answered.
+    std::optional<Instant> m_withdrawnAt;
     /// Whether the members are those that the store listed after the lease was acquired.
     bool m_isListFresh { false };
     bool m_isReadingMembers { false };
--- a/src/proxy/PromotionLeases.cpp
+++ b/src/proxy/PromotionLeases.cpp
@@ -53,13 +53,15 @@
 {
     // Recording the members needs no lease: the write is conditional, and changes nothing else.
     const auto lifetime = isRecordOnly(context) ? Duration {} : leaseLifetime;
-    writeRow(context, m_leaseRow.storeNowMs + milliseconds(lifetime), m_leaseRow.version);
+    writeRow(context, m_leaseRow.storeNowMs + milliseconds(lifetime), m_leaseRow.version, termToReplace());
 }
 
-void Promotion::writeRow(const Context& context, std::uint64_t expiresAtMs, RowVersion expected)
+void Promotion::writeRow(
+    const Context& context, std::uint64_t expiresAtMs, RowVersion expected, const std::optional<Term>& replacedTerm)
 {
+    m_isWritingRow = true;
     PromotionLease lease { m_self, expiresAtMs, isRecordOnly(context) ? std::nullopt : m_pending };
-    lease.replacedTerm = termToReplace();
+    lease.replacedTerm = replacedTerm;
     lease.members = MemberRecorder::describe(context.watcher);
     // A host that has no list knows of no change.
     if (lease.members->members.empty())
@@ -152,7 +154,22 @@
         m_formerTerm = std::max(m_formerTerm, member.status ? member.status->term : Term {});
     m_pending = { *candidate, m_formerTerm, storeNowMs(context.now), m_earlierPending.has_value() };
     m_pendingUntil = context.now + pendingLifetime;
-    writeRow(context, m_leaseRow.storeNowMs + milliseconds(leaseLifetime), m_token);
+    writeRow(context, m_leaseRow.storeNowMs + milliseconds(leaseLifetime), m_token, termToReplace());
+}
+
+void Promotion::withdrawCandidate(Context& context)
+{
+    // While another write is in progress the version of the row is not known.
+    if (m_isWritingRow || !m_recordedCandidate || m_pending)
+        return;
+    m_recordedCandidate.reset();
+    m_withdrawnAt = context.now;
+    writeRow(context, m_leaseRow.storeNowMs + milliseconds(leaseLifetime), m_token, Term {});
+}
+
+bool Promotion::isWithdrawing(Instant now) const
+{
+    return m_withdrawnAt && now - *m_withdrawnAt < leaseStepTimeout;
 }
 
 } // namespace Auburnpost::Proxy
--- a/tests/proxy/PendingPromotionTests.cpp
+++ b/tests/proxy/PendingPromotionTests.cpp
@@ -272,3 +272,60 @@
     attempt({ RowVersion(version), group.delegate.lease, 2600 });
     CHECK(group.delegate.promoted == TargetName("s"));
 }
+
+// Guards against hosts that keep from the present primary, and replace it, because of a call that was never made.
+TEST_CASE("A promotion that was recorded and not called for is withdrawn from the row", "[proxy][promotion]")
+{
+    PromotionFixture group;
+    group.call(PromotionOutcome::NotDone);
+    REQUIRE(group.promotion.state() == "Delaying");
+    REQUIRE(group.delegate.writes == 2);
+    group.reportStatus("p", makeStatus(true, 1, 9));
+    group.now += 10ms;
+    group.promotion.tick(group.now, group.watcher, FailoverReason::None);
+    REQUIRE(group.promotion.isIdle());
+    REQUIRE(group.delegate.writes == 3);
+    CHECK_FALSE(group.delegate.lease->pending);
+    CHECK(group.delegate.lease->replacedTerm == Term(0));
+
+    // The primary is lost again.
+    const auto start = [&group] {
+        group.promotion.start(
+            group.now, group.watcher, group.random, PromotionGoal::ReplacePrimary, FailoverReason::Down);
+        group.tick(Promotion::startJitter);
+    };
+    SECTION("before the row is read again")
+    {
+        start();
+        CHECK(group.promotion.state() == "Delaying");
+        group.promotion.leaseWritten(group.now, group.watcher, std::optional(RowVersion(8)));
+        CHECK(group.promotion.hasWritten(RowVersion(8)));
+        group.tick(10ms);
+        CHECK(group.promotion.state() == "Reading");
+    }
+    SECTION("but a write without an answer holds nothing up")
+    {
+        start();
+        group.tick(Promotion::leaseStepTimeout);
+        CHECK(group.promotion.state() == "Reading");
+    }
+}
+
+TEST_CASE("A promotion that may have been called for stays in the row", "[proxy][promotion]")
+{
+    PromotionFixture group;
+    group.call(PromotionOutcome::Unanswered);
+    group.tick(Promotion::awaitTimeout);
+    REQUIRE(group.promotion.state() == "Delaying");
+    REQUIRE(group.delegate.lease);
+    CHECK(group.delegate.lease->pending);
+    CHECK(group.delegate.lease->replacedTerm == Term(1));
+}
+
+TEST_CASE("A lease says which term its holder replaces, and an earlier version's does not", "[proxy][promotion]")
+{
+    PromotionLease lease { HostName("self"), 700, {} };
+    CHECK_FALSE(decodePromotionLease(encodePromotionLease(lease))->replacedTerm);
+    lease.replacedTerm = Term(4);
+    CHECK(decodePromotionLease(encodePromotionLease(lease))->replacedTerm == Term(4));
+}
