Hold acknowledgements while no member would show a replacement

On the primary's side of a partition hosts reach the primary and none of the replicas that another host fences.

An acknowledgement is now a reason for doubt while fewer members than the synchronous replicas, and at least one, answer that a replacement would have to fence: a member that was listed within the lifetime of a lease may be unknown to the one who replaces the primary, and one whose process is down can't be promoted. It is passed on after a read of the row that was sent after it. A row whose record of members has a later term than the primary shows a replacement too, so that a host that never sees its effect does not return to the old primary once the call has expired.

The state dump shows a doubt.

--- a/src/proxy/GroupDoubts.cpp
+++ b/src/proxy/GroupDoubts.cpp
@@ -42,7 +42,10 @@
         if (!found)
             continue;
         const auto acknowledged = *found;
-        if (held.target == *primary)
+        if (held.target == *primary && held.at > guard.clearAsOf() && !m_watcher.hasWitness(now)) {
+            m_heldAcknowledgements.emplace(id, held);
+            guard.recordUnwitnessed(now);
+        } else if (held.target == *primary)
             finish(acknowledged, held.answer, nullptr);
         else
             finishInDoubt(acknowledged);
@@ -64,11 +67,12 @@
     return pending.access == Session::Access::Write;
 }
 
-void GroupService::holdAcknowledgement(PendingStatement& pending, const TargetName& target, const TargetReply& reply)
+void GroupService::holdAcknowledgement(
+    Instant now, PendingStatement& pending, const TargetName& target, const TargetReply& reply)
 {
     pending.isAcknowledged = true;
     m_heldAcknowledgements[pending.id]
-        = { target, { std::get<Session::Success>(reply.body), reply.state, reply.position } };
+        = { target, { std::get<Session::Success>(reply.body), reply.state, reply.position }, now };
     log({ LogEvent::AcknowledgementHeld,
         { { "group", m_name.value() }, { "id", pending.statementId.value() }, { "target", target.value() },
             { "position", reply.position ? PromotionLog::describe(*reply.position) : "-" } } });
--- a/src/proxy/GroupMember.h
+++ b/src/proxy/GroupMember.h
@@ -27,6 +27,8 @@
     std::optional<Instant> behindSince;
     /// Since when the member's record reports it as the primary.
     std::optional<Instant> reportsPrimarySince;
+    /// When this host first listed the member in its incarnation.
+    Instant listedSince {};
     /// When the member's record first announced its shutdown.
     std::optional<Instant> leavingSince;
     /// Since when the member's record has been missing; empty for a listed member.
--- a/src/proxy/GroupMembership.cpp
+++ b/src/proxy/GroupMembership.cpp
@@ -23,6 +23,8 @@
         auto& member = next[record.name];
         if (known != m_members.end() && known->second.record.incarnation == record.incarnation)
             member = known->second;
+        else
+            member.listedSince = now;
         member.record = record;
         member.unlistedSince.reset();
         member.presumedEndedAt.reset();
--- a/src/proxy/GroupReplies.cpp
+++ b/src/proxy/GroupReplies.cpp
@@ -165,8 +165,10 @@
         handleFailureReply(now, connection, *pending, reply);
         return;
     }
+    if (isAcknowledgement && !m_watcher.hasWitness(now))
+        m_watcher.guard().recordUnwitnessed(now);
     if (isAcknowledgement && !m_watcher.guard().allows(connection.target)) {
-        holdAcknowledgement(*pending, connection.target, reply);
+        holdAcknowledgement(now, *pending, connection.target, reply);
         unbind(now, connection);
         return;
     }
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -126,6 +126,7 @@
     struct HeldAcknowledgement {
         TargetName target;
         Session::Answer answer;
+        Instant at;
     };
     /// A command of the promotion that waits for a connection to its target.
     struct Command {
@@ -222,7 +223,7 @@
     /// @return whether a successful answer to the statement tells the caller that writes are kept.
     [[nodiscard]] static bool acknowledgesWrites(const TargetConnection&, const PendingStatement&);
     /// Keeps the answer of a primary that may have been replaced.
-    void holdAcknowledgement(PendingStatement&, const TargetName&, const TargetReply&);
+    void holdAcknowledgement(Instant now, PendingStatement&, const TargetName&, const TargetReply&);
     void finishInDoubt(const PendingStatement&);
 
     // Load estimates.
--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -255,6 +255,24 @@
     return responsive >= fencesNeeded() && behind == responsive;
 }
 
+bool GroupWatcher::hasWitness(Instant now) const
+{
+    std::size_t witnesses = 0;
+    bool hasCandidate = false;
+    for (const auto& [name, member] : members()) {
+        // Nobody can promote a member whose process is down.
+        if (name == m_primary || member.presumedEndedAt || member.health.isRefusing())
+            continue;
+        hasCandidate = true;
+        const bool isEstablished = member.isInitial || now - member.listedSince >= ReplacementGuard::successorTimeout;
+        if (member.isListed() && member.status && isEstablished && !member.health.isSuspect(now))
+            ++witnesses;
+    }
+    // One acknowledged commit is on this many members besides the primary, so a replacement fences one of them at
+    // least.
+    return !hasCandidate || witnesses >= std::max<std::size_t>(1, m_rules.syncReplicas);
+}
+
 bool GroupWatcher::hasFencedMemberFor(Instant now, Duration limit) const
 {
     return m_fencedSince && now - *m_fencedSince >= limit;
--- a/src/proxy/Promotion.cpp
+++ b/src/proxy/Promotion.cpp
@@ -151,7 +151,8 @@
         return;
     }
     adoptPending(context);
-    if (m_failoverReason == FailoverReason::Doubted && !isPromotionPending(context)) {
+    const bool wasDoubted = m_failoverReason == FailoverReason::Doubted;
+    if (wasDoubted && !isPromotionPending(context) && watcher.failoverReason(now) != FailoverReason::Doubted) {
         // The row shows that the primary is not being replaced.
         fire("claimRefused", context);
         return;
--- a/src/proxy/ReplacementGuard.cpp
+++ b/src/proxy/ReplacementGuard.cpp
@@ -18,6 +18,9 @@
         if (!row.lease)
             return false;
         const auto& lease = *row.lease;
+        // The members are recorded again after each promotion, with the term of the new primary.
+        if (lease.members && lease.members->term > term)
+            return true;
         // A host of an earlier version does not write which term its lease is for.
         const bool isForTerm = !lease.replacedTerm || *lease.replacedTerm >= term;
         if (!isOwn && isForTerm && lease.expiresAtMs > row.storeNowMs)
@@ -31,7 +34,8 @@
 
 std::string_view toString(PrimaryDoubt doubt)
 {
-    constexpr std::string_view texts[] { "none", "started", "paused", "contact_lost", "other_target", "fenced" };
+    constexpr std::string_view texts[] { "none", "started", "paused", "contact_lost", "other_target", "fenced",
+        "unwitnessed" };
     return texts[static_cast<std::size_t>(doubt)];
 }
 
@@ -69,7 +73,7 @@
             raise(now, PrimaryDoubt::OtherTarget);
         m_primary = primary;
         if (isSuccessor && m_doubt != PrimaryDoubt::None)
-            resolve(now, DoubtResolution::Successor);
+            resolve(now, DoubtResolution::Successor, now);
     }
     if (m_doubt != PrimaryDoubt::None && !m_reportedAt)
         m_reportedAt = now;
@@ -87,6 +91,14 @@
     m_reportedAt = now;
 }
 
+void ReplacementGuard::recordUnwitnessed(Instant now)
+{
+    if (m_doubt != PrimaryDoubt::None || !m_primary)
+        return;
+    raise(now, PrimaryDoubt::Unwitnessed);
+    m_reportedAt = now;
+}
+
 bool ReplacementGuard::isFenceUnexplained() const
 {
     return m_primary && m_fenceTerm > m_primary->term && m_fenceTerm > m_explainedFence;
@@ -114,7 +126,7 @@
         return;
     }
     m_explainedFence = std::max(m_explainedFence, m_fenceTerm);
-    resolve(now, DoubtResolution::Row);
+    resolve(now, DoubtResolution::Row, sentAt);
 }
 
 void ReplacementGuard::recordUnreadableRow(Instant now)
@@ -131,13 +143,15 @@
     const bool isReplacementOver = !m_replacementSeenAt || now - *m_replacementSeenAt >= replacementTimeout;
     if (now - *m_reportedAt >= limit && isReplacementOver) {
         m_explainedFence = std::max(m_explainedFence, m_fenceTerm);
-        resolve(now, DoubtResolution::Time);
+        resolve(now, DoubtResolution::Time, now);
     }
 }
 
-void ReplacementGuard::resolve(Instant now, DoubtResolution resolution)
+void ReplacementGuard::resolve(Instant now, DoubtResolution resolution, Instant asOf)
 {
-    m_resolved = Resolved { *m_primary, m_doubt, resolution, now - m_doubtedSince };
+    m_clearAsOf = asOf;
+    const auto since = m_doubt == PrimaryDoubt::Started ? m_reportedAt.value_or(now) : m_doubtedSince;
+    m_resolved = Resolved { *m_primary, m_doubt, resolution, now - since };
     m_doubt = PrimaryDoubt::None;
     m_reportedAt.reset();
     m_nextReadAt.reset();
--- a/src/proxy/ReplacementGuard.h
+++ b/src/proxy/ReplacementGuard.h
@@ -21,6 +21,8 @@
     OtherTarget,
     /// A member is fenced for a later term.
     Fenced,
+    /// No member answers that would show a replacement by its fence, and the primary has acknowledged a commit.
+    Unwitnessed,
 };
 
 /// @return the text for logs, such as "contact_lost".
@@ -88,6 +90,8 @@
     void recordPrimary(Instant now, const ReportedPrimary&);
     /// Records that a member is fenced.
     void recordFence(Instant now, Term fencedTerm);
+    /// Records that the primary has acknowledged a commit while no member answers that would show its replacement.
+    void recordUnwitnessed(Instant now);
     /// Records that no member is fenced.
     void recordNoFence()
     {
@@ -110,6 +114,8 @@
 
     /// @return whether statements may be sent to the target as the primary, and its acknowledgements be passed on.
     [[nodiscard]] bool allows(const TargetName&) const;
+    /// @return the moment as of which the primary was last known not to be replaced.
+    [[nodiscard]] Instant clearAsOf() const { return m_clearAsOf; }
     /// @return why the reported primary is not used; None if it is, or if there is none.
     [[nodiscard]] PrimaryDoubt doubt() const { return m_reportedAt ? m_doubt : PrimaryDoubt::None; }
     /// @return since when the reported primary is not used; empty if it is, or if there is none.
@@ -124,7 +130,8 @@
 private:
     [[nodiscard]] bool mayFollow(Instant now, const ReportedPrimary& successor) const;
     [[nodiscard]] bool isFenceUnexplained() const;
-    void resolve(Instant now, DoubtResolution);
+    /// @param asOf the moment as of which the primary was not replaced.
+    void resolve(Instant now, DoubtResolution, Instant asOf);
 
     std::optional<ReportedPrimary> m_primary;
     PrimaryDoubt m_doubt { PrimaryDoubt::Started };
@@ -133,6 +140,7 @@
     /// When the primary first reported itself since then.
     std::optional<Instant> m_reportedAt;
     std::optional<Instant> m_nextReadAt;
+    Instant m_clearAsOf {};
     bool m_isRowUnreadable { false };
     /// When the row last showed a replacement of the primary.
     std::optional<Instant> m_replacementSeenAt;
--- a/src/proxy/StateDump.cpp
+++ b/src/proxy/StateDump.cpp
@@ -96,6 +96,10 @@
         { "promotion_calls", describeCalls(now, group.promotion().trace()) }, { "members", std::move(members) },
         { "departed", PromotionLog::describeDepartures(now, watcher) }, { "counted", watcher.groupSize() },
         { "fences_needed", watcher.fencesNeeded() }, { "member_record", describeRecord(group) } };
+    const auto& guard = watcher.guard();
+    if (guard.doubt() != PrimaryDoubt::None)
+        described["primary_doubt"] = { { "doubt", std::string(toString(guard.doubt())) },
+            { "age_ms", toMilliseconds(now - *guard.reportedAt()) } };
     if (const auto& pending = group.promotion().pending())
         described["pending_promotion"]
             = { { "candidate", pending->candidate.value() }, { "replaced_term", pending->replacedTerm.value() } };
--- a/tests/proxy/GroupDoubtTests.cpp
+++ b/tests/proxy/GroupDoubtTests.cpp
@@ -151,6 +151,59 @@
     }
 }
 
+// Guards against a host on the primary's side of a partition: it sees no fence, and a replica that has just started
+// acknowledges with the primary after the fences were counted (review/7).
+TEST_CASE(
+    "An acknowledgement is held until a read of the row if no member shows that there is no fence", "[proxy][doubt]")
+{
+    Group group;
+    group.run(ReplacementGuard::successorTimeout);
+    group.submit(StatementKind::Write);
+    group.run(20ms);
+    REQUIRE(group.statements.size() == 1);
+    group.unresponsive = { TargetName("r"), TargetName("s") };
+    group.run(3s);
+
+    SECTION("and passed on if nothing is replaced")
+    {
+        group.reply(group.statements.front(), acknowledgement);
+        CHECK(group.delegate.results.empty());
+        group.run(20ms);
+        REQUIRE(group.delegate.results.size() == 1);
+        CHECK_FALSE(group.failure());
+    }
+    SECTION("and kept while a replacement may have been called for")
+    {
+        group.leaseRow = replacingRow();
+        group.reply(group.statements.front(), acknowledgement);
+        group.run(500ms);
+        CHECK(group.delegate.results.empty());
+        group.unresponsive.clear();
+        group.promote();
+        REQUIRE(group.delegate.results.size() == 1);
+        CHECK(group.failureCode() == FailureCode::InDoubt);
+    }
+    SECTION("also if a member answers that has just been listed")
+    {
+        group.records.push_back(group.records.back());
+        group.records.back().name = TargetName("j");
+        group.records.back().address.port = 9;
+        group.service.setMembers(group.now, group.records);
+        group.run(300ms);
+        group.leaseRow = replacingRow();
+        group.reply(group.statements.front(), acknowledgement);
+        group.run(300ms);
+        CHECK(group.delegate.results.empty());
+    }
+    SECTION("but passed on at once when a member answers again")
+    {
+        group.unresponsive.clear();
+        group.run(2s);
+        group.reply(group.statements.front(), acknowledgement);
+        CHECK(group.delegate.results.size() == 1);
+    }
+}
+
 TEST_CASE("The commit of a transaction on a primary that is being replaced is refused as rolled back", "[proxy][doubt]")
 {
     Group group;
--- a/tests/proxy/ProxySimulation.h
+++ b/tests/proxy/ProxySimulation.h
@@ -60,6 +60,9 @@
     void pauseHost(std::size_t host, Duration length) { m_hosts.at(host)->pause(now() + length); }
     /// Cuts the host from the store, the targets and the other hosts.
     void isolateHost(std::size_t host, Duration length);
+    /// Lets hosts relay connections for each other, or not.
+    void setRelaying(bool isRelaying) { m_isRelaying = isRelaying; }
+    [[nodiscard]] bool isRelaying() const { return m_isRelaying; }
     /// Kills a host's process and starts it again without memory.
     void restartHost(std::size_t host, Duration downTime);
     /// Waits until all faults have ended, stops the callers, lets the group recover, and checks the primary's log.
@@ -156,6 +159,7 @@
     std::function<void(std::size_t)> m_onNextPromotionCall;
     Term m_promotedTerm;
     bool m_isViolationTraced { false };
+    bool m_isRelaying { true };
     std::map<TargetName, Instant> m_newerPrimarySeenSince;
 };
 
--- a/tests/proxy/ReplacementGuardTests.cpp
+++ b/tests/proxy/ReplacementGuardTests.cpp
@@ -212,6 +212,33 @@
     }
 }
 
+TEST_CASE("A primary that no other member shows to be in place is used as of a read of the row", "[proxy][guard]")
+{
+    Host host;
+    host.now += 1s;
+    host.guard.recordUnwitnessed(host.now);
+    CHECK_FALSE(host.guard.allows(p));
+    CHECK(host.guard.isReadDue(host.now));
+    host.guard.recordRow(host.now + 40ms, host.now + 10ms, expiredRow({}), false, {});
+    CHECK(host.guard.allows(p));
+    CHECK(host.guard.clearAsOf() == host.now + 10ms);
+}
+
+// A promotion is pending for a limited time. A host that does not see its effect must not return to the old primary.
+TEST_CASE("A primary of an earlier term than the recorded one is not used", "[proxy][guard]")
+{
+    Host host;
+    host.crashAndReturn();
+    auto row = expiredRow({});
+    row.lease->members = MemberRecord { {}, 1, Term(2) };
+    host.read(row);
+    CHECK_FALSE(host.guard.allows(back));
+    row.lease->members->term = Term(1);
+    host.now += ReplacementGuard::recheckInterval;
+    host.read(row);
+    CHECK(host.guard.allows(back));
+}
+
 TEST_CASE("A primary that was demoted or did not respond is used only after a read of the row", "[proxy][guard]")
 {
     Host host;
--- a/tests/proxy/ReturnedPrimaryTests.cpp
+++ b/tests/proxy/ReturnedPrimaryTests.cpp
@@ -117,6 +117,34 @@
     schedule.check();
 }
 
+// Guards against hosts on the primary's side of a partition, which see no fence (review/7).
+TEST_CASE("A commit on the primary's side of a partition is not rolled back by the promotion on the other side",
+    "[proxy][returned]")
+{
+    const auto joinAfter = GENERATE(1600ms, 1700ms, 1800ms, 2000ms, 2200ms);
+    INFO("join after " << joinAfter.count() << " ms");
+    ReturnSchedule schedule;
+    auto& simulation = schedule.simulation;
+    simulation.orders().set({ 1000ms, true });
+    const auto cut = [&simulation](bool isCut) {
+        for (const auto* const replica : { "t1", "t2" }) {
+            simulation.setCut(TargetName("t0"), TargetName(replica), isCut);
+            for (std::size_t host = 1; host < ProxySimulation::hostCount; ++host)
+                simulation.setHostCut(host, TargetName(replica), isCut);
+        }
+        simulation.setHostCut(0, TargetName("t0"), isCut);
+    };
+    // Relays lead around the cuts of the hosts.
+    simulation.setRelaying(false);
+    cut(true);
+    simulation.run(joinAfter);
+    simulation.membership().join(100ms);
+    simulation.run(3s);
+    cut(false);
+    simulation.run(5s);
+    schedule.check();
+}
+
 TEST_CASE("Random schedules of returned primaries lose no commit", "[proxy][returned]")
 {
     // The environment variables PROXY_SCHEDULES and PROXY_SEED set the number of schedules and the first seed.
--- a/tests/proxy/SimulatedHost.cpp
+++ b/tests/proxy/SimulatedHost.cpp
@@ -161,7 +161,7 @@
         return;
     const auto via = connection->second.viaHost;
     const bool isRelayed = via != m_index;
-    if (isRelayed && m_simulation.isHostPaused(via))
+    if (isRelayed && (m_simulation.isHostPaused(via) || !m_simulation.isRelaying()))
         return;
     const bool mayPass
         = !isRelayed || m_simulation.hostProxy(via).mayRelay(m_simulation.now(), connection->second.target);
--- a/tests/proxy/StateDumpTests.cpp
+++ b/tests/proxy/StateDumpTests.cpp
@@ -183,6 +183,15 @@
     }
 }
 
+TEST_CASE("The state shows why a primary is not used", "[proxy][dump]")
+{
+    Fixture test;
+    test.run(100ms);
+    CHECK(test.group().at("primary_doubt").at("doubt") == "started");
+    test.proxy.leaseRead(test.now, GroupName("group"), PromotionLeaseRow {});
+    CHECK_FALSE(test.group().contains("primary_doubt"));
+}
+
 TEST_CASE("The state shows a promotion call until its effect, with its token, candidate and age", "[proxy][dump]")
 {
     Fixture test;
