Name what a host sees of fences, and hint at the failover's delay in a doubt

seesFences() and PrimaryDoubt::Isolated replace names of our own. A statement that is refused while the primary is in doubt is told the delay of a failover, as without a primary. A candidate whose promotion was seen is forgotten, so that a later suspicion that goes away writes no row.

--- a/src/proxy/GroupDoubts.cpp
+++ b/src/proxy/GroupDoubts.cpp
@@ -42,9 +42,9 @@
         if (!found)
             continue;
         const auto acknowledged = *found;
-        if (held.target == *primary && held.at > guard.clearAsOf() && !m_watcher.hasWitness(now)) {
+        if (held.target == *primary && held.at > guard.clearAsOf() && !m_watcher.seesFences(now)) {
             m_heldAcknowledgements.emplace(id, held);
-            guard.recordUnwitnessed(now);
+            guard.recordIsolation(now);
         } else if (held.target == *primary)
             finish(acknowledged, held.answer, nullptr);
         else
@@ -52,6 +52,11 @@
     }
 }
 
+bool GroupService::isPrimaryDoubted() const
+{
+    return m_watcher.primary() && !m_watcher.guard().allows(*m_watcher.primary());
+}
+
 void GroupService::sendLeaseReads(Instant now)
 {
     // While this host replaces the primary itself, its own state tells more than the row.
@@ -80,8 +85,7 @@
 
 void GroupService::finishInDoubt(const PendingStatement& acknowledged)
 {
-    const auto pending = acknowledged;
-    finish(pending,
+    finish(acknowledged,
         { Session::Failure { FailureCode::InDoubt, "the primary that acknowledged the write may have been replaced" },
             TransactionState::Idle, {} },
         nullptr);
--- a/src/proxy/GroupReplies.cpp
+++ b/src/proxy/GroupReplies.cpp
@@ -165,8 +165,8 @@
         handleFailureReply(now, connection, *pending, reply);
         return;
     }
-    if (isAcknowledgement && !m_watcher.hasWitness(now))
-        m_watcher.guard().recordUnwitnessed(now);
+    if (isAcknowledgement && !m_watcher.seesFences(now))
+        m_watcher.guard().recordIsolation(now);
     if (isAcknowledgement && !m_watcher.guard().allows(connection.target)) {
         holdAcknowledgement(now, *pending, connection.target, reply);
         unbind(now, connection);
@@ -273,7 +273,7 @@
 {
     const auto ticket = ticketOf(now, pending);
     const auto gap = m_queue.expectedGap(now, ticket.lane).value_or(defaultGap);
-    const bool isReplacing = !m_watcher.primary() || m_promotion.isReplacing();
+    const bool isReplacing = !m_watcher.primary() || isPrimaryDoubted() || m_promotion.isReplacing();
     if (pending.needsPrimary() && isReplacing)
         return m_failoverReturns.next(now, failoverDelay, gap, latestFailoverDelay);
     // A caller that returns then is expected to wait for no more than half of its time limit.
--- a/src/proxy/GroupService.cpp
+++ b/src/proxy/GroupService.cpp
@@ -250,8 +250,7 @@
     const bool awaitsEvidence = m_watcher.membership().awaitsEvidence(now);
     if (!member.isListed() && member.presumedEndedAt)
         return idlePollInterval;
-    const bool isDoubted = m_watcher.primary() && !m_watcher.guard().allows(*m_watcher.primary());
-    const bool isUrgent = m_promotion.isReplacing() || !m_watcher.primary() || isDoubted || awaitsEvidence;
+    const bool isUrgent = m_promotion.isReplacing() || !m_watcher.primary() || isPrimaryDoubted() || awaitsEvidence;
     if (isUrgent || member.health.isSuspect(now) || !member.status)
         return urgentPollInterval;
     const auto lastResponse = member.health.lastResponseAt();
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -220,6 +220,8 @@
     void resolveDoubt(Instant now);
     /// Sends the read of the lease's row that the promotion or a doubt requires, one at a time.
     void sendLeaseReads(Instant now);
+    /// @return whether a target reports to be the primary and is not used.
+    [[nodiscard]] bool isPrimaryDoubted() const;
     /// @return whether a successful answer to the statement tells the caller that writes are kept.
     [[nodiscard]] static bool acknowledgesWrites(const TargetConnection&, const PendingStatement&);
     /// Keeps the answer of a primary that may have been replaced.
--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -255,9 +255,9 @@
     return responsive >= fencesNeeded() && behind == responsive;
 }
 
-bool GroupWatcher::hasWitness(Instant now) const
+bool GroupWatcher::seesFences(Instant now) const
 {
-    std::size_t witnesses = 0;
+    std::size_t visible = 0;
     bool hasCandidate = false;
     for (const auto& [name, member] : members()) {
         // Nobody can promote a member whose process is down.
@@ -266,11 +266,10 @@
         hasCandidate = true;
         const bool isEstablished = member.isInitial || now - member.listedSince >= ReplacementGuard::successorTimeout;
         if (member.isListed() && member.status && isEstablished && !member.health.isSuspect(now))
-            ++witnesses;
+            ++visible;
     }
-    // One acknowledged commit is on this many members besides the primary, so a replacement fences one of them at
-    // least.
-    return !hasCandidate || witnesses >= std::max<std::size_t>(1, m_rules.syncReplicas);
+    // A replacement leaves fewer members unfenced besides the primary than there are synchronous replicas.
+    return !hasCandidate || visible >= std::max<std::size_t>(1, m_rules.syncReplicas);
 }
 
 bool GroupWatcher::hasFencedMemberFor(Instant now, Duration limit) const
--- a/src/proxy/GroupWatcher.h
+++ b/src/proxy/GroupWatcher.h
@@ -115,10 +115,10 @@
     /// @return whether the reported primary may be used.
     [[nodiscard]] const ReplacementGuard& guard() const { return m_guard; }
     [[nodiscard]] ReplacementGuard& guard() { return m_guard; }
-    /// @return whether a member answers this host that a replacement of the primary would have to fence, so that this
-    /// host would see the fence. A member that was listed a short time ago may be unknown to the one who replaces the
+    /// @return whether a member answers this host that a replacement of the primary has to fence, so that this host
+    /// would see the fence. A member that was listed a short time ago may be unknown to the host that replaces the
     /// primary.
-    [[nodiscard]] bool hasWitness(Instant now) const;
+    [[nodiscard]] bool seesFences(Instant now) const;
     /// Restarts all timeouts after a pause of this process, as members may have responded meanwhile.
     void discountPause(Instant now);
 
--- a/src/proxy/Promotion.cpp
+++ b/src/proxy/Promotion.cpp
@@ -375,6 +375,7 @@
     if (!m_finishingSince)
         m_finishingSince = context.now;
     m_pending.reset();
+    m_recordedCandidate.reset();
     m_notRunning.clear();
     m_hasDemotedPrimary = false;
     // A member that is resumed while the former primary is still primary could follow it again and let it complete
--- a/src/proxy/ReplacementGuard.cpp
+++ b/src/proxy/ReplacementGuard.cpp
@@ -35,7 +35,7 @@
 std::string_view toString(PrimaryDoubt doubt)
 {
     constexpr std::string_view texts[] { "none", "started", "paused", "contact_lost", "other_target", "fenced",
-        "unwitnessed" };
+        "isolated" };
     return texts[static_cast<std::size_t>(doubt)];
 }
 
@@ -91,11 +91,11 @@
     m_reportedAt = now;
 }
 
-void ReplacementGuard::recordUnwitnessed(Instant now)
+void ReplacementGuard::recordIsolation(Instant now)
 {
     if (m_doubt != PrimaryDoubt::None || !m_primary)
         return;
-    raise(now, PrimaryDoubt::Unwitnessed);
+    raise(now, PrimaryDoubt::Isolated);
     m_reportedAt = now;
 }
 
--- a/src/proxy/ReplacementGuard.h
+++ b/src/proxy/ReplacementGuard.h
@@ -22,7 +22,7 @@
     /// A member is fenced for a later term.
     Fenced,
     /// No member answers that would show a replacement by its fence, and the primary has acknowledged a commit.
-    Unwitnessed,
+    Isolated,
 };
 
 /// @return the text for logs, such as "contact_lost".
@@ -91,7 +91,7 @@
     /// Records that a member is fenced.
     void recordFence(Instant now, Term fencedTerm);
     /// Records that the primary has acknowledged a commit while no member answers that would show its replacement.
-    void recordUnwitnessed(Instant now);
+    void recordIsolation(Instant now);
     /// Records that no member is fenced.
     void recordNoFence()
     {
--- a/tests/proxy/ReplacementGuardTests.cpp
+++ b/tests/proxy/ReplacementGuardTests.cpp
@@ -216,7 +216,7 @@
 {
     Host host;
     host.now += 1s;
-    host.guard.recordUnwitnessed(host.now);
+    host.guard.recordIsolation(host.now);
     CHECK_FALSE(host.guard.allows(p));
     CHECK(host.guard.isReadDue(host.now));
     host.guard.recordRow(host.now + 40ms, host.now + 10ms, expiredRow({}), false, {});
