--- a/src/proxy/Promotion.cpp
+++ b/src/proxy/Promotion.cpp
@@ -1,6 +1,7 @@
 #include "proxy/Promotion.h"
 
 #include "chart/EmbeddedCharts.h"
+#include "proxy/LeaseReads.h"
 #include "proxy/PromotionLog.h"
 
 #include <algorithm>
@@ -9,6 +10,11 @@
 
 namespace Auburnpost::Proxy {
 
+// A host that does not promote keeps from a primary for as long as a lease or a pending promotion may replace it.
+static_assert(ReplacementGuard::successorTimeout == Promotion::leaseLifetime);
+static_assert(ReplacementGuard::replacementTimeout == Promotion::pendingLifetime);
+static_assert(LeaseReads::answerTimeout == Promotion::leaseStepTimeout);
+
 namespace {
 
     /// @return the number of members that report a fence of any term.
