Let the members' answers stand for the read of the row on a first start

Each host read the row of each group when it began to watch it. On the first start of a deployment no call can be older than the processes, so that a call would still show: for groups watched within 5 s of the start the doubt ends once every listed member has answered and none is fenced or in a later term. Without that the row is read 0.5 s later.

--- a/src/platform/SettingsReader.cpp
+++ b/src/platform/SettingsReader.cpp
@@ -93,6 +93,7 @@
         settings.descriptors = json.at("Limits").at("FileDescriptors").get<std::size_t>();
         settings.processorShare = readProcessorShare(json.at("Limits"), settings.processorShare);
         settings.memoryBytes = json.at("Limits").value("MemoryMb", defaultMemoryMb) * bytesPerMebibyte;
+        settings.isFirstStart = json.value("FirstStart", false);
         settings.bounds = readBounds(json.at("Bounds"));
         settings.allotments = readAllotments(json.at("Bounds"));
         const std::chrono::duration<double> grace(json.at("Bounds").at("GraceS").get<double>());
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -50,6 +50,8 @@
     GroupService(HostName self, GroupName, GroupServiceDelegate&);
 
     void setRules(const GroupRules&);
+    /// All hosts of the deployment have just started for the first time.
+    void setFirstStart() { m_watcher.guard().setFirstStart(); }
     void setMembers(Instant now, const std::vector<TargetRecord>&);
     /// Forgets the members of a group that this host no longer serves.
     void stopWatching(Instant now);
--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -107,6 +107,8 @@
     if (status.isFenced() && !status.isPrimary)
         m_guard.recordFence(now, status.fencedTerm);
     updateFencedSince(now);
+    if (m_primary && !hasSignOfReplacement())
+        m_guard.recordNoReplacement(now);
     confirmPrimary();
     return isNew;
 }
@@ -147,6 +149,17 @@
     losePrimary(m_primaryMissingSince.value_or(Instant {}));
 }
 
+bool GroupWatcher::hasSignOfReplacement() const
+{
+    return std::any_of(members().begin(), members().end(), [this](const auto& entry) {
+        const auto& [name, member] = entry;
+        if (!member.status)
+            return member.isListed();
+        return member.status->isFenced() || member.status->term > m_primaryTerm
+            || (member.status->isPrimary && name != m_primary);
+    });
+}
+
 TargetHealth* GroupWatcher::health(const TargetName& name)
 {
     auto* const member = m_membership.find(name);
--- a/src/proxy/GroupWatcher.h
+++ b/src/proxy/GroupWatcher.h
@@ -123,6 +123,9 @@
     void discountPause(Instant now);
 
 private:
+    /// @return whether a listed member has not answered yet, or a member is fenced, in a later term, or another
+    /// primary.
+    [[nodiscard]] bool hasSignOfReplacement() const;
     /// Forgets the primary, which has to be seen again and not be replaced before it is used.
     void losePrimary(Instant now);
     /// Adds a confirmation if the primary and enough other members report no fence and no higher term.
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -12,6 +12,7 @@
     , m_reader(reader)
     , m_delegate(delegate)
     , m_random(seed)
+    , m_startedAt(now)
     , m_now(now)
     , m_followers { StoreFollower(StoreTable::Configuration, TableTimes::forConfiguration(m_settings.bounds), m_contact,
                         delegate),
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -26,6 +26,8 @@
 class Proxy final : private GroupServiceDelegate {
 public:
     static constexpr Duration tickInterval = std::chrono::milliseconds(30);
+    /// Time from the start of this process for which a group counts as starting with the deployment.
+    static constexpr Duration firstStartPeriod = std::chrono::seconds(5);
     /// Minimum gap between two events, ticks included, that counts as a pause of this process.
     static constexpr Duration pauseThreshold = std::chrono::milliseconds(300);
     /// Maximum time that a session waits for the first configuration; callers time out after 2 s.
@@ -261,6 +263,7 @@
     ProxyDelegate& m_delegate;
     RandomEngine m_random;
     /// Time of the event that is being handled, or of the last one.
+    Instant m_startedAt;
     Instant m_now;
     StoreContact m_contact;
     std::array<StoreFollower, followedTables.size()> m_followers;
--- a/src/proxy/ProxySettings.h
+++ b/src/proxy/ProxySettings.h
@@ -39,6 +39,8 @@
     double processorShare { 1.0 };
     /// Memory that the process may use, in bytes.
     std::size_t memoryBytes { 0 };
+    /// Whether all hosts of the deployment start for the first time.
+    bool isFirstStart { false };
     TimeBounds bounds;
     /// The tolerated excess over the organisations' rate limits; empty if limits are not enforced.
     std::optional<Limit::AllotmentRules> allotments;
--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -179,8 +179,11 @@
     for (const auto& [name, rules] : m_catalog->groups) {
         auto& group = m_groups[name];
         GroupServiceDelegate& delegate = *this;
-        if (!group)
+        const bool isNew = !group;
+        if (isNew)
             group = std::make_unique<GroupService>(m_settings.host, name, delegate);
+        if (isNew && m_settings.isFirstStart && now - m_startedAt < firstStartPeriod)
+            group->setFirstStart();
         group->setRules(rules);
     }
     if (m_allotments)
--- a/src/proxy/ReplacementGuard.cpp
+++ b/src/proxy/ReplacementGuard.cpp
@@ -41,7 +41,7 @@
 
 std::string_view toString(DoubtResolution resolution)
 {
-    constexpr std::string_view texts[] { "successor", "row", "time" };
+    constexpr std::string_view texts[] { "successor", "row", "members", "time" };
     return texts[static_cast<std::size_t>(resolution)];
 }
 
@@ -75,8 +75,17 @@
         if (isSuccessor && m_doubt != PrimaryDoubt::None)
             resolve(now, DoubtResolution::Successor, now);
     }
-    if (m_doubt != PrimaryDoubt::None && !m_reportedAt)
-        m_reportedAt = now;
+    if (m_doubt == PrimaryDoubt::None || m_reportedAt)
+        return;
+    m_reportedAt = now;
+    if (m_doubt == PrimaryDoubt::Started && m_isFirstStart)
+        m_nextReadAt = now + firstStartDelay;
+}
+
+void ReplacementGuard::recordNoReplacement(Instant now)
+{
+    if (m_doubt == PrimaryDoubt::Started && m_isFirstStart && m_reportedAt)
+        resolve(now, DoubtResolution::Members, now);
 }
 
 void ReplacementGuard::recordFence(Instant now, Term fencedTerm)
--- a/src/proxy/ReplacementGuard.h
+++ b/src/proxy/ReplacementGuard.h
@@ -34,6 +34,8 @@
     Successor,
     /// The row of the lease showed that no replacement is held or pending.
     Row,
+    /// On the first start of a deployment every listed member answered, and none is fenced.
+    Members,
     /// The row could not be read for so long that an earlier call has had its effect.
     Time,
 };
@@ -76,6 +78,9 @@
     /// Time without a resolution after which this host takes part in the replacement itself.
     static constexpr Duration overdueTimeout = std::chrono::milliseconds(2500);
 
+    /// Time for the members to answer before the row is read on the first start of a deployment.
+    static constexpr Duration firstStartDelay = std::chrono::milliseconds(500);
+
     /// How a doubt ended, for the log.
     struct Resolved {
         ReportedPrimary primary;
@@ -84,6 +89,11 @@
         Duration length {};
     };
 
+    /// All hosts of the deployment have just started for the first time, so that the members' answers tell whether one
+    /// of them replaces the primary. It saves a read of the row for each host and group.
+    void setFirstStart() { m_isFirstStart = true; }
+    /// Records that all listed members have answered, and that none is fenced or in a later term.
+    void recordNoReplacement(Instant now);
     /// Records that the primary can't be relied on from now on, until it is seen and the doubt is resolved.
     void raise(Instant now, PrimaryDoubt);
     /// Records a target that reports to be the primary in the highest term known.
@@ -134,6 +144,7 @@
     void resolve(Instant now, DoubtResolution, Instant asOf);
 
     std::optional<ReportedPrimary> m_primary;
+    bool m_isFirstStart { false };
     PrimaryDoubt m_doubt { PrimaryDoubt::Started };
     /// When the doubt was raised; the primary was last used before.
     Instant m_doubtedSince {};
--- a/tests/platform/RowDecoderTests.cpp
+++ b/tests/platform/RowDecoderTests.cpp
@@ -141,6 +141,11 @@
     CHECK(read->seeds.size() == 2);
     CHECK(read->stopTimeout == std::chrono::seconds(6));
 
+    CHECK_FALSE(read->isFirstStart);
+    auto first = settings;
+    first["FirstStart"] = true;
+    CHECK(readSettings(first.dump(), metricsPort)->isFirstStart);
+
     auto broken = settings;
     broken["platform"].erase("Address");
     const auto refused = readSettings(broken.dump(), metricsPort);
--- a/tests/proxy/GroupWatcherTests.cpp
+++ b/tests/proxy/GroupWatcherTests.cpp
@@ -362,3 +362,30 @@
         CHECK(refusing.isDown(start + 1ms));
     }
 }
+
+TEST_CASE("On the first start of a deployment a primary is used once all members have answered without a fence",
+    "[proxy][watcher]")
+{
+    GroupWatcher watcher;
+    watcher.setRules({ 50, 1 });
+    watcher.guard().setFirstStart();
+    watcher.setMembers(start, { record("p", 1, true), record("r", 2), record("s", 3) });
+    watcher.recordStatus(start, p, start, makeStatus(true, 1, 7));
+    watcher.recordStatus(start, r, start, makeStatus(false, 1, 7));
+    CHECK_FALSE(watcher.guard().allows(p));
+    SECTION("by a member that follows")
+    {
+        watcher.recordStatus(start, s, start, makeStatus(false, 1, 7));
+        CHECK(watcher.guard().allows(p));
+    }
+    SECTION("but not if one is fenced")
+    {
+        watcher.recordStatus(start, s, start, makeStatus(false, 1, 7, 2));
+        CHECK_FALSE(watcher.guard().allows(p));
+    }
+    SECTION("nor if one is in a later term")
+    {
+        watcher.recordStatus(start, s, start, makeStatus(false, 2, 7));
+        CHECK_FALSE(watcher.guard().allows(p));
+    }
+}
--- a/tests/proxy/ReplacementGuardTests.cpp
+++ b/tests/proxy/ReplacementGuardTests.cpp
@@ -106,6 +106,45 @@
     }
 }
 
+TEST_CASE("On the first start of a deployment the members' answers save the read of the row", "[proxy][guard]")
+{
+    const Instant now { 100s };
+    ReplacementGuard guard;
+    guard.setFirstStart();
+    guard.recordNoReplacement(now);
+    CHECK_FALSE(guard.allows(p));
+    guard.recordPrimary(now, reported("p", 3));
+    CHECK_FALSE(guard.isReadDue(now));
+    SECTION("if they show no replacement")
+    {
+        guard.recordNoReplacement(now);
+        CHECK(guard.allows(p));
+        CHECK(guard.takeResolved()->resolution == DoubtResolution::Members);
+    }
+    SECTION("but not for ever")
+    {
+        CHECK(guard.isReadDue(now + ReplacementGuard::firstStartDelay));
+    }
+    SECTION("nor after the primary was lost")
+    {
+        guard.recordNoReplacement(now);
+        guard.raise(now, PrimaryDoubt::ContactLost);
+        guard.recordPrimary(now, reported("p", 3));
+        guard.recordNoReplacement(now);
+        CHECK_FALSE(guard.allows(p));
+    }
+}
+
+TEST_CASE("A host that starts again reads the row whatever the members answer", "[proxy][guard]")
+{
+    const Instant now { 100s };
+    ReplacementGuard guard;
+    guard.recordPrimary(now, reported("p", 3));
+    guard.recordNoReplacement(now);
+    CHECK_FALSE(guard.allows(p));
+    CHECK(guard.isReadDue(now));
+}
+
 // Guards against docs/incidents/returned-primary.md.
 TEST_CASE(
     "A crashed primary that is back under another name is not used while its term is being replaced", "[proxy][guard]")
