--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -5,6 +5,9 @@
 
 namespace Auburnpost::Proxy {
 
+// A primary that is not used counts as missing for as long as one that is not there.
+static_assert(ReplacementGuard::overdueTimeout == GroupWatcher::missingTimeout);
+
 std::string_view toString(FailoverReason failoverReason)
 {
     constexpr std::string_view texts[] { "none", "missing", "down", "blocked", "leaving", "doubted" };
