Log the copy and the calls behind a refusal, and a copy older than its bound

E0611 and E0613 have as_of, failures and call_ms. E0222 is also logged once a copy is older than its whole bound although no call has failed. The metrics have the present age of each copy beside the largest.

proxy_tests "A copy older than its bound is logged although no call has failed" failed before (0 lines); proxy_tests [age] and platform_tests pass (x86-64).

--- a/src/app/ProxyAssembly.cpp
+++ b/src/app/ProxyAssembly.cpp
@@ -296,9 +296,12 @@
 {
     std::string text = "store_calls_waiting count=" + std::to_string(m_storeClient.waiting())
         + " max=" + std::to_string(m_storeClient.mostWaiting()) + "\n";
-    for (const auto table : Proxy::followedTables)
+    for (const auto table : Proxy::followedTables) {
+        const auto age = m_proxy.copyAge(now(), table);
         text += "copy_age_" + std::string(toString(table))
-            + "_ms max=" + std::to_string(toMilliseconds(m_proxy.largestCopyAge(table))) + "\n";
+            + "_ms now=" + (age ? std::to_string(toMilliseconds(*age)) : "-")
+            + " max=" + std::to_string(toMilliseconds(m_proxy.largestCopyAge(table))) + "\n";
+    }
     return text;
 }
 
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -107,6 +107,8 @@
     [[nodiscard]] bool mayRelay(Instant now, const TargetName&) const;
     void peerAnswered(Instant now, const SocketAddress&, const Expected<TableStates>&);
     [[nodiscard]] TableStates tables() const;
+    /// @return the age of this host's copy of a table; empty if the store never confirmed it.
+    [[nodiscard]] std::optional<Duration> copyAge(Instant now, StoreTable) const;
     /// @return the largest age that this host's copy of a table has had.
     [[nodiscard]] Duration largestCopyAge(StoreTable table) const
     {
@@ -241,7 +243,8 @@
     void logStoreCall(Instant, StoreTable, const CallsBefore&, const std::optional<Error>& failure);
     void logFailedCall(
         Instant, StoreTable, const StoreFollower::Call&, const StoreFollower::CallHistory& before, const Error&);
-    /// Observes the age of the copy of a table, and logs one that exceeds half of its bound.
+    /// Observes the age of the copy of a table, and logs one that exceeds half of its bound while calls fail, or its
+    /// bound.
     void reportCopyAge(Instant, StoreTable);
     /// Notes the era of the store that an answer states.
     void recordEra(StoreTable, const RowVersion& asOf);
@@ -256,7 +259,6 @@
     /// @return the answer to a request; empty if this host's copy is too old to be passed on.
     [[nodiscard]] std::optional<FeedPage> feedPage(Instant now, StoreTable, RowVersion after) const;
     [[nodiscard]] StoreFollower& follower(StoreTable table) { return m_followers[static_cast<std::size_t>(table)]; }
-    [[nodiscard]] CopyAge& copyAge(StoreTable table) { return m_copyAges[static_cast<std::size_t>(table)]; }
 
     ProxySettings m_settings;
     const RowReader& m_reader;
--- a/src/proxy/ProxyStatementLog.cpp
+++ b/src/proxy/ProxyStatementLog.cpp
@@ -17,8 +17,13 @@
 {
     if (m_catalog)
         fields.push_back({ "known_ms", std::to_string(toMilliseconds(m_now - m_catalogAppliedAt)) });
-    const auto confirmedAt = m_followers[static_cast<std::size_t>(StoreTable::Configuration)].origin().confirmedAt;
+    const auto& follower = m_followers[static_cast<std::size_t>(StoreTable::Configuration)];
+    const auto confirmedAt = follower.origin().confirmedAt;
+    const auto callSentAt = follower.earliestCallSentAt();
     fields.push_back({ "confirmed_ms", confirmedAt ? std::to_string(toMilliseconds(m_now - *confirmedAt)) : "-" });
+    fields.push_back({ "as_of", toString(follower.state().asOf) });
+    fields.push_back({ "failures", std::to_string(follower.calls().failures) });
+    fields.push_back({ "call_ms", callSentAt ? std::to_string(toMilliseconds(m_now - *callSentAt)) : "-" });
     if (!session.forwardedBy.value().empty())
         fields.push_back({ "forwarded_by", session.forwardedBy.value() });
 }
--- a/src/proxy/ProxyTableLog.cpp
+++ b/src/proxy/ProxyTableLog.cpp
@@ -53,12 +53,18 @@
     log({ history.failingSince ? LogEvent::PlatformCallFailed : LogEvent::PlatformOutage, std::move(fields) });
 }
 
+std::optional<Duration> Proxy::copyAge(Instant now, StoreTable table) const
+{
+    const auto confirmedAt = m_followers[static_cast<std::size_t>(table)].origin().confirmedAt;
+    return confirmedAt ? std::optional(now - *confirmedAt) : std::nullopt;
+}
+
 void Proxy::reportCopyAge(Instant now, StoreTable table)
 {
     const auto& follower = this->follower(table);
-    // The copy of a host whose poll waits for a change may be as old as the longest wait.
-    const auto limit = follower.isBehind(now) ? follower.limit() / 2 : Duration::max();
-    const auto age = copyAge(table).observe(now, follower.origin().confirmedAt, limit);
+    // The copy of a host whose poll waits for a change may be as old as the longest wait, but never as the bound.
+    const auto limit = follower.isBehind(now) ? follower.limit() / 2 : follower.limit();
+    const auto age = m_copyAges[static_cast<std::size_t>(table)].observe(now, follower.origin().confirmedAt, limit);
     if (!age)
         return;
     log({ LogEvent::TableCopyOld,
--- a/src/proxy/StoreFollower.cpp
+++ b/src/proxy/StoreFollower.cpp
@@ -39,6 +39,12 @@
     return earliest;
 }
 
+std::optional<Instant> StoreFollower::earliestCallSentAt() const
+{
+    const auto earliest = earliestInProgress();
+    return earliest ? std::optional(call(*earliest).sentAt) : std::nullopt;
+}
+
 bool StoreFollower::isOverdue(const Call& call, Instant now)
 {
     return call.isInProgress && !call.feeder && now > call.sentAt + call.wait + TableTimes::minAnswerTimeout;
--- a/src/proxy/StoreFollower.h
+++ b/src/proxy/StoreFollower.h
@@ -91,6 +91,8 @@
     [[nodiscard]] const CallHistory& calls() const { return m_history; }
     /// @return the call in a slot, or the last one that was.
     [[nodiscard]] const Call& call(StoreCallSlot slot) const { return m_slots[static_cast<std::size_t>(slot)]; }
+    /// @return when the earliest call in progress was sent; empty if there is none.
+    [[nodiscard]] std::optional<Instant> earliestCallSentAt() const;
     /// @return whether calls fail, or the one in progress may be lost.
     [[nodiscard]] bool isBehind(Instant now) const;
     /// @return the time within which a change is to be known.
--- a/tests/platform/DecisionLogTests.cpp
+++ b/tests/platform/DecisionLogTests.cpp
@@ -77,6 +77,9 @@
         CHECK(fields.at("version") == "5");
         CHECK(fields.at("known_ms") == "2000");
         CHECK(fields.at("confirmed_ms") == "2000");
+        CHECK(fields.at("as_of") == "5");
+        CHECK(fields.at("failures") == "0");
+        CHECK(fields.at("call_ms") == "2000");
         CHECK(fields.at("forwarded_by") == "host-3");
     }
     SECTION("of a session")
--- a/tests/proxy/CopyAgeTests.cpp
+++ b/tests/proxy/CopyAgeTests.cpp
@@ -93,3 +93,21 @@
     CHECK(host.countOf(LogEvent::TableCopyOld, "configuration") == 0);
     CHECK(host.delegate.cancelled.empty());
 }
+
+TEST_CASE("A copy older than its bound is logged although no call has failed", "[proxy][age]")
+{
+    RecordedProxy host;
+    // With so many hosts in the data centre the tables are followed at another one, whose answer never comes.
+    RecordedProxy::Rows hosts;
+    for (std::size_t index = 0; index < FeederChoice::minHosts + FeederChoice::feeders; ++index) {
+        const SocketAddress address { "10.0.0.1", static_cast<std::uint16_t>(index + 1) };
+        const HostName name("host-" + std::to_string(index));
+        hosts[name.value()] = HostDirectory::encode({ name, {}, address, address, 1.0, address });
+    }
+    host.proxy.tableRead(host.now, StoreTable::Hosts, RecordedProxy::page({ 110, StoreEra(1) }, hosts));
+    host.run(60ms);
+    host.change(StoreTable::Configuration, { 110, StoreEra(1) }, {});
+    host.run(TimeBounds {}.configuration + 200ms);
+    CHECK(host.countOf(LogEvent::TableCopyOld, "configuration") == 1);
+    CHECK(host.countOf(LogEvent::PlatformOutage, "configuration") == 0);
+}
