Reproduce a host that stays behind while no call of it fails

Schedules in which the calls of one host for the configuration end in every way that a store or a connection allows, and some that they don't, while the host, the store and all other hosts are undisturbed; alone and after an outage of 6 s.

--- a/tests/proxy/ConfigurationHost.h
+++ b/tests/proxy/ConfigurationHost.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "proxy/CallFault.h"
 #include "proxy/ConfigurationChecker.h"
 #include "proxy/Proxy.h"
 #include "proxy/SimulatedConnections.h"
@@ -93,10 +94,26 @@
     /// Sends a call to the store, whose request or answer may be lost, late or refused.
     void callStore(Duration timeout, const StoreRequest&, const PageHandler&);
     void sendToStore(const StoreRequest&, const PageHandler& end);
+    struct TableCall {
+        StoreTable table;
+        StoreCallSlot slot;
+        Duration timeout;
+        bool isRead { true };
+        RowVersion after;
+        Duration wait {};
+    };
+
     /// Sends a call for a table. Those for the followed tables have connections of their own, and fail if they are due
     /// to fail in series.
-    void callForTable(
-        StoreTable, StoreCallSlot, bool isRead, Duration timeout, const StoreRequest&, const PageHandler&);
+    void callForTable(const TableCall&, const StoreRequest&, const PageHandler&);
+    /// Sends a call that ends as the fault says.
+    void callWithFault(CallFault, const TableCall&, const StoreRequest&, const PageHandler& end);
+    /// Ends a call to a feeder as the fault says.
+    /// @param withoutChanges the answer of a feeder whose table has not changed.
+    void followFeederWithFault(CallFault, Duration roundTrip, const FeedPage& withoutChanges, Duration wait,
+        const std::function<void(const Expected<FeedPage>&)>& end);
+    /// @return the request of a call that is answered late, with what the store has when it arrives.
+    [[nodiscard]] StoreRequest lateRequest(const TableCall&, const StoreRequest&);
     /// @return a function that handles the answer to a call for a table unless the call was cancelled.
     template <typename Page>
     std::function<void(const Expected<Page>&)> cancellable(
--- a/tests/proxy/ConfigurationHostPlatform.cpp
+++ b/tests/proxy/ConfigurationHostPlatform.cpp
@@ -72,15 +72,22 @@
     m_tableCalls.at({ table, slot }) = 0;
 }
 
-void ConfigurationHost::callForTable(StoreTable table, StoreCallSlot slot, bool isRead, Duration timeout,
-    const StoreRequest& request, const PageHandler& handle)
+void ConfigurationHost::callForTable(const TableCall& call, const StoreRequest& request, const PageHandler& handle)
 {
-    if (table == StoreTable::Hosts) {
-        callStore(timeout, request, handle);
+    if (call.table == StoreTable::Hosts) {
+        callStore(call.timeout, request, handle);
         return;
     }
-    const auto end = startCall<StorePage>(timeout, cancellable<StorePage>(table, slot, handle));
-    const auto failure = m_simulation.nextFailure(m_index, isRead);
+    const auto fault = m_simulation.nextCallFault(m_index, call.table);
+    const auto cancellableHandle = cancellable<StorePage>(call.table, call.slot, handle);
+    if (fault == CallFault::NeverEnds)
+        return;
+    const auto end = startCall<StorePage>(call.timeout, cancellableHandle);
+    if (fault) {
+        callWithFault(*fault, call, request, end);
+        return;
+    }
+    const auto failure = m_simulation.nextFailure(m_index, call.isRead);
     if (!failure) {
         sendToStore(request, end);
         return;
@@ -90,15 +97,78 @@
     Expected<StorePage> answer = StorePage {};
     if (failure == SeriesFailure::Refused)
         answer = callFailure("503");
-    else if (!isRead)
+    else if (!call.isRead)
         answer->isHistoryUnavailable = true;
     deliver(2 * m_simulation.storeDelay(m_index), [end, answer] { end(answer); });
 }
 
+void ConfigurationHost::callWithFault(
+    CallFault fault, const TableCall& call, const StoreRequest& request, const PageHandler& end)
+{
+    const auto answer = [this, end](const Expected<StorePage>& page, Duration delay = {}) {
+        deliver(2 * m_simulation.storeDelay(m_index) + delay, [end, page] { end(page); });
+    };
+    StorePage page;
+    switch (fault) {
+    case CallFault::NoAnswer:
+    case CallFault::NeverEnds:
+        return;
+    case CallFault::Refused:
+        answer(callFailure("503"));
+        return;
+    case CallFault::RejectedRead:
+    case CallFault::NoHistory:
+        page.isHistoryUnavailable = !call.isRead;
+        if (call.isRead && fault == CallFault::NoHistory)
+            sendToStore(request, end);
+        else
+            answer(page);
+        return;
+    case CallFault::Late:
+        sendToStore(lateRequest(call, request), end);
+        return;
+    case CallFault::EarlierMoment:
+        page.asOf = call.after;
+        if (call.isRead)
+            sendToStore(request, end);
+        else
+            answer(page, call.wait);
+        return;
+    case CallFault::MissingRows:
+        sendToStore(
+            [request, isRead = call.isRead](const auto& reply) {
+                request([reply, isRead](StorePage changes) {
+                    if (!isRead)
+                        changes.rows.clear();
+                    reply(changes);
+                });
+            },
+            end);
+        return;
+    }
+}
+
+ConfigurationHost::StoreRequest ConfigurationHost::lateRequest(const TableCall& call, const StoreRequest& request)
+{
+    constexpr Duration timeLeft = std::chrono::milliseconds(10);
+    const auto delay = std::max(Duration {}, call.timeout - 2 * m_simulation.storeDelay(m_index) - timeLeft);
+    return [this, call, request, delay](const auto& reply) {
+        const auto replyLate = [this, reply, delay](const StorePage& page) {
+            m_simulation.after(delay, [reply, page] { reply(page); });
+        };
+        if (call.isRead) {
+            request(replyLate);
+            return;
+        }
+        m_simulation.store().poll(call.table, call.after, m_simulation.now(), replyLate);
+        m_simulation.store().endPolls(m_simulation.now());
+    };
+}
+
 void ConfigurationHost::readTable(StoreTable table, const std::string& fromKey, Duration timeout, StoreCallSlot slot)
 {
     callForTable(
-        table, slot, true, timeout,
+        { table, slot, timeout, true, {}, {} },
         [this, table, fromKey](const auto& answer) { answer(m_simulation.store().read(table, fromKey)); },
         [this, table, slot](const auto& page) { m_proxy->tableRead(m_simulation.now(), table, page, slot); });
 }
@@ -107,7 +177,7 @@
     StoreTable table, RowVersion after, Duration wait, Duration timeout, StoreCallSlot slot)
 {
     callForTable(
-        table, slot, false, timeout,
+        { table, slot, timeout, false, after, wait },
         [this, table, after, wait](const auto& answer) {
             m_simulation.store().poll(table, after, m_simulation.now() + wait, answer);
             m_simulation.after(wait, [this] { m_simulation.store().endPolls(m_simulation.now()); });
@@ -160,10 +230,18 @@
 {
     auto& feeder = m_simulation.host(static_cast<std::size_t>(address.port - peerPort));
     const auto delay = m_simulation.delayBetween(m_index, feeder.index());
-    const auto end = startCall<FeedPage>(
-        timeout, cancellable<FeedPage>(table, slot, [this, address, table, slot](const Expected<FeedPage>& page) {
-            m_proxy->feederAnswered(m_simulation.now(), address, table, page, slot);
-        }));
+    const auto handle
+        = cancellable<FeedPage>(table, slot, [this, address, table, slot](const Expected<FeedPage>& page) {
+              m_proxy->feederAnswered(m_simulation.now(), address, table, page, slot);
+          });
+    const auto fault = m_simulation.nextCallFault(m_index, table);
+    if (fault == CallFault::NeverEnds)
+        return;
+    const auto end = startCall<FeedPage>(timeout, handle);
+    if (fault) {
+        followFeederWithFault(*fault, 2 * delay, { after, {}, {} }, wait, end);
+        return;
+    }
     if (feeder.isKilled()) {
         deliver(2 * delay, [end] { end(callFailure("refused")); });
         return;
@@ -181,6 +259,20 @@
     });
 }
 
+void ConfigurationHost::followFeederWithFault(CallFault fault, Duration roundTrip, const FeedPage& withoutChanges,
+    Duration wait, const std::function<void(const Expected<FeedPage>&)>& end)
+{
+    if (fault == CallFault::NoAnswer)
+        return;
+    // A feeder has no history of changes.
+    const bool isAnswered
+        = fault == CallFault::Late || fault == CallFault::EarlierMoment || fault == CallFault::MissingRows;
+    if (isAnswered)
+        deliver(roundTrip + wait, [end, withoutChanges] { end(withoutChanges); });
+    else
+        deliver(roundTrip, [end] { end(callFailure("503")); });
+}
+
 void ConfigurationHost::answerFeed(RequestId id, const std::optional<FeedPage>& page)
 {
     m_feedRequests.extract(id).mapped()(page);
--- a/tests/proxy/ConfigurationSimulation.cpp
+++ b/tests/proxy/ConfigurationSimulation.cpp
@@ -111,7 +111,7 @@
     Catalog catalog;
     catalog.version = ConfigVersion(version);
     for (std::size_t group = 0; group < groupCount; ++group)
-        catalog.groups[groupAt(group)] = { group == 0 ? manyConnections : fewConnections, 0 };
+        catalog.groups[groupAt(group)] = { group == 0 || !m_scenario.hasHomes ? manyConnections : fewConnections, 0 };
     for (const auto& [database, group] : m_checker.routesOf(version))
         catalog.routes[database] = { group, Consistency::BoundedStaleness, 800ms, 1, 10s };
     return catalog;
@@ -293,6 +293,22 @@
     return failure;
 }
 
+void ConfigurationSimulation::breakFollowing(std::size_t host, std::vector<CallFault> faults, Duration length)
+{
+    trace("host " + std::to_string(host) + " follows wrongly for " + std::to_string(toMilliseconds(length)) + " ms");
+    auto& fault = m_storeFaults.at(host);
+    fault.callFaults = std::move(faults);
+    fault.callFaultsUntil = now() + length;
+}
+
+std::optional<CallFault> ConfigurationSimulation::nextCallFault(std::size_t host, StoreTable table)
+{
+    const auto& fault = m_storeFaults.at(host);
+    if (table != StoreTable::Configuration || now() >= fault.callFaultsUntil || fault.callFaults.empty())
+        return {};
+    return fault.callFaults[index(fault.callFaults.size())];
+}
+
 void ConfigurationSimulation::silenceStore(std::size_t host, Duration length)
 {
     trace("silent store for host " + std::to_string(host) + " for " + std::to_string(toMilliseconds(length)) + " ms");
--- a/tests/proxy/ConfigurationSimulation.h
+++ b/tests/proxy/ConfigurationSimulation.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "group/EventQueue.h"
+#include "proxy/CallFault.h"
 #include "proxy/ConfigurationCaller.h"
 #include "proxy/ConfigurationChecker.h"
 #include "proxy/ConfigurationHost.h"
@@ -25,10 +26,12 @@
     bool callsFailInSeries { false };
     /// Connections of each host to the store.
     std::size_t storeConnections { 6 };
+    /// Whether targets admit too few connections for every host, so that sessions on two groups are forwarded to homes.
+    bool hasHomes { true };
 };
 
 /// Several proxies in simulated time in front of one store whose configuration is edited all the time, with callers at
-/// each host. Sessions on two of the three groups are forwarded to homes.
+/// each host.
 class ConfigurationSimulation {
 public:
     static constexpr std::size_t databaseCount = 5;
@@ -46,6 +49,10 @@
     /// hosts for a time.
     void failCalls(std::size_t host, std::deque<SeriesFailure> series, Duration peersSilence);
 
+    /// Makes the calls of a host for the configuration end in one of the ways, chosen anew for each call, although the
+    /// host and the store are undisturbed.
+    void breakFollowing(std::size_t host, std::vector<CallFault> faults, Duration length);
+
     [[nodiscard]] Instant now() const { return m_queue.now(); }
     void after(Duration delay, std::function<void()> task) { m_queue.after(delay, std::move(task)); }
     [[nodiscard]] Duration between(Duration low, Duration high);
@@ -64,6 +71,8 @@
     [[nodiscard]] std::size_t storeConnections() const { return m_scenario.storeConnections; }
     /// @return how the host's next call for a table fails; empty if it does not fail by itself.
     [[nodiscard]] std::optional<SeriesFailure> nextFailure(std::size_t host, bool isRead);
+    /// @return how the host's next call for a table ends while its following is broken.
+    [[nodiscard]] std::optional<CallFault> nextCallFault(std::size_t host, StoreTable);
     [[nodiscard]] bool isStoreSilent(std::size_t host) const { return m_storeFaults[host].silentUntil > now(); }
     [[nodiscard]] bool isStoreRefusing(std::size_t host) const { return m_storeFaults[host].refusingUntil > now(); }
     [[nodiscard]] bool arePeersSilent(std::size_t host) const { return m_storeFaults[host].peersSilentUntil > now(); }
@@ -93,6 +102,9 @@
         Duration delay {};
         /// How the first calls after the fault fail.
         std::deque<SeriesFailure> series;
+        /// How calls for the configuration end until then.
+        std::vector<CallFault> callFaults;
+        Instant callFaultsUntil;
         /// Until then the host's queries of other hosts are lost as well.
         Instant peersSilentUntil;
     };
