Request a newer configuration again when the first query was lost

A host that was told of a newer configuration by the host that forwards a session to it, or that serves one for it, asked that host once, 60 ms later. If this query or its answer was lost, it never asked again: the same version, when it was stated again, was taken for one that is on its way, also from another host. Callers saw the older configuration until the host's own calls brought the newer one.

The query counts as lost 0.6 s after it was sent, the timeout that it has, and the next statement leads to another one. The timeout is now one constant, of the decision and of the call.

--- a/src/app/ProxyAssemblyPlatform.cpp
+++ b/src/app/ProxyAssemblyPlatform.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-    constexpr Duration peerTimeout = std::chrono::milliseconds(600);
     constexpr Duration membersTimeout = std::chrono::milliseconds(900);
     constexpr auto snapshotPath = "/v1/snapshot";
     constexpr int statusOk = 200;
@@ -186,7 +185,7 @@
     PlatformCall snapshotCall;
     snapshotCall.id = PlatformCallId(++m_lastCallId);
     snapshotCall.path = snapshotPath;
-    snapshotCall.timeout = peerTimeout;
+    snapshotCall.timeout = Proxy::Proxy::peerAnswerTimeout;
     client->call(snapshotCall);
 }
 
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -41,6 +41,8 @@
     /// Time after which a newer configuration is requested from the host that has it. It usually arrives from the store
     /// before.
     static constexpr Duration versionQueryDelay = std::chrono::milliseconds(60);
+    /// Time within which another host answers a query for its tables.
+    static constexpr Duration peerAnswerTimeout = std::chrono::milliseconds(600);
     /// Time for which a host keeps watching a group's targets after its last session on the group.
     static constexpr Duration groupLinger = std::chrono::seconds(10);
     /// Peers are queried while a table has not been read yet, and once calls to the store have failed for peerDelay; in
@@ -279,7 +281,8 @@
         ConfigVersion version;
         HostName host;
         Instant statedAt {};
-        bool isQueried { false };
+        /// When the configuration was requested from that host.
+        std::optional<Instant> queriedAt {};
     };
 
     NewerVersion m_newerVersion;
--- a/src/proxy/ProxyForwarding.cpp
+++ b/src/proxy/ProxyForwarding.cpp
@@ -104,7 +104,12 @@
 
 void Proxy::recordNewerVersion(const HostName& host, ConfigVersion version)
 {
-    if (!m_catalog || version <= std::max(m_catalog->version, m_newerVersion.version))
+    if (!m_catalog || version <= m_catalog->version)
+        return;
+    // A query that was not answered is repeated once the version is stated again.
+    const auto& queriedAt = m_newerVersion.queriedAt;
+    const bool isAwaited = !queriedAt || m_now - *queriedAt < peerAnswerTimeout;
+    if (isAwaited && version <= m_newerVersion.version)
         return;
     m_newerVersion = { version, host, m_now };
     log({ LogEvent::NewerConfigurationStated,
@@ -114,10 +119,10 @@
 
 void Proxy::queryNewerVersion(Instant now)
 {
-    if (!m_catalog || m_newerVersion.isQueried || m_newerVersion.version <= m_catalog->version
+    if (!m_catalog || m_newerVersion.queriedAt || m_newerVersion.version <= m_catalog->version
         || now - m_newerVersion.statedAt < versionQueryDelay)
         return;
-    m_newerVersion.isQueried = true;
+    m_newerVersion.queriedAt = now;
     for (const auto& host : m_hosts.hosts()) {
         if (host.name == m_newerVersion.host && host.peers)
             m_delegate.queryPeer(*host.peers);
--- a/tests/proxy/PeerAgeTests.cpp
+++ b/tests/proxy/PeerAgeTests.cpp
@@ -275,3 +275,30 @@
     started.open(1, "bills");
     CHECK(started.delegate.accepted.contains(SessionId(1)));
 }
+
+// Guards against a host that never asks again for a newer version of which it was told.
+TEST_CASE("A newer configuration is requested again when the first query for it was lost", "[proxy][age]")
+{
+    RecordedProxy host;
+    const HostEntry other { HostName("other"), DataCentreName("east"), { "10.2.0.9", 7440 }, { "10.2.0.9", 7455 }, 1.0,
+        peerAddress(1) };
+    host.read(StoreTable::Hosts, { 110, firstEra }, { { "other", HostDirectory::encode(other) } });
+    // Without these answers a host that started lately queries others anyway.
+    for (std::size_t answers = 0; answers < Auburnpost::Proxy::Proxy::startPeers; ++answers)
+        host.proxy.peerAnswered(host.now, peerAddress(1), TableStates {});
+    const auto queriesAfterStatement = [&host, &other] {
+        host.delegate.queriedPeers.clear();
+        host.proxy.versionStated(host.now, other.name, ConfigVersion(11));
+        host.run(150ms);
+        return host.delegate.queriedPeers.size();
+    };
+    CHECK(queriesAfterStatement() == 1);
+    CHECK(queriesAfterStatement() == 0);
+    host.run(peerTimeout);
+    CHECK(queriesAfterStatement() == 1);
+    const RowVersion version(120, firstEra);
+    const TableState newer { version, { { "config", { "config", version, "11 orders group", false } } } };
+    host.proxy.peerAnswered(host.now, peerAddress(1), TableStates { { StoreTable::Configuration, newer } });
+    host.run(peerTimeout);
+    CHECK(queriesAfterStatement() == 0);
+}
