Let hosts compare the versions of their configurations with each other

Cause, of the class: the only proof of a host's age was made by its own calls to the store, and other hosts were asked only once such a call had failed. A call that is answered without the changes, or never ends, left the host behind without a bound, and without a line in its log.

Each host now asks another one for its version at intervals, whatever its own calls do, and states its own; whoever is behind fetches the configuration from the other one after 60 ms, unless it has come by itself (anti-entropy). Partners are four hosts by rendezvous hashing, three of them in the own data centre; each is asked once in half of the bound. One that does not answer within 250 ms is avoided for 10 s, and the next is asked at once. Versions are compared by the operator's number, not by the version of the copy, which may be what is wrong.

A host that is found behind logs E0223 with the state of its copy and its calls, and how long it was behind stands in the metrics; E0611 and E0613 say when another host last agreed, as do the metrics and /state.

--- a/src/app/ProxyAssembly.cpp
+++ b/src/app/ProxyAssembly.cpp
@@ -302,7 +302,9 @@
             + "_ms now=" + (age ? std::to_string(toMilliseconds(*age)) : "-")
             + " max=" + std::to_string(toMilliseconds(m_proxy.largestCopyAge(table))) + "\n";
     }
-    return text;
+    const auto versionAge = m_proxy.versionAge(now());
+    return text + "configuration_agreed_ms now=" + (versionAge ? std::to_string(toMilliseconds(*versionAge)) : "-")
+        + "\n";
 }
 
 void ProxyAssembly::measure(std::string_view series, double sample)
--- a/src/app/ProxyAssembly.h
+++ b/src/app/ProxyAssembly.h
@@ -120,12 +120,17 @@
     void readMembers(const Proxy::GroupName&, const std::string& fromKey) override;
     void promote(const Proxy::GroupName&, const TargetName&, Proxy::RowVersion token, Instant sendBefore) override;
     void queryPeer(const SocketAddress&) override;
+    void queryVersion(const SocketAddress&, ConfigVersion own, Duration timeout) override;
+    /// @return the client of calls to another host, apart from those for the followed tables.
+    [[nodiscard]] Wire::PlatformClient& peerClient(const SocketAddress&);
     void sendDatagram(const SocketAddress&, std::string_view) override;
     /// Opens the socket for datagrams once it is needed.
     void listenForDatagrams();
     void servePeer(const Wire::HttpRequest&);
     /// Serves a request of another host for the changes of a table.
     void serveFeed(const Wire::HttpRequest&);
+    /// Serves another host's question for the version of this host's configuration.
+    void serveVersion(const Wire::HttpRequest&);
     void onPlatformAnswer(const PlatformAnswer&);
 
     void log(const LogRecord&) override;
--- a/src/app/ProxyAssemblyPlatform.cpp
+++ b/src/app/ProxyAssemblyPlatform.cpp
@@ -16,6 +16,10 @@
     /// the wait in milliseconds.
     constexpr auto feedFolder = "tables";
     constexpr std::size_t feedPathSegments = 5;
+    /// Hosts ask "/v1/version/HOST/VERSION" with their name and the version of their configuration. The answer is a
+    /// version as text.
+    constexpr auto versionFolder = "version";
+    constexpr std::size_t versionPathSegments = 4;
     constexpr std::uint64_t maxFeedWaitMs = 60'000;
     /// One for each followed table.
     constexpr std::size_t feederConnections = 2;
@@ -170,23 +174,43 @@
     });
 }
 
-void ProxyAssembly::queryPeer(const SocketAddress& peer)
+Wire::PlatformClient& ProxyAssembly::peerClient(const SocketAddress& peer)
 {
     auto& client = m_peerClients[peer];
     if (!client) {
         client = std::make_unique<Wire::PlatformClient>(m_base, peer, clientLimits(m_settings, 1));
-        client->answered().connect([this, peer](const PlatformAnswer& answer) {
-            if (!answer.reply)
-                m_proxy.peerAnswered(now(), peer, tl::unexpected(answer.reply.error()));
-            else
-                m_proxy.peerAnswered(now(), peer, Proxy::decodeSnapshot(answer.reply->body));
-        });
+        client->answered().connect([this](const PlatformAnswer& answer) { onPlatformAnswer(answer); });
     }
+    return *client;
+}
+
+void ProxyAssembly::queryPeer(const SocketAddress& peer)
+{
     PlatformCall snapshotCall;
-    snapshotCall.id = PlatformCallId(++m_lastCallId);
     snapshotCall.path = snapshotPath;
     snapshotCall.timeout = Proxy::Proxy::peerAnswerTimeout;
-    client->call(snapshotCall);
+    call(peerClient(peer), std::move(snapshotCall), [this, peer](const Expected<PlatformReply>& reply) {
+        m_proxy.peerAnswered(now(), peer,
+            reply.and_then([](const PlatformReply& answered) { return Proxy::decodeSnapshot(answered.body); }));
+    });
+}
+
+void ProxyAssembly::queryVersion(const SocketAddress& peer, ConfigVersion own, Duration timeout)
+{
+    PlatformCall question;
+    question.path
+        = "/v1/" + std::string(versionFolder) + "/" + m_settings.host.value() + "/" + std::to_string(own.value());
+    question.timeout = timeout;
+    call(peerClient(peer), std::move(question), [this, peer](const Expected<PlatformReply>& reply) {
+        m_proxy.versionAnswered(
+            now(), peer, reply.and_then([&peer](const PlatformReply& answered) -> Expected<ConfigVersion> {
+                const auto version = Platform::readNumber(answered.body);
+                if (answered.status != statusOk || !version)
+                    return fail(ErrorCode::BadMessage, "ask for a version", peer.toString(),
+                        "status " + std::to_string(answered.status) + " or an answer that is no version");
+                return ConfigVersion(*version);
+            }));
+    });
 }
 
 void ProxyAssembly::sendDatagram(const SocketAddress& peer, std::string_view datagram)
@@ -243,6 +267,17 @@
     m_proxy.feedRequested(now(), request.id, *table, *after, std::chrono::milliseconds(*wait));
 }
 
+void ProxyAssembly::serveVersion(const Wire::HttpRequest& request)
+{
+    const auto version = Platform::readNumber(request.path[3]);
+    if (!version) {
+        m_peerServer.reply(request.id, { statusNotFound, {}, {} });
+        return;
+    }
+    const auto own = m_proxy.versionQueried(now(), HostName(request.path[2]), ConfigVersion(*version));
+    m_peerServer.reply(request.id, { statusOk, { { "Content-Type", "text/plain" } }, std::to_string(own.value()) });
+}
+
 void ProxyAssembly::answerFeed(RequestId id, const std::optional<Proxy::FeedPage>& page)
 {
     if (page)
@@ -258,6 +293,10 @@
         serveFeed(request);
         return;
     }
+    if (request.path.size() == versionPathSegments && request.path[1] == versionFolder) {
+        serveVersion(request);
+        return;
+    }
     const bool isStateRequest = !request.path.empty() && request.path.back() == "state";
     if (isStateRequest)
         m_peerServer.reply(request.id, { statusOk, { { "Content-Type", "application/json" } }, m_proxy.dump(now()) });
--- a/src/base/LogEvent.cpp
+++ b/src/base/LogEvent.cpp
@@ -17,7 +17,7 @@
     constexpr std::size_t numberDigits = 4;
 
     /// Sorted by number.
-    constexpr std::array<Definition, 82> definitions { {
+    constexpr std::array<Definition, 83> definitions { {
         { LogEvent::Started, LogLevel::Info, "host started" },
         { LogEvent::ShutdownStarted, LogLevel::Info, "host shutdown started" },
         { LogEvent::ShutdownCompleted, LogLevel::Info, "host shutdown completed" },
@@ -42,6 +42,7 @@
         { LogEvent::StoreEraChanged, LogLevel::Warn, "the platform's store came back from an older copy" },
         { LogEvent::NewerConfigurationStated, LogLevel::Info, "another host has a newer configuration" },
         { LogEvent::TableCopyOld, LogLevel::Warn, "copy of a table older than half of its bound" },
+        { LogEvent::ConfigurationBehind, LogLevel::Warn, "this host's configuration is behind another host's" },
         { LogEvent::HostJoined, LogLevel::Info, "host joined" },
         { LogEvent::HostSuspected, LogLevel::Warn, "host suspected to be dead" },
         { LogEvent::HostDead, LogLevel::Warn, "host declared dead" },
--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -35,6 +35,7 @@
     StoreEraChanged = 220,
     NewerConfigurationStated = 221,
     TableCopyOld = 222,
+    ConfigurationBehind = 223,
 
     HostJoined = 300,
     HostSuspected = 301,
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -17,6 +17,7 @@
     , m_followers { StoreFollower(StoreTable::Configuration, TableTimes::forConfiguration(m_settings.bounds), m_contact,
                         delegate),
         StoreFollower(StoreTable::Targets, TableTimes::forTargets(m_settings.bounds), m_contact, delegate) }
+    , m_versionExchange(m_settings.host, m_settings.dataCentre, TableTimes::forConfiguration(m_settings.bounds).limit())
     , m_directory(m_settings.bounds)
     , m_hosts({ m_settings.host, m_settings.dataCentre, m_settings.relay, m_settings.sessions,
                   m_settings.processorShare, m_settings.peers, true },
@@ -25,6 +26,7 @@
     , m_feeders(m_settings.host, m_settings.dataCentre)
     , m_peerQueriedAt(now)
 {
+    setSeeds(m_settings.seeds);
     if (m_settings.allotments) {
         const Limit::HostStart start(static_cast<std::uint32_t>(m_random() >> 33U) + 1);
         m_allotments.emplace(now, m_settings.host, *m_settings.allotments, start, m_delegate);
@@ -40,6 +42,7 @@
     log({ LogEvent::ProcessPaused, { { "gap_ms", std::to_string(toMilliseconds(gap)) } } });
     for (auto& follower : m_followers)
         follower.resumedAfterPause(before, now);
+    m_versionExchange.askAtOnce(now);
     for (auto& [name, group] : m_groups)
         group->resumedAfterPause(now);
 }
@@ -70,6 +73,7 @@
         group->tick(now);
     }
     const auto idleLimit = m_catalog ? m_catalog->transactionIdleLimit : Duration {};
+    exchangeVersions(now);
     queryNewerVersion(now);
     std::vector<SessionId> timedOut;
     std::vector<SessionId> waiting;
@@ -95,6 +99,14 @@
             { Session::FailureCode::Busy, "the configuration is not known yet; retry after 500 ms" });
 }
 
+void Proxy::setSeeds(std::vector<SocketAddress> seeds)
+{
+    m_settings.seeds = std::move(seeds);
+    auto others = m_settings.seeds;
+    std::erase(others, m_settings.peers);
+    m_versionExchange.setSeeds(std::move(others));
+}
+
 void Proxy::setBounds(const TimeBounds& bounds)
 {
     m_settings.bounds = bounds;
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -14,6 +14,7 @@
 #include "proxy/StoreFollower.h"
 #include "proxy/TableFeed.h"
 #include "proxy/TargetDirectory.h"
+#include "proxy/VersionExchange.h"
 
 #include <memory>
 #include <set>
@@ -121,7 +122,15 @@
     [[nodiscard]] bool usesDatagrams() const { return m_allotments && m_allotments->isEnabled(); }
     void datagramReceived(Instant now, const SocketAddress& from, std::string_view datagram);
 
-    void setSeeds(std::vector<SocketAddress> seeds) { m_settings.seeds = std::move(seeds); }
+    /// Another host states the version of its configuration, and asks for this host's.
+    /// @return the version of this host's configuration; 0 if there is none.
+    [[nodiscard]] ConfigVersion versionQueried(Instant now, const HostName& from, ConfigVersion theirs);
+    /// A host that was asked states the version of its configuration, or did not answer.
+    void versionAnswered(Instant now, const SocketAddress& partner, const Expected<ConfigVersion>& theirs);
+    /// @return the time since another host last stated a version that is not newer than this host's.
+    [[nodiscard]] std::optional<Duration> versionAge(Instant now) const;
+
+    void setSeeds(std::vector<SocketAddress> seeds);
     void setBounds(const TimeBounds&);
 
     // Leaving.
@@ -176,9 +185,26 @@
     [[nodiscard]] bool isRoutedAlike(const CallerSession&) const;
     /// @return whether nothing is routed until a newer configuration arrives.
     [[nodiscard]] bool isAwaitingVersion() const;
-    void recordNewerVersion(const HostName&, ConfigVersion);
+    /// A version that another host stated.
+    struct NewerVersion {
+        ConfigVersion version;
+        /// The name of the host, or its address.
+        std::string host;
+        /// Address at which the host answers other hosts; empty if its record has it.
+        std::optional<SocketAddress> address {};
+        Instant statedAt {};
+        /// When the configuration was requested from that host.
+        std::optional<Instant> queriedAt {};
+    };
+
+    void recordNewerVersion(NewerVersion);
     /// Requests the newer configuration from the host that has it, unless it has come by itself.
     void queryNewerVersion(Instant now);
+    [[nodiscard]] std::optional<SocketAddress> peersAddressOf(const NewerVersion&) const;
+    /// Asks another host for the version of its configuration if a question is due.
+    void exchangeVersions(Instant now);
+    /// @return the version of the applied configuration; 0 if there is none.
+    [[nodiscard]] ConfigVersion appliedVersion() const;
     /// States the version of this host's configuration to the host that forwards the session if it is newer.
     void stateVersion(CallerSession&);
     /// Serves the held statements whose route is now known, and refuses those that have waited for too long.
@@ -210,7 +236,10 @@
     void logStatement(const CallerSession&, const StatementResult&, Duration elapsed);
     /// Logs and answers a statement that is not submitted to a group.
     void refuse(CallerSession&, const Session::Failure&, Session::TransactionState);
-    /// Appends since when this host has its configuration, and how long ago the store confirmed it.
+    /// Appends what this host knows of the age of its configuration: since when it applies it, how long ago the store
+    /// confirmed it and another host agreed, and the state of its calls.
+    void appendConfigurationAge(std::vector<LogField>&) const;
+    /// Appends the same, and the host that forwards the session.
     void appendConfigurationAge(std::vector<LogField>&, const CallerSession&) const;
 
     // Configuration and targets.
@@ -276,16 +305,10 @@
     Instant m_catalogAppliedAt {};
     /// The row from which the applied configuration was read.
     StoreRow m_appliedRow;
-    /// A version that another host stated.
-    struct NewerVersion {
-        ConfigVersion version;
-        HostName host;
-        Instant statedAt {};
-        /// When the configuration was requested from that host.
-        std::optional<Instant> queriedAt {};
-    };
-
     NewerVersion m_newerVersion;
+    VersionExchange m_versionExchange;
+    /// When another host last stated a version that is not newer than this host's.
+    std::optional<Instant> m_versionAgreedAt;
     /// The newest version by which another host has served a caller of this one.
     ConfigVersion m_servedVersion;
     Instant m_servedVersionStatedAt {};
--- a/src/proxy/ProxyDelegate.h
+++ b/src/proxy/ProxyDelegate.h
@@ -43,6 +43,9 @@
     virtual void answerFeed(RequestId, const std::optional<FeedPage>& page) = 0;
     /// Requests a peer's copies of the store's tables.
     virtual void queryPeer(const SocketAddress&) = 0;
+    /// States the version of this host's configuration to another host, and asks for its; Proxy::versionAnswered()
+    /// follows, at the timeout at the latest.
+    virtual void queryVersion(const SocketAddress&, ConfigVersion own, Duration timeout) = 0;
     /// Sends a datagram to another host's Proxy::datagramReceived(). It may be lost.
     virtual void sendDatagram(const SocketAddress&, std::string_view) = 0;
     virtual void log(const LogRecord&) = 0;
--- a/src/proxy/ProxyFeeds.cpp
+++ b/src/proxy/ProxyFeeds.cpp
@@ -5,6 +5,7 @@
 void Proxy::updateTableTimes()
 {
     follower(StoreTable::Configuration).setTimes(TableTimes::forConfiguration(m_settings.bounds, m_usesFeeders));
+    m_versionExchange.setLimit(follower(StoreTable::Configuration).limit());
     follower(StoreTable::Targets).setTimes(TableTimes::forTargets(m_settings.bounds, m_usesFeeders));
 }
 
--- a/src/proxy/ProxyForwarding.cpp
+++ b/src/proxy/ProxyForwarding.cpp
@@ -84,49 +84,7 @@
     if (!session || !session->isForwarded)
         return;
     session->statedRoute = route;
-    recordNewerVersion(session->forwardedBy, route.version);
-}
-
-void Proxy::versionStated(Instant now, const HostName& host, ConfigVersion version)
-{
-    beginEvent(now);
-    recordNewerVersion(host, version);
-    if (!m_catalog || version <= std::max(m_catalog->version, m_servedVersion))
-        return;
-    m_servedVersion = version;
-    m_servedVersionStatedAt = now;
-}
-
-bool Proxy::isAwaitingVersion() const
-{
-    return m_catalog && m_catalog->version < m_servedVersion && m_now - m_servedVersionStatedAt < maxRouteWait;
-}
-
-void Proxy::recordNewerVersion(const HostName& host, ConfigVersion version)
-{
-    if (!m_catalog || version <= m_catalog->version)
-        return;
-    // A query that was not answered is repeated once the version is stated again.
-    const auto& queriedAt = m_newerVersion.queriedAt;
-    const bool isAwaited = !queriedAt || m_now - *queriedAt < peerAnswerTimeout;
-    if (isAwaited && version <= m_newerVersion.version)
-        return;
-    m_newerVersion = { version, host, m_now };
-    log({ LogEvent::NewerConfigurationStated,
-        { { "host", host.value() }, { "version", std::to_string(version.value()) },
-            { "applied", std::to_string(m_catalog->version.value()) } } });
-}
-
-void Proxy::queryNewerVersion(Instant now)
-{
-    if (!m_catalog || m_newerVersion.queriedAt || m_newerVersion.version <= m_catalog->version
-        || now - m_newerVersion.statedAt < versionQueryDelay)
-        return;
-    m_newerVersion.queriedAt = now;
-    for (const auto& host : m_hosts.hosts()) {
-        if (host.name == m_newerVersion.host && host.peers)
-            m_delegate.queryPeer(*host.peers);
-    }
+    recordNewerVersion({ route.version, session->forwardedBy.value() });
 }
 
 void Proxy::stateVersion(CallerSession& session)
--- a/src/proxy/ProxySessions.cpp
+++ b/src/proxy/ProxySessions.cpp
@@ -36,7 +36,7 @@
     session.openedAt = now;
     session.idleSince = now;
     if (request.isForwarded)
-        recordNewerVersion(request.forwardedBy, request.route.version);
+        recordNewerVersion({ request.route.version, request.forwardedBy.value() });
     routeSession(session);
 }
 
--- a/src/proxy/ProxyStatementLog.cpp
+++ b/src/proxy/ProxyStatementLog.cpp
@@ -13,7 +13,7 @@
 
 } // namespace
 
-void Proxy::appendConfigurationAge(std::vector<LogField>& fields, const CallerSession& session) const
+void Proxy::appendConfigurationAge(std::vector<LogField>& fields) const
 {
     if (m_catalog)
         fields.push_back({ "known_ms", std::to_string(toMilliseconds(m_now - m_catalogAppliedAt)) });
@@ -24,6 +24,13 @@
     fields.push_back({ "as_of", toString(follower.state().asOf) });
     fields.push_back({ "failures", std::to_string(follower.calls().failures) });
     fields.push_back({ "call_ms", callSentAt ? std::to_string(toMilliseconds(m_now - *callSentAt)) : "-" });
+    const auto agreedAge = versionAge(m_now);
+    fields.push_back({ "agreed_ms", agreedAge ? std::to_string(toMilliseconds(*agreedAge)) : "-" });
+}
+
+void Proxy::appendConfigurationAge(std::vector<LogField>& fields, const CallerSession& session) const
+{
+    appendConfigurationAge(fields);
     if (!session.forwardedBy.value().empty())
         fields.push_back({ "forwarded_by", session.forwardedBy.value() });
 }
--- a/src/proxy/ProxyTableLog.cpp
+++ b/src/proxy/ProxyTableLog.cpp
@@ -59,6 +59,11 @@
     return confirmedAt ? std::optional(now - *confirmedAt) : std::nullopt;
 }
 
+std::optional<Duration> Proxy::versionAge(Instant now) const
+{
+    return m_versionAgreedAt ? std::optional(now - *m_versionAgreedAt) : std::nullopt;
+}
+
 void Proxy::reportCopyAge(Instant now, StoreTable table)
 {
     const auto& follower = this->follower(table);
--- a/src/proxy/ProxyTables.cpp
+++ b/src/proxy/ProxyTables.cpp
@@ -19,6 +19,7 @@
         if (page && m_hosts.updateHosts(now, *page)) {
             m_homes.setHosts(m_hosts.hosts());
             m_feeders.setHosts(m_hosts.hosts());
+            m_versionExchange.setHosts(m_hosts.hosts());
             updateServedGroups(now);
         }
         if (m_allotments && m_hosts.hasRead())
@@ -116,6 +117,9 @@
     m_catalog = std::move(catalog);
     m_catalogAppliedAt = now;
     m_appliedRow = row;
+    if (m_newerVersion.queriedAt && m_newerVersion.version == m_catalog->version)
+        m_delegate.measure(
+            "configuration_behind_ms", static_cast<double>(toMilliseconds(now - m_newerVersion.statedAt)));
     log({ LogEvent::ConfigurationApplied,
         { { "version", std::to_string(m_catalog->version.value()) },
             { "routes", std::to_string(m_catalog->routes.size()) }, { "row_version", toString(row.version) },
@@ -352,6 +356,7 @@
         { "statements", statements() }, { "store_era", m_storeEra.value() }, { "uses_feeders", m_usesFeeders },
         { "feeder", m_feeder ? m_feeder->toString() : "" }, { "followers_waiting", m_feed.size() },
         { "configuration_known_ms", m_catalog ? Json(toMilliseconds(now - m_catalogAppliedAt)) : Json() },
+        { "configuration_agreed_ms", versionAge(now) ? Json(toMilliseconds(*versionAge(now))) : Json() },
         { "configuration_copy",
             describeOrigin(now, m_followers[static_cast<std::size_t>(StoreTable::Configuration)].origin()) },
         { "targets_list", describeOrigin(now, m_followers[static_cast<std::size_t>(StoreTable::Targets)].origin()) },
--- a/tests/platform/RecordingDelegate.h
+++ b/tests/platform/RecordingDelegate.h
@@ -56,6 +56,7 @@
     void readMembers(const Proxy::GroupName&, const std::string&) override { }
     void promote(const Proxy::GroupName&, const TargetName&, Proxy::RowVersion, Instant) override { }
     void queryPeer(const SocketAddress&) override { }
+    void queryVersion(const SocketAddress&, ConfigVersion, Duration) override { }
     void sendDatagram(const SocketAddress&, std::string_view) override { }
     void log(const LogRecord& record) override { records.push_back(record); }
     void measure(std::string_view, double) override { }
--- a/tests/platform/SessionRecorder.h
+++ b/tests/platform/SessionRecorder.h
@@ -61,6 +61,7 @@
     void readMembers(const Proxy::GroupName&, const std::string&) override { }
     void promote(const Proxy::GroupName&, const TargetName&, Proxy::RowVersion, Instant) override { }
     void queryPeer(const SocketAddress& peer) override { queriedPeers.push_back(peer); }
+    void queryVersion(const SocketAddress&, ConfigVersion, Duration) override { }
     void sendDatagram(const SocketAddress& to, std::string_view) override { datagrams.push_back(to); }
     void log(const LogRecord& record) override { records.push_back(record); }
     void measure(std::string_view, double) override { }
--- a/tests/proxy/ConfigurationHost.h
+++ b/tests/proxy/ConfigurationHost.h
@@ -61,6 +61,7 @@
     void readMembers(const GroupName&, const std::string& fromKey) override;
     void promote(const GroupName&, const TargetName&, RowVersion, Instant) override { }
     void queryPeer(const SocketAddress&) override;
+    void queryVersion(const SocketAddress&, ConfigVersion own, Duration timeout) override;
     void sendDatagram(const SocketAddress&, std::string_view) override { }
     /// Notes the version of the configuration, and prints the record if PROXY_TRACE is set.
     void log(const LogRecord&) override;
--- a/tests/proxy/ConfigurationHostPlatform.cpp
+++ b/tests/proxy/ConfigurationHostPlatform.cpp
@@ -291,4 +291,24 @@
     });
 }
 
+void ConfigurationHost::queryVersion(const SocketAddress& address, ConfigVersion own, Duration timeout)
+{
+    auto& peer = m_simulation.host(static_cast<std::size_t>(address.port - peerPort));
+    const auto delay = m_simulation.delayBetween(m_index, peer.index());
+    const auto end = startCall<ConfigVersion>(timeout, [this, address](const Expected<ConfigVersion>& version) {
+        m_proxy->versionAnswered(m_simulation.now(), address, version);
+    });
+    if (m_simulation.arePeersSilent(m_index))
+        return;
+    if (peer.isKilled()) {
+        deliver(2 * delay, [end] { end(callFailure("refused")); });
+        return;
+    }
+    peer.deliver(delay, [this, &peer, own, end, delay] {
+        const auto theirs
+            = peer.m_proxy->versionQueried(m_simulation.now(), ConfigurationSimulation::hostName(m_index), own);
+        deliver(delay, [end, theirs] { end(theirs); });
+    });
+}
+
 } // namespace Auburnpost::Proxy
--- a/tests/proxy/RecordedProxy.h
+++ b/tests/proxy/RecordedProxy.h
@@ -26,6 +26,7 @@
 
     std::vector<TableCall> tableCalls;
     std::vector<SocketAddress> queriedPeers;
+    std::vector<std::pair<SocketAddress, ConfigVersion>> versionQuestions;
     std::set<SessionId> accepted;
     std::map<SessionId, Session::FailureCode> refused;
     std::map<SessionId, Session::Answer> answers;
@@ -92,6 +93,10 @@
     void promote(const GroupName&, const TargetName&, RowVersion, Instant) override { }
     void answerFeed(RequestId, const std::optional<FeedPage>& page) override { feedAnswers.push_back(page); }
     void queryPeer(const SocketAddress& peer) override { queriedPeers.push_back(peer); }
+    void queryVersion(const SocketAddress& peer, ConfigVersion version, Duration) override
+    {
+        versionQuestions.emplace_back(peer, version);
+    }
     void sendDatagram(const SocketAddress&, std::string_view) override { }
     void log(const LogRecord& record) override { records.push_back(record); }
     void measure(std::string_view series, double) override { measured.emplace(series); }
--- a/tests/proxy/SimulatedHost.h
+++ b/tests/proxy/SimulatedHost.h
@@ -51,6 +51,8 @@
     void readMembers(const GroupName&, const std::string& fromKey) override;
     void promote(const GroupName&, const TargetName&, RowVersion token, Instant sendBefore) override;
     void queryPeer(const SocketAddress&) override;
+    /// Never answered, as the configuration of these schedules does not change.
+    void queryVersion(const SocketAddress&, ConfigVersion, Duration) override { }
     void sendDatagram(const SocketAddress&, std::string_view) override { }
     /// Prints the record if PROXY_TRACE is set.
     void log(const LogRecord&) override;
--- a/tests/proxy/StateDumpTests.cpp
+++ b/tests/proxy/StateDumpTests.cpp
@@ -50,6 +50,7 @@
     void readMembers(const GroupName&, const std::string&) override { }
     void promote(const GroupName&, const TargetName&, RowVersion, Instant) override { }
     void queryPeer(const SocketAddress&) override { }
+    void queryVersion(const SocketAddress&, ConfigVersion, Duration) override { }
     void sendDatagram(const SocketAddress&, std::string_view) override { }
     void log(const LogRecord& record) override
     {
