--- a/tests/process/ConfigDriver.cpp
+++ b/tests/process/ConfigDriver.cpp
@@ -27,6 +27,7 @@
         { "store-503", &ConfigDriver::refuseUnavailable },
         { "store-reset", &ConfigDriver::resetStoreFor },
         { "store-late", &ConfigDriver::delayStoreFor },
+        { "changes-hidden", &ConfigDriver::hideChangesFrom },
     };
     return faults;
 }
@@ -234,6 +235,13 @@
     disturbStoreFor(host, now, StoreFault::Late, "store answers late");
 }
 
+void ConfigDriver::hideChangesFrom(std::size_t host, Moment now)
+{
+    const auto until = now + pick(3000, 9000);
+    at(now, [this, host] { m_site.store().setFault(m_site.host(host).name(), StoreFault::WithoutChanges); });
+    at(until, [this, host] { m_site.store().setFault(m_site.host(host).name(), StoreFault::None); });
+}
+
 void ConfigDriver::silenceStore(Moment now)
 {
     const auto until = now + pick(500, 5500);
--- a/tests/process/ConfigDriver.h
+++ b/tests/process/ConfigDriver.h
@@ -61,6 +61,8 @@
     void refuseUnavailable(std::size_t host, Moment now);
     void resetStoreFor(std::size_t host, Moment now);
     void delayStoreFor(std::size_t host, Moment now);
+    /// Leaves the changes out of the answers to the host's polls. The host stays in touch.
+    void hideChangesFrom(std::size_t host, Moment now);
 
     void silenceStore(Moment now);
     /// Silences the store for long enough that the timeouts of calls have grown, and leaves further calls unanswered.
--- a/tests/process/ConfigSoakTests.cpp
+++ b/tests/process/ConfigSoakTests.cpp
@@ -79,6 +79,15 @@
     });
 }
 
+TEST_CASE("Hosts in touch apply each version in time although their polls are answered without it", "[hidden]")
+{
+    playSeeds({ 5 }, [](std::uint64_t) {
+        ConfigSoak soak;
+        soak.faults.ofHosts = { "changes-hidden" };
+        return soak;
+    });
+}
+
 TEST_CASE("Hosts in touch apply each version in time under overlapping faults", "[overlapping]")
 {
     playSeeds({ 3 }, [](std::uint64_t seed) {
--- a/tests/process/StoreServer.cpp
+++ b/tests/process/StoreServer.cpp
@@ -14,6 +14,7 @@
     constexpr int statusTooMany = 429;
     constexpr int statusUnavailable = 503;
     constexpr auto lateAnswerDelay = std::chrono::milliseconds(700);
+    constexpr std::string_view configurationTable = "op";
     constexpr std::string_view readPath = "/auburnpost/rows-get";
     constexpr std::string_view feedPath = "/auburnpost/rows-feed";
     constexpr std::string_view transactionPath = "/auburnpost/rows-tx";
@@ -181,8 +182,10 @@
     const auto after = std::stoull(call.query.at("after"));
     std::optional<RowStoreAnswer> changes;
     std::unique_lock lock(m_mutex);
+    const bool hidesChanges = table == configurationTable && faultOf(call.host) == StoreFault::WithoutChanges;
     m_changed.wait_for(lock, wait, [&] {
-        changes = m_rows.changes(std::chrono::steady_clock::now(), table, after);
+        if (!hidesChanges)
+            changes = m_rows.changes(std::chrono::steady_clock::now(), table, after);
         return changes || m_isStopping || losesConnections(faultOf(call.host));
     });
     return changes ? *changes : m_rows.noChanges(std::chrono::steady_clock::now());
--- a/tests/process/StoreServer.h
+++ b/tests/process/StoreServer.h
@@ -20,6 +20,8 @@
     Reset,
     /// Calls are performed and answered late.
     Late,
+    /// Polls for the configuration are answered at the end of their wait, as of the newest version and without changes.
+    WithoutChanges,
 };
 
 /// The platform's store over HTTP on 127.0.0.1, as far as hosts use it, with faults for each host or for all of them.
