Log why a group has no usable primary, and on what a statement was sent to one

The record could not tell whether a statement had run at a replaced primary for want of a confirmation or on a wrong one, nor why a group goes without a primary for seconds.

E0610, E0611 and E0601 of a statement that was sent to the primary get confirmed_after_ms and confirmed_by. No decision changes.

--- a/src/app/ProxyAssembly.cpp
+++ b/src/app/ProxyAssembly.cpp
@@ -302,6 +302,7 @@
             + "_ms now=" + (age ? std::to_string(toMilliseconds(*age)) : "-")
             + " max=" + std::to_string(toMilliseconds(m_proxy.largestCopyAge(table))) + "\n";
     }
+    text += "primary_absent_ms now=" + std::to_string(toMilliseconds(m_proxy.longestPrimaryAbsence(now()))) + "\n";
     const auto versionAge = m_proxy.versionAge(now());
     return text + "configuration_agreed_ms now=" + (versionAge ? std::to_string(toMilliseconds(*versionAge)) : "-")
         + "\n";
--- a/src/base/LogEvent.cpp
+++ b/src/base/LogEvent.cpp
@@ -17,7 +17,7 @@
     constexpr std::size_t numberDigits = 4;
 
     /// Sorted by number.
-    constexpr std::array<Definition, 83> definitions { {
+    constexpr std::array<Definition, 84> definitions { {
         { LogEvent::Started, LogLevel::Info, "host started" },
         { LogEvent::ShutdownStarted, LogLevel::Info, "host shutdown started" },
         { LogEvent::ShutdownCompleted, LogLevel::Info, "host shutdown completed" },
@@ -76,6 +76,7 @@
         { LogEvent::PrimaryDoubtResolved, LogLevel::Info, "primary is used again" },
         { LogEvent::AcknowledgementHeld, LogLevel::Info,
             "acknowledgement of a primary that may have been replaced is held" },
+        { LogEvent::PrimaryAbsent, LogLevel::Warn, "group has no usable primary" },
         { LogEvent::TargetConnectFailed, LogLevel::Warn, "opening a connection to target failed" },
         { LogEvent::TargetConnectionLost, LogLevel::Warn, "connection to target lost during a request" },
         { LogEvent::TargetLeaving, LogLevel::Info, "target marked as leaving" },
--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -68,6 +68,7 @@
     PrimaryDoubted = 427,
     PrimaryDoubtResolved = 428,
     AcknowledgementHeld = 429,
+    PrimaryAbsent = 430,
 
     TargetConnectFailed = 500,
     TargetConnectionLost = 501,
--- a/src/proxy/GroupDispatch.cpp
+++ b/src/proxy/GroupDispatch.cpp
@@ -387,6 +387,8 @@
 void GroupService::assignToConnection(Instant now, TargetConnection& connection, PendingStatement& pending)
 {
     ++pending.attempts;
+    if (pending.needsPrimary())
+        recordPrimaryEvidence(pending);
     if (pending.requiredLogPoint)
         m_watcher.recordReadAttempt(now, connection.target, *pending.requiredLogPoint);
     pending.sentOn.insert(connection.id);
@@ -410,6 +412,15 @@
     sendStatement(now, connection, pending);
 }
 
+void GroupService::recordPrimaryEvidence(PendingStatement& pending) const
+{
+    const auto& confirmations = m_watcher.confirmations();
+    pending.primaryEvidence.emplace();
+    if (const auto requestedAt = confirmations.newestRequestedAt())
+        pending.primaryEvidence->confirmedAfter = *requestedAt - pending.freshAsOf;
+    pending.primaryEvidence->source = confirmations.newestSource();
+}
+
 void GroupService::sendStatement(Instant now, TargetConnection& connection, const PendingStatement& pending)
 {
     RunStatement run { pending.statementId, {}, pending.statement, {} };
--- a/src/proxy/GroupDoubts.cpp
+++ b/src/proxy/GroupDoubts.cpp
@@ -57,6 +57,15 @@
     return m_watcher.primary() && !m_watcher.guard().allows(*m_watcher.primary());
 }
 
+void GroupService::logAbsence(Instant now)
+{
+    if (!m_primaryAbsence.observe(now, m_watcher))
+        return;
+    auto fields = m_primaryAbsence.describe(now, m_watcher, m_promotion);
+    fields.insert(fields.begin(), { "group", m_name.value() });
+    log({ LogEvent::PrimaryAbsent, std::move(fields) });
+}
+
 void GroupService::sendLeaseReads(Instant now)
 {
     // While this host replaces the primary itself, its own state tells more than the row.
--- a/src/proxy/GroupReplies.cpp
+++ b/src/proxy/GroupReplies.cpp
@@ -256,6 +256,7 @@
     result.session = pending.session;
     result.attempts = pending.attempts;
     result.requiredLogPoint = pending.requiredLogPoint;
+    result.primaryEvidence = pending.primaryEvidence;
     result.waitReason = pending.waitReason;
     if (connection) {
         result.target = connection->target;
--- a/src/proxy/GroupService.cpp
+++ b/src/proxy/GroupService.cpp
@@ -130,6 +130,7 @@
     else if (!m_shortSince)
         m_shortSince = now;
     logSuspicionChanges(now);
+    logAbsence(now);
 }
 
 bool GroupService::isShortOfConnections(Instant now) const
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -6,6 +6,7 @@
 #include "limit/ServiceTimes.h"
 #include "proxy/GroupServiceDelegate.h"
 #include "proxy/LeaseReads.h"
+#include "proxy/PrimaryAbsence.h"
 #include "proxy/ReadTargetSelector.h"
 #include "proxy/TargetPath.h"
 
@@ -100,6 +101,7 @@
 
     [[nodiscard]] const GroupWatcher& watcher() const { return m_watcher; }
     [[nodiscard]] const Promotion& promotion() const { return m_promotion; }
+    [[nodiscard]] const PrimaryAbsence& primaryAbsence() const { return m_primaryAbsence; }
     [[nodiscard]] const ReadTargetSelector::Pools& pools() const { return m_pools; }
     [[nodiscard]] std::size_t waiting() const { return m_queue.size(); }
     /// @return whether statements have been waiting for connectionShortageDelay because connections are short.
@@ -176,6 +178,7 @@
     void startConfirmationRound(Instant now);
     void assignToConnection(Instant now, TargetConnection&, PendingStatement&);
     void sendStatement(Instant now, TargetConnection&, const PendingStatement&);
+    void recordPrimaryEvidence(PendingStatement&) const;
     /// @param organisation empty for a connection that serves the proxy's own requests or a deployment without
     /// organisations.
     /// @return the connection; nothing if the target is no member.
@@ -259,6 +262,7 @@
     /// members.
     void forgetReleasedMembers(Instant now);
     void logSuspicionChanges(Instant now);
+    void logAbsence(Instant now);
 
     // PromotionDelegate.
     void readLease(const GroupName&) override;
@@ -298,6 +302,7 @@
     std::optional<LeaseReading> m_leaseReading;
     PrimaryDoubt m_loggedDoubt { PrimaryDoubt::None };
     std::set<TargetName> m_suspects;
+    PrimaryAbsence m_primaryAbsence;
     bool m_isDispatching { false };
     std::uint64_t m_dispatchAttempts { 0 };
     /// Whether the last dispatch left statements for lack of connections, and since when each tick has found that.
--- a/src/proxy/GroupServiceDelegate.h
+++ b/src/proxy/GroupServiceDelegate.h
@@ -19,6 +19,8 @@
     std::size_t attempts { 0 };
     /// The log point that the read required.
     std::optional<LogPoint> requiredLogPoint;
+    /// What was known of the primary when the statement was last sent to it; empty if it was not.
+    std::optional<PrimaryEvidence> primaryEvidence;
     /// Why the statement last had to wait.
     WaitReason waitReason { WaitReason::None };
 };
--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -198,7 +198,7 @@
         std::sort(confirmedAt.rbegin(), confirmedAt.rend());
         requestedAt = std::min(requestedAt, confirmedAt[needed - 1]);
     }
-    m_confirmations.add(requestedAt, *m_primary, primary.status->received);
+    m_confirmations.add(requestedAt, *m_primary, primary.status->received, ConfirmationSource::Members);
 }
 
 void GroupWatcher::recordCommit(const TargetName& name, Instant sentAt, const LogPoint& end)
@@ -211,7 +211,7 @@
         m_commitSentAt = std::max(m_commitSentAt.value_or(sentAt), sentAt);
     const bool isConfirmation = m_rules.syncReplicas > 0 && m_membership.size() < 2 * (m_rules.syncReplicas + 1);
     if (isConfirmation && m_guard.allows(name) && m_primary == name && end.term == m_primaryTerm)
-        m_confirmations.add(sentAt, name, end);
+        m_confirmations.add(sentAt, name, end, ConfirmationSource::Commit);
 }
 
 FailoverReason GroupWatcher::failoverReason(Instant now) const
--- a/src/proxy/PendingStatement.h
+++ b/src/proxy/PendingStatement.h
@@ -2,6 +2,7 @@
 
 #include "limit/Ticket.h"
 #include "proxy/Catalog.h"
+#include "proxy/PrimaryConfirmations.h"
 #include "proxy/TargetConnection.h"
 #include "session/Statement.h"
 
@@ -37,6 +38,14 @@
     return texts[static_cast<std::size_t>(reason)];
 }
 
+/// What a host knew when it sent a statement to the primary.
+struct PrimaryEvidence {
+    /// Time from the arrival of the statement, or of its transaction, to the request of the newest confirmation;
+    /// negative if the confirmation is older. Empty when there was none.
+    std::optional<Duration> confirmedAfter;
+    std::optional<ConfirmationSource> source;
+};
+
 /// A caller's statement that waits for dispatch or for a target's reply.
 struct PendingStatement {
     PendingStatementId id;
@@ -76,6 +85,8 @@
     /// The log point that the last attempt required.
     std::optional<LogPoint> requiredLogPoint;
     WaitReason waitReason { WaitReason::None };
+    /// What was known of the primary when the statement was last sent to it, for logs.
+    std::optional<PrimaryEvidence> primaryEvidence;
     /// Whether the primary has acknowledged it, and the answer waits for the decision of ReplacementGuard.
     bool isAcknowledged { false };
     /// With WaitReason::NoConfirmation: the moment as of which the primary has to be confirmed.
--- a/src/proxy/PrimaryConfirmations.cpp
+++ b/src/proxy/PrimaryConfirmations.cpp
@@ -4,11 +4,18 @@
 
 namespace Auburnpost::Proxy {
 
-void PrimaryConfirmations::add(Instant requestedAt, const TargetName& primary, const LogPoint& primaryEnd)
+std::string_view toString(ConfirmationSource source)
+{
+    constexpr std::string_view texts[] { "members", "commit" };
+    return texts[static_cast<std::size_t>(source)];
+}
+
+void PrimaryConfirmations::add(
+    Instant requestedAt, const TargetName& primary, const LogPoint& primaryEnd, ConfirmationSource source)
 {
     if (!m_samples.empty() && m_samples.back().requestedAt >= requestedAt)
         return;
-    m_samples.push_back({ requestedAt, primary, primaryEnd });
+    m_samples.push_back({ requestedAt, primary, primaryEnd, source });
     while (m_samples.front().requestedAt + sampleLifetime < requestedAt)
         m_samples.pop_front();
 }
@@ -37,4 +44,11 @@
     return m_samples.back().requestedAt;
 }
 
+std::optional<ConfirmationSource> PrimaryConfirmations::newestSource() const
+{
+    if (m_samples.empty())
+        return {};
+    return m_samples.back().source;
+}
+
 } // namespace Auburnpost::Proxy
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -206,6 +206,14 @@
         [now, &target](const auto& entry) { return entry.second->reachesDirectly(now, target); });
 }
 
+Duration Proxy::longestPrimaryAbsence(Instant now) const
+{
+    Duration longest {};
+    for (const auto& [name, group] : m_groups)
+        longest = std::max(longest, group->primaryAbsence().length(now));
+    return longest;
+}
+
 void Proxy::closeConnection(ConnectionId id)
 {
     m_delegate.closeConnection(id);
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -130,6 +130,9 @@
     /// @return the time since another host last stated a version that is not newer than this host's.
     [[nodiscard]] std::optional<Duration> versionAge(Instant now) const;
 
+    /// @return how long the group that has been longest without a usable primary has had none; zero if each has one.
+    [[nodiscard]] Duration longestPrimaryAbsence(Instant now) const;
+
     void setSeeds(std::vector<SocketAddress> seeds);
     void setBounds(const TimeBounds&);
 
--- a/src/proxy/ProxyStatementLog.cpp
+++ b/src/proxy/ProxyStatementLog.cpp
@@ -67,6 +67,11 @@
         fields.push_back({ "term", std::to_string(group->watcher().primaryTerm().value()) });
         fields.push_back({ "proof_age_ms", confirmedAt ? std::to_string(toMilliseconds(m_now - *confirmedAt)) : "-" });
     }
+    if (const auto& evidence = result.primaryEvidence) {
+        const auto& after = evidence->confirmedAfter;
+        fields.push_back({ "confirmed_after_ms", after ? std::to_string(toMilliseconds(*after)) : "-" });
+        fields.push_back({ "confirmed_by", evidence->source ? std::string(toString(*evidence->source)) : "-" });
+    }
     if (!session.organisation.value().empty())
         fields.push_back({ "organisation", session.organisation.value() });
     fields.push_back({ "version", std::to_string(session.routedBy.value()) });
--- a/src/proxy/StateDump.cpp
+++ b/src/proxy/StateDump.cpp
@@ -100,6 +100,10 @@
     if (guard.doubt() != PrimaryDoubt::None)
         described["primary_doubt"] = { { "doubt", std::string(toString(guard.doubt())) },
             { "age_ms", toMilliseconds(now - *guard.reportedAt()) } };
+    if (const auto absence = group.primaryAbsence().length(now); absence > Duration {})
+        described["primary_absent"] = { { "ms", toMilliseconds(absence) },
+            { "awaited", std::string(toString(PrimaryAbsence::awaitedStep(watcher, group.promotion()))) },
+            { "missing", PrimaryAbsence::describeMissing(now, watcher) } };
     if (const auto& pending = group.promotion().pending())
         described["pending_promotion"]
             = { { "candidate", pending->candidate.value() }, { "replaced_term", pending->replacedTerm.value() } };
