Confirm the primary before every statement that only it runs

Both statements of the users' record are of this kind: a prepared write, and the commit of a transaction, of a route with read-your-writes.

Cause: a host asked for a confirmation that its primary was not replaced for reads and begins only; a write on any route had none, and a plain transaction on a route with bounded staleness or read-your-writes one of up to maxStaleness ago. Until the host sees a fence or a later term, which takes up to a poll of 1 to 2.5 s, it went on sending these to the replaced primary.

Now each needs a confirmation requested after it, or its transaction, arrived. A target that is no primary refuses these statements itself, so that the answers of as many other members as a confirmation needs suffice: they intersect every set that a promotion fences and every set in which a successor acknowledges (unreplacedAsOf). A round of these queries leaves the primary's slots alone.

--- a/src/limit/AdmissionQueue.cpp
+++ b/src/limit/AdmissionQueue.cpp
@@ -399,9 +399,11 @@
         putBack(now, m_entries.at(m_awaiting.begin()->id));
 }
 
-std::optional<Instant> AdmissionQueue::latestAwaited() const
+std::optional<Instant> AdmissionQueue::latestAwaited(const LaneSet& lanes) const
 {
-    return m_awaiting.empty() ? std::nullopt : std::optional(m_awaiting.rbegin()->at);
+    const auto found = std::find_if(m_awaiting.rbegin(), m_awaiting.rend(),
+        [&](const auto& entry) { return lanes.test(m_entries.at(entry.id).ticket.lane); });
+    return found == m_awaiting.rend() ? std::nullopt : std::optional(found->at);
 }
 
 void AdmissionQueue::update(Instant now)
--- a/src/limit/AdmissionQueue.h
+++ b/src/limit/AdmissionQueue.h
@@ -80,8 +80,8 @@
     /// Passes over the request until wakeUpTo() is called with this moment or a later one.
     void parkUntilConfirmed(RequestId, Instant moment);
     void wakeUpTo(Instant now, Instant moment);
-    /// @return the latest moment that a parked request awaits; empty when there is none.
-    [[nodiscard]] std::optional<Instant> latestAwaited() const;
+    /// @return the latest moment that a parked request of the lanes awaits; empty when there is none.
+    [[nodiscard]] std::optional<Instant> latestAwaited(const LaneSet&) const;
 
     /// Removes the requests that won't be started any more. To be called after next() or peek() and on a timer.
     /// @return one refusal for each.
--- a/src/proxy/GroupDispatch.cpp
+++ b/src/proxy/GroupDispatch.cpp
@@ -140,20 +140,25 @@
         }
     }
     m_queue.releaseHeld(now);
-    if (const auto awaited = m_queue.latestAwaited())
+    const auto writeLanes = Limit::LaneSet().set(writeLane);
+    if (const auto awaited = m_queue.latestAwaited(~writeLanes))
         requestConfirmation(now, *awaited);
+    if (const auto awaited = m_queue.latestAwaited(writeLanes))
+        requestOthersStatus(now, *awaited);
     return unservable;
 }
 
 void GroupService::wakeAwaiting(Instant now)
 {
     const auto newest = m_watcher.confirmations().newestRequestedAt();
+    const auto othersAsOf = m_watcher.unreplacedAsOf();
     if (m_watcher.primary() != m_wokenForPrimary || isPrimaryLost(now))
         m_queue.wakeUpTo(now, Instant::max());
-    else if (newest && newest != m_wokenUpTo)
-        m_queue.wakeUpTo(now, *newest);
+    else if (newest != m_wokenUpTo || othersAsOf != m_othersWokenUpTo)
+        m_queue.wakeUpTo(now, std::max(newest, othersAsOf).value_or(Instant {}));
     m_wokenForPrimary = m_watcher.primary();
     m_wokenUpTo = newest;
+    m_othersWokenUpTo = othersAsOf;
 }
 
 GroupService::Shortage GroupService::shortageFor(Instant now, const PendingStatement& pending)
@@ -265,8 +270,7 @@
     if (pending.waitReason != WaitReason::None)
         return false;
     const auto primary = *m_watcher.primary();
-    const bool reads = pending.access == Session::Access::Read || pending.startsTransaction;
-    if (reads && !findRequiredLogPoint(now, pending))
+    if (!isPrimaryConfirmed(now, pending))
         return false;
     auto* const connection = findIdleOrOpen(now, primary, pending);
     if (!connection) {
@@ -277,16 +281,26 @@
     return true;
 }
 
-bool GroupService::findRequiredLogPoint(Instant now, PendingStatement& pending)
+bool GroupService::isPrimaryConfirmed(Instant now, PendingStatement& pending)
 {
-    if (pending.route.consistency == Consistency::Current) {
-        if (m_watcher.primary() && m_watcher.confirmations().covers(pending.freshAsOf, *m_watcher.primary()))
-            return true;
-        pending.waitReason = WaitReason::NoConfirmation;
-        pending.requiredMoment = pending.freshAsOf;
+    if (m_watcher.confirmations().covers(pending.freshAsOf, *m_watcher.primary()))
+        return true;
+    // The primary itself refuses these once it is none, so that only the others have to be asked.
+    const bool isRefusedByReplicas = laneOf(pending) == writeLane;
+    const auto asOf = m_watcher.unreplacedAsOf();
+    if (isRefusedByReplicas && asOf && *asOf >= pending.freshAsOf)
+        return true;
+    pending.waitReason = WaitReason::NoConfirmation;
+    pending.requiredMoment = pending.freshAsOf;
+    if (isRefusedByReplicas)
+        requestOthersStatus(now, pending.freshAsOf);
+    else
         requestConfirmation(now, pending.freshAsOf);
-        return false;
-    }
+    return false;
+}
+
+bool GroupService::findRequiredLogPoint(Instant now, PendingStatement& pending)
+{
     const auto oldest = pending.freshAsOf - std::max(Duration {}, pending.route.maxStaleness - stalenessMargin);
     const auto point = m_watcher.confirmations().logPointAt(oldest);
     if (!point) {
@@ -416,9 +430,15 @@
 {
     const auto& confirmations = m_watcher.confirmations();
     pending.primaryEvidence.emplace();
-    if (const auto requestedAt = confirmations.newestRequestedAt())
-        pending.primaryEvidence->confirmedAfter = *requestedAt - pending.freshAsOf;
+    auto requestedAt = confirmations.newestRequestedAt();
     pending.primaryEvidence->source = confirmations.newestSource();
+    const auto othersAsOf = m_watcher.unreplacedAsOf();
+    if (laneOf(pending) == writeLane && othersAsOf > requestedAt) {
+        requestedAt = othersAsOf;
+        pending.primaryEvidence->source = ConfirmationSource::Members;
+    }
+    if (requestedAt)
+        pending.primaryEvidence->confirmedAfter = *requestedAt - pending.freshAsOf;
 }
 
 void GroupService::sendStatement(Instant now, TargetConnection& connection, const PendingStatement& pending)
--- a/src/proxy/GroupService.cpp
+++ b/src/proxy/GroupService.cpp
@@ -270,6 +270,20 @@
 void GroupService::startConfirmationRound(Instant now)
 {
     m_confirmationStartedAt = now;
+    queryStatus(now, *m_watcher.primary());
+    queryOthers(now);
+}
+
+void GroupService::requestOthersStatus(Instant now, Instant moment)
+{
+    const bool isInProgress = m_othersQueriedAt >= moment && now - m_othersQueriedAt < confirmationRoundTimeout;
+    if (!isInProgress && m_watcher.primary())
+        queryOthers(now);
+}
+
+void GroupService::queryOthers(Instant now)
+{
+    m_othersQueriedAt = now;
     std::vector<const GroupWatcher::Member*> others;
     for (const auto& [name, member] : m_watcher.members()) {
         if (name != m_watcher.primary() && member.isListed() && !member.health.isSuspect(now))
@@ -278,7 +292,6 @@
     const auto needed = std::min(m_watcher.confirmationsNeeded(), others.size());
     std::sort(others.begin(), others.end(),
         [](const auto* left, const auto* right) { return left->health.roundTrip() < right->health.roundTrip(); });
-    queryStatus(now, *m_watcher.primary());
     for (std::size_t index = 0; index < needed; ++index)
         queryStatus(now, others[index]->record.name);
 }
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -169,13 +169,20 @@
     [[nodiscard]] WaitReason primaryWaitReason(Instant now, const PendingStatement&) const;
     bool dispatchToPrimary(Instant now, PendingStatement&);
     bool dispatchToAnyMember(Instant now, PendingStatement&);
-    /// Determines the log point that the statement has to see and stores it in the statement. With Consistency::Current
-    /// no log point is stored: the primary only has to be confirmed as of PendingStatement::freshAsOf.
+    /// A write or a transaction is no read, and yet must not run on the log of a primary that was replaced: whatever
+    /// the route's consistency, the primary has to be confirmed as of PendingStatement::freshAsOf.
+    /// @return false if the required confirmation does not exist yet; it is then requested.
+    bool isPrimaryConfirmed(Instant now, PendingStatement&);
+    /// Determines the log point that a read which any member may serve has to see, and stores it in the statement.
     /// @return false if the required confirmation does not exist yet; it is then requested.
     bool findRequiredLogPoint(Instant now, PendingStatement&);
     /// Starts a confirmation round unless one that began at or after @p moment is in progress.
     void requestConfirmation(Instant now, Instant moment);
     void startConfirmationRound(Instant now);
+    /// Queries as many members besides the primary as show that it was not replaced, unless a round that began at or
+    /// after @p moment is in progress.
+    void requestOthersStatus(Instant now, Instant moment);
+    void queryOthers(Instant now);
     void assignToConnection(Instant now, TargetConnection&, PendingStatement&);
     void sendStatement(Instant now, TargetConnection&, const PendingStatement&);
     void recordPrimaryEvidence(PendingStatement&) const;
@@ -297,6 +304,8 @@
     std::map<TargetName, Instant> m_polledAt;
     /// When the last round of status queries for a confirmation began.
     Instant m_confirmationStartedAt {};
+    /// When the members besides the primary were last queried for one.
+    Instant m_othersQueriedAt {};
     std::map<TargetName, Command> m_commands;
     /// The last read of the promotion lease's row, for logs.
     std::optional<LeaseReading> m_leaseReading;
@@ -310,6 +319,8 @@
     std::optional<Instant> m_shortSince;
     /// The newest confirmation and the primary for which statements were last made available.
     std::optional<Instant> m_wokenUpTo;
+    /// The moment of GroupWatcher::unreplacedAsOf() for which they were.
+    std::optional<Instant> m_othersWokenUpTo;
     std::optional<TargetName> m_wokenForPrimary;
     /// Why the statements of each lane last had to wait.
     std::array<WaitReason, Limit::laneCount> m_laneWaitReasons {};
--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -183,6 +183,17 @@
     const auto& primary = m_membership.members().at(*m_primary);
     if (!primary.status || !primary.status->isPrimary || primary.status->isFenced())
         return;
+    const auto othersAsOf = unreplacedAsOf();
+    if (!othersAsOf)
+        return;
+    m_confirmations.add(
+        std::min(primary.queriedAt, *othersAsOf), *m_primary, primary.status->received, ConfirmationSource::Members);
+}
+
+std::optional<Instant> GroupWatcher::unreplacedAsOf() const
+{
+    if (!m_primary)
+        return {};
     std::vector<Instant> confirmedAt;
     for (const auto& [name, member] : members()) {
         if (name == *m_primary || !member.status || member.status->isFenced())
@@ -192,13 +203,9 @@
     }
     const auto needed = confirmationsNeeded();
     if (confirmedAt.size() < needed)
-        return;
-    auto requestedAt = primary.queriedAt;
-    if (needed > 0) {
-        std::sort(confirmedAt.rbegin(), confirmedAt.rend());
-        requestedAt = std::min(requestedAt, confirmedAt[needed - 1]);
-    }
-    m_confirmations.add(requestedAt, *m_primary, primary.status->received, ConfirmationSource::Members);
+        return {};
+    std::sort(confirmedAt.rbegin(), confirmedAt.rend());
+    return needed > 0 ? confirmedAt[needed - 1] : Instant::max();
 }
 
 void GroupWatcher::recordCommit(const TargetName& name, Instant sentAt, const LogPoint& end)
--- a/src/proxy/GroupWatcher.h
+++ b/src/proxy/GroupWatcher.h
@@ -99,6 +99,9 @@
     /// @return the highest term seen, fences included.
     [[nodiscard]] Term highestTerm() const { return m_highestTerm; }
     [[nodiscard]] const PrimaryConfirmations& confirmations() const { return m_confirmations; }
+    /// @return the moment as of which enough members besides the primary have shown that it was not replaced; empty if
+    /// they have not. It serves for statements that a target refuses which is no primary itself.
+    [[nodiscard]] std::optional<Instant> unreplacedAsOf() const;
     [[nodiscard]] FailoverReason failoverReason(Instant now) const;
     /// @return whether a member that stays receives the primary's commits, so that the primary can hand over to it.
     [[nodiscard]] bool hasCaughtUpReplica(Instant now) const;
