--- a/tests/proxy/GroupServiceFixture.h
+++ b/tests/proxy/GroupServiceFixture.h
@@ -80,6 +80,8 @@
     /// The target that reports to be the primary, and in which term.
     TargetName primary { "p" };
     Term term { 1 };
+    /// Ends of the logs that targets report, if not 10.
+    std::map<TargetName, Position> ends;
 
     GroupServiceFixture()
     {
@@ -149,7 +151,7 @@
             reply.status = TargetStatus {};
             reply.status->isPrimary = target == primary;
             reply.status->term = term;
-            reply.status->received = { term, Position(10) };
+            reply.status->received = { term, ends.contains(target) ? ends.at(target) : Position(10) };
             if (const auto* const fence = std::get_if<FenceReplica>(&sent.request))
                 fences[target] = fence->term;
             reply.status->fencedTerm = fences[target];
