Count a member that ended as fenced once its log end is known

A member that leaves counts until a primary shows that members that stay have its log, and it can't be fenced any more; with two of seven departed no attempt could fence six, and each further release added one. So the wait for the proof destroyed the copies of the log that the proof was about.

What a departed member can have acknowledged is known without a primary once the log of the term is closed: its primary has reported that it is none (LogClosure), so that what a member reports afterwards is final. Such a member counts among the fenced, with its last log end, unless the row of the lease leaves room for a primary of a later term: a later term on record, no record of members, or a recorded candidate that does not show that it never led. The same holds for a member that ended with the fence of the attempt in progress. Members are counted by address there as well. A target that has ended is no candidate.

Safe: an address in the count can't acknowledge, and its log is among those that the candidate has to reach. Live: with every running member fenced, the departed of a closed term no longer hold up the attempt.

--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -52,6 +52,7 @@
     m_membership.clear();
     m_primary.reset();
     m_guard = {};
+    m_logClosure.clear();
     m_primaryMissingSince.reset();
     m_fencedSince.reset();
 }
@@ -94,6 +95,7 @@
     updateBehindSince(now, member, queriedAt, status);
     member.status = status;
     member.queriedAt = queriedAt;
+    m_logClosure.record(now, name, status);
     m_highestTerm = std::max({ m_highestTerm, status.term, status.fencedTerm });
     const bool isLatestPrimary = status.isPrimary && status.term >= m_primaryTerm && member.isListed();
     const bool isNew = isLatestPrimary && m_primary != name;
--- a/src/proxy/GroupWatcher.h
+++ b/src/proxy/GroupWatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "proxy/GroupMembership.h"
+#include "proxy/LogClosure.h"
 #include "proxy/MemberHistory.h"
 #include "proxy/PrimaryConfirmations.h"
 #include "proxy/ReplacementGuard.h"
@@ -108,6 +109,7 @@
     /// @return how many members the group is counted as, those included that are no longer listed but may have a log.
     [[nodiscard]] std::size_t groupSize() const { return m_membership.size(); }
     [[nodiscard]] const TableOrigin& listOrigin() const { return m_listOrigin; }
+    [[nodiscard]] const LogClosure& logClosure() const { return m_logClosure; }
     [[nodiscard]] const MemberHistory& history() const { return m_history; }
     [[nodiscard]] std::size_t fencesNeeded() const { return m_membership.fencesNeeded(); }
     [[nodiscard]] std::size_t confirmationsNeeded() const { return m_membership.confirmationsNeeded(); }
@@ -154,6 +156,7 @@
     /// When the newest commit that the primary acknowledged to this host was sent.
     std::optional<Instant> m_commitSentAt;
     TableOrigin m_listOrigin;
+    LogClosure m_logClosure;
     MemberHistory m_history;
 };
 
--- a/src/proxy/Promotion.h
+++ b/src/proxy/Promotion.h
@@ -220,13 +220,22 @@
     /// @return whether the member's fence is of this attempt or an earlier one, so that this attempt may remove it.
     [[nodiscard]] bool mayResume(const GroupWatcher::Member&) const;
     [[nodiscard]] std::set<TargetName> fencedMembers(const GroupWatcher&) const;
+    /// @return the members whose process has ended and whose log end is known: they can't acknowledge anything more, as
+    /// if they were fenced.
+    [[nodiscard]] std::set<TargetName> endedMembers(const GroupWatcher&) const;
+    /// @return whether no primary of a term after the closed one can have led, as far as the row of the lease and its
+    /// candidate tell.
+    [[nodiscard]] bool isClosureProven(const GroupWatcher&) const;
     /// @return the order in which members with equal logs are promoted; the highest goes first. A promotion that may
     /// still take effect would otherwise undo another.
     [[nodiscard]] std::tuple<bool, bool, bool, bool> suitability(const GroupWatcher::Member&) const;
     /// @return the fenced member to be promoted; empty if none is fenced.
     [[nodiscard]] std::optional<TargetName> chooseFencedTarget(const Context&) const;
-    /// @return the log point that includes every acknowledged commit, as far as the logs of fenced members tell.
-    [[nodiscard]] LogPoint requiredLogEnd(const GroupWatcher&, const std::set<TargetName>& fenced) const;
+    /// @param closed members that can't acknowledge anything more.
+    /// @return the log point that includes every acknowledged commit, as far as the logs of these members tell.
+    [[nodiscard]] static LogPoint requiredLogEnd(const GroupWatcher&, const std::set<TargetName>& closed);
+    /// @return whether the members are enough for a promotion. Members are counted by address, as by GroupMembership.
+    [[nodiscard]] static bool areEnough(const GroupWatcher&, const std::set<TargetName>& closed);
     /// Logs an attempt that ended without success.
     /// @param before the state that the event left.
     void logAbandonment(std::string_view event, std::string_view before, const Context&);
--- a/src/proxy/PromotionFencing.cpp
+++ b/src/proxy/PromotionFencing.cpp
@@ -1,6 +1,7 @@
 #include "proxy/Promotion.h"
 
 #include <algorithm>
+#include <map>
 #include <tuple>
 
 namespace Auburnpost::Proxy {
@@ -15,6 +16,46 @@
     return names;
 }
 
+std::set<TargetName> Promotion::endedMembers(const GroupWatcher& watcher) const
+{
+    const bool isProven = isClosureProven(watcher);
+    std::set<TargetName> names;
+    for (const auto& [name, member] : watcher.members()) {
+        if (!member.presumedEndedAt || !member.status || member.status->isPrimary)
+            continue;
+        const bool isFenced = member.status->fencedTerm == m_term;
+        if (isFenced || (isProven && watcher.logClosure().isFinal(name, member.queriedAt)))
+            names.insert(name);
+    }
+    return names;
+}
+
+bool Promotion::isClosureProven(const GroupWatcher& watcher) const
+{
+    const auto closed = watcher.logClosure().term();
+    if (!closed)
+        return false;
+    const auto& lease = m_leaseRow.lease;
+    if (!lease)
+        return m_leaseRow.version == RowVersion {};
+    if (!lease->members || lease->members->term > *closed)
+        return false;
+    if (!lease->pending || lease->pending->replacedTerm < *closed)
+        return true;
+    // Had the candidate led, it would report the term that it led.
+    const auto* const candidate = watcher.find(lease->pending->candidate);
+    return candidate && candidate->status && candidate->queriedAt >= m_leaseReadAt
+        && candidate->status->term <= *closed;
+}
+
+bool Promotion::areEnough(const GroupWatcher& watcher, const std::set<TargetName>& closed)
+{
+    std::set<SocketAddress> addresses;
+    for (const auto& name : closed)
+        addresses.insert(watcher.find(name)->record.address);
+    return addresses.size() >= watcher.fencesNeeded();
+}
+
 bool Promotion::hasEnoughFenced(const Context& context) const
 {
     if (!m_enoughFencedSince || isLeaseEnding(context) || isSuperseded(context))
@@ -33,22 +74,27 @@
     const auto& primary = context.watcher.primary();
     if (primary && !context.watcher.find(*primary)->health.isDown(context.now))
         return false;
-    std::set<TargetName> verified;
+    auto verified = endedMembers(context.watcher);
     for (const auto& name : fencedMembers(context.watcher)) {
         if (context.watcher.find(name)->queriedAt >= m_verifyStartedAt)
             verified.insert(name);
     }
-    return verified.size() >= context.watcher.fencesNeeded() && m_recordedCandidate
-        && verified.contains(*m_recordedCandidate)
+    return areEnough(context.watcher, verified) && m_recordedCandidate && verified.contains(*m_recordedCandidate)
         && context.watcher.find(*m_recordedCandidate)->status->received >= requiredLogEnd(context.watcher, verified);
 }
 
-LogPoint Promotion::requiredLogEnd(const GroupWatcher& watcher, const std::set<TargetName>& fenced) const
+LogPoint Promotion::requiredLogEnd(const GroupWatcher& watcher, const std::set<TargetName>& closed)
 {
+    std::map<SocketAddress, LogPoint> endAt;
+    for (const auto& name : closed) {
+        const auto& member = *watcher.find(name);
+        auto& end = endAt[member.record.address];
+        end = std::max(end, member.status->received);
+    }
     std::vector<LogPoint> ends;
-    ends.reserve(fenced.size());
-    for (const auto& name : fenced)
-        ends.push_back(watcher.find(name)->status->received);
+    ends.reserve(endAt.size());
+    for (const auto& [address, end] : endAt)
+        ends.push_back(end);
     std::sort(ends.rbegin(), ends.rend());
     // An acknowledged commit is on one member more than there are synchronous replicas. Those that are not fenced may
     // all have it.
@@ -124,15 +170,19 @@
 std::optional<TargetName> Promotion::chooseFencedTarget(const Context& context) const
 {
     const auto fenced = fencedMembers(context.watcher);
+    auto closed = endedMembers(context.watcher);
+    closed.insert(fenced.begin(), fenced.end());
     // A promotion that may still take effect would undo that of another member.
     if (m_pending && fenced.contains(m_pending->candidate) && !m_notRunning.contains(m_pending->candidate)) {
         const auto* const pending = context.watcher.find(m_pending->candidate);
-        if (pending->status->received >= requiredLogEnd(context.watcher, fenced))
+        if (pending->status->received >= requiredLogEnd(context.watcher, closed))
             return m_pending->candidate;
     }
     const GroupWatcher::Member* best = nullptr;
     for (const auto& name : fenced) {
         const auto* const member = context.watcher.find(name);
+        if (member->presumedEndedAt)
+            continue;
         const auto rank = [this](const GroupWatcher::Member& ranked) {
             return std::tuple(ranked.status->received, suitability(ranked));
         };
@@ -160,7 +210,9 @@
 
 void Promotion::updateEnoughFenced(const Context& context)
 {
-    if (fencedMembers(context.watcher).size() < context.watcher.fencesNeeded())
+    auto closed = endedMembers(context.watcher);
+    closed.merge(fencedMembers(context.watcher));
+    if (!areEnough(context.watcher, closed))
         m_enoughFencedSince.reset();
     else if (!m_enoughFencedSince)
         m_enoughFencedSince = context.now;
