Pass an acknowledgement on once members that count have the commit

Three of four members were fenced when the old primary, which some hosts still reached, acknowledged two more commits with a replica that had started a moment before and was on no list. The hosts had asked the replicas last before their fences and passed the acknowledgements on.

A promotion finds what is on a member that it counts, so that is what a host now asks for. While each address of the group has a listed, established and answering member and none is leaving, a target outside the list has no part in a commit and the primary's acknowledgement is enough, as before. Otherwise the answer is held (E0429) until as many established members as there are synchronous replicas report the commit in their logs, and is in doubt if none does in time. Where the host reaches too few of them to tell, ReplacementGuard decides alone, as before. For the same reason an acknowledged commit confirms no read while members change.

--- a/src/proxy/GroupDoubts.cpp
+++ b/src/proxy/GroupDoubts.cpp
@@ -1,6 +1,7 @@
 #include "proxy/GroupService.h"
 #include "proxy/PromotionLog.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Auburnpost::Proxy {
@@ -45,10 +46,16 @@
         if (held.target == *primary && held.at > guard.clearAsOf() && !m_watcher.seesFences(now)) {
             m_heldAcknowledgements.emplace(id, held);
             guard.recordIsolation(now);
-        } else if (held.target == *primary)
+        } else if (held.target == *primary && held.answer.position
+            && !m_watcher.isDurable(now, held.target, *held.answer.position)) {
+            m_heldAcknowledgements.emplace(id, held);
+        } else if (held.target == *primary) {
+            const std::chrono::duration<double, std::milli> length = now - held.at;
+            m_delegate.measure("acknowledgement_held_ms", length.count());
             finish(acknowledged, held.answer, nullptr);
-        else
+        } else {
             finishInDoubt(acknowledged);
+        }
     }
 }
 
@@ -74,6 +81,19 @@
         m_delegate.readLease(m_name);
 }
 
+void GroupService::queryHolders(Instant now)
+{
+    std::vector<const GroupWatcher::Member*> others;
+    for (const auto& [name, member] : m_watcher.members()) {
+        if (name != m_watcher.primary() && GroupMembership::isEstablished(now, member) && !member.health.isSuspect(now))
+            others.push_back(&member);
+    }
+    std::sort(others.begin(), others.end(),
+        [](const auto* left, const auto* right) { return left->health.roundTrip() < right->health.roundTrip(); });
+    for (std::size_t index = 0; index < std::min(m_rules.syncReplicas, others.size()); ++index)
+        queryStatus(now, others[index]->record.name);
+}
+
 bool GroupService::acknowledgesWrites(const TargetConnection& connection, const PendingStatement& pending)
 {
     if (connection.stage == ConnectionStage::Pinned)
--- a/src/proxy/GroupMembership.cpp
+++ b/src/proxy/GroupMembership.cpp
@@ -1,4 +1,5 @@
 #include "proxy/GroupMembership.h"
+#include "proxy/ReplacementGuard.h"
 
 #include <algorithm>
 #include <set>
@@ -220,6 +221,30 @@
     return std::max(count - std::min(count, fencesNeeded()), running > quorum ? running - quorum : 0);
 }
 
+bool GroupMembership::isEstablished(Instant now, const GroupMember& member)
+{
+    return member.isInitial || now - member.listedSince >= ReplacementGuard::successorTimeout;
+}
+
+bool GroupMembership::isSettled(Instant now) const
+{
+    return std::all_of(m_members.begin(), m_members.end(), [now](const auto& entry) {
+        const auto& member = entry.second;
+        return member.isListed() && !member.record.isLeaving && isEstablished(now, member)
+            && !member.health.hasRefused() && !member.health.isSuspect(now);
+    });
+}
+
+std::size_t GroupMembership::countHolders(Instant now, const TargetName& primary, const LogPoint& end) const
+{
+    return static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(), [&](const auto& entry) {
+        const auto& [name, member] = entry;
+        // After a promotion the positions of another term say nothing of this commit.
+        return name != primary && isEstablished(now, member) && member.status && !member.status->isPrimary
+            && member.status->received.term == end.term && member.status->received >= end;
+    }));
+}
+
 bool GroupMembership::awaitsEvidence(Instant now) const
 {
     return std::any_of(m_members.begin(), m_members.end(), [now](const auto& entry) {
--- a/src/proxy/GroupMembership.h
+++ b/src/proxy/GroupMembership.h
@@ -86,6 +86,14 @@
     [[nodiscard]] std::size_t fencesNeeded() const;
     /// @return how many members besides the primary have to report that they are not fenced to confirm the primary.
     [[nodiscard]] std::size_t confirmationsNeeded() const;
+    /// @return whether every promotion in progress or to come counts the member: it was there when the group was first
+    /// watched, or its record is older than a lease that was read before it.
+    [[nodiscard]] static bool isEstablished(Instant now, const GroupMember&);
+    /// @return whether a listed and established member runs at each address of the group and none is about to leave, so
+    /// that no target which this host does not know has a part in the group's commits.
+    [[nodiscard]] bool isSettled(Instant now) const;
+    /// @return how many established members besides the primary have reported a log of the same term up to the point.
+    [[nodiscard]] std::size_t countHolders(Instant now, const TargetName& primary, const LogPoint&) const;
     /// @return when members were released that are not taken from the record in the store again, by name and start.
     [[nodiscard]] const std::map<std::pair<TargetName, TargetIncarnation>, Instant>& releases() const
     {
--- a/src/proxy/GroupReplies.cpp
+++ b/src/proxy/GroupReplies.cpp
@@ -159,7 +159,7 @@
     if (!reply.failure() && !wasPinned)
         m_serviceTimes.record(now, laneOf(*pending), now - expected.sentAt);
     const bool isAcknowledgement = !reply.failure() && acknowledgesWrites(connection, *pending);
-    recordWriteReply(connection, *pending, expected, reply);
+    recordWriteReply(now, connection, *pending, expected, reply);
     recordReadAnswer(now, connection, *pending, expected, reply);
     if (reply.failure()) {
         handleFailureReply(now, connection, *pending, reply);
@@ -167,7 +167,10 @@
     }
     if (isAcknowledgement && !m_watcher.seesFences(now))
         m_watcher.guard().recordIsolation(now);
-    if (isAcknowledgement && !m_watcher.guard().allows(connection.target)) {
+    const bool isDurable = !reply.position || m_watcher.isDurable(now, connection.target, *reply.position);
+    if (isAcknowledgement && (!isDurable || !m_watcher.guard().allows(connection.target))) {
+        if (!isDurable)
+            queryHolders(now);
         holdAcknowledgement(now, *pending, connection.target, reply);
         unbind(now, connection);
         return;
@@ -180,13 +183,13 @@
     finish(served, { std::get<Session::Success>(reply.body), reply.state, reply.position }, &connection);
 }
 
-void GroupService::recordWriteReply(TargetConnection& connection, const PendingStatement& pending,
+void GroupService::recordWriteReply(Instant now, TargetConnection& connection, const PendingStatement& pending,
     const ExpectedReply& expected, const TargetReply& reply)
 {
     const bool isDone = !reply.failure() && reply.position;
     if (pending.statement.kind == StatementKind::Commit) {
         if (isDone && connection.hasWritten)
-            m_watcher.recordCommit(connection.target, expected.sentAt, *reply.position);
+            m_watcher.recordCommit(now, connection.target, expected.sentAt, *reply.position);
         return;
     }
     if (!isDone || pending.access != Session::Access::Write)
@@ -194,7 +197,7 @@
     if (connection.stage == ConnectionStage::Pinned)
         connection.hasWritten = true;
     else
-        m_watcher.recordCommit(connection.target, expected.sentAt, *reply.position);
+        m_watcher.recordCommit(now, connection.target, expected.sentAt, *reply.position);
 }
 
 void GroupService::handleFailureReply(
--- a/src/proxy/GroupService.cpp
+++ b/src/proxy/GroupService.cpp
@@ -251,7 +251,8 @@
     const bool awaitsEvidence = m_watcher.membership().awaitsEvidence(now);
     if (!member.isListed() && member.presumedEndedAt)
         return idlePollInterval;
-    const bool isUrgent = m_promotion.isReplacing() || !m_watcher.primary() || isPrimaryDoubted() || awaitsEvidence;
+    const bool isUrgent = m_promotion.isReplacing() || !m_watcher.primary() || isPrimaryDoubted() || awaitsEvidence
+        || !m_heldAcknowledgements.empty();
     if (isUrgent || member.health.isSuspect(now) || !member.status)
         return urgentPollInterval;
     const auto lastResponse = member.health.lastResponseAt();
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -126,7 +126,8 @@
         ShortageScope scope { ShortageScope::Nobody };
         Limit::LaneSet lanes;
     };
-    /// An acknowledgement that is not passed on while its primary may have been replaced.
+    /// An acknowledgement that is not passed on while its primary may have been replaced, or while the commit may not
+    /// be on enough members that every promotion counts.
     struct HeldAcknowledgement {
         TargetName target;
         Session::Answer answer;
@@ -206,7 +207,8 @@
     void handleStatusReply(Instant now, TargetConnection&, const ExpectedReply&, const TargetReply&);
     void handleBeginReply(Instant now, TargetConnection&, const ExpectedReply&, const TargetReply&);
     void handleStatementReply(Instant now, TargetConnection&, const ExpectedReply&, const TargetReply&);
-    void recordWriteReply(TargetConnection&, const PendingStatement&, const ExpectedReply&, const TargetReply&);
+    void recordWriteReply(
+        Instant now, TargetConnection&, const PendingStatement&, const ExpectedReply&, const TargetReply&);
     void handleFailureReply(Instant now, TargetConnection&, PendingStatement&, const TargetReply&);
     /// Queues a refused statement again if its deadline and the retry budget allow.
     /// @param hasPosition whether the refusal reported how far the target's reads see.
@@ -238,6 +240,8 @@
     [[nodiscard]] static bool acknowledgesWrites(const TargetConnection&, const PendingStatement&);
     /// Keeps the answer of a primary that may have been replaced.
     void holdAcknowledgement(Instant now, PendingStatement&, const TargetName&, const TargetReply&);
+    /// Queries the nearest members on which a commit has to be before its acknowledgement is passed on.
+    void queryHolders(Instant now);
     void finishInDoubt(const PendingStatement&);
 
     // Load estimates.
--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -210,7 +210,7 @@
     return needed > 0 ? confirmedAt[needed - 1] : Instant::max();
 }
 
-void GroupWatcher::recordCommit(const TargetName& name, Instant sentAt, const LogPoint& end)
+void GroupWatcher::recordCommit(Instant now, const TargetName& name, Instant sentAt, const LogPoint& end)
 {
     if (m_primary == name)
         m_history.recordPrimary({ name, m_primaryTerm, end, sentAt });
@@ -218,7 +218,8 @@
     // still have enough other replicas.
     if (m_primary == name && end.term == m_primaryTerm)
         m_commitSentAt = std::max(m_commitSentAt.value_or(sentAt), sentAt);
-    const bool isConfirmation = m_rules.syncReplicas > 0 && m_membership.size() < 2 * (m_rules.syncReplicas + 1);
+    const bool isConfirmation = m_rules.syncReplicas > 0 && m_membership.size() < 2 * (m_rules.syncReplicas + 1)
+        && m_membership.isSettled(now);
     if (isConfirmation && m_guard.allows(name) && m_primary == name && end.term == m_primaryTerm)
         m_confirmations.add(sentAt, name, end, ConfirmationSource::Commit);
 }
@@ -282,19 +283,30 @@
 
 bool GroupWatcher::seesFences(Instant now) const
 {
-    std::size_t visible = 0;
-    bool hasCandidate = false;
-    for (const auto& [name, member] : members()) {
-        // Nobody can promote a member whose process is down.
-        if (name == m_primary || member.presumedEndedAt || member.health.isRefusing())
-            continue;
-        hasCandidate = true;
-        const bool isEstablished = member.isInitial || now - member.listedSince >= ReplacementGuard::successorTimeout;
-        if (member.isListed() && member.status && isEstablished && !member.health.isSuspect(now))
-            ++visible;
-    }
+    // Nobody can promote a member whose process is down.
+    const bool hasCandidate = std::any_of(members().begin(), members().end(), [this](const auto& entry) {
+        return entry.first != m_primary && !entry.second.presumedEndedAt && !entry.second.health.isRefusing();
+    });
     // A replacement leaves fewer members unfenced besides the primary than there are synchronous replicas.
-    return !hasCandidate || visible >= std::max<std::size_t>(1, m_rules.syncReplicas);
+    return !hasCandidate || visibleMembers(now) >= std::max<std::size_t>(1, m_rules.syncReplicas);
+}
+
+std::size_t GroupWatcher::visibleMembers(Instant now) const
+{
+    return static_cast<std::size_t>(std::count_if(members().begin(), members().end(), [this, now](const auto& entry) {
+        const auto& [name, member] = entry;
+        const bool isRunning = !member.presumedEndedAt && !member.health.isRefusing();
+        return name != m_primary && isRunning && member.isListed() && member.status
+            && GroupMembership::isEstablished(now, member) && !member.health.isSuspect(now);
+    }));
+}
+
+bool GroupWatcher::isDurable(Instant now, const TargetName& primary, const LogPoint& end) const
+{
+    const auto needed = m_rules.syncReplicas;
+    if (needed == 0 || m_membership.isSettled(now) || visibleMembers(now) < needed)
+        return true;
+    return m_membership.countHolders(now, primary, end) >= needed;
 }
 
 bool GroupWatcher::hasFencedMemberFor(Instant now, Duration limit) const
--- a/src/proxy/GroupWatcher.h
+++ b/src/proxy/GroupWatcher.h
@@ -73,9 +73,9 @@
     /// @return whether the status makes another target the primary.
     bool recordStatus(Instant now, const TargetName&, Instant queriedAt, const TargetStatus&);
     /// Records that the primary acknowledged a commit with writes. In a small enough group this confirms the primary
-    /// as the members' status does.
+    /// as the members' status does, unless a replica that this host does not know may have acknowledged it.
     /// @param sentAt when the commit was sent; @param end the end of the primary's log after the commit.
-    void recordCommit(const TargetName&, Instant sentAt, const LogPoint& end);
+    void recordCommit(Instant now, const TargetName&, Instant sentAt, const LogPoint& end);
     /// Stores the end of the log that the target's reads see, as reported in a reply.
     void recordApplied(Instant now, const TargetName&, const LogPoint& applied);
     /// Records that a read which requires a position is being sent to the target. Its reply will show whether the
@@ -124,6 +124,11 @@
     /// would see the fence. A member that was listed a short time ago may be unknown to the host that replaces the
     /// primary.
     [[nodiscard]] bool seesFences(Instant now) const;
+    /// @return whether every promotion finds the commit on a member that it counts. The primary's acknowledgement shows
+    /// this in a settled group only: otherwise a replica that no host lists may have acknowledged it. Where this host
+    /// reaches too few members to tell, seesFences() and ReplacementGuard decide alone.
+    /// @param end the end of the primary's log after the commit.
+    [[nodiscard]] bool isDurable(Instant now, const TargetName& primary, const LogPoint& end) const;
     /// Restarts all timeouts after a pause of this process, as members may have responded meanwhile.
     void discountPause(Instant now);
 
@@ -131,6 +136,8 @@
     /// @return whether a listed member has not answered yet, or a member is fenced, in a later term, or another
     /// primary.
     [[nodiscard]] bool hasSignOfReplacement() const;
+    /// @return how many members besides the primary are established and answer this host.
+    [[nodiscard]] std::size_t visibleMembers(Instant now) const;
     /// Forgets the primary, which has to be seen again and not be replaced before it is used.
     void losePrimary(Instant now);
     /// Adds a confirmation if the primary and enough other members report no fence and no higher term.
--- a/tests/proxy/GroupMembershipTests.cpp
+++ b/tests/proxy/GroupMembershipTests.cpp
@@ -282,6 +282,6 @@
     group.now += 10ms;
     stall();
     CHECK(group.watcher.failoverReason(group.now) == FailoverReason::Blocked);
-    group.watcher.recordCommit(p, group.now, { Term(1), Position(31) });
+    group.watcher.recordCommit(group.now, p, group.now, { Term(1), Position(31) });
     CHECK(group.watcher.failoverReason(group.now) == FailoverReason::None);
 }
--- a/tests/proxy/GroupWatcherTests.cpp
+++ b/tests/proxy/GroupWatcherTests.cpp
@@ -90,7 +90,7 @@
 {
     auto watcher = threeMembers();
     watcher.recordStatus(start, p, start, makeStatus(true, 1, 7));
-    watcher.recordCommit(p, start + 20ms, { Term(1), Position(8) });
+    watcher.recordCommit(start + 20ms, p, start + 20ms, { Term(1), Position(8) });
     CHECK(watcher.confirmations().covers(start + 20ms, p));
     CHECK_FALSE(watcher.confirmations().covers(start + 21ms, p));
 
@@ -99,7 +99,7 @@
         auto larger = threeMembers();
         larger.setMembers(start, { record("p", 1, true), record("r", 2), record("s", 3), record("t", 4) });
         larger.recordStatus(start, p, start, makeStatus(true, 1, 7));
-        larger.recordCommit(p, start + 20ms, { Term(1), Position(8) });
+        larger.recordCommit(start + 20ms, p, start + 20ms, { Term(1), Position(8) });
         CHECK_FALSE(larger.confirmations().covers(start, p));
     }
 }
--- a/tests/proxy/ModelHost.cpp
+++ b/tests/proxy/ModelHost.cpp
@@ -136,12 +136,12 @@
     updateTimers(now);
 }
 
-void ModelHost::commitAcknowledged(Instant sentAt, const TargetName& name, const LogPoint& end)
+void ModelHost::commitAcknowledged(Instant now, Instant sentAt, const TargetName& name, const LogPoint& end)
 {
     if (m_promotion.isFencing())
         return;
     m_commitAcknowledgedAt = sentAt;
-    m_watcher.recordCommit(name, sentAt, end);
+    m_watcher.recordCommit(now, name, sentAt, end);
 }
 
 void ModelHost::leaseRead(Instant now, const PromotionLeaseRow& row)
--- a/tests/proxy/ModelHost.h
+++ b/tests/proxy/ModelHost.h
@@ -46,7 +46,7 @@
     void statusReceived(Instant now, const TargetName&, Instant queriedAt, const TargetStatus&);
     /// Ends a tick: starts or advances the promotion.
     void endTick(Instant now);
-    void commitAcknowledged(Instant sentAt, const TargetName&, const LogPoint& end);
+    void commitAcknowledged(Instant now, Instant sentAt, const TargetName&, const LogPoint& end);
     void leaseRead(Instant now, const PromotionLeaseRow&);
     void leaseWritten(Instant now, std::optional<RowVersion>);
     /// Applies the table of targets as the promotion read it, unless a newer one is known.
--- a/tests/proxy/PromotionLogTests.cpp
+++ b/tests/proxy/PromotionLogTests.cpp
@@ -202,7 +202,7 @@
 TEST_CASE("The end of the primary's log includes the commits acknowledged to this host", "[proxy][promotionlog]")
 {
     Fixture group;
-    group.watcher.recordCommit(TargetName("p"), group.now + 10ms, { Term(1), Position(12) });
+    group.watcher.recordCommit(group.now + 10ms, TargetName("p"), group.now + 10ms, { Term(1), Position(12) });
     // The answer to an earlier query.
     group.watcher.recordStatus(group.now + 20ms, TargetName("p"), group.now, makeStatus(true, 1, 10));
     group.now += 50ms;
--- a/tests/proxy/ProtocolModel.cpp
+++ b/tests/proxy/ProtocolModel.cpp
@@ -198,7 +198,7 @@
     trace(primary.name().value() + " completes commit " + std::to_string(id) + " with " + replica.name().value());
     receive(replica, primary);
     if (!m_isPaused[0] && !m_hostCuts.contains({ 0, primary.index }))
-        m_hosts[0]->commitAcknowledged(m_now, primary.name(), primary.logEnd());
+        m_hosts[0]->commitAcknowledged(m_now, m_now, primary.name(), primary.logEnd());
 }
 
 void ProtocolModel::applyCommitAlone(std::size_t)
