Let the row of the lease confirm the primary where members do not answer

A read of the lease's row that was sent after the statement arrived and shows no lease, record of a later term or call for a replacement, however old, shows as well that the primary was not replaced by then: promotions are recorded in the row before they are called.

--- a/src/proxy/GroupDispatch.cpp
+++ b/src/proxy/GroupDispatch.cpp
@@ -151,7 +151,7 @@
 void GroupService::wakeAwaiting(Instant now)
 {
     const auto newest = m_watcher.confirmations().newestRequestedAt();
-    const auto othersAsOf = m_watcher.unreplacedAsOf();
+    const auto othersAsOf = primaryKeptAsOf();
     if (m_watcher.primary() != m_wokenForPrimary || isPrimaryLost(now))
         m_queue.wakeUpTo(now, Instant::max());
     else if (newest != m_wokenUpTo || othersAsOf != m_othersWokenUpTo)
@@ -287,7 +287,7 @@
         return true;
     // The primary itself refuses these once it is none, so that only the others have to be asked.
     const bool isRefusedByReplicas = laneOf(pending) == writeLane;
-    const auto asOf = m_watcher.unreplacedAsOf();
+    const auto asOf = primaryKeptAsOf();
     if (isRefusedByReplicas && asOf && *asOf >= pending.freshAsOf)
         return true;
     pending.waitReason = WaitReason::NoConfirmation;
@@ -428,17 +428,17 @@
 
 void GroupService::recordPrimaryEvidence(PendingStatement& pending) const
 {
-    const auto& confirmations = m_watcher.confirmations();
-    pending.primaryEvidence.emplace();
-    auto requestedAt = confirmations.newestRequestedAt();
-    pending.primaryEvidence->source = confirmations.newestSource();
-    const auto othersAsOf = m_watcher.unreplacedAsOf();
-    if (laneOf(pending) == writeLane && othersAsOf > requestedAt) {
-        requestedAt = othersAsOf;
-        pending.primaryEvidence->source = ConfirmationSource::Members;
+    auto& evidence = pending.primaryEvidence.emplace();
+    auto requestedAt = m_watcher.confirmations().newestRequestedAt();
+    evidence.source = m_watcher.confirmations().newestSource();
+    const auto keptAsOf = primaryKeptAsOf();
+    if (laneOf(pending) == writeLane && keptAsOf > requestedAt) {
+        const bool isByMembers = m_watcher.unreplacedAsOf() == keptAsOf;
+        requestedAt = keptAsOf;
+        evidence.source = isByMembers ? ConfirmationSource::Members : ConfirmationSource::Row;
     }
     if (requestedAt)
-        pending.primaryEvidence->confirmedAfter = *requestedAt - pending.freshAsOf;
+        evidence.confirmedAfter = *requestedAt - pending.freshAsOf;
 }
 
 void GroupService::sendStatement(Instant now, TargetConnection& connection, const PendingStatement& pending)
--- a/src/proxy/GroupDoubts.cpp
+++ b/src/proxy/GroupDoubts.cpp
@@ -77,8 +77,24 @@
 {
     // While this host replaces the primary itself, its own state tells more than the row.
     const bool isOwnAttempt = m_promotion.isReplacing() && m_promotion.state() != "Delaying";
-    if (m_leaseReads.send(now, !isOwnAttempt && m_watcher.guard().isReadDue(now)))
-        m_delegate.readLease(m_name);
+    const bool isWanted = m_watcher.guard().isReadDue(now) || isRowConfirmationDue(now);
+    if (!m_leaseReads.send(now, !isOwnAttempt && isWanted))
+        return;
+    m_rowReadAt = now;
+    m_delegate.readLease(m_name);
+}
+
+std::optional<Instant> GroupService::primaryKeptAsOf() const
+{
+    return std::max(m_watcher.unreplacedAsOf(), m_watcher.guard().unreplacedByRowAsOf(m_watcher.primaryTerm()));
+}
+
+bool GroupService::isRowConfirmationDue(Instant now) const
+{
+    const auto awaited = m_queue.latestAwaited(Limit::LaneSet().set(writeLane));
+    const auto asOf = primaryKeptAsOf();
+    return awaited && m_watcher.primary() && (!asOf || *asOf < *awaited)
+        && now - m_rowReadAt >= confirmationRoundTimeout && !m_watcher.canMembersConfirm(now);
 }
 
 void GroupService::queryHolders(Instant now)
--- a/src/proxy/GroupService.h
+++ b/src/proxy/GroupService.h
@@ -234,6 +234,12 @@
     void resolveDoubt(Instant now);
     /// Sends the read of the lease's row that the promotion or a doubt requires, one at a time.
     void sendLeaseReads(Instant now);
+    /// @return the moment as of which the members or the row of the lease have shown that the primary was not replaced;
+    /// empty if neither has. It serves for statements that a target refuses which is no primary itself.
+    [[nodiscard]] std::optional<Instant> primaryKeptAsOf() const;
+    /// @return whether statements wait for a confirmation of the primary that the members can't give, but the row of
+    /// the lease may.
+    [[nodiscard]] bool isRowConfirmationDue(Instant now) const;
     /// @return whether a target reports to be the primary and is not used.
     [[nodiscard]] bool isPrimaryDoubted() const;
     /// @return whether a successful answer to the statement tells the caller that writes are kept.
@@ -299,6 +305,8 @@
     std::map<PendingStatementId, PendingStatement> m_statements;
     std::map<PendingStatementId, HeldAcknowledgement> m_heldAcknowledgements;
     LeaseReads m_leaseReads;
+    /// When the last read of the lease's row was sent.
+    Instant m_rowReadAt {};
     Limit::AdmissionQueue m_queue;
     /// By lane.
     Limit::ServiceTimes<Limit::laneCount> m_serviceTimes;
@@ -323,7 +331,7 @@
     std::optional<Instant> m_shortSince;
     /// The newest confirmation and the primary for which statements were last made available.
     std::optional<Instant> m_wokenUpTo;
-    /// The moment of GroupWatcher::unreplacedAsOf() for which they were.
+    /// The moment of primaryKeptAsOf() for which they were.
     std::optional<Instant> m_othersWokenUpTo;
     std::optional<TargetName> m_wokenForPrimary;
     /// Why the statements of each lane last had to wait.
--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -198,9 +198,7 @@
         return {};
     std::vector<Instant> confirmedAt;
     for (const auto& [name, member] : members()) {
-        if (name == *m_primary || !member.status || member.status->isFenced())
-            continue;
-        if (member.status->term <= m_primaryTerm && !member.status->isPrimary)
+        if (showsNoReplacement(name, member))
             confirmedAt.push_back(member.queriedAt);
     }
     const auto needed = confirmationsNeeded();
@@ -210,6 +208,21 @@
     return needed > 0 ? confirmedAt[needed - 1] : Instant::max();
 }
 
+bool GroupWatcher::showsNoReplacement(const TargetName& name, const Member& member) const
+{
+    return name != m_primary && member.status && !member.status->isFenced() && !member.status->isPrimary
+        && member.status->term <= m_primaryTerm;
+}
+
+bool GroupWatcher::canMembersConfirm(Instant now) const
+{
+    const auto available = std::count_if(members().begin(), members().end(), [this, now](const auto& entry) {
+        const auto& [name, member] = entry;
+        return showsNoReplacement(name, member) && !member.presumedEndedAt && !member.health.isSuspect(now);
+    });
+    return static_cast<std::size_t>(available) >= confirmationsNeeded();
+}
+
 void GroupWatcher::recordCommit(Instant now, const TargetName& name, Instant sentAt, const LogPoint& end)
 {
     if (m_primary == name)
@@ -304,7 +317,9 @@
 bool GroupWatcher::isDurable(Instant now, const TargetName& primary, const LogPoint& end) const
 {
     const auto needed = m_rules.syncReplicas;
-    if (needed == 0 || m_membership.isSettled(now) || visibleMembers(now) < needed)
+    if (needed == 0 || m_membership.isSettled(now))
+        return true;
+    if (visibleMembers(now) < needed)
         return true;
     return m_membership.countHolders(now, primary, end) >= needed;
 }
--- a/src/proxy/GroupWatcher.h
+++ b/src/proxy/GroupWatcher.h
@@ -101,8 +101,10 @@
     [[nodiscard]] Term highestTerm() const { return m_highestTerm; }
     [[nodiscard]] const PrimaryConfirmations& confirmations() const { return m_confirmations; }
     /// @return the moment as of which enough members besides the primary have shown that it was not replaced; empty if
-    /// they have not. It serves for statements that a target refuses which is no primary itself.
+    /// they have not.
     [[nodiscard]] std::optional<Instant> unreplacedAsOf() const;
+    /// @return whether enough members besides the primary answer to show that it was not replaced.
+    [[nodiscard]] bool canMembersConfirm(Instant now) const;
     [[nodiscard]] FailoverReason failoverReason(Instant now) const;
     /// @return whether a member that stays receives the primary's commits, so that the primary can hand over to it.
     [[nodiscard]] bool hasCaughtUpReplica(Instant now) const;
@@ -140,6 +142,9 @@
     [[nodiscard]] std::size_t visibleMembers(Instant now) const;
     /// Forgets the primary, which has to be seen again and not be replaced before it is used.
     void losePrimary(Instant now);
+    /// @return whether the member's last status is that of a replica which has joined no later primary and is not
+    /// fenced.
+    [[nodiscard]] bool showsNoReplacement(const TargetName&, const Member&) const;
     /// Adds a confirmation if the primary and enough other members report no fence and no higher term.
     void confirmPrimary();
     void updateBehindSince(Instant now, Member&, Instant queriedAt, const TargetStatus&);
--- a/src/proxy/PrimaryConfirmations.cpp
+++ b/src/proxy/PrimaryConfirmations.cpp
@@ -6,7 +6,7 @@
 
 std::string_view toString(ConfirmationSource source)
 {
-    constexpr std::string_view texts[] { "members", "commit" };
+    constexpr std::string_view texts[] { "members", "commit", "row" };
     return texts[static_cast<std::size_t>(source)];
 }
 
--- a/src/proxy/PrimaryConfirmations.h
+++ b/src/proxy/PrimaryConfirmations.h
@@ -16,6 +16,8 @@
     Members,
     /// A commit that the primary acknowledged.
     Commit,
+    /// The row of the promotion lease, which shows no replacement. It confirms no read.
+    Row,
 };
 
 /// @return the text for logs, such as "members".
--- a/src/proxy/ReplacementGuard.cpp
+++ b/src/proxy/ReplacementGuard.cpp
@@ -113,9 +113,23 @@
     return m_primary && m_fenceTerm > m_primary->term && m_fenceTerm > m_explainedFence;
 }
 
+void ReplacementGuard::recordUnreplaced(
+    Instant now, Instant sentAt, const PromotionLeaseRow& row, bool isOwn, const std::optional<PendingPromotion>& own)
+{
+    if (!m_primary || now < m_rowUnknownUntil || showsReplacement(row, isOwn, own, m_primary->term))
+        return;
+    // A call that had no effect within replacementTimeout may still have it.
+    const auto& pending = isOwn || !row.lease ? own : row.lease->pending;
+    if (pending && pending->replacedTerm >= m_primary->term)
+        return;
+    m_unreplacedByRowAsOf = sentAt;
+    m_unreplacedTerm = m_primary->term;
+}
+
 void ReplacementGuard::recordRow(
     Instant now, Instant sentAt, const PromotionLeaseRow& row, bool isOwn, const std::optional<PendingPromotion>& own)
 {
+    recordUnreplaced(now, sentAt, row, isOwn, own);
     if (m_doubt == PrimaryDoubt::None || !m_reportedAt || sentAt < *m_reportedAt)
         return;
     m_isRowUnreadable = false;
--- a/src/proxy/ReplacementGuard.h
+++ b/src/proxy/ReplacementGuard.h
@@ -126,6 +126,12 @@
     [[nodiscard]] bool allows(const TargetName&) const;
     /// @return the moment as of which the primary was last known not to be replaced.
     [[nodiscard]] Instant clearAsOf() const { return m_clearAsOf; }
+    /// @return the moment as of which the row last showed that the primary of the term was not replaced; empty if it
+    /// has not.
+    [[nodiscard]] std::optional<Instant> unreplacedByRowAsOf(Term term) const
+    {
+        return m_unreplacedTerm == term ? m_unreplacedByRowAsOf : std::nullopt;
+    }
     /// @return why the reported primary is not used; None if it is, or if there is none.
     [[nodiscard]] PrimaryDoubt doubt() const { return m_reportedAt ? m_doubt : PrimaryDoubt::None; }
     /// @return since when the reported primary is not used; empty if it is, or if there is none.
@@ -140,6 +146,9 @@
 private:
     [[nodiscard]] bool mayFollow(Instant now, const ReportedPrimary& successor) const;
     [[nodiscard]] bool isFenceUnexplained() const;
+    /// Keeps a read of the row that shows no replacement of the primary.
+    void recordUnreplaced(
+        Instant now, Instant sentAt, const PromotionLeaseRow&, bool isOwn, const std::optional<PendingPromotion>& own);
     /// @param asOf the moment as of which the primary was not replaced.
     void resolve(Instant now, DoubtResolution, Instant asOf);
 
@@ -161,6 +170,9 @@
     /// The highest term of a fence that was there when the row showed no replacement.
     Term m_explainedFence;
     Instant m_rowUnknownUntil {};
+    /// As of when the row last showed no replacement, and for the primary of which term.
+    std::optional<Instant> m_unreplacedByRowAsOf;
+    Term m_unreplacedTerm;
     std::optional<Resolved> m_resolved;
 };
 
--- /dev/null
+++ b/tests/proxy/AcknowledgementEvidenceTests.cpp
@@ -0,0 +1,48 @@
+#include "proxy/GroupServiceFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Auburnpost;
+using namespace Auburnpost::Proxy;
+using namespace std::chrono_literals;
+using Session::FailureCode;
+using Session::StatementKind;
+using Session::TransactionState;
+
+namespace {
+
+/// A group whose primary acknowledges a commit at 1.11.
+struct Group : GroupServiceFixture {
+    Group() { run(1s); }
+    void setLeaving(bool isLeaving)
+    {
+        records[1].isLeaving = isLeaving;
+        service.setMembers(now, records);
+    }
+    void send()
+    {
+        service.submit(now, makeStatement(StatementKind::Write, Consistency::Current));
+        run(20ms);
+        REQUIRE(statements.size() == 1);
+    }
+    void acknowledge()
+    {
+        reply(statements[0],
+            { Session::Success { "signed", {} }, TransactionState::Idle, LogPoint { Term(1), Position(11) }, {} });
+    }
+    [[nodiscard]] bool isPassedOn() const { return !delegate.results.empty() && !failure(); }
+};
+
+} // namespace
+
+TEST_CASE("A write without synchronous replicas is sent while one of two replicas does not answer",
+    "[proxy][service][ackevidence]")
+{
+    Group group;
+    group.service.setRules({ 50, 0 });
+    group.unresponsive = { TargetName("s") };
+    group.run(1s);
+    group.service.submit(group.now, group.makeStatement(StatementKind::Write, Consistency::Current));
+    group.run(300ms);
+    CHECK(group.statements.size() == 1);
+}
--- a/tests/proxy/PrimaryStatementTests.cpp
+++ b/tests/proxy/PrimaryStatementTests.cpp
@@ -77,3 +77,43 @@
     REQUIRE(group.statements.size() == 1);
     CHECK(group.delegate.targets.at(group.statements[0].connection) == TargetName("p"));
 }
+
+TEST_CASE("A host that reaches the primary and no other member serves writes on the word of the lease's row",
+    "[proxy][service][stale]")
+{
+    GroupServiceFixture group;
+    group.unresponsive = { TargetName("r"), TargetName("s") };
+    group.run(1500ms);
+    REQUIRE_FALSE(group.service.watcher().canMembersConfirm(group.now));
+    auto write = group.makeStatement(StatementKind::Write, Consistency::ReadYourWrites);
+
+    SECTION("if it shows no replacement")
+    {
+        group.service.submit(group.now, write);
+        group.run(300ms);
+        CHECK(group.statements.size() == 1);
+    }
+    SECTION("not if another host may replace the primary")
+    {
+        group.leaseRow.lease = PromotionLease { HostName("other"), 1'000'000, {} };
+        group.service.submit(group.now, write);
+        group.run(700ms);
+        CHECK(group.statements.empty());
+    }
+    SECTION("not if a call for its replacement is on record, however old")
+    {
+        group.leaseRow.storeNowMs = 900'000;
+        group.leaseRow.lease
+            = PromotionLease { HostName("other"), 0, PendingPromotion { TargetName("s"), Term(1), 1000, false } };
+        group.service.submit(group.now, write);
+        group.run(700ms);
+        CHECK(group.statements.empty());
+    }
+    SECTION("not if the store does not answer")
+    {
+        group.isStoreAnswering = false;
+        group.service.submit(group.now, write);
+        group.run(700ms);
+        CHECK(group.statements.empty());
+    }
+}
