Count no ended member by its fence alone

A fence ends with its process, and its log may go to a target that starts at its address, is on no list yet and acknowledges with a primary that only this host does not reach; the promoted log would lack these commits.

Only the closed log of the term shows that nothing more is acknowledged, so that alone counts now. An address counts as closed only if no other member that may run is there.

--- a/src/proxy/Promotion.h
+++ b/src/proxy/Promotion.h
@@ -9,6 +9,7 @@
 #include "proxy/PromotionTrace.h"
 #include "proxy/TargetRequest.h"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <tuple>
@@ -226,6 +227,8 @@
     /// @return whether no primary of a term after the closed one can have led, as far as the row of the lease and its
     /// candidate tell.
     [[nodiscard]] bool isClosureProven(const GroupWatcher&) const;
+    /// @return whether the candidate of the promotion that the row shows has reported since that it never led.
+    [[nodiscard]] bool isPendingDisproved(const GroupWatcher&, Term closed) const;
     /// @return the order in which members with equal logs are promoted; the highest goes first. A promotion that may
     /// still take effect would otherwise undo another.
     [[nodiscard]] std::tuple<bool, bool, bool, bool> suitability(const GroupWatcher::Member&) const;
@@ -234,7 +237,11 @@
     /// @param closed members that can't acknowledge anything more.
     /// @return the log point that includes every acknowledged commit, as far as the logs of these members tell.
     [[nodiscard]] static LogPoint requiredLogEnd(const GroupWatcher&, const std::set<TargetName>& closed);
-    /// @return whether the members are enough for a promotion. Members are counted by address, as by GroupMembership.
+    /// @return the longest log at each address where none but these members can acknowledge anything. Members are
+    /// counted by address, as by GroupMembership.
+    [[nodiscard]] static std::map<SocketAddress, LogPoint> closedAddresses(
+        const GroupWatcher&, const std::set<TargetName>& closed);
+    /// @return whether the members are enough for a promotion.
     [[nodiscard]] static bool areEnough(const GroupWatcher&, const std::set<TargetName>& closed);
     /// Logs an attempt that ended without success.
     /// @param before the state that the event left.
--- a/src/proxy/PromotionFencing.cpp
+++ b/src/proxy/PromotionFencing.cpp
@@ -1,7 +1,7 @@
 #include "proxy/Promotion.h"
 
 #include <algorithm>
-#include <map>
+#include <limits>
 #include <tuple>
 
 namespace Auburnpost::Proxy {
@@ -18,13 +18,13 @@
 
 std::set<TargetName> Promotion::endedMembers(const GroupWatcher& watcher) const
 {
-    const bool isProven = isClosureProven(watcher);
     std::set<TargetName> names;
+    if (!isClosureProven(watcher))
+        return names;
     for (const auto& [name, member] : watcher.members()) {
-        if (!member.presumedEndedAt || !member.status || member.status->isPrimary)
-            continue;
-        const bool isFenced = member.status->fencedTerm == m_term;
-        if (isFenced || (isProven && watcher.logClosure().isFinal(name, member.queriedAt)))
+        // A fence shows nothing of a member that has ended, as another target may run at its address.
+        if (member.presumedEndedAt && member.status && !member.status->isPrimary
+            && watcher.logClosure().isFinal(name, member.queriedAt))
             names.insert(name);
     }
     return names;
@@ -40,20 +40,36 @@
         return m_leaseRow.version == RowVersion {};
     if (!lease->members || lease->members->term > *closed)
         return false;
-    if (!lease->pending || lease->pending->replacedTerm < *closed)
-        return true;
+    return !lease->pending || lease->pending->replacedTerm < *closed || isPendingDisproved(watcher, *closed);
+}
+
+bool Promotion::isPendingDisproved(const GroupWatcher& watcher, Term closed) const
+{
     // Had the candidate led, it would report the term that it led.
-    const auto* const candidate = watcher.find(lease->pending->candidate);
-    return candidate && candidate->status && candidate->queriedAt >= m_leaseReadAt
-        && candidate->status->term <= *closed;
+    const auto* const candidate = watcher.find(m_leaseRow.lease->pending->candidate);
+    return candidate && candidate->status && candidate->queriedAt >= m_leaseReadAt && candidate->status->term <= closed;
+}
+
+std::map<SocketAddress, LogPoint> Promotion::closedAddresses(
+    const GroupWatcher& watcher, const std::set<TargetName>& closed)
+{
+    std::map<SocketAddress, LogPoint> endAt;
+    for (const auto& name : closed) {
+        const auto& member = *watcher.find(name);
+        auto& end = endAt[member.record.address];
+        end = std::max(end, member.status->received);
+    }
+    // Another target may have started at the address of one that ended.
+    for (const auto& [name, member] : watcher.members()) {
+        if (!member.presumedEndedAt && !closed.contains(name))
+            endAt.erase(member.record.address);
+    }
+    return endAt;
 }
 
 bool Promotion::areEnough(const GroupWatcher& watcher, const std::set<TargetName>& closed)
 {
-    std::set<SocketAddress> addresses;
-    for (const auto& name : closed)
-        addresses.insert(watcher.find(name)->record.address);
-    return addresses.size() >= watcher.fencesNeeded();
+    return closedAddresses(watcher, closed).size() >= watcher.fencesNeeded();
 }
 
 bool Promotion::hasEnoughFenced(const Context& context) const
@@ -85,12 +101,10 @@
 
 LogPoint Promotion::requiredLogEnd(const GroupWatcher& watcher, const std::set<TargetName>& closed)
 {
-    std::map<SocketAddress, LogPoint> endAt;
-    for (const auto& name : closed) {
-        const auto& member = *watcher.find(name);
-        auto& end = endAt[member.record.address];
-        end = std::max(end, member.status->received);
-    }
+    const auto endAt = closedAddresses(watcher, closed);
+    // Without any, no log is known to be enough.
+    if (endAt.empty())
+        return { Term(std::numeric_limits<std::uint64_t>::max()), {} };
     std::vector<LogPoint> ends;
     ends.reserve(endAt.size());
     for (const auto& [address, end] : endAt)
