Hand on in the row what an attempt could not rule out

The term on record is never lowered, and a pending promotion that a writer drops without having seen a later primary, or a report of the candidate that rules it out, stays as unresolved_term. A row without it, of a host of an earlier version, proves nothing until a host that has a primary writes it again.

proxy_tests [evidence]: the case failed in both sections before and holds.

--- a/src/proxy/Promotion.h
+++ b/src/proxy/Promotion.h
@@ -229,6 +229,8 @@
     [[nodiscard]] bool isClosureProven(const GroupWatcher&) const;
     /// @return whether the candidate of the promotion that the row shows has reported since that it never led.
     [[nodiscard]] bool isPendingDisproved(const GroupWatcher&, Term closed) const;
+    /// @return what PromotionLease::unresolvedTerm has to be in the next write of the row.
+    [[nodiscard]] std::optional<Term> unresolvedTerm(const GroupWatcher&) const;
     /// @return the order in which members with equal logs are promoted; the highest goes first. A promotion that may
     /// still take effect would otherwise undo another.
     [[nodiscard]] std::tuple<bool, bool, bool, bool> suitability(const GroupWatcher::Member&) const;
--- a/src/proxy/PromotionFencing.cpp
+++ b/src/proxy/PromotionFencing.cpp
@@ -40,6 +40,8 @@
         return m_leaseRow.version == RowVersion {};
     if (!lease->members || lease->members->term > *closed)
         return false;
+    if (!lease->unresolvedTerm || *lease->unresolvedTerm >= *closed)
+        return false;
     return !lease->pending || lease->pending->replacedTerm < *closed || isPendingDisproved(watcher, *closed);
 }
 
--- a/src/proxy/PromotionLease.h
+++ b/src/proxy/PromotionLease.h
@@ -36,6 +36,9 @@
     /// The highest term whose primary the holder may replace under the lease; zero if it replaces none. Empty when the
     /// holder does not know the term.
     std::optional<Term> replacedTerm {};
+    /// The highest term whose primary an earlier call may have replaced without a trace in the rest of the row; zero if
+    /// there is none. Empty when a host of an earlier version wrote the row.
+    std::optional<Term> unresolvedTerm {};
 };
 
 /// A lease as read from the store.
--- a/src/proxy/PromotionLeaseCodec.cpp
+++ b/src/proxy/PromotionLeaseCodec.cpp
@@ -85,6 +85,8 @@
         encoded["members"] = encodeMembers(*lease.members);
     if (lease.replacedTerm)
         encoded["replaced_term"] = lease.replacedTerm->value();
+    if (lease.unresolvedTerm)
+        encoded["unresolved_term"] = lease.unresolvedTerm->value();
     return encoded.dump();
 }
 
@@ -101,6 +103,8 @@
         // A host of an earlier version does not write the term.
         if (const auto term = encoded.find("replaced_term"); term != encoded.end())
             lease.replacedTerm = Term(term->get<std::uint64_t>());
+        if (const auto term = encoded.find("unresolved_term"); term != encoded.end())
+            lease.unresolvedTerm = Term(term->get<std::uint64_t>());
         return lease;
     } catch (const Json::exception& problem) {
         return fail(ErrorCode::BadMessage, "read claim", "", problem.what());
--- a/src/proxy/PromotionLeases.cpp
+++ b/src/proxy/PromotionLeases.cpp
@@ -62,16 +62,35 @@
     m_isWritingRow = true;
     PromotionLease lease { m_self, expiresAtMs, isRecordOnly(context) ? std::nullopt : m_pending };
     lease.replacedTerm = replacedTerm;
+    lease.unresolvedTerm = unresolvedTerm(context.watcher);
     lease.members = MemberRecorder::describe(context.watcher);
     // A host that has no list knows of no change.
     if (lease.members->members.empty())
         lease.members = m_recorder.known();
+    // This host may have seen a later primary no more than an earlier writer.
+    if (lease.members && m_recorder.known())
+        lease.members->term = std::max(lease.members->term, m_recorder.known()->term);
     lease.membersProblem = lease.members ? MemberRecordProblem::None : MemberRecordProblem::Missing;
     m_writtenMembers = lease.members;
     m_expectedVersion = expected;
     m_delegate.writeLease(m_group, lease, expected);
 }
 
+std::optional<Term> Promotion::unresolvedTerm(const GroupWatcher& watcher) const
+{
+    const auto& lease = m_leaseRow.lease;
+    if (!lease)
+        return Term {};
+    if (!lease->unresolvedTerm && !watcher.primary())
+        return {};
+    auto term = lease->unresolvedTerm.value_or(Term {});
+    const bool isOwnUncalled = m_leaseRow.version == m_token && !m_pending;
+    const bool staysInRow = m_pending && lease->pending && m_pending->candidate == lease->pending->candidate;
+    if (lease->pending && !isOwnUncalled && !staysInRow && !isPendingDisproved(watcher, lease->pending->replacedTerm))
+        term = std::max(term, lease->pending->replacedTerm);
+    return watcher.primary() && watcher.primaryTerm() > term ? Term {} : term;
+}
+
 std::optional<Term> Promotion::termToReplace() const
 {
     if (m_goal != PromotionGoal::ReplacePrimary)
--- a/tests/proxy/EndedMemberEvidenceTests.cpp
+++ b/tests/proxy/EndedMemberEvidenceTests.cpp
@@ -22,6 +22,7 @@
         watcher.setRules({ 50, 1 });
         row.lease->members.emplace();
         row.lease->members->term = Term(1);
+        row.lease->unresolvedTerm = Term {};
     }
     void list(const std::vector<std::string>& names)
     {
@@ -122,6 +123,26 @@
 
 } // namespace
 
+TEST_CASE("A further attempt does not count departed members by a row whose evidence this host replaced",
+    "[proxy][promotion][evidence]")
+{
+    DepartedFixture group;
+    group.closeLog();
+    SECTION("of a primary of a later term")
+    {
+        group.row.lease->members->term = Term(2);
+    }
+    SECTION("of a call that may have had an effect")
+    {
+        group.row.lease->pending = PendingPromotion { TargetName("x"), Term(1), 900, false };
+    }
+    group.attempt();
+    REQUIRE_FALSE(group.delegate.promoted);
+    group.giveUpAttempt();
+    group.finishAttempt({ "r", "s", "n" });
+    CHECK_FALSE(group.delegate.promoted);
+}
+
 TEST_CASE("A fenced member that ended does not count while another target runs at its address",
     "[proxy][promotion][evidence]")
 {
--- a/tests/proxy/EndedMemberTests.cpp
+++ b/tests/proxy/EndedMemberTests.cpp
@@ -21,6 +21,7 @@
         watcher.setRules({ 50, 1 });
         row.lease->members.emplace();
         row.lease->members->term = Term(1);
+        row.lease->unresolvedTerm = Term {};
         list({ "p", "d", "r", "s" });
         showUnreplaced(watcher, now, TargetName("p"));
         report("p", makeStatus(true, 1, 9));
@@ -128,6 +129,16 @@
         group.demotePrimary();
         group.row.lease->pending = PendingPromotion { TargetName("x"), Term(1), 900, false };
     }
+    SECTION("an earlier call that a writer of the row could not follow may have had an effect")
+    {
+        group.demotePrimary();
+        group.row.lease->unresolvedTerm = Term(1);
+    }
+    SECTION("a host of an earlier version wrote the row")
+    {
+        group.demotePrimary();
+        group.row.lease->unresolvedTerm.reset();
+    }
     SECTION("the row has no record of the members")
     {
         group.demotePrimary();
