Pass no acknowledgement on that is of an earlier term of the same target

Found by the review: a held acknowledgement was passed on when the target that gave it was the primary again, though another one had led between and the commit may have been rolled back. Held answers were compared by the target alone.

The commit's term has to be that of the primary; an answer of an earlier term is in doubt. proxy_tests [ackevidence]: the case failed before and holds.

--- a/src/proxy/GroupDoubts.cpp
+++ b/src/proxy/GroupDoubts.cpp
@@ -43,7 +43,11 @@
         if (!found)
             continue;
         const auto acknowledged = *found;
-        if (held.target == *primary && held.at > guard.clearAsOf() && !m_watcher.seesFences(now)) {
+        // The target may have been replaced and lead again since.
+        const bool isOfEarlierTerm = held.answer.position && held.answer.position->term < m_watcher.primaryTerm();
+        if (held.target == *primary && isOfEarlierTerm) {
+            finishInDoubt(acknowledged);
+        } else if (held.target == *primary && held.at > guard.clearAsOf() && !m_watcher.seesFences(now)) {
             m_heldAcknowledgements.emplace(id, held);
             guard.recordIsolation(now);
         } else if (held.target == *primary && held.answer.position
--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -317,6 +317,9 @@
 bool GroupWatcher::isDurable(Instant now, const TargetName& primary, const LogPoint& end) const
 {
     const auto needed = m_rules.syncReplicas;
+    // The target may have been replaced and lead again since.
+    if (end.term != m_primaryTerm)
+        return false;
     if (needed == 0 || m_membership.isSettled(now))
         return true;
     if (visibleMembers(now) < needed)
--- a/tests/proxy/AcknowledgementEvidenceTests.cpp
+++ b/tests/proxy/AcknowledgementEvidenceTests.cpp
@@ -35,6 +35,22 @@
 
 } // namespace
 
+TEST_CASE("An acknowledgement of an earlier term is not passed on when the same target leads again",
+    "[proxy][service][ackevidence]")
+{
+    Group group;
+    group.setLeaving(true);
+    group.send();
+    group.acknowledge();
+    REQUIRE_FALSE(group.isPassedOn());
+    group.term = Term(3);
+    group.run(200ms);
+    group.setLeaving(false);
+    group.run(300ms);
+    REQUIRE(group.service.watcher().primaryTerm() == Term(3));
+    CHECK_FALSE(group.isPassedOn());
+}
+
 TEST_CASE("A write without synchronous replicas is sent while one of two replicas does not answer",
     "[proxy][service][ackevidence]")
 {
