--- a/src/proxy/GroupMembership.cpp
+++ b/src/proxy/GroupMembership.cpp
@@ -240,8 +240,8 @@
     return static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(), [&](const auto& entry) {
         const auto& [name, member] = entry;
         // After a promotion the positions of another term say nothing of this commit.
-        return name != primary && isEstablished(now, member) && member.status && !member.status->isPrimary
-            && member.status->received.term == end.term && member.status->received >= end;
+        return name != primary && member.isListed() && isEstablished(now, member) && member.status
+            && !member.status->isPrimary && member.status->received.term == end.term && member.status->received >= end;
     }));
 }
 
--- a/tests/proxy/AcknowledgementEvidenceTests.cpp
+++ b/tests/proxy/AcknowledgementEvidenceTests.cpp
@@ -51,6 +51,20 @@
     CHECK_FALSE(group.isPassedOn());
 }
 
+TEST_CASE("A member whose record has gone does not stand for one that every promotion counts",
+    "[proxy][service][ackevidence]")
+{
+    Group group;
+    group.records.erase(group.records.begin() + 1);
+    group.service.setMembers(group.now, group.records);
+    group.run(100ms);
+    group.send();
+    group.ends[TargetName("r")] = Position(11);
+    group.acknowledge();
+    group.run(300ms);
+    CHECK_FALSE(group.isPassedOn());
+}
+
 TEST_CASE("A write without synchronous replicas is sent while one of two replicas does not answer",
     "[proxy][service][ackevidence]")
 {
