Hold an acknowledgement while every replica that counts is down

Members that are silent may have the commit, as before; members that are down may not. proxy_tests [ackevidence]: the case failed before and holds.

--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -322,9 +322,13 @@
         return false;
     if (needed == 0 || m_membership.isSettled(now))
         return true;
-    if (visibleMembers(now) < needed)
-        return true;
-    return m_membership.countHolders(now, primary, end) >= needed;
+    if (visibleMembers(now) >= needed)
+        return m_membership.countHolders(now, primary, end) >= needed;
+    // Members that are silent may have the commit, those that are down can't have acknowledged it.
+    const auto mayRun = std::count_if(members().begin(), members().end(), [&primary](const auto& entry) {
+        return entry.first != primary && !entry.second.presumedEndedAt && !entry.second.health.isRefusing();
+    });
+    return static_cast<std::size_t>(mayRun) >= needed;
 }
 
 bool GroupWatcher::hasFencedMemberFor(Instant now, Duration limit) const
--- a/tests/proxy/AcknowledgementEvidenceTests.cpp
+++ b/tests/proxy/AcknowledgementEvidenceTests.cpp
@@ -65,6 +65,27 @@
     CHECK_FALSE(group.isPassedOn());
 }
 
+TEST_CASE("An acknowledgement is not passed on at once when every replica that counts is down",
+    "[proxy][service][ackevidence]")
+{
+    Group group;
+    group.send();
+    group.unresponsive = { TargetName("r"), TargetName("s") };
+    for (std::size_t count = 0; count < TargetHealth::refusalsUntilDown; ++count) {
+        const auto targets = group.delegate.targets;
+        for (const auto& [id, target] : targets) {
+            if (group.unresponsive.contains(target))
+                group.service.connectionRefused(group.now, id, FailureCode::Failed);
+        }
+        group.run(300ms);
+    }
+    const auto& watcher = group.service.watcher();
+    REQUIRE(watcher.find(TargetName("r"))->health.isRefusing());
+    REQUIRE(watcher.find(TargetName("s"))->health.isRefusing());
+    group.acknowledge();
+    CHECK_FALSE(group.isPassedOn());
+}
+
 TEST_CASE("A write without synchronous replicas is sent while one of two replicas does not answer",
     "[proxy][service][ackevidence]")
 {
