Take no group for settled by an old list of its members

A list that the store has not confirmed within the lifetime of a lease settles nothing, for acknowledgements and for the confirmation by a commit.

proxy_tests [ackevidence] has the case.

--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -8,6 +8,17 @@
 // A primary that is not used counts as missing for as long as one that is not there.
 static_assert(ReplacementGuard::overdueTimeout == GroupWatcher::missingTimeout);
 
+namespace {
+
+    /// @return whether the list is recent enough to show that members change. A host that can't read the store goes on
+    /// with the list that it has.
+    bool isListCurrent(Instant now, const TableOrigin& origin)
+    {
+        return !origin.confirmedAt || now - *origin.confirmedAt < ReplacementGuard::successorTimeout;
+    }
+
+} // namespace
+
 std::string_view toString(FailoverReason failoverReason)
 {
     constexpr std::string_view texts[] { "none", "missing", "down", "blocked", "leaving", "doubted" };
@@ -232,7 +243,7 @@
     if (m_primary == name && end.term == m_primaryTerm)
         m_commitSentAt = std::max(m_commitSentAt.value_or(sentAt), sentAt);
     const bool isConfirmation = m_rules.syncReplicas > 0 && m_membership.size() < 2 * (m_rules.syncReplicas + 1)
-        && m_membership.isSettled(now);
+        && m_membership.isSettled(now) && isListCurrent(now, m_listOrigin);
     if (isConfirmation && m_guard.allows(name) && m_primary == name && end.term == m_primaryTerm)
         m_confirmations.add(sentAt, name, end, ConfirmationSource::Commit);
 }
@@ -320,7 +331,7 @@
     // The target may have been replaced and lead again since.
     if (end.term != m_primaryTerm)
         return false;
-    if (needed == 0 || m_membership.isSettled(now))
+    if (needed == 0 || (m_membership.isSettled(now) && isListCurrent(now, m_listOrigin)))
         return true;
     if (visibleMembers(now) >= needed)
         return m_membership.countHolders(now, primary, end) >= needed;
--- a/tests/proxy/AcknowledgementEvidenceTests.cpp
+++ b/tests/proxy/AcknowledgementEvidenceTests.cpp
@@ -97,3 +97,23 @@
     group.run(300ms);
     CHECK(group.statements.size() == 1);
 }
+
+TEST_CASE("A host with an old list of members does not take the group for settled", "[proxy][service][ackevidence]")
+{
+    Group group;
+    TableOrigin origin;
+    origin.confirmedAt = group.now;
+    group.service.setListOrigin(origin);
+    group.run(ReplacementGuard::successorTimeout);
+    group.send();
+    group.acknowledge();
+    CHECK_FALSE(group.isPassedOn());
+
+    SECTION("and passes an acknowledgement on once a replica has the commit")
+    {
+        group.ends[TargetName("r")] = Position(11);
+        group.ends[TargetName("s")] = Position(11);
+        group.run(300ms);
+        CHECK(group.isPassedOn());
+    }
+}
