Reproduce a host that started after a demotion and waits for departed members

Found by the review of: what closes the log is in the memory of the hosts that saw the primary lead and report that it is none. A host that started since counts the departed for 20 s, as all hosts did before. The demotion would have to be in the row.

--- a/tests/proxy/EndedMemberEvidenceTests.cpp
+++ b/tests/proxy/EndedMemberEvidenceTests.cpp
@@ -169,3 +169,12 @@
     group.finishAttempt({ "r" });
     CHECK_FALSE(group.delegate.promoted);
 }
+
+TEST_CASE("A host that started after the demotion promotes a running member with the whole log",
+    "[proxy][promotion][evidence]")
+{
+    DepartedFixture group;
+    group.closeLog(false);
+    group.attempt();
+    CHECK(group.delegate.promoted);
+}
