Check statements of the primary in the schedules, and let events wait for a host

A write that ran at a replaced primary broke no check.

Every single write, and every statement of a plain transaction with its commit, is now checked when its target runs it: the target's log must have each commit acknowledged before the caller sent the statement or began the transaction, on all routes. Commits that a promotion left out are reported as lost and don't count here. The arrival is kept by statement, as a statement can run after its caller went on.

A statement that reaches a paused host now waits for the end of the pause (a rollback did not). onNextDemotion() and keepList() are for the faults that follow.

--- a/tests/proxy/ProxyChecker.cpp
+++ b/tests/proxy/ProxyChecker.cpp
@@ -31,6 +31,18 @@
     }
 }
 
+void ProxyChecker::checkPrimaryStatement(Instant arrivedAt, const FakeTarget& target)
+{
+    ++m_primaryStatements;
+    const auto writes = writesOf(target.log, target.applied);
+    for (const auto& [writeId, acknowledged] : m_acknowledged) {
+        if (acknowledged.at < arrivedAt && !m_lost.contains(writeId) && !writes.contains(writeId)) {
+            recordViolation("stale: a statement of the primary on " + target.record.name.value() + " lacks " + writeId);
+            return;
+        }
+    }
+}
+
 void ProxyChecker::recordWriteRun(const std::string& writeId)
 {
     if (++m_runs[writeId] > 1)
--- a/tests/proxy/ProxyChecker.h
+++ b/tests/proxy/ProxyChecker.h
@@ -25,6 +25,10 @@
 
     /// Checks that a read of the unit on a target sees the writes that its consistency requires.
     void checkRead(Instant now, const Unit&, const FakeTarget&);
+    /// Checks that a target that runs a statement as the primary has every commit that was acknowledged before the
+    /// statement, or its transaction, arrived. Commits that a promotion rolled back are reported as lost instead.
+    /// @param arrivedAt when the caller sent the statement or the beginning of its transaction.
+    void checkPrimaryStatement(Instant arrivedAt, const FakeTarget&);
     /// Records that a target runs a write, and checks that it runs only once.
     /// @param writeId unique among all writes of the callers.
     void recordWriteRun(const std::string& writeId);
@@ -44,6 +48,8 @@
     [[nodiscard]] const std::string& violation() const { return m_violation; }
     [[nodiscard]] std::size_t acknowledgedWrites() const { return m_acknowledged.size(); }
     [[nodiscard]] std::size_t reads() const { return m_reads; }
+    /// @return the number of statements that ran at targets as the primary.
+    [[nodiscard]] std::size_t primaryStatements() const { return m_primaryStatements; }
     [[nodiscard]] std::size_t promotions() const { return m_promotions; }
     /// @return the number of acknowledged writes that a promoted target or the last primary lacked.
     [[nodiscard]] std::size_t lostWrites() const { return m_lost.size(); }
@@ -67,6 +73,7 @@
     std::string m_lastHolder;
     std::string m_violation;
     std::size_t m_reads { 0 };
+    std::size_t m_primaryStatements { 0 };
     std::size_t m_promotions { 0 };
     std::set<std::string> m_lost;
 };
--- a/tests/proxy/ProxySimulation.cpp
+++ b/tests/proxy/ProxySimulation.cpp
@@ -172,6 +172,8 @@
         m_killedHosts.push_back(std::move(m_hosts.at(host)));
         const auto restarts = m_killedHosts.size();
         m_hosts.at(host) = std::make_unique<SimulatedHost>(*this, host, m_random(), restarts);
+        if (m_delaysHandling)
+            m_hosts.at(host)->delayHandling(m_random());
         for (std::uint64_t session = 1; session <= callersPerHost; ++session)
             m_callers.at({ host, session })->connect();
     });
--- a/tests/proxy/ProxySimulation.h
+++ b/tests/proxy/ProxySimulation.h
@@ -51,6 +51,17 @@
     {
         m_onNextPromotionCall = std::move(function);
     }
+    /// Calls the function with the next host that demotes a primary.
+    void onNextDemotion(std::function<void(std::size_t host)> function) { m_onNextDemotion = std::move(function); }
+    /// Lets events wait for the hosts from now on, as for busy processes.
+    void delayHandling()
+    {
+        m_delaysHandling = true;
+        for (auto& host : m_hosts)
+            host->delayHandling(m_random());
+    }
+    /// Lets the list of targets of the host grow old.
+    void keepList(std::size_t host, Duration length) { m_hosts.at(host)->keepList(now() + length); }
     [[nodiscard]] PromotionOrders& orders() { return m_orders; }
     [[nodiscard]] SimulatedMembership& membership() { return m_membership; }
     /// Cuts the targets from each other, or connects them again.
@@ -110,6 +121,16 @@
     /// Appends a commit to the log of a primary.
     /// @param done called once enough replicas have the commit; never called if that does not happen.
     void commit(const TargetName&, const std::vector<std::string>& writes, std::function<void(LogPoint)> done);
+    void recordDemotion(std::size_t host)
+    {
+        if (const auto function = std::exchange(m_onNextDemotion, {}))
+            function(host);
+    }
+    void sendStatement(
+        std::size_t host, SessionId session, const Session::StatementId& id, const Session::Statement& statement)
+    {
+        m_hosts.at(host)->receiveStatement(session, id, statement);
+    }
     [[nodiscard]] Proxy& hostProxy(std::size_t host) { return m_hosts.at(host)->proxy(); }
     [[nodiscard]] const SimulatedHost& host(std::size_t host) const { return *m_hosts.at(host); }
     /// @return whether the host is paused or being restarted.
@@ -157,6 +178,8 @@
     std::uint64_t m_writes { 0 };
     std::optional<Duration> m_promotionCallerPause;
     std::function<void(std::size_t)> m_onNextPromotionCall;
+    std::function<void(std::size_t)> m_onNextDemotion;
+    bool m_delaysHandling { false };
     Term m_promotedTerm;
     bool m_isViolationTraced { false };
     bool m_isRelaying { true };
--- a/tests/proxy/SimulatedCaller.cpp
+++ b/tests/proxy/SimulatedCaller.cpp
@@ -22,6 +22,12 @@
     return std::stoull(id.value());
 }
 
+Instant SimulatedCaller::begunAt(const Session::StatementId& id) const
+{
+    const auto number = std::stoull(id.value().substr(id.value().find('-') + 1));
+    return std::prev(m_units.upper_bound(number))->second;
+}
+
 SimulatedCaller::SimulatedCaller(ProxySimulation& simulation, std::size_t host, SessionId id)
     : m_simulation(simulation)
     , m_host(host)
@@ -81,7 +87,9 @@
     statement.name = kind == StatementKind::SetValue ? "value" : "";
     statement.argument = std::move(argument);
     const Session::StatementId id(std::to_string(m_id.value()) + "-" + std::to_string(++m_sent));
-    m_simulation.hostProxy(m_host).statementArrived(m_simulation.now(), m_id, id, statement);
+    if (m_units.empty() || m_units.rbegin()->second != m_unit.begunAt)
+        m_units[m_sent] = m_unit.begunAt;
+    m_simulation.sendStatement(m_host, m_id, id, statement);
 }
 
 void SimulatedCaller::startUnit()
--- a/tests/proxy/SimulatedCaller.h
+++ b/tests/proxy/SimulatedCaller.h
@@ -31,6 +31,8 @@
     void answered(const Session::Answer&);
     [[nodiscard]] const Session::SessionValues& values() const { return m_values; }
     [[nodiscard]] const ProxyChecker::Unit& unit() const { return m_unit; }
+    /// @return when the unit of the statement began; a statement may run after its caller went on.
+    [[nodiscard]] Instant begunAt(const Session::StatementId&) const;
     [[nodiscard]] bool isInTransaction() const { return m_isInTransaction; }
     void stop() { m_isStopped = true; }
 
@@ -56,6 +58,8 @@
     bool m_isStopped { false };
     std::size_t m_remainingStatements { 0 };
     std::uint64_t m_sent { 0 };
+    /// When the unit of each statement began, by the number of its first statement.
+    std::map<std::uint64_t, Instant> m_units;
     /// Number of sessions that broke.
     std::uint64_t m_brokenSessions { 0 };
     Session::StatementKind m_kind { Session::StatementKind::Read };
--- a/tests/proxy/SimulatedHost.cpp
+++ b/tests/proxy/SimulatedHost.cpp
@@ -30,6 +30,11 @@
         return { "10.9.0.2", static_cast<std::uint16_t>(index + 1) };
     }
 
+    EventStream streamOf(ConnectionId id)
+    {
+        return { EventSource::Connection, id.value() };
+    }
+
     tl::unexpected<Error> storeUnavailable()
     {
         return fail(ErrorCode::PlatformUnavailable, "call", "store", "no answer");
@@ -87,10 +92,12 @@
             continue;
         connection.isStuck = true;
         m_simulation.target(connection.target)->connections.erase(connection.id);
-        deliver([this, lost = id] {
-            if (m_connections.erase(lost) > 0)
-                m_proxy->connectionLost(m_simulation.now(), lost);
-        });
+        deliver(
+            [this, lost = id] {
+                if (m_connections.erase(lost) > 0)
+                    m_proxy->connectionLost(m_simulation.now(), lost);
+            },
+            streamOf(id));
     }
 }
 
@@ -100,25 +107,45 @@
         return;
     if (!isPaused())
         m_proxy->tick(m_simulation.now());
-    m_simulation.after(Proxy::tickInterval, [this] { tick(); });
+    const auto delay = m_delays ? m_delays->delayOf(m_simulation.now(), {}) : Duration {};
+    m_simulation.after(Proxy::tickInterval + delay, [this] { tick(); });
+}
+
+void SimulatedHost::deliver(std::function<void()> task, const EventStream& stream)
+{
+    m_simulation.after(ProxySimulation::oneWayDelay, [this, stream, task = std::move(task)] { handle(task, stream); });
+}
+
+void SimulatedHost::handle(std::function<void()> task, const EventStream& stream)
+{
+    const auto delay = m_delays ? m_delays->delayOf(m_simulation.now(), stream) : Duration {};
+    if (delay == Duration {})
+        runUnlessPaused(task);
+    else
+        m_simulation.after(delay, [this, task = std::move(task)] { runUnlessPaused(task); });
 }
 
-void SimulatedHost::deliver(std::function<void()> task)
+void SimulatedHost::runUnlessPaused(const std::function<void()>& task)
 {
-    m_simulation.after(ProxySimulation::oneWayDelay, [this, task = std::move(task)] {
-        if (!isPaused()) {
+    if (!isPaused()) {
+        task();
+        return;
+    }
+    if (m_isKilled)
+        return;
+    m_simulation.after(*m_pausedUntil - m_simulation.now() + Duration(1), [this, task] {
+        if (!m_isKilled)
             task();
-            return;
-        }
-        if (m_isKilled)
-            return;
-        m_simulation.after(*m_pausedUntil - m_simulation.now() + Duration(1), [this, task] {
-            if (!m_isKilled)
-                task();
-        });
     });
 }
 
+void SimulatedHost::receiveStatement(
+    SessionId session, const Session::StatementId& id, const Session::Statement& statement)
+{
+    handle([this, session, id, statement] { m_proxy->statementArrived(m_simulation.now(), session, id, statement); },
+        { EventSource::Session, session.value() });
+}
+
 void SimulatedHost::acceptSession(SessionId id)
 {
     m_simulation.after(Duration(1), [this, id] {
@@ -174,14 +201,16 @@
         : FailureCode::Failed;
     if (isReachable)
         target.connections[connection->second.id] = {};
-    deliver([this, id, isReachable, refusal] {
-        if (!m_connections.contains(id))
-            return;
-        if (isReachable)
-            m_proxy->connectionOpened(m_simulation.now(), id, {});
-        else
-            m_proxy->connectionRefused(m_simulation.now(), id, refusal);
-    });
+    deliver(
+        [this, id, isReachable, refusal] {
+            if (!m_connections.contains(id))
+                return;
+            if (isReachable)
+                m_proxy->connectionOpened(m_simulation.now(), id, {});
+            else
+                m_proxy->connectionRefused(m_simulation.now(), id, refusal);
+        },
+        streamOf(id));
 }
 
 void SimulatedHost::closeConnection(ConnectionId id)
@@ -228,12 +257,14 @@
     auto& target = *m_simulation.target(connection->second.target);
     const auto side = target.connections.find(connection->second.id);
     if (!target.isRunning || side == target.connections.end()) {
-        deliver([this, id] {
-            if (m_connections.contains(id)) {
-                m_connections.erase(id);
-                m_proxy->connectionLost(m_simulation.now(), id);
-            }
-        });
+        deliver(
+            [this, id] {
+                if (m_connections.contains(id)) {
+                    m_connections.erase(id);
+                    m_proxy->connectionLost(m_simulation.now(), id);
+                }
+            },
+            streamOf(id));
         connection->second.isStuck = true;
         return;
     }
@@ -255,10 +286,12 @@
         connection->second.isStuck = true;
         return;
     }
-    deliver([this, id, answer = std::move(answer)] {
-        if (m_connections.contains(id))
-            m_proxy->replied(m_simulation.now(), id, answer);
-    });
+    deliver(
+        [this, id, answer = std::move(answer)] {
+            if (m_connections.contains(id))
+                m_proxy->replied(m_simulation.now(), id, answer);
+        },
+        streamOf(id));
 }
 
 TargetReply SimulatedHost::run(FakeTarget& target, FakeTargetConnection& side, const TargetRequest& request)
@@ -287,8 +320,10 @@
         else if (std::holds_alternative<ResumeReplica>(request))
             target.fencedTerm = {};
         else if (const auto* const demote = std::get_if<DemotePrimary>(&request);
-                 demote && target.isPrimary && demote->term > target.term)
+                 demote && target.isPrimary && demote->term > target.term) {
             target.isPrimary = false;
+            m_simulation.recordDemotion(m_index);
+        }
         auto answer = success(side, target);
         answer.status = target.status();
         return answer;
@@ -306,6 +341,9 @@
     m_simulation.checker().checkValues(side.values, caller.values());
     if (caller.isInTransaction() && side.state != TransactionState::Open)
         m_simulation.checker().recordOutsideTransaction();
+    const bool isSingle = side.state == TransactionState::Idle;
+    if (isSingle ? statement.statement.kind == StatementKind::Write : !side.isReadOnly)
+        m_simulation.checker().checkPrimaryStatement(caller.begunAt(statement.id), target);
     if (statement.statement.kind == StatementKind::Read)
         m_simulation.checker().checkRead(m_simulation.now(), caller.unit(), target);
 }
@@ -413,7 +451,7 @@
     deliverFromStore(m_simulation.now(), timeout, [this, table, slot, call](bool isAnswered) {
         if (m_tableCalls[{ table, slot }] != call)
             return;
-        if (isAnswered)
+        if (isAnswered && !keepsList(table))
             m_proxy->tableRead(m_simulation.now(), table, page(table), slot);
         else
             m_proxy->tableRead(m_simulation.now(), table, storeUnavailable(), slot);
@@ -428,7 +466,7 @@
         deliverFromStore(sentAt, timeout, [this, table, after, slot, call](bool isAnswered) {
             if (m_tableCalls[{ table, slot }] != call)
                 return;
-            if (isAnswered)
+            if (isAnswered && !keepsList(table))
                 m_proxy->tableFollowed(m_simulation.now(), table, changes(table, after), slot);
             else
                 m_proxy->tableFollowed(m_simulation.now(), table, storeUnavailable(), slot);
@@ -436,6 +474,11 @@
     });
 }
 
+bool SimulatedHost::keepsList(StoreTable table) const
+{
+    return table == StoreTable::Targets && m_simulation.now() < m_listKeptUntil;
+}
+
 std::uint64_t SimulatedHost::startTableCall(StoreTable table, StoreCallSlot slot)
 {
     return m_tableCalls[{ table, slot }] = ++m_lastTableCall;
--- a/tests/proxy/SimulatedHost.h
+++ b/tests/proxy/SimulatedHost.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "proxy/FakeTarget.h"
+#include "proxy/HandlingDelays.h"
 #include "proxy/Proxy.h"
 
 #include <memory>
@@ -18,6 +19,12 @@
     [[nodiscard]] Proxy& proxy() { return *m_proxy; }
     /// Pauses the host, as if the process was suspended.
     void pause(Instant until) { m_pausedUntil = until; }
+    /// Handles a statement of a caller once this host gets to it.
+    void receiveStatement(SessionId, const Session::StatementId&, const Session::Statement&);
+    /// Lets events wait for this host from now on, as for a busy process.
+    void delayHandling(std::uint64_t seed) { m_delays.emplace(seed); }
+    /// Loses the calls that follow the table of the targets, so that the list of this host grows old.
+    void keepList(Instant until) { m_listKeptUntil = until; }
     /// @return whether the host does nothing, because it is paused or was killed.
     [[nodiscard]] bool isPaused() const;
     [[nodiscard]] bool isKilled() const { return m_isKilled; }
@@ -78,13 +85,19 @@
     void answerLeaseWrite(const GroupName&, const std::optional<RowVersion>& version, Instant sentAt);
     void sendPromotion(const GroupName&, const TargetName&, RowVersion token);
     void connect(ConnectionId);
-    /// Runs a task on this host after one hop, or when the host's pause ends if that is later.
-    void deliver(std::function<void()> task);
+    /// Runs a task on this host after one hop and the time that its event waits for the host.
+    void deliver(std::function<void()> task, const EventStream& = {});
+    /// Runs a task on this host when the host gets to its event.
+    void handle(std::function<void()> task, const EventStream&);
+    /// Runs a task on this host, or when the host's pause ends.
+    void runUnlessPaused(const std::function<void()>& task);
     /// Runs a task on this host after the store's delay, or with the failure of the call at its timeout if the call or
     /// its answer is lost.
     void deliverFromStore(Instant sentAt, Duration timeout, const std::function<void(bool isAnswered)>& task);
     /// Notes a call in a slot. @return its number.
     std::uint64_t startTableCall(StoreTable, StoreCallSlot);
+    /// @return whether the host gets no news of the table.
+    [[nodiscard]] bool keepsList(StoreTable) const;
     [[nodiscard]] bool updateStuck(HostConnection&) const;
     void handleRequest(ConnectionId, const TargetRequest&);
     void handleCommitted(ConnectionId, const TargetName&);
@@ -108,6 +121,8 @@
     std::uint64_t m_lastTableCall { 0 };
     std::map<ConnectionId, HostConnection> m_connections;
     std::map<SessionId, std::string> m_endings;
+    std::optional<HandlingDelays> m_delays;
+    Instant m_listKeptUntil {};
     std::optional<Instant> m_pausedUntil;
     bool m_isKilled { false };
 };
