--- a/tests/proxy/MembershipFaults.h
+++ b/tests/proxy/MembershipFaults.h
@@ -3,6 +3,7 @@
 #include "base/Time.h"
 #include "proxy/Ids.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <optional>
 
@@ -20,6 +21,16 @@
     /// Injects one random fault that is possible now.
     void inject();
 
+    /// States that hosts may not know a member until the given time.
+    void hideMember(Instant until) { m_hidesMemberUntil = std::max(m_hidesMemberUntil, until); }
+    [[nodiscard]] std::optional<TargetName> primary() const;
+    [[nodiscard]] std::size_t randomHost();
+    /// @return a random replica that stays; empty when there is none.
+    [[nodiscard]] std::optional<TargetName> randomReplica();
+    [[nodiscard]] Duration recordDelay();
+    /// Cuts the target from each of the others with the given chance.
+    void cutFromTargets(const TargetName&, Duration, double share = 0.7);
+
 private:
     using Fault = bool (MembershipFaults::*)(Duration);
 
@@ -50,13 +61,6 @@
     [[nodiscard]] bool mayHideMember() const;
     [[nodiscard]] bool mayHidePrimary() const;
     [[nodiscard]] bool mayRestart(std::size_t host) const;
-    [[nodiscard]] std::optional<TargetName> primary() const;
-    /// @return a random replica that stays; empty when there is none.
-    [[nodiscard]] std::optional<TargetName> randomReplica();
-    [[nodiscard]] std::size_t randomHost();
-    [[nodiscard]] Duration recordDelay();
-    /// Cuts the target from each of the others with the given chance.
-    void cutFromTargets(const TargetName&, Duration, double share = 0.7);
 
     ProxySimulation& m_simulation;
     Instant m_releasingUntil {};
--- a/tests/proxy/MembershipScheduleTests.cpp
+++ b/tests/proxy/MembershipScheduleTests.cpp
@@ -1,5 +1,5 @@
 #include "proxy/MembershipFaults.h"
-#include "proxy/ProxySimulation.h"
+#include "proxy/MembershipSchedule.h"
 
 #include <catch2/catch.hpp>
 #include <cstdlib>
@@ -14,58 +14,19 @@
 constexpr std::uint64_t firstSeed = 1;
 constexpr std::uint64_t defaultSchedules = 30;
 constexpr std::uint64_t seedOfLateOrders = 21;
-/// Time for the hosts to know the group and to serve callers, and for a new target to be known to them.
-constexpr Duration settleTime = 3s;
 /// Time from a target's record until all hosts have it.
 constexpr Duration listDelay = 300ms;
 const TargetName primary("t0");
 const TargetName first("t1");
 const TargetName second("t2");
 
-/// A group with the primary t0 and the replicas t1 and t2 in a simulation with changing members.
-class Schedule {
-public:
-    explicit Schedule(std::uint64_t seed = firstSeed)
-        : simulation(seed, ProxySimulation::promotionDelay, MembershipModel::Changing)
-    {
-        simulation.run(settleTime);
-    }
-
-    /// Cuts the primary from the replicas that were there from the start, or connects them again.
-    void cutPrimary(bool isCut)
-    {
-        simulation.setCut(primary, first, isCut);
-        simulation.setCut(primary, second, isCut);
-    }
-
-    /// Adds a replica that all hosts know.
-    TargetName addKnownReplica()
-    {
-        const auto name = simulation.membership().join(100ms);
-        simulation.run(settleTime);
-        return name;
-    }
-
-    /// Ends all faults, and checks that no guarantee was broken and that the group is served.
-    void check()
-    {
-        simulation.recoverAndCheck();
-        CHECK(simulation.checker().violation() == "");
-        CHECK(simulation.checker().lostWrites() == 0);
-        CHECK(simulation.checker().acknowledgedWrites() > 100);
-        CHECK(simulation.currentPrimary());
-    }
-
-    ProxySimulation simulation;
-};
-
 /// Plays a random schedule of faults, and checks the guarantees.
 /// @return the number of promotions.
 std::size_t playRandomFaults(std::uint64_t seed)
 {
     constexpr int faults = 12;
     INFO("seed " << seed);
-    Schedule schedule(seed);
+    MembershipSchedule schedule(seed);
     auto& simulation = schedule.simulation;
     simulation.orders().vary();
     MembershipFaults source(simulation);
@@ -91,7 +52,7 @@
 // in the count of the members, and two fences of three sufficed (docs/incidents/lost-while-members-change.md).
 TEST_CASE("A commit that only the primary and a departed replica hold is not rolled back", "[proxy][membership]")
 {
-    Schedule schedule;
+    MembershipSchedule schedule;
     auto& simulation = schedule.simulation;
     const auto leaving = schedule.addKnownReplica();
     simulation.membership().leave(leaving);
@@ -117,7 +78,7 @@
 
 TEST_CASE("A commit that only a departed primary and a lapsed replica hold is not rolled back", "[proxy][membership]")
 {
-    Schedule schedule;
+    MembershipSchedule schedule;
     auto& simulation = schedule.simulation;
     const auto lapsed = schedule.addKnownReplica();
     simulation.membership().leave(primary);
@@ -138,7 +99,7 @@
 TEST_CASE(
     "A commit that an unlisted new replica acknowledged is not rolled back by a planned switch", "[proxy][membership]")
 {
-    Schedule schedule;
+    MembershipSchedule schedule;
     auto& simulation = schedule.simulation;
     simulation.membership().leave(primary);
     simulation.membership().join(3s);
@@ -150,7 +111,7 @@
 {
     const auto length = GENERATE(6000ms, 6300ms, 6600ms, 6900ms, 7200ms, 7500ms, 7800ms, 8100ms);
     INFO("isolated for " << length.count() << " ms");
-    Schedule schedule;
+    MembershipSchedule schedule;
     auto& simulation = schedule.simulation;
     simulation.isolateHost(0, length);
     simulation.membership().join(100ms);
@@ -168,7 +129,7 @@
 
 TEST_CASE("A commit that a lapsed replica acknowledged is not rolled back by a planned switch", "[proxy][membership]")
 {
-    Schedule schedule;
+    MembershipSchedule schedule;
     auto& simulation = schedule.simulation;
     const auto lapsed = schedule.addKnownReplica();
     simulation.membership().cutFromStore(lapsed, 30s);
@@ -193,7 +154,7 @@
 // Guards against lost commits: the lapsed member alone has what the primary acknowledged last, and no list shows it.
 TEST_CASE("Hosts that start while a record is lapsed promote a member with its log", "[proxy][membership]")
 {
-    Schedule schedule;
+    MembershipSchedule schedule;
     auto& simulation = schedule.simulation;
     const auto lapsed = schedule.addKnownReplica();
     simulation.run(2s);
@@ -217,7 +178,7 @@
     // The primary is back before, at, or after the end of the wait for the promotion's effect.
     const auto downTime = GENERATE(1500ms, 3000ms, 4000ms, 4200ms, 4400ms);
     const bool isAnswered = GENERATE(true, false);
-    Schedule schedule;
+    MembershipSchedule schedule;
     auto& simulation = schedule.simulation;
     simulation.orders().set({ lateness, isAnswered });
 
@@ -246,7 +207,7 @@
     const auto downTime = GENERATE(4000ms, 5000ms, 6000ms);
     const auto lateness = GENERATE(6000ms, 8000ms);
     INFO("down " << downTime.count() << " ms, effect after " << lateness.count() << " ms");
-    Schedule schedule;
+    MembershipSchedule schedule;
     auto& simulation = schedule.simulation;
     simulation.orders().set({ lateness, true });
     simulation.membership().crash(primary, downTime);
@@ -260,7 +221,7 @@
 // its target counted as a former primary of a lower term.
 TEST_CASE("A host whose promotion call is not answered does not demote the promoted target", "[proxy][membership]")
 {
-    Schedule schedule;
+    MembershipSchedule schedule;
     auto& simulation = schedule.simulation;
     simulation.orders().set({ ProxySimulation::promotionDelay, false });
     simulation.membership().leave(primary);
@@ -278,10 +239,10 @@
 // Guards against counting such a target twice: as one that left, and as a new one.
 TEST_CASE("A replica that came back under a new name does not delay a promotion", "[proxy][membership]")
 {
-    Schedule schedule;
+    MembershipSchedule schedule;
     auto& simulation = schedule.simulation;
     simulation.membership().crash(first, 1s, true);
-    simulation.run(settleTime);
+    simulation.run(MembershipSchedule::settleTime);
     simulation.membership().crash(primary, 6s);
     simulation.run(3s);
     CHECK(simulation.currentPrimary());
