--- a/tests/process/LoopbackSocket.cpp
+++ b/tests/process/LoopbackSocket.cpp
@@ -57,6 +57,9 @@
 {
     LoopbackSocket result(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
     const auto address = loopbackAddress(port);
+    // A server that starts again listens on the port of its earlier connections.
+    const int on = 1;
+    setsockopt(result.m_descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     if (bind(result.m_descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0
         || listen(result.m_descriptor, SOMAXCONN) != 0)
         throw std::runtime_error("can't listen on 127.0.0.1");
--- a/tests/process/ProxyHost.cpp
+++ b/tests/process/ProxyHost.cpp
@@ -2,6 +2,7 @@
 
 #include "process/LineCaller.h"
 
+#include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -9,6 +10,17 @@
 
 using Json = nlohmann::json;
 
+namespace {
+
+    /// @return the program of the hosts; AUBURNPOST_PROGRAM_PATH names one of another build.
+    std::string programPath()
+    {
+        const auto* const path = std::getenv("AUBURNPOST_PROGRAM_PATH");
+        return path ? path : AUBURNPOST_PROGRAM;
+    }
+
+} // namespace
+
 std::string localAddress(std::uint16_t port)
 {
     return "127.0.0.1:" + std::to_string(port);
@@ -49,8 +61,7 @@
     options.environment = { "AUBURNPOST_SETTINGS=" + path, "TZ=UTC0" };
     options.outputPath = m_logPath;
     m_process = std::make_unique<ChildProcess>(
-        std::vector<std::string> { AUBURNPOST_PROGRAM, "proxy", "--metrics_port=" + std::to_string(m_metrics) },
-        options);
+        std::vector<std::string> { programPath(), "proxy", "--metrics_port=" + std::to_string(m_metrics) }, options);
 }
 
 void ProxyHost::signal(int number) const
--- a/tests/process/RowStore.cpp
+++ b/tests/process/RowStore.cpp
@@ -71,6 +71,15 @@
     takeCopy(now);
 }
 
+void RowStore::remove(Moment now, const std::string& table, const std::string& key)
+{
+    const RowId id { table, "", key };
+    if (versionOf(id) == 0)
+        return;
+    m_rows[id] = { "", ++m_version, true };
+    takeCopy(now);
+}
+
 void RowStore::restore(Moment copiedAt)
 {
     ++m_era;
--- a/tests/process/RowStore.h
+++ b/tests/process/RowStore.h
@@ -27,6 +27,8 @@
 
     /// Writes a row for the operator or for a target.
     void write(Moment now, const std::string& table, const std::string& key, const std::string& value);
+    /// Removes a row for the operator or for a target.
+    void remove(Moment now, const std::string& table, const std::string& key);
     /// Counts a transaction that changes no row that anybody reads.
     void countTransaction() { ++m_version; }
     /// Answers every read of changes since a present or earlier version with 410.
--- a/tests/process/StoreServer.cpp
+++ b/tests/process/StoreServer.cpp
@@ -1,6 +1,7 @@
 #include "process/StoreServer.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <sstream>
 #include <string_view>
@@ -17,6 +18,7 @@
     constexpr std::string_view configurationTable = "op";
     constexpr std::string_view readPath = "/auburnpost/rows-get";
     constexpr std::string_view feedPath = "/auburnpost/rows-feed";
+    constexpr std::string_view promotionPath = "/promotion";
     constexpr std::string_view transactionPath = "/auburnpost/rows-tx";
 
     std::string decodePercent(const std::string& text)
@@ -57,6 +59,8 @@
     std::string path;
     std::map<std::string, std::string> query;
     std::string host;
+    std::string leaseHolder;
+    std::string fencingToken;
     std::string body;
 
     /// @return the call, or nothing at the end of the connection.
@@ -77,8 +81,14 @@
         while (reader.readLine(line) && !line.empty()) {
             constexpr std::string_view lengthHeader = "Content-Length: ";
             constexpr std::string_view agentHeader = "User-Agent: ";
+            constexpr std::string_view holderHeader = "X-Lease-Holder: ";
+            constexpr std::string_view tokenHeader = "X-Fencing-Token: ";
             if (line.starts_with(lengthHeader))
                 length = std::stoul(line.substr(lengthHeader.size()));
+            if (line.starts_with(holderHeader))
+                call.leaseHolder = line.substr(holderHeader.size());
+            if (line.starts_with(tokenHeader))
+                call.fencingToken = line.substr(tokenHeader.size());
             // The header is HOST/DATA-CENTRE.
             if (line.starts_with(agentHeader))
                 call.host = line.substr(agentHeader.size(), line.find('/', agentHeader.size()) - agentHeader.size());
@@ -108,6 +118,15 @@
     m_changed.notify_all();
 }
 
+void StoreServer::remove(const std::string& table, const std::string& key)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_rows.remove(std::chrono::steady_clock::now(), table, key);
+    }
+    m_changed.notify_all();
+}
+
 void StoreServer::countTransaction()
 {
     const std::lock_guard lock(m_mutex);
@@ -199,6 +218,14 @@
     }
     if (call.path == feedPath)
         return poll(call);
+    if (call.path == promotionPath && m_promote) {
+        const auto body = nlohmann::json::parse(call.body);
+        const PromotionCall promotion { body.at("Service").get<std::string>(), body.at("Id").get<std::string>(),
+            call.leaseHolder, call.fencingToken };
+        const int status = m_promote(promotion);
+        const std::lock_guard lock(m_mutex);
+        return m_rows.status(status);
+    }
     RowStoreAnswer answer;
     {
         const std::lock_guard lock(m_mutex);
--- a/tests/process/StoreServer.h
+++ b/tests/process/StoreServer.h
@@ -4,6 +4,7 @@
 #include "process/ThreadServer.h"
 
 #include <condition_variable>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -24,6 +25,14 @@
     WithoutChanges,
 };
 
+/// A call that orders a promotion.
+struct PromotionCall {
+    std::string group;
+    std::string target;
+    std::string holder;
+    std::string token;
+};
+
 /// The platform's store over HTTP on 127.0.0.1, as far as hosts use it, with faults for each host or for all of them.
 class StoreServer {
 public:
@@ -37,6 +46,10 @@
     [[nodiscard]] std::uint16_t port() const { return m_server.port(); }
     /// Writes a row for the operator or for a target. It is acknowledged when this returns.
     void write(const std::string& table, const std::string& key, const std::string& value);
+    /// Removes a row for the operator or for a target.
+    void remove(const std::string& table, const std::string& key);
+    /// Handles calls for promotions. Set before the first call arrives.
+    void setPromotionHandler(std::function<int(const PromotionCall&)> handler) { m_promote = std::move(handler); }
     /// Counts a transaction that changes no row, as the pings of targets do.
     void countTransaction();
     /// @param host host to which the fault applies; empty: all hosts.
@@ -60,6 +73,8 @@
     /// Waits until a silent or resetting fault of the host has ended.
     void awaitEndOfSilence(const std::string& host);
 
+    /// @return the HTTP status of the answer.
+    std::function<int(const PromotionCall&)> m_promote;
     std::mutex m_mutex;
     std::condition_variable m_changed;
     bool m_isStopping { false };
--- a/tests/process/ThreadServer.cpp
+++ b/tests/process/ThreadServer.cpp
@@ -7,8 +7,9 @@
 
 namespace Auburnpost::Test {
 
-ThreadServer::ThreadServer(Handler serve)
+ThreadServer::ThreadServer(Handler serve, std::uint16_t port)
     : m_serve(std::move(serve))
+    , m_port(port)
     , m_acceptor([this] { acceptConnections(); })
 {
 }
--- a/tests/process/ThreadServer.h
+++ b/tests/process/ThreadServer.h
@@ -10,14 +10,15 @@
 
 namespace Auburnpost::Test {
 
-/// Serves each connection to a free port of 127.0.0.1 in a thread of its own.
+/// Serves each connection to a port of 127.0.0.1 in a thread of its own.
 class ThreadServer {
 public:
     using Handler = std::function<void(const LoopbackSocket&)>;
 
     /// @param serve called for each connection; the connection is closed when it returns. It must return once reads
     /// from the connection fail.
-    explicit ThreadServer(Handler serve);
+    /// @param port port of 127.0.0.1 to listen on.
+    explicit ThreadServer(Handler serve, std::uint16_t port = freePort());
     ~ThreadServer();
     ThreadServer(const ThreadServer&) = delete;
     ThreadServer& operator=(const ThreadServer&) = delete;
@@ -38,7 +39,7 @@
     void removeServedConnections();
 
     Handler m_serve;
-    std::uint16_t m_port { freePort() };
+    std::uint16_t m_port;
     LoopbackSocket m_listener { LoopbackSocket::listenOn(m_port) };
     std::mutex m_mutex;
     bool m_isStopping { false };
