--- a/tests/process/DatabaseGroup.cpp
+++ b/tests/process/DatabaseGroup.cpp
@@ -135,7 +135,14 @@
     else if (member.reachesNewSince == Moment())
         member.reachesNewSince = now;
     else if (now - member.reachesNewSince >= stepDownTime)
-        member.isPrimary = false;
+        becomeReplica(member);
+}
+
+void DatabaseGroup::becomeReplica(Member& member)
+{
+    member.isPrimary = false;
+    member.applied = member.received;
+    member.reachesNewSince = {};
 }
 
 std::chrono::milliseconds DatabaseGroup::pick(int leastMs, int mostMs)
@@ -284,7 +291,7 @@
     const std::lock_guard lock(m_mutex);
     auto& member = m_members.at(name);
     if (member.isPrimary && member.term < term)
-        member.isPrimary = false;
+        becomeReplica(member);
 }
 
 void DatabaseGroup::record(const std::string& member, const std::string& id, LogEntryIndex log, bool isPrimary)
--- a/tests/process/DatabaseGroup.h
+++ b/tests/process/DatabaseGroup.h
@@ -102,6 +102,7 @@
     void step(Moment now);
     void takeEffect(const std::string& name, Moment now);
     void follow(const std::string& name, Member&, Moment now);
+    static void becomeReplica(Member&);
     void stepDown(const std::string& name, Member&, Moment now);
     /// @return the running primary of the highest term that reaches the member, or nullptr.
     Member* sourceOf(const std::string& name, const Member&, std::string& sourceName);
--- a/tests/process/GroupCallers.cpp
+++ b/tests/process/GroupCallers.cpp
@@ -11,6 +11,10 @@
 
     constexpr auto pause = std::chrono::milliseconds(12);
     constexpr std::size_t routeCount = 3;
+    /// The others read nearly always: writes that nobody acknowledges show a host early that its primary is cut off.
+    constexpr std::size_t writingHosts = 2;
+    /// The others have no reads on a primary route, for which a host asks the members all the time.
+    constexpr std::size_t hostsWithPrimaryRoute = 3;
 
 } // namespace
 
@@ -40,6 +44,8 @@
             caller.host = host;
             caller.number = m_callers.size();
             caller.keepsConnections = index > 0;
+            caller.writesOfHundred = host < writingHosts ? 50 : 1;
+            caller.firstRoute = host < hostsWithPrimaryRoute ? 0 : 1;
             caller.random.seed(static_cast<unsigned>(seed * 1000 + caller.number));
             caller.thread = std::thread([this, &caller] { run(caller); });
         }
@@ -73,7 +79,7 @@
 {
     std::vector<std::unique_ptr<Session>> sessions(routeCount);
     while (!m_isStopping) {
-        const auto route = caller.random() % routeCount;
+        const auto route = caller.firstRoute + caller.random() % (routeCount - caller.firstRoute);
         auto& session = sessions[route];
         if (!session)
             session = open(caller, static_cast<RouteKind>(route));
@@ -87,15 +93,16 @@
 
 void GroupCallers::runOperation(Caller& caller, Session& session)
 {
-    constexpr unsigned readsOfTen = 4;
-    constexpr unsigned singlesOfTen = 7;
-    const auto kind = caller.random() % 10;
-    if (kind < readsOfTen)
-        (void)runStatement(caller, session, "READ item");
-    else if (kind < singlesOfTen)
-        (void)runStatement(caller, session, "WRITE item data");
-    else
+    constexpr unsigned transactionsOfTen = 4;
+    if (caller.random() % 10 < transactionsOfTen)
         runTransaction(caller, session);
+    else
+        (void)runStatement(caller, session, pickStatement(caller));
+}
+
+std::string GroupCallers::pickStatement(Caller& caller)
+{
+    return caller.random() % 100 < caller.writesOfHundred ? "WRITE item data" : "READ item";
 }
 
 void GroupCallers::runTransaction(Caller& caller, Session& session)
@@ -110,8 +117,7 @@
     for (unsigned index = 0; succeeds && index < statements; ++index) {
         const bool isLong = caller.random() % 12 == 0;
         std::this_thread::sleep_for(std::chrono::milliseconds(caller.random() % (isLong ? 600 : 30)));
-        const bool isWrite = session.isPlain && caller.random() % 2 == 0;
-        succeeds = runStatement(caller, session, isWrite ? "WRITE item data" : "READ item");
+        succeeds = runStatement(caller, session, session.isPlain ? pickStatement(caller) : "READ item");
     }
     const bool isRolledBack = !succeeds || caller.random() % 5 == 0;
     if (hasBegun && session.caller.isOpen() && !(isRolledBack ? false : runStatement(caller, session, "COMMIT"))
--- a/tests/process/GroupCallers.h
+++ b/tests/process/GroupCallers.h
@@ -29,6 +29,8 @@
         std::size_t number { 0 };
         std::size_t sent { 0 };
         bool keepsConnections { false };
+        unsigned writesOfHundred { 0 };
+        std::size_t firstRoute { 0 };
         std::mt19937 random;
         std::vector<CallerStatement> statements;
         std::thread thread;
@@ -38,6 +40,8 @@
     [[nodiscard]] std::unique_ptr<Session> open(const Caller&, RouteKind);
     void runOperation(Caller&, Session&);
     void runTransaction(Caller&, Session&);
+    /// @return the text of a read or a write.
+    [[nodiscard]] static std::string pickStatement(Caller&);
     /// Sends a statement and records it. @return whether it succeeded.
     bool runStatement(Caller&, Session&, const std::string& text);
 
--- a/tests/process/GroupDriver.cpp
+++ b/tests/process/GroupDriver.cpp
@@ -12,6 +12,8 @@
 
     /// Without faults at the end, so that the last primary has been found.
     constexpr auto calmTime = std::chrono::milliseconds(4000);
+    /// The first kinds of faults, those of the primary.
+    constexpr std::size_t primaryFaults = 5;
     /// A member that is released takes its log with it, so the others get time to receive what they missed.
     constexpr auto releaseInterval = std::chrono::milliseconds(12000);
 
@@ -28,8 +30,9 @@
         { "members-cut-from-primary", &GroupDriver::cutMembersFromPrimary },
         { "primary-cut-from-most", &GroupDriver::cutPrimaryFromMost },
         { "hosts-cut-from-primary", &GroupDriver::cutHostsFromPrimary },
-        { "host-cut-from-replicas", &GroupDriver::cutHostFromReplicas },
         { "primary-crashed", &GroupDriver::crashPrimary },
+        { "primary-released-behind-cuts", &GroupDriver::releasePrimaryBehindCuts },
+        { "host-cut-from-replicas", &GroupDriver::cutHostFromReplicas },
         { "replica-crashed", &GroupDriver::crashReplica },
         { "member-released", &GroupDriver::releaseMember },
         { "record-silent", &GroupDriver::silenceRecord },
@@ -112,7 +115,9 @@
     at(moment, [this, moment] {
         if (m_isEnding)
             return;
-        const auto& [name, fault] = kinds()[m_random() % kinds().size()];
+        // Half of the faults may replace the primary.
+        const auto choices = m_random() % 2 == 0 ? primaryFaults : kinds().size();
+        const auto& [name, fault] = kinds()[m_random() % choices];
         ++m_faultCounts[name];
         (this->*fault)(std::chrono::steady_clock::now());
         // Faults come in series now and then.
@@ -157,7 +162,7 @@
 void GroupDriver::cutPrimaryFromMost(Moment now)
 {
     const auto primary = m_site.group().primary();
-    const auto until = now + pick(2500, 8000);
+    const auto until = now + pick(4000, 9000);
     const auto connectedHost = pickHost();
     for (const auto& member : m_site.group().runningMembers()) {
         if (member == primary)
@@ -216,10 +221,37 @@
 {
     constexpr std::size_t allMembers = 3;
     const auto members = m_site.group().runningMembers();
-    if (now < m_nextRelease || members.size() < allMembers)
+    if (members.size() == allMembers)
+        release(members[m_random() % members.size()], now);
+}
+
+void GroupDriver::releasePrimaryBehindCuts(Moment now)
+{
+    constexpr std::size_t allMembers = 3;
+    const auto primary = m_site.group().primary();
+    if (m_site.group().runningMembers().size() < allMembers || !release(primary, now))
         return;
+    // The primary goes on while those that replace it can't reach it.
+    const auto cutAt = now + pick(0, 500);
+    const auto until = now + pick(2000, 5000);
+    const auto connectedHost = pickHost();
+    for (std::size_t host = 0; host < m_site.size(); ++host) {
+        if (host != connectedHost)
+            cut(hostName(host), primary, cutAt, until);
+    }
+    if (m_random() % 2 == 0)
+        return;
+    for (const auto& member : m_site.group().runningMembers()) {
+        if (member != primary)
+            cut(member, primary, cutAt, until);
+    }
+}
+
+bool GroupDriver::release(const std::string& member, Moment now)
+{
+    if (now < m_nextRelease)
+        return false;
     m_nextRelease = now + releaseInterval;
-    const auto member = members[m_random() % members.size()];
     const auto until = now + pick(1500, 5000);
     m_site.drainMember(member);
     const auto registersAt = until + pick(0, 3000);
@@ -236,6 +268,7 @@
         (void)m_site.addMember(false, registersAt);
     });
     note(now, until, member + " released");
+    return true;
 }
 
 void GroupDriver::silenceRecord(Moment now)
--- a/tests/process/GroupDriver.h
+++ b/tests/process/GroupDriver.h
@@ -48,6 +48,9 @@
     void crashReplica(Moment now);
     void crash(const std::string& member, Moment now);
     void releaseMember(Moment now);
+    void releasePrimaryBehindCuts(Moment now);
+    /// Releases a member, and starts another. @return false if the last release was too short ago.
+    bool release(const std::string& member, Moment now);
     void silenceRecord(Moment now);
     void stopHost(Moment now);
     void starveHost(Moment now);
--- a/tests/process/GroupSoak.cpp
+++ b/tests/process/GroupSoak.cpp
@@ -6,6 +6,7 @@
 #include "process/SchedulingWatch.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <ctime>
 #include <iostream>
 #include <map>
@@ -80,7 +81,7 @@
               << " twice, " << check.count(GroupViolation::Kind::Token) << " tokens used twice, "
               << driver.hostsEndedByThemselves() << " hosts ended by themselves" << std::endl;
     const auto violations = check.violations().size() + driver.hostsEndedByThemselves();
-    if (violations == 0)
+    if (violations == 0 && !std::getenv("GROUP_SOAK_DETAILS"))
         return 0;
     site.folder().keep();
     std::cout << "  logs: " << site.folder().path() << "\n";
