--- a/tests/process/DatabaseGroup.cpp
+++ b/tests/process/DatabaseGroup.cpp
@@ -240,6 +240,12 @@
     return m_lastPrimary;
 }
 
+std::size_t DatabaseGroup::attemptedReplacements() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_orders.size() + m_fences;
+}
+
 bool DatabaseGroup::isRunning(const std::string& name) const
 {
     const std::lock_guard lock(m_mutex);
@@ -277,6 +283,7 @@
     if (!member.isPrimary && term > member.term) {
         member.fencedTerm = std::max(member.fencedTerm, term);
         member.newestTermWhenFenced = m_lastTerm;
+        ++m_fences;
     }
 }
 
--- a/tests/process/DatabaseGroup.h
+++ b/tests/process/DatabaseGroup.h
@@ -54,6 +54,8 @@
     [[nodiscard]] std::vector<std::string> runningMembers() const;
     /// @return the primary of the highest term.
     [[nodiscard]] std::string primary() const;
+    /// @return the number of fences and of orders to promote.
+    [[nodiscard]] std::size_t attemptedReplacements() const;
     [[nodiscard]] bool isRunning(const std::string& member) const;
     [[nodiscard]] bool isBusy(const std::string& member) const;
     [[nodiscard]] MemberStatus status(const std::string& member) const;
@@ -125,6 +127,7 @@
     std::vector<MemberRun> m_runs;
     std::vector<PromotionEffect> m_promotions;
     std::vector<PromotionOrder> m_orders;
+    std::size_t m_fences { 0 };
     std::thread m_thread;
 };
 
--- a/tests/process/GroupDriver.cpp
+++ b/tests/process/GroupDriver.cpp
@@ -14,6 +14,9 @@
     constexpr auto calmTime = std::chrono::milliseconds(4000);
     /// The first kinds of faults, those of the primary.
     constexpr std::size_t primaryFaults = 4;
+    /// The one that leaves a replaced primary in the reach of one host.
+    constexpr std::size_t replacedPrimaryFault = 1;
+    constexpr auto replacementInterval = std::chrono::milliseconds(9500);
     /// A member that is released takes its log with it, so the others get time to receive what they missed.
     constexpr auto releaseInterval = std::chrono::milliseconds(12000);
 
@@ -46,8 +49,9 @@
     return all;
 }
 
-GroupDriver::GroupDriver(GroupSite& site, std::uint64_t seed)
+GroupDriver::GroupDriver(GroupSite& site, GroupFaults faults, std::uint64_t seed)
     : m_site(site)
+    , m_choice(faults)
     , m_random(seed)
     , m_pauses(site.size(), 0)
     , m_isDown(site.size(), false)
@@ -117,11 +121,13 @@
             return;
         // Half of the faults may replace the primary.
         const auto choices = m_random() % 2 == 0 ? primaryFaults : kinds().size();
-        const auto& [name, fault] = kinds()[m_random() % choices];
+        const auto index = m_choice == GroupFaults::All ? m_random() % choices : replacedPrimaryFault;
+        const auto& [name, fault] = kinds()[index];
         ++m_faultCounts[name];
         (this->*fault)(std::chrono::steady_clock::now());
         // Faults come in series now and then.
-        scheduleFault(moment + (m_random() % 3 == 0 ? pick(20, 400) : pick(600, 2500)));
+        const auto pause = m_random() % 3 == 0 ? pick(20, 400) : pick(600, 2500);
+        scheduleFault(moment + (m_choice == GroupFaults::All ? pause : replacementInterval));
     });
 }
 
@@ -176,6 +182,28 @@
         cut(hostName(host), primary, now, until);
         cut(primary, hostName(host), now, until);
     }
+    if (m_random() % 4 != 0)
+        cutOnReplacement(hostName(connectedHost), primary, m_site.group().attemptedReplacements(), now, until);
+}
+
+void GroupDriver::cutOnReplacement(
+    const std::string& host, const std::string& primary, std::size_t attemptsBefore, Moment now, Moment until)
+{
+    constexpr auto checkInterval = Milliseconds(2);
+    if (m_isEnding || now >= until)
+        return;
+    if (m_site.group().attemptedReplacements() == attemptsBefore) {
+        at(now + checkInterval, [this, host, primary, attemptsBefore, until] {
+            cutOnReplacement(host, primary, attemptsBefore, std::chrono::steady_clock::now(), until);
+        });
+        return;
+    }
+    for (const auto& member : m_site.group().runningMembers()) {
+        if (member == primary)
+            continue;
+        cut(host, member, now, until);
+        cut(member, host, now, until);
+    }
 }
 
 void GroupDriver::cutHostsFromPrimary(Moment now)
--- a/tests/process/GroupDriver.h
+++ b/tests/process/GroupDriver.h
@@ -11,10 +11,17 @@
 
 namespace Auburnpost::Test {
 
+/// The faults that are drawn.
+enum class GroupFaults {
+    All,
+    /// The primary is cut off from all but one host, which loses the other members when the primary is replaced.
+    ReplacedPrimary,
+};
+
 /// The faults of a run. A seed decides what is done and when.
 class GroupDriver {
 public:
-    GroupDriver(GroupSite&, std::uint64_t seed);
+    GroupDriver(GroupSite&, GroupFaults, std::uint64_t seed);
 
     /// Brings faults about for a time, and ends all of them before its end.
     void runFor(std::chrono::milliseconds);
@@ -48,6 +55,9 @@
     void cutSomeDirections(const std::string& one, const std::string& other, Moment now, Moment until);
     void cutMembersFromPrimary(Moment now);
     void cutPrimaryFromMost(Moment now);
+    /// Cuts a host from the other members, for the rest of a time, once a member is fenced in it.
+    void cutOnReplacement(
+        const std::string& host, const std::string& primary, std::size_t attemptsBefore, Moment now, Moment until);
     void cutHostsFromPrimary(Moment now);
     void cutHostFromReplicas(Moment now);
     void crashPrimary(Moment now);
@@ -68,6 +78,7 @@
     void restartHost(std::size_t host);
 
     GroupSite& m_site;
+    GroupFaults m_choice;
     std::mt19937_64 m_random;
     std::multimap<Moment, std::function<void()>> m_actions;
     std::vector<int> m_pauses;
--- a/tests/process/GroupSoak.cpp
+++ b/tests/process/GroupSoak.cpp
@@ -57,7 +57,7 @@
 std::size_t GroupSoak::run(std::uint64_t seed) const
 {
     GroupSite site(hosts, seed);
-    GroupDriver driver(site, seed);
+    GroupDriver driver(site, faults, seed);
     SchedulingWatch watch;
     GroupHistory history;
     history.readYourWritesStaleness = GroupSite::readYourWritesStaleness;
