--- a/tests/process/GroupDriver.cpp
+++ b/tests/process/GroupDriver.cpp
@@ -14,11 +14,11 @@
     constexpr auto calmTime = std::chrono::milliseconds(4000);
     /// The first kinds of faults, those of the primary.
     constexpr std::size_t primaryFaults = 4;
-    /// The one that leaves a replaced primary in the reach of one host.
-    constexpr std::size_t replacedPrimaryFault = 1;
+    /// Those that leave a replaced primary in the reach of one host.
+    constexpr std::size_t replacedPrimaryFaults[] { 1, 3, 3, 3 };
     constexpr auto replacementInterval = std::chrono::milliseconds(9500);
     /// A member that is released takes its log with it, so the others get time to receive what they missed.
-    constexpr auto releaseInterval = std::chrono::milliseconds(12000);
+    constexpr auto releaseInterval = std::chrono::milliseconds(9000);
 
     std::string hostName(std::size_t index)
     {
@@ -121,7 +121,7 @@
             return;
         // Half of the faults may replace the primary.
         const auto choices = m_random() % 2 == 0 ? primaryFaults : kinds().size();
-        const auto index = m_choice == GroupFaults::All ? m_random() % choices : replacedPrimaryFault;
+        const auto index = m_choice == GroupFaults::All ? m_random() % choices : replacedPrimaryFaults[m_random() % 4];
         const auto& [name, fault] = kinds()[index];
         ++m_faultCounts[name];
         (this->*fault)(std::chrono::steady_clock::now());
@@ -170,19 +170,14 @@
     const auto primary = m_site.group().primary();
     const auto until = now + pick(4000, 9000);
     const auto connectedHost = pickReadingHost();
-    for (const auto& member : m_site.group().runningMembers()) {
-        if (member == primary)
-            continue;
-        cut(primary, member, now, until);
-        cut(member, primary, now, until);
-    }
+    cutFromOthers(primary, primary, now, until);
     for (std::size_t host = 0; host < m_site.size(); ++host) {
         if (host == connectedHost)
             continue;
         cut(hostName(host), primary, now, until);
         cut(primary, hostName(host), now, until);
     }
-    if (m_random() % 4 != 0)
+    if (m_random() % 2 == 0)
         cutOnReplacement(hostName(connectedHost), primary, m_site.group().attemptedReplacements(), now, until);
 }
 
@@ -198,11 +193,17 @@
         });
         return;
     }
+    cutFromOthers(host, primary, now, until);
+    cutFromOthers(primary, primary, now, until);
+}
+
+void GroupDriver::cutFromOthers(const std::string& party, const std::string& primary, Moment now, Moment until)
+{
     for (const auto& member : m_site.group().runningMembers()) {
         if (member == primary)
             continue;
-        cut(host, member, now, until);
-        cut(member, host, now, until);
+        cut(party, member, now, until);
+        cut(member, party, now, until);
     }
 }
 
@@ -261,8 +262,8 @@
     const auto primary = m_site.group().primary();
     if (m_site.group().runningMembers().size() < allMembers || !release(primary, now))
         return;
-    // The primary goes on while those that replace it can't reach it.
-    const auto cutAt = now + pick(0, 500);
+    // The primary goes on while those that replace it can't reach it to demote it.
+    const auto cutAt = now + pick(0, 150);
     const auto until = now + pick(2000, 5000);
     const auto connectedHost = pickReadingHost();
     for (std::size_t host = 0; host < m_site.size(); ++host) {
--- a/tests/process/GroupDriver.h
+++ b/tests/process/GroupDriver.h
@@ -55,7 +55,9 @@
     void cutSomeDirections(const std::string& one, const std::string& other, Moment now, Moment until);
     void cutMembersFromPrimary(Moment now);
     void cutPrimaryFromMost(Moment now);
-    /// Cuts a host from the other members, for the rest of a time, once a member is fenced in it.
+    /// Cuts a host or the primary from the members other than the primary.
+    void cutFromOthers(const std::string& party, const std::string& primary, Moment now, Moment until);
+    /// Cuts a host and the primary from the other members, for the rest of a time, once a member is fenced in it.
     void cutOnReplacement(
         const std::string& host, const std::string& primary, std::size_t attemptsBefore, Moment now, Moment until);
     void cutHostsFromPrimary(Moment now);
