--- a/tests/process/GroupDriver.h
+++ b/tests/process/GroupDriver.h
@@ -18,6 +18,9 @@
     ReplacedPrimary,
 };
 
+/// @return the name of a host.
+std::string hostName(std::size_t index);
+
 /// The faults of a run. A seed decides what is done and when.
 class GroupDriver {
 public:
