Let the end of a closed log stand for all that departed members had of it

Whatever a member had of a closed term lies within the log that its primary reports at the closing, so that members that have ended count as closed whenever they were last asked, and the candidate has to reach that end. The time of their status no longer matters, which makes LogClosure simpler.

--- a/src/proxy/LogClosure.h
+++ b/src/proxy/LogClosure.h
@@ -7,26 +7,25 @@
 namespace Auburnpost::Proxy {
 
 /// Whether the log of the highest term that this host has seen is known to have ended: its primary reports that it is
-/// none, and no target has reported a later term. Nothing can be acknowledged in that term any more, so the log of each
-/// member that is queried afterwards is final, unless a primary of a later term leads that this host does not know.
+/// none, and no target has reported a later term. A target commits in a term as its primary only, so that every commit
+/// that was acknowledged lies within the log that the primary then reports, unless a primary of a later term has led
+/// that this host does not know (Promotion::isClosureProven).
 class LogClosure {
 public:
     /// Records a member's status.
-    void record(Instant now, const TargetName&, const TargetStatus&);
+    void record(const TargetName&, const TargetStatus&);
     void clear() { *this = {}; }
 
     /// @return the term whose log is closed; empty if none is known to be.
-    [[nodiscard]] std::optional<Term> term() const { return m_closedAt ? std::optional(m_term) : std::nullopt; }
-    /// @param queriedAt when the query that returned the member's status was sent.
-    /// @return whether the member's status shows all that it can have received in the closed term.
-    [[nodiscard]] bool isFinal(const TargetName&, Instant queriedAt) const;
+    [[nodiscard]] std::optional<Term> term() const { return m_end ? std::optional(m_term) : std::nullopt; }
+    /// @return the end of the closed log; empty if none is known to be closed.
+    [[nodiscard]] const std::optional<LogPoint>& end() const { return m_end; }
 
 private:
     /// The last primary of the highest term; empty if it is not known.
     std::optional<TargetName> m_leader;
     Term m_term;
-    /// When the leader's report that it is no primary arrived.
-    std::optional<Instant> m_closedAt;
+    std::optional<LogPoint> m_end;
 };
 
 } // namespace Auburnpost::Proxy
--- a/src/proxy/Promotion.h
+++ b/src/proxy/Promotion.h
@@ -221,8 +221,8 @@
     /// @return whether the member's fence is of this attempt or an earlier one, so that this attempt may remove it.
     [[nodiscard]] bool mayResume(const GroupWatcher::Member&) const;
     [[nodiscard]] std::set<TargetName> fencedMembers(const GroupWatcher&) const;
-    /// @return the members whose process has ended and whose log end is known: they can't acknowledge anything more, as
-    /// if they were fenced.
+    /// @return the members whose process has ended if the log of the term is closed: they have acknowledged nothing
+    /// beyond its end, and no member acknowledges anything more.
     [[nodiscard]] std::set<TargetName> endedMembers(const GroupWatcher&) const;
     /// @return whether no primary of a term after the closed one can have led, as far as the row of the lease and its
     /// candidate tell.
--- a/src/proxy/PromotionFencing.cpp
+++ b/src/proxy/PromotionFencing.cpp
@@ -23,8 +23,7 @@
         return names;
     for (const auto& [name, member] : watcher.members()) {
         // A fence shows nothing of a member that has ended, as another target may run at its address.
-        if (member.presumedEndedAt && member.status && !member.status->isPrimary
-            && watcher.logClosure().isFinal(name, member.queriedAt))
+        if (member.presumedEndedAt && member.status && !member.status->isPrimary)
             names.insert(name);
     }
     return names;
@@ -117,7 +116,11 @@
     const auto holders = watcher.rules().syncReplicas + 1;
     const auto unfenced = watcher.groupSize() - std::min(watcher.groupSize(), ends.size());
     const auto fencedHolders = holders > unfenced ? holders - unfenced : 1;
-    return ends.at(std::min(fencedHolders, ends.size()) - 1);
+    const auto required = ends.at(std::min(fencedHolders, ends.size()) - 1);
+    // A member that has ended may have had more of the closed log than it last reported.
+    const bool hasEnded = std::any_of(closed.begin(), closed.end(),
+        [&watcher](const TargetName& name) { return watcher.find(name)->presumedEndedAt.has_value(); });
+    return hasEnded ? std::max(required, watcher.logClosure().end().value_or(LogPoint {})) : required;
 }
 
 bool Promotion::isCandidateRecorded(const Context& context) const
