--- a/src/proxy/GroupDoubts.cpp
+++ b/src/proxy/GroupDoubts.cpp
@@ -45,21 +45,21 @@
         const auto acknowledged = *found;
         // The target may have been replaced and lead again since.
         const bool isOfEarlierTerm = held.answer.position && held.answer.position->term < m_watcher.primaryTerm();
-        if (held.target == *primary && isOfEarlierTerm) {
+        if (held.target != *primary || isOfEarlierTerm) {
             finishInDoubt(acknowledged);
-        } else if (held.target == *primary && held.at > guard.clearAsOf() && !m_watcher.seesFences(now)) {
-            m_heldAcknowledgements.emplace(id, held);
+            continue;
+        }
+        const bool isDurable = !held.answer.position || m_watcher.isDurable(now, held.target, *held.answer.position);
+        const bool isIsolated = held.at > guard.clearAsOf() && !m_watcher.seesFences(now);
+        if (isIsolated)
             guard.recordIsolation(now);
-        } else if (held.target == *primary && held.answer.position
-            && !m_watcher.isDurable(now, held.target, *held.answer.position)) {
+        if (isIsolated || !isDurable) {
             m_heldAcknowledgements.emplace(id, held);
-        } else if (held.target == *primary) {
-            const std::chrono::duration<double, std::milli> length = now - held.at;
-            m_delegate.measure("acknowledgement_held_ms", length.count());
-            finish(acknowledged, held.answer, nullptr);
-        } else {
-            finishInDoubt(acknowledged);
+            continue;
         }
+        const std::chrono::duration<double, std::milli> length = now - held.at;
+        m_delegate.measure("acknowledgement_held_ms", length.count());
+        finish(acknowledged, held.answer, nullptr);
     }
 }
 
