Keep the exact log ends of departed members where they are known

An attempt whose call had no effect yet was followed by one that took the end of the closed log, which held an entry that was never acknowledged, for what a departed member might have had; the pending target did not reach it, another one was called for, and the first call took effect last.

A member that was asked after the closing is known exactly, so that the pending target is called for again, as on. Only one that was not is taken for having had all of the closed log.

--- a/src/proxy/GroupWatcher.cpp
+++ b/src/proxy/GroupWatcher.cpp
@@ -106,7 +106,7 @@
     updateBehindSince(now, member, queriedAt, status);
     member.status = status;
     member.queriedAt = queriedAt;
-    m_logClosure.record(name, status);
+    m_logClosure.record(now, name, status);
     m_highestTerm = std::max({ m_highestTerm, status.term, status.fencedTerm });
     const bool isLatestPrimary = status.isPrimary && status.term >= m_primaryTerm && member.isListed();
     const bool isNew = isLatestPrimary && m_primary != name;
--- a/src/proxy/LogClosure.h
+++ b/src/proxy/LogClosure.h
@@ -13,19 +13,24 @@
 class LogClosure {
 public:
     /// Records a member's status.
-    void record(const TargetName&, const TargetStatus&);
+    void record(Instant now, const TargetName&, const TargetStatus&);
     void clear() { *this = {}; }
 
     /// @return the term whose log is closed; empty if none is known to be.
     [[nodiscard]] std::optional<Term> term() const { return m_end ? std::optional(m_term) : std::nullopt; }
     /// @return the end of the closed log; empty if none is known to be closed.
     [[nodiscard]] const std::optional<LogPoint>& end() const { return m_end; }
+    /// @param queriedAt when the query that returned the member's status was sent.
+    /// @return whether the status shows all that the member has of the closed log.
+    [[nodiscard]] bool isFinal(const TargetName&, Instant queriedAt) const;
 
 private:
     /// The last primary of the highest term; empty if it is not known.
     std::optional<TargetName> m_leader;
     Term m_term;
     std::optional<LogPoint> m_end;
+    /// When the leader's report that it is no primary arrived.
+    Instant m_closedAt {};
 };
 
 } // namespace Auburnpost::Proxy
--- a/src/proxy/PromotionFencing.cpp
+++ b/src/proxy/PromotionFencing.cpp
@@ -117,10 +117,13 @@
     const auto unfenced = watcher.groupSize() - std::min(watcher.groupSize(), ends.size());
     const auto fencedHolders = holders > unfenced ? holders - unfenced : 1;
     const auto required = ends.at(std::min(fencedHolders, ends.size()) - 1);
-    // A member that has ended may have had more of the closed log than it last reported.
-    const bool hasEnded = std::any_of(closed.begin(), closed.end(),
-        [&watcher](const TargetName& name) { return watcher.find(name)->presumedEndedAt.has_value(); });
-    return hasEnded ? std::max(required, watcher.logClosure().end().value_or(LogPoint {})) : required;
+    // A member that ended may have had more of the closed log than it reported before the closing.
+    const auto& closure = watcher.logClosure();
+    const bool isUnknown = std::any_of(closed.begin(), closed.end(), [&](const TargetName& name) {
+        const auto& member = *watcher.find(name);
+        return member.presumedEndedAt && !closure.isFinal(name, member.queriedAt);
+    });
+    return isUnknown ? std::max(required, closure.end().value_or(LogPoint {})) : required;
 }
 
 bool Promotion::isCandidateRecorded(const Context& context) const
